Toolchain, core layer and contracts between the parts

Cause: the repository was empty. Change: TypeScript, dprint, typescript-eslint, cucumber and knip set to the house style; core layer (failures, parsing, settings, logs, metrics, JSON-RPC); ports and adapters for store, instance list and workers; shared messages; interfaces of rules, membership and policy. Conclusion: the parts can be built against these contracts.

--- /dev/null
+++ b/src/core/http.ts
@@ -0,0 +1,41 @@
+/**
+ * HTTP servers of a process: listening on an address from settings and closing without cutting off requests.
+ */
+import { once } from "node:events";
+import type { RequestListener, Server } from "node:http";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { z } from "zod";
+
+/** Where a server listens. Port 0 lets the operating system choose. */
+export const ListenAddress = z.strictObject({
+    host: z.string().min(1),
+    port: z.int().min(0).max(65_535),
+});
+export type ListenAddress = z.infer<typeof ListenAddress>;
+
+/** A listening server with the address that it was given. */
+export interface RunningServer {
+    readonly server: Server;
+    readonly host: string;
+    readonly port: number;
+    readonly origin: string;
+    /** Stops accepting, waits for the answers under way, then closes what is left idle. */
+    close(): Promise<void>;
+}
+
+/** Starts an HTTP server; rejects when the address cannot be bound. */
+export async function listen(listener: RequestListener, address: ListenAddress): Promise<RunningServer> {
+    const server = createServer(listener);
+    server.listen(address.port, address.host);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    return { server, host: address.host, port, origin: `http://${address.host}:${port}`, close: () => close(server) };
+}
+
+async function close(server: Server): Promise<void> {
+    const closed = once(server, "close");
+    server.close();
+    server.closeIdleConnections();
+    await closed;
+}
--- /dev/null
+++ b/src/core/messages/credits.ts
@@ -0,0 +1,42 @@
+/**
+ * Connection credits: a gateway opens a connection to a worker only under a credit leased by the cell's owner.
+ */
+import { z } from "zod";
+import { defineMethod } from "../rpc.js";
+import { Name } from "./identity.js";
+
+/** Credits that a gateway holds on one worker. */
+export const CreditHolding = z.strictObject({
+    worker: Name,
+    /** Credits in use or kept in reserve; what the gateway had beyond this it has given back. */
+    held: z.int().min(0),
+    /** Credits wanted in all. */
+    wanted: z.int().min(0),
+});
+export type CreditHolding = z.infer<typeof CreditHolding>;
+
+/** What the owner grants on one worker, in all, not in addition. */
+export const CreditGrant = z.strictObject({ worker: Name, granted: z.int().min(0) });
+export type CreditGrant = z.infer<typeof CreditGrant>;
+
+/**
+ * Renews, enlarges or gives back a gateway's credits in one cell. The grant lapses `leaseMilliseconds` after the
+ * gateway SENT the request, on the gateway's clock; the owner counts from its arrival, which is later. A gateway
+ * closes connections beyond its grant before the lapse. A new incarnation of a gateway starts from zero.
+ *
+ * Errors: `fenced` where the scheduler does not own the cell.
+ */
+export const exchangeCredits = defineMethod(
+    "credits.exchange",
+    z.strictObject({
+        gateway: Name,
+        incarnation: z.string(),
+        cell: z.string(),
+        holdings: z.array(CreditHolding),
+    }),
+    z.strictObject({
+        epoch: z.int(),
+        leaseMilliseconds: z.int().min(1),
+        grants: z.array(CreditGrant),
+    }),
+);
--- /dev/null
+++ b/src/core/rpc.ts
@@ -0,0 +1,213 @@
+/**
+ * JSON-RPC 2.0 over HTTP between the system's own processes and from operators.
+ *
+ * A method is declared once with the schemas of its parameters and answer; both ends check against them.
+ */
+import express from "express";
+import type { RequestHandler, Router } from "express";
+import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
+import { timingSafeEqual } from "node:crypto";
+import { Result } from "true-myth/result";
+import { request } from "undici";
+import type { Dispatcher } from "undici";
+import { z } from "zod";
+import { createFailure, describeThrown, Failure } from "./errors.js";
+import { parse } from "./parse.js";
+
+/** Path of the JSON-RPC endpoint on peer and operator ports. */
+export const RPC_PATH = "/rpc";
+
+/** JSON-RPC error code of every failure that carries `Failure` as its data. */
+export const RPC_FAILURE_CODE = -32_000;
+
+const DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024;
+
+/** A method that both ends agree on. */
+export interface Method<Params extends z.ZodType, Answer extends z.ZodType> {
+    readonly name: string;
+    readonly params: Params;
+    readonly answer: Answer;
+}
+
+/** Declares a method. */
+export function defineMethod<Params extends z.ZodType, Answer extends z.ZodType>(
+    name: string,
+    params: Params,
+    answer: Answer,
+): Method<Params, Answer> {
+    return { name, params, answer };
+}
+
+/** A method with the function that carries it out. */
+export interface MethodHandler {
+    readonly name: string;
+    handle(params: unknown): Promise<unknown>;
+}
+
+/** Joins a method and its function; parameters are checked before the function sees them. */
+export function implement<Params extends z.ZodType, Answer extends z.ZodType>(
+    method: Method<Params, Answer>,
+    handle: (params: z.output<Params>) => Promise<Result<z.input<Answer>, Failure>>,
+): MethodHandler {
+    return {
+        name: method.name,
+        handle: async params => {
+            const checked = parse(method.params, params, method.name);
+            const answer = checked.isOk
+                ? await handle(checked.value)
+                : Result.err<z.input<Answer>, Failure>(checked.error);
+            if (answer.isErr) {
+                throw new JSONRPCErrorException(answer.error.message, RPC_FAILURE_CODE, answer.error);
+            }
+            return answer.value;
+        },
+    };
+}
+
+/** Options of the server side. */
+export interface RpcRouterOptions {
+    readonly handlers: readonly MethodHandler[];
+    /** Shared token that callers present as `Authorization: Bearer`. */
+    readonly token: string;
+    readonly bodyLimitBytes?: number;
+}
+
+/** Creates an express router that serves the methods at `RPC_PATH`. */
+export function createRpcRouter(options: RpcRouterOptions): Router {
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    for (const handler of options.handlers) {
+        server.addMethod(handler.name, params => handler.handle(params));
+    }
+    const router = express.Router();
+    router.use(RPC_PATH, requireToken(options.token));
+    router.use(RPC_PATH, express.text({ type: () => true, limit: options.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES }));
+    router.post(RPC_PATH, async (incoming, outgoing) => {
+        const answer = await server.receiveJSON(typeof incoming.body === "string" ? incoming.body : "");
+        if (answer === null) {
+            outgoing.status(204).end();
+            return;
+        }
+        outgoing.json(answer);
+    });
+    return router;
+}
+
+/** Refuses requests that do not carry the token. */
+export function requireToken(token: string): RequestHandler {
+    const expected = Buffer.from(`Bearer ${token}`);
+    return (incoming, outgoing, next) => {
+        const given = Buffer.from(incoming.headers.authorization ?? "");
+        if (given.length === expected.length && timingSafeEqual(given, expected)) {
+            next();
+            return;
+        }
+        const failure = createFailure("unauthorized", "authorization", "a valid bearer token is required");
+        outgoing.status(401).json({ jsonrpc: "2.0", id: null, error: toRpcError(failure) });
+    };
+}
+
+function toRpcError(failure: Failure): object {
+    return { code: RPC_FAILURE_CODE, message: failure.message, data: failure };
+}
+
+/** Options of the client side. */
+export interface RpcClientOptions {
+    readonly token: string;
+    readonly timeoutMilliseconds: number;
+    readonly dispatcher?: Dispatcher;
+}
+
+/** Calls methods of peers. */
+export interface RpcClient {
+    /**
+     * Calls a method of the peer at an origin (`http://127.0.0.1:7000`).
+     *
+     * Codes besides the method's own: `unavailable` (nothing was sent), `timeout` and `ambiguous` (it may have run),
+     * `internal` (the answer does not fit the schema).
+     */
+    call<Params extends z.ZodType, Answer extends z.ZodType>(
+        origin: string,
+        method: Method<Params, Answer>,
+        params: z.input<Params>,
+        options?: RpcCallOptions,
+    ): Promise<Result<z.output<Answer>, Failure>>;
+}
+
+/** What may differ from call to call. */
+export interface RpcCallOptions {
+    readonly timeoutMilliseconds?: number;
+    readonly signal?: AbortSignal;
+}
+
+const RpcAnswer = z.object({
+    result: z.unknown().optional(),
+    error: z.object({ code: z.number(), message: z.string(), data: z.unknown().optional() }).optional(),
+});
+
+/** Creates a client; one serves any number of peers. */
+export function createRpcClient(options: RpcClientOptions): RpcClient {
+    let lastId = 0;
+    return {
+        async call(origin, method, params, callOptions = {}) {
+            lastId += 1;
+            const body = JSON.stringify({ jsonrpc: "2.0", id: lastId, method: method.name, params });
+            const sent = await post(origin, method.name, body, options, callOptions);
+            return sent.andThen(answer => readAnswer(method, answer, origin));
+        },
+    };
+}
+
+async function post(
+    origin: string,
+    step: string,
+    body: string,
+    options: RpcClientOptions,
+    callOptions: RpcCallOptions,
+): Promise<Result<unknown, Failure>> {
+    const timeoutSignal = AbortSignal.timeout(callOptions.timeoutMilliseconds ?? options.timeoutMilliseconds);
+    const signal = callOptions.signal === undefined
+        ? timeoutSignal
+        : AbortSignal.any([timeoutSignal, callOptions.signal]);
+    try {
+        const answer = await request(origin + RPC_PATH, {
+            method: "POST",
+            headers: { "content-type": "application/json", authorization: `Bearer ${options.token}` },
+            body,
+            signal,
+            ...(options.dispatcher === undefined ? {} : { dispatcher: options.dispatcher }),
+        });
+        return Result.ok(await answer.body.json());
+    }
+    catch (thrown) {
+        return Result.err(toTransportFailure(thrown, step, origin, timeoutSignal.aborted));
+    }
+}
+
+function toTransportFailure(thrown: unknown, step: string, peer: string, timedOut: boolean): Failure {
+    if (timedOut) {
+        return createFailure("timeout", step, "no answer within the time limit", { peer });
+    }
+    const systemCode = (thrown as { code?: unknown; }).code;
+    const nothingSent = systemCode === "ECONNREFUSED" || systemCode === "UND_ERR_CONNECT_TIMEOUT";
+    return createFailure(nothingSent ? "unavailable" : "ambiguous", step, describeThrown(thrown), { peer });
+}
+
+function readAnswer<Answer extends z.ZodType>(
+    method: Method<z.ZodType, Answer>,
+    answer: unknown,
+    peer: string,
+): Result<z.output<Answer>, Failure> {
+    const envelope = RpcAnswer.safeParse(answer);
+    if (!envelope.success) {
+        return Result.err(createFailure("internal", method.name, "the answer is not JSON-RPC 2.0", { peer }));
+    }
+    const { error, result } = envelope.data;
+    if (error === undefined) {
+        return parse(method.answer, result, method.name).mapErr(failure => ({ ...failure, code: "internal", peer }));
+    }
+    const failure = Failure.safeParse(error.data);
+    if (failure.success) {
+        return Result.err({ ...failure.data, peer: failure.data.peer ?? peer });
+    }
+    return Result.err(createFailure("internal", method.name, error.message, { peer }));
+}
--- /dev/null
+++ b/src/core/time.ts
@@ -0,0 +1,25 @@
+/**
+ * Clocks and waits. Functions that decide take the present time as an argument; only tasks read a clock.
+ */
+import { setTimeout as delay } from "node:timers/promises";
+
+/** Tells the present time in milliseconds since the Unix epoch. */
+export type Clock = () => number;
+
+export const MILLISECONDS_PER_SECOND = 1_000;
+export const MILLISECONDS_PER_MINUTE = 60_000;
+export const MILLISECONDS_PER_HOUR = 3_600_000;
+export const MILLISECONDS_PER_DAY = 86_400_000;
+
+/** A clock that does not go back when the operating system's clock is set. */
+export const systemClock: Clock = () => performance.timeOrigin + performance.now();
+
+/** Waits, or returns early when the signal is aborted. */
+export async function pause(milliseconds: number, signal?: AbortSignal): Promise<void> {
+    try {
+        await delay(milliseconds, undefined, signal === undefined ? {} : { signal });
+    }
+    catch {
+        // An abort ends the wait early; callers look at the signal themselves.
+    }
+}
--- /dev/null
+++ b/src/platform/commit.ts
@@ -0,0 +1,149 @@
+/**
+ * Writes to the store whose outcome is always known in the end.
+ *
+ * A write that got no answer may have taken effect. Each record carries a write id; reading it back settles whether the
+ * write is there before anything else is decided.
+ */
+import { randomUUID } from "node:crypto";
+import { Result } from "true-myth/result";
+import { z } from "zod";
+import { createFailure } from "../core/errors.js";
+import type { Failure } from "../core/errors.js";
+import { parse, parseJson } from "../core/parse.js";
+import { pause } from "../core/time.js";
+import type { KeyValue, Store, TransactionAnswer, WriteOperation } from "./store.js";
+
+const SETTLE_FIRST_WAIT_MILLISECONDS = 50;
+const SETTLE_LONGEST_WAIT_MILLISECONDS = 2_000;
+
+const Envelope = z.object({ writeId: z.string(), body: z.unknown() });
+
+/** A record under one key, replaced only where nobody else has replaced it since. */
+export interface RecordCommit {
+    readonly key: string;
+    readonly body: unknown;
+    /** Revision of the record that the new one replaces; 0 where there must be none. */
+    readonly expectedRevision: number;
+    readonly leaseId?: string;
+    /** Writes that take effect together with the record. */
+    readonly alongside?: readonly WriteOperation[];
+    /** Ends the attempts to settle an ambiguous write; its outcome then stays `ambiguous`. */
+    readonly signal?: AbortSignal;
+}
+
+/** A record as read. */
+export interface StoredRecord<Body> {
+    readonly body: Body;
+    readonly revision: number;
+    readonly leaseId: string;
+}
+
+/**
+ * Commits a record and gives its new revision. Codes: `conflict` (someone else wrote it), `unavailable` or `refused`
+ * (nothing was written), `ambiguous` (aborted before the outcome could be read).
+ */
+export async function commitRecord(store: Store, commit: RecordCommit): Promise<Result<number, Failure>> {
+    const writeId = randomUUID();
+    const answer = await write(store, commit, writeId);
+    if (answer.isErr) {
+        return answer.error.code === "ambiguous"
+            ? settle(store, commit, writeId, answer.error)
+            : Result.err(answer.error);
+    }
+    return answer.value.succeeded ? Result.ok(answer.value.revision) : Result.err(toConflict(commit));
+}
+
+function write(store: Store, commit: RecordCommit, writeId: string): Promise<Result<TransactionAnswer, Failure>> {
+    return store.transact({
+        comparisons: [{ key: commit.key, target: "modRevision", relation: "equal", value: commit.expectedRevision }],
+        writes: [
+            {
+                kind: "put",
+                key: commit.key,
+                value: JSON.stringify({ writeId, body: commit.body }),
+                ...(commit.leaseId === undefined ? {} : { leaseId: commit.leaseId }),
+            },
+            ...commit.alongside ?? [],
+        ],
+    });
+}
+
+function toConflict(commit: RecordCommit): Failure {
+    return createFailure("conflict", "commit", `${commit.key} is no longer at revision ${commit.expectedRevision}`);
+}
+
+async function settle(
+    store: Store,
+    commit: RecordCommit,
+    writeId: string,
+    ambiguity: Failure,
+): Promise<Result<number, Failure>> {
+    let wait = SETTLE_FIRST_WAIT_MILLISECONDS;
+    while (commit.signal?.aborted !== true) {
+        const found = await store.read({ key: commit.key });
+        if (found.isOk) {
+            const outcome = readOutcome(found.value.entries[0], commit, writeId);
+            // A write that is not there yet may still be on its way; a fresh write of our own shuts it out.
+            return outcome ?? shutOut(store, commit, writeId, ambiguity);
+        }
+        await pause(wait, commit.signal);
+        wait = Math.min(wait * 2, SETTLE_LONGEST_WAIT_MILLISECONDS);
+    }
+    return Result.err(ambiguity);
+}
+
+function readOutcome(
+    entry: KeyValue | undefined,
+    commit: RecordCommit,
+    writeId: string,
+): Result<number, Failure> | undefined {
+    if ((entry?.modRevision ?? 0) === commit.expectedRevision) {
+        return undefined;
+    }
+    const envelope = entry === undefined ? undefined : Envelope.safeParse(JSON.parse(entry.value));
+    if (entry !== undefined && envelope?.success === true && envelope.data.writeId === writeId) {
+        return Result.ok(entry.modRevision);
+    }
+    return Result.err(toConflict(commit));
+}
+
+/** Repeats the very same write: whichever of the two arrives first makes the other fail its comparison. */
+async function shutOut(
+    store: Store,
+    commit: RecordCommit,
+    writeId: string,
+    ambiguity: Failure,
+): Promise<Result<number, Failure>> {
+    const answer = await write(store, commit, writeId);
+    if (answer.isOk && answer.value.succeeded) {
+        return Result.ok(answer.value.revision);
+    }
+    if (commit.signal?.aborted === true) {
+        return Result.err(ambiguity);
+    }
+    await pause(SETTLE_FIRST_WAIT_MILLISECONDS, commit.signal);
+    return settle(store, commit, writeId, ambiguity);
+}
+
+/** Reads a record; `undefined` where there is none. */
+export async function readRecord<Schema extends z.ZodType>(
+    store: Store,
+    key: string,
+    schema: Schema,
+): Promise<Result<StoredRecord<z.output<Schema>> | undefined, Failure>> {
+    const found = await store.read({ key });
+    return found.andThen(({ entries: [entry] }) =>
+        entry === undefined ? Result.ok(undefined) : decodeRecord(entry, schema)
+    );
+}
+
+/** Decodes a record that a read or a watch has brought. */
+export function decodeRecord<Schema extends z.ZodType>(
+    entry: KeyValue,
+    schema: Schema,
+): Result<StoredRecord<z.output<Schema>>, Failure> {
+    const step = `record ${entry.key}`;
+    return parseJson(Envelope, entry.value, step)
+        .andThen(envelope => parse(schema, envelope.body, step))
+        .map(body => ({ body, revision: entry.modRevision, leaseId: entry.leaseId }));
+}
--- /dev/null
+++ b/src/settings/common.ts
@@ -0,0 +1,34 @@
+/**
+ * Settings that both daemons share.
+ */
+import { z } from "zod";
+import { ListenAddress } from "../core/http.js";
+import { Name, Origin } from "../core/messages/identity.js";
+
+const DEFAULT_STORE_TIMEOUT_MILLISECONDS = 2_000;
+const DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS = 2_000;
+const DEFAULT_STOP_LIMIT_MILLISECONDS = 20_000;
+
+export const commonSettings = {
+    /** Name of the entry instance. */
+    instance: Name,
+    dataCentre: Name,
+    store: z.strictObject({
+        origins: z.array(Origin).min(1),
+        timeoutMilliseconds: z.int().min(1).default(DEFAULT_STORE_TIMEOUT_MILLISECONDS),
+    }),
+    instanceList: z.strictObject({
+        origin: Origin,
+        timeoutMilliseconds: z.int().min(1).default(DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS),
+    }),
+    /** Port for peers: JSON-RPC under the peer token. */
+    peers: ListenAddress,
+    /** Origin under which peers reach this process; by default where it listens. */
+    advertisedOrigin: Origin.optional(),
+    /** Port for `/metrics`, `/live` and `/ready`. */
+    metrics: ListenAddress,
+    /** Shared secret of the system's own processes. */
+    peerToken: z.string().min(8),
+    /** Longest time that a graceful stop may take. */
+    stopLimitMilliseconds: z.int().min(0).default(DEFAULT_STOP_LIMIT_MILLISECONDS),
+};
