--- /dev/null
+++ b/src/scheduler/cell/observe.ts
@@ -0,0 +1,134 @@
+/**
+ * Takes what workers have told into the ledger's draft.
+ */
+import type { AttemptStatus } from "../../platform/worker.js";
+import type { AttemptEnd } from "../../policy/policy.js";
+import type { Ledger } from "../ledger/ledger.js";
+import { HOLDING_STATES } from "../ledger/task.js";
+import type { Task } from "../ledger/task.js";
+import { nameAttempt } from "./link.js";
+import type { AnswerEvent, WorkerEvent, WorkerLink } from "./link.js";
+import { observeEnded, observeLost, observeRefused, observeRunning } from "./transitions.js";
+import type { BackOff } from "./transitions.js";
+
+/** What observations change. */
+export interface ObserveInput {
+    readonly ledger: Ledger;
+    readonly backOff: BackOff;
+    onEnd(end: AttemptEnd): void;
+}
+
+/** Takes in one event of a worker's task. Events of attempts that the ledger no longer holds change nothing. */
+export function observeEvent(input: ObserveInput, event: WorkerEvent, now: number): void {
+    const { ledger } = input;
+    switch (event.kind) {
+        case "answer": {
+            observeAnswer(input, event.worker, event.answer, now);
+            return;
+        }
+        case "started": {
+            const task = findHeld(ledger, event.worker, event);
+            if (task !== undefined) {
+                observeRunning(ledger, task, now);
+            }
+            return;
+        }
+        case "refused": {
+            const task = findHeld(ledger, event.worker, event);
+            if (task !== undefined) {
+                report(input, task, "refused", event.reason);
+                observeRefused(ledger, task, event.reason, input.backOff, now);
+            }
+            return;
+        }
+        case "ended": {
+            observeStatus(input, event.worker, event.status, now);
+            return;
+        }
+        case "lost": {
+            observeSilence(input, event.worker, event.reason, now);
+            return;
+        }
+    }
+}
+
+function observeAnswer(input: ObserveInput, worker: string, answer: AnswerEvent, now: number): void {
+    const known = new Set(answer.attempts.map(nameAttempt));
+    for (const status of answer.attempts) {
+        observeStatus(input, worker, status, now);
+    }
+    for (const attempt of answer.expected) {
+        const task = known.has(nameAttempt(attempt)) ? undefined : findHeld(input.ledger, worker, attempt);
+        if (task !== undefined) {
+            lose(input, task, `${worker} does not run it`, now);
+        }
+    }
+}
+
+function observeStatus(input: ObserveInput, worker: string, status: AttemptStatus, now: number): void {
+    const task = findHeld(input.ledger, worker, status);
+    if (task === undefined) {
+        return;
+    }
+    if (status.state === "running") {
+        observeRunning(input.ledger, task, now);
+        return;
+    }
+    if (status.state !== "checkpointing") {
+        const outcome = status.state === "stopped" ? undefined : status.state;
+        if (outcome !== undefined) {
+            report(input, task, outcome, status.reason ?? "");
+        }
+        observeEnded(input.ledger, task, status, input.backOff, now);
+    }
+}
+
+function observeSilence(input: ObserveInput, worker: string, reason: string, now: number): void {
+    for (const task of [...input.ledger.draft.values()]) {
+        if (task.worker === worker && HOLDING_STATES.has(task.state)) {
+            lose(input, task, reason, now);
+        }
+    }
+}
+
+function lose(input: ObserveInput, task: Task, reason: string, now: number): void {
+    if (task.state !== "starting") {
+        report(input, task, "lapsed", reason);
+    }
+    observeLost(input.ledger, task, reason, now);
+}
+
+function report(input: ObserveInput, task: Task, outcome: AttemptEnd["outcome"], reason: string): void {
+    const { rule } = input.ledger.specOf(task);
+    input.onEnd({ taskId: task.taskId, rule, worker: task.worker ?? "", outcome, reason });
+}
+
+function findHeld(
+    ledger: Ledger,
+    worker: string,
+    attempt: { readonly taskId: string; readonly attempt: number; },
+): Task | undefined {
+    const task = ledger.draft.get(attempt.taskId);
+    return task?.worker === worker && task.attempt === attempt.attempt && HOLDING_STATES.has(task.state)
+        ? task
+        : undefined;
+}
+
+/** What decides whether the tasks of a silent worker have provably ended. */
+export interface SilenceInput {
+    readonly workerLeaseMilliseconds: number;
+    readonly clockRateShare: number;
+    /** When renewals by former owners end at the latest. */
+    readonly predecessorsEndMilliseconds: number;
+}
+
+/**
+ * Tells when all leases on a silent worker have lapsed. A renewal that got no answer may have been taken in until the
+ * lease before it lapsed, and prolongs it by one lease at most; so two leases after the last answer none is left.
+ */
+export function leasesEndAt(input: SilenceInput, link: WorkerLink): number {
+    const lastRenewal = link.incarnation === undefined
+        ? Math.max(link.answeredAtMilliseconds, input.predecessorsEndMilliseconds)
+        : link.answeredAtMilliseconds;
+    return lastRenewal + 2 * input.workerLeaseMilliseconds * (1 + input.clockRateShare);
+}
--- /dev/null
+++ b/src/scheduler/cell/transitions.ts
@@ -0,0 +1,163 @@
+/**
+ * Transitions of tasks in a ledger's draft. Each takes effect when the draft is committed.
+ */
+import type { AttemptStatus } from "../../platform/worker.js";
+import type { Ledger } from "../ledger/ledger.js";
+import { HOLDING_STATES, WAITING_STATES } from "../ledger/task.js";
+import type { Task } from "../ledger/task.js";
+
+/** Waits after failed attempts. */
+export interface BackOff {
+    readonly backOffMilliseconds: number;
+    readonly longestBackOffMilliseconds: number;
+}
+
+/** Gives a waiting task room on a worker; its next attempt starts after the commit. */
+export function placeTask(ledger: Ledger, task: Task, worker: string, now: number): void {
+    ledger.put({
+        ...task,
+        state: "starting",
+        attempt: task.attempt + 1,
+        worker,
+        throttleShare: 1,
+        sinceMilliseconds: now,
+        reason: "",
+    });
+}
+
+/** Ends a task for good: at once where it waits, after its stop has been confirmed where it may run. */
+export function endTask(ledger: Ledger, task: Task, reason: string, now: number): void {
+    if (WAITING_STATES.has(task.state) || task.state === "parked") {
+        ledger.remove(task.taskId);
+    }
+    else if (task.state !== "stopping") {
+        ledger.put({ ...task, state: "stopping", sinceMilliseconds: now, reason });
+    }
+}
+
+/** Begins to move a batch task off its worker with a checkpoint. */
+export function evictTask(ledger: Ledger, task: Task, reason: string, now: number): void {
+    if (task.state === "running") {
+        ledger.put({ ...task, state: "checkpointing", sinceMilliseconds: now, reason });
+    }
+}
+
+/** Sets a task aside that cannot run. */
+export function parkTask(ledger: Ledger, task: Task, reason: string, now: number): void {
+    if (WAITING_STATES.has(task.state)) {
+        ledger.put({ ...task, state: "parked", sinceMilliseconds: now, reason });
+    }
+}
+
+/** Limits the cores of a running task. */
+export function throttleTask(ledger: Ledger, task: Task, share: number, reason: string): void {
+    if (task.state === "running" && task.throttleShare !== share) {
+        ledger.put({ ...task, throttleShare: share, reason: share < 1 ? reason : "" });
+    }
+}
+
+/** Takes in that a worker runs an attempt. */
+export function observeRunning(ledger: Ledger, task: Task, now: number): void {
+    if (task.state === "starting") {
+        ledger.put({ ...task, state: "running", sinceMilliseconds: now });
+    }
+}
+
+/** Takes in that a worker refused an attempt: it does not run and never will. */
+export function observeRefused(ledger: Ledger, task: Task, reason: string, backOff: BackOff, now: number): void {
+    release(ledger, task, { reason: `refused by ${task.worker ?? "its worker"}: ${reason}`, now }, {
+        notBeforeMilliseconds: now + backOff.backOffMilliseconds,
+    });
+}
+
+/** Takes in that an attempt has ended, in whatever way; progress is kept from its checkpoint. */
+export function observeEnded(ledger: Ledger, task: Task, status: AttemptStatus, backOff: BackOff, now: number): void {
+    const kept = status.checkpoint === undefined
+        ? {}
+        : { checkpoint: status.checkpoint, checkpointProgress: Math.max(task.checkpointProgress, status.progress) };
+    switch (status.state) {
+        case "finished": {
+            finish(ledger, task, now);
+            return;
+        }
+        case "failed": {
+            fail(ledger, { ...task, ...kept }, status.reason ?? "no reason given", backOff, now);
+            return;
+        }
+        case "stopped": {
+            release(ledger, { ...task, ...kept }, { reason: task.reason || "stopped by its worker", now });
+            return;
+        }
+        case "lapsed": {
+            release(ledger, { ...task, ...kept }, { reason: "its lease lapsed", now });
+            return;
+        }
+        case "running":
+        case "checkpointing":
+            return;
+    }
+}
+
+/** Takes in that an attempt is no longer anywhere: its worker restarted, left, or its lease has provably lapsed. */
+export function observeLost(ledger: Ledger, task: Task, reason: string, now: number): void {
+    release(ledger, task, { reason, now });
+}
+
+function finish(ledger: Ledger, task: Task, now: number): void {
+    const spec = ledger.specOf(task);
+    if (spec.kind === "service" && task.state !== "stopping") {
+        release(ledger, task, { reason: "ended by itself", now });
+        return;
+    }
+    ledger.remove(task.taskId);
+}
+
+function fail(ledger: Ledger, task: Task, reason: string, backOff: BackOff, now: number): void {
+    const spec = ledger.specOf(task);
+    const failures = task.failures + 1;
+    const wait = Math.min(backOff.longestBackOffMilliseconds, backOff.backOffMilliseconds * 2 ** (failures - 1));
+    if (spec.kind === "batch" && failures > spec.retries && task.state !== "stopping") {
+        ledger.put({
+            ...withoutWorker(task),
+            state: "parked",
+            failures,
+            sinceMilliseconds: now,
+            reason: `failed: ${reason}`,
+        });
+        return;
+    }
+    release(ledger, { ...task, failures }, { reason: `failed: ${reason}`, now }, { notBeforeMilliseconds: now + wait });
+}
+
+interface Release {
+    readonly reason: string;
+    readonly now: number;
+}
+
+/** Frees the room of an attempt that has certainly ended. */
+function release(ledger: Ledger, task: Task, { reason, now }: Release, changes: Partial<Task> = {}): void {
+    if (!HOLDING_STATES.has(task.state)) {
+        return;
+    }
+    if (task.state === "stopping" || ledger.specOf(task).kind === "service") {
+        // A replica is never moved: the plan admits another one with another id.
+        ledger.remove(task.taskId);
+        return;
+    }
+    const evicted = task.state === "checkpointing";
+    ledger.put({
+        ...withoutWorker(task),
+        state: evicted || task.checkpoint !== undefined ? "evicted" : "pending",
+        evictions: task.evictions + (evicted ? 1 : 0),
+        throttleShare: 1,
+        sinceMilliseconds: now,
+        reason,
+        ...changes,
+    });
+}
+
+function withoutWorker(task: Task): Task {
+    const rest = { ...task };
+    delete rest.worker;
+    return rest;
+}
--- /dev/null
+++ b/src/scheduler/ledger/task.ts
@@ -0,0 +1,71 @@
+/**
+ * Records of a cell's ledger: tasks, what they need, and how far each rule's runs have been admitted.
+ */
+import { z } from "zod";
+import { Name } from "../../core/messages/identity.js";
+import { TaskState } from "../../core/messages/operator.js";
+import { Resources } from "../../rules/rule.js";
+
+/** What all tasks of one rule have in common; tasks keep the version that they were admitted under. */
+export const TaskSpec = z.strictObject({
+    /** Rule and a digest of the fields below. */
+    specId: z.string(),
+    rule: Name,
+    team: Name,
+    requester: z.string(),
+    kind: z.enum(["service", "batch"]),
+    resources: Resources,
+    dataCentres: z.array(Name),
+    priority: z.int().min(0).max(9),
+    workSeconds: z.number().min(0),
+    retries: z.int().min(0),
+});
+export type TaskSpec = z.infer<typeof TaskSpec>;
+
+/** One task. Times are in milliseconds since the Unix epoch. */
+export const Task = z.strictObject({
+    taskId: z.string(),
+    specId: z.string(),
+    state: TaskState,
+    /** Number of the last attempt; 0 before the first. */
+    attempt: z.int().min(0),
+    /** Worker that the last attempt holds room on; absent where it holds none. */
+    worker: Name.optional(),
+    /** Where the next attempt begins. */
+    checkpoint: z.string().optional(),
+    checkpointProgress: z.number().min(0).max(1),
+    submittedAtMilliseconds: z.number(),
+    notBeforeMilliseconds: z.number(),
+    /** When it entered its state. */
+    sinceMilliseconds: z.number(),
+    failures: z.int().min(0),
+    evictions: z.int().min(0),
+    throttleShare: z.number().min(0).max(1),
+    /** Why it waits, is parked or is being stopped; empty where it runs as asked. */
+    reason: z.string(),
+    /** Cell that has offered a place and holds the task until the transfer is settled. */
+    transferCell: z.string().optional(),
+});
+export type Task = z.infer<typeof Task>;
+
+/** The newest run of a rule of which the cell has admitted its tasks; older runs are never admitted again. */
+export const Admission = z.strictObject({
+    rule: Name,
+    /** Scheduled time in seconds since the Unix epoch, or 0 for work that runs once. */
+    run: z.number(),
+    /** Counts replicas that a service has been given here, so that a replacement gets another id. */
+    replacements: z.int().min(0),
+    /** Rises when a rule is removed and later created again. */
+    generation: z.int().min(0),
+});
+export type Admission = z.infer<typeof Admission>;
+
+/** A worker that an operator has drained. */
+export const Drain = z.strictObject({ worker: Name, by: z.string() });
+export type Drain = z.infer<typeof Drain>;
+
+/** States in which an attempt holds room on its worker. */
+export const HOLDING_STATES: ReadonlySet<TaskState> = new Set(["starting", "running", "checkpointing", "stopping"]);
+
+/** States in which a task waits for a place. */
+export const WAITING_STATES: ReadonlySet<TaskState> = new Set(["pending", "evicted"]);
--- /dev/null
+++ b/src/scheduler/presence.ts
@@ -0,0 +1,68 @@
+/**
+ * The scheduler's own lease in the store: one heartbeat, whatever the scheduler owns.
+ */
+import type { Logger } from "../core/log.js";
+import { MILLISECONDS_PER_SECOND, pause } from "../core/time.js";
+import type { Store } from "../platform/store.js";
+import { keyOfLive } from "./ledger/head.js";
+import type { LiveScheduler } from "./ledger/head.js";
+
+const HEARTBEATS_PER_LEASE = 3;
+
+/** What the heartbeat needs. */
+export interface PresenceOptions {
+    readonly store: Store;
+    readonly self: LiveScheduler;
+    readonly leaseSeconds: number;
+    readonly logger: Logger;
+    /** Hears after each call whether the store answered. */
+    onStore(reachable: boolean): void;
+}
+
+/** Keeps the scheduler's liveness record until the signal is aborted, then removes it. */
+export async function keepPresence(options: PresenceOptions, signal: AbortSignal): Promise<void> {
+    const interval = options.leaseSeconds * MILLISECONDS_PER_SECOND / HEARTBEATS_PER_LEASE;
+    let leaseId: string | undefined;
+    while (!signal.aborted) {
+        leaseId = leaseId === undefined ? await announce(options) : await renew(options, leaseId);
+        await pause(interval, signal);
+    }
+    if (leaseId !== undefined) {
+        await options.store.revokeLease(leaseId);
+    }
+}
+
+async function announce(options: PresenceOptions): Promise<string | undefined> {
+    const { store, self, leaseSeconds, logger } = options;
+    const lease = await store.grantLease(leaseSeconds);
+    if (lease.isErr) {
+        options.onStore(false);
+        return undefined;
+    }
+    const { leaseId } = lease.value;
+    const put = await store.transact({
+        comparisons: [],
+        writes: [{ kind: "put", key: keyOfLive(self.instance), value: JSON.stringify(self), leaseId }],
+    });
+    options.onStore(put.isOk);
+    if (put.isErr) {
+        logger.warn("liveness record not written", { failure: put.error });
+        return undefined;
+    }
+    return leaseId;
+}
+
+async function renew(options: PresenceOptions, leaseId: string): Promise<string | undefined> {
+    const { store, logger } = options;
+    const renewed = await store.renewLease(leaseId);
+    if (renewed.isOk) {
+        options.onStore(true);
+        return leaseId;
+    }
+    if (renewed.error.code === "not-found") {
+        logger.warn("store lease lapsed", { leaseId });
+        return undefined;
+    }
+    options.onStore(false);
+    return leaseId;
+}
