--- a/src/gateway/guard.ts
+++ b/src/gateway/guard.ts
@@ -35,6 +35,8 @@
 
 /** Leave to send a request. */
 export interface Permit {
+    /** Upper bound on the deadline that the upstream is given; absent where the request's own deadline holds. */
+    readonly latestEndMilliseconds?: number;
     /** Asked right before each send; once false, nothing may be sent any more and the request is refused. */
     maySend(now: number): boolean;
     /** Ends the permit; resolves when the outcome is recorded as far as it has to be. Called exactly once. */
@@ -43,10 +45,10 @@
 
 /** What a guard says to a request. */
 export type Admission =
-    | { readonly kind: "proceed"; readonly permit: Permit }
+    | { readonly kind: "proceed"; readonly permit: Permit; }
     /** Another gateway holds the key: pass the request on to its peer origin. */
-    | { readonly kind: "forward"; readonly origin: string }
-    | { readonly kind: "replay"; readonly answer: RecordedAnswer }
+    | { readonly kind: "forward"; readonly origin: string; }
+    | { readonly kind: "replay"; readonly answer: RecordedAnswer; }
     | {
         readonly kind: "refuse";
         readonly status: number;
--- /dev/null
+++ b/src/gateway/idempotency/guard.ts
@@ -0,0 +1,251 @@
+/**
+ * Guard of requests with an idempotency key: at most one run, and the recorded outcome for each repeat.
+ *
+ * An intent is committed before the request is sent and the outcome after it; through whichever gateway a repeat comes,
+ * it finds the one or the other.
+ */
+import { randomUUID } from "node:crypto";
+import type { Failure } from "../../core/errors.js";
+import type { Logger } from "../../core/log.js";
+import type { Metrics } from "../../core/metrics.js";
+import { parseJson } from "../../core/parse.js";
+import type { Clock } from "../../core/time.js";
+import { MILLISECONDS_PER_SECOND, pause } from "../../core/time.js";
+import type { KeyValue, Store } from "../../platform/store.js";
+import type { Admission, Guard, GuardedRequest, Permit, PermitOutcome, RecordedAnswer } from "../guard.js";
+import { IdempotencyRecord, nameRecord } from "./record.js";
+import { createRetention } from "./retention.js";
+import type { Retention } from "./retention.js";
+import type { IdempotencySettings } from "./settings.js";
+import { createRecordWriter } from "./writer.js";
+import type { RecordWriter } from "./writer.js";
+
+const STATUS_UNAVAILABLE = 503;
+const STATUS_CONFLICT = 409;
+const STATUS_UNPROCESSABLE = 422;
+const BASE64_BYTES_PER_BYTE = 4 / 3;
+
+/** Options of the guard. */
+export interface IdempotencyOptions {
+    readonly settings: IdempotencySettings;
+    readonly store: Store;
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+}
+
+interface GuardParts extends IdempotencyOptions {
+    readonly writer: RecordWriter;
+    readonly retention: Retention;
+}
+
+/** Creates the guard. */
+export function createIdempotencyGuard(options: IdempotencyOptions): Guard {
+    const transactions = options.metrics.counter(
+        "flamingowell_gateway_idempotency_transactions_total",
+        "Transactions of idempotency records",
+    );
+    const records = options.metrics.counter(
+        "flamingowell_gateway_idempotency_records_total",
+        "Idempotency records written",
+    );
+    const writer = createRecordWriter({
+        settings: options.settings,
+        store: options.store,
+        onTransaction: count => {
+            transactions.inc();
+            records.inc(count);
+        },
+    });
+    const parts = { ...options, writer, retention: createRetention(options) };
+    return {
+        admit: async request => {
+            if (request.idempotencyKey === undefined) {
+                return { kind: "proceed", permit: { maySend: () => true, finish: async () => undefined } };
+            }
+            return admitKeyed(request, parts);
+        },
+    };
+}
+
+async function admitKeyed(request: GuardedRequest, parts: GuardParts): Promise<Admission> {
+    const now = parts.clock();
+    const leaseId = await parts.retention.findLease(now);
+    if (leaseId.isErr) {
+        return refuseUnrecorded(leaseId.error);
+    }
+    const intent = createIntent(request);
+    const deadline = AbortSignal.timeout(Math.max(1, request.deadlineMilliseconds - now));
+    const write = { key: nameRecord(request), value: encode(intent), expectedRevision: 0, leaseId: leaseId.value };
+    const outcome = await parts.writer.write(write, deadline);
+    if (outcome.isErr) {
+        if (outcome.error.code === "not-found") {
+            parts.retention.forget();
+        }
+        void withdraw(write.key, intent, parts);
+        return refuseUnrecorded(outcome.error);
+    }
+    if (outcome.value.kind === "conflict") {
+        return answerRepeat(request, outcome.value.entry, parts);
+    }
+    const permit = createPermit({
+        request,
+        key: write.key,
+        revision: outcome.value.revision,
+        leaseId: leaseId.value,
+        parts,
+    });
+    return { kind: "proceed", permit };
+}
+
+function createIntent(request: GuardedRequest): IdempotencyRecord {
+    return {
+        fingerprint: request.fingerprint ?? "",
+        // Unlike the caller's request id it differs between two attempts to write the same request's intent.
+        requestId: `${request.requestId}/${randomUUID()}`,
+        state: "intent",
+        deadlineMilliseconds: request.deadlineMilliseconds,
+    };
+}
+
+function encode(record: IdempotencyRecord): string {
+    return JSON.stringify(record);
+}
+
+function refuseUnrecorded(failure: Failure): Admission {
+    return refuse("idempotency-store-unavailable", `the request could not be recorded: ${failure.message}`);
+}
+
+function refuse(
+    reason: string,
+    message: string,
+    status: number = STATUS_UNAVAILABLE,
+    outcome: "not-run" | "unknown" = "not-run",
+): Admission {
+    return { kind: "refuse", status, outcome, reason, message };
+}
+
+/** Answers a request whose key has a record, waiting for the outcome while the earlier request may still run. */
+async function answerRepeat(
+    request: GuardedRequest,
+    entry: KeyValue | undefined,
+    parts: GuardParts,
+): Promise<Admission> {
+    let latest = entry;
+    while (parts.clock() < request.deadlineMilliseconds) {
+        const answer = latest === undefined ? undefined : readOutcome(request, latest, parts.clock());
+        if (answer !== undefined) {
+            return answer;
+        }
+        await pause(parts.settings.pollMilliseconds);
+        const found = await parts.store.read({ key: nameRecord(request) });
+        if (found.isOk && found.value.entries.length === 0) {
+            return refuse("idempotency-withdrawn", "the earlier request did not run; send the request again");
+        }
+        latest = found.isOk ? found.value.entries[0] : latest;
+    }
+    return refuse(
+        "idempotency-in-progress",
+        "an earlier request of the same key is running",
+        STATUS_CONFLICT,
+        "unknown",
+    );
+}
+
+function readOutcome(request: GuardedRequest, entry: KeyValue, now: number): Admission | undefined {
+    const record = parseJson(IdempotencyRecord, entry.value, `record ${entry.key}`);
+    if (record.isErr) {
+        return refuse("idempotency-record-unreadable", record.error.message, STATUS_CONFLICT, "unknown");
+    }
+    const { answer, deadlineMilliseconds, fingerprint, state } = record.value;
+    if (fingerprint !== request.fingerprint) {
+        return refuse("idempotency-key-reused", "the key was used for a different request", STATUS_UNPROCESSABLE);
+    }
+    if (state === "answered") {
+        return answer === undefined
+            ? refuse(
+                "idempotency-answer-too-large",
+                "the request ran; its answer was not kept",
+                STATUS_CONFLICT,
+                "unknown",
+            )
+            : { kind: "replay", answer: { ...answer } };
+    }
+    const ended = state === "unknown" || now > deadlineMilliseconds;
+    return ended
+        ? refuse("idempotency-outcome-unknown", "the earlier request may have run", STATUS_CONFLICT, "unknown")
+        : undefined;
+}
+
+interface PermitOptions {
+    readonly request: GuardedRequest;
+    readonly key: string;
+    readonly revision: number;
+    readonly leaseId: string;
+    readonly parts: GuardParts;
+}
+
+function createPermit({ request, key, revision, leaseId, parts }: PermitOptions): Permit {
+    return {
+        maySend: now => now < request.deadlineMilliseconds,
+        finish: async (outcome, answer) => {
+            const record = describeOutcome(request, outcome, answer, parts.settings);
+            const value = record === undefined ? undefined : encode(record);
+            const recorded = recordOutcome({ key, value, expectedRevision: revision, leaseId }, parts);
+            await Promise.race([recorded, pause(parts.settings.outcomeWaitMilliseconds)]);
+        },
+    };
+}
+
+/** Gives the record of an outcome; `undefined` deletes the intent, so that the key can be used again. */
+function describeOutcome(
+    request: GuardedRequest,
+    outcome: PermitOutcome,
+    answer: RecordedAnswer | undefined,
+    settings: IdempotencySettings,
+): IdempotencyRecord | undefined {
+    if (outcome === "not-run") {
+        return undefined;
+    }
+    const record = { ...createIntent(request), state: outcome };
+    const bodyBytes = (answer?.body.length ?? 0) / BASE64_BYTES_PER_BYTE;
+    if (outcome === "unknown" || answer === undefined || bodyBytes > settings.largestAnswerBytes) {
+        return record;
+    }
+    const headers = answer.headers.map(([name, value]): [string, string] => [name, value]);
+    return { ...record, answer: { status: answer.status, headers, body: answer.body } };
+}
+
+/** Records an outcome, trying again while the store is away, for as long as anybody may ask for it. */
+async function recordOutcome(
+    write: { key: string; value: string | undefined; expectedRevision: number; leaseId: string; },
+    parts: GuardParts,
+): Promise<void> {
+    const limit = AbortSignal.timeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
+    while (!limit.aborted) {
+        const outcome = await parts.writer.write(write, limit);
+        if (outcome.isOk) {
+            if (outcome.value.kind === "conflict") {
+                parts.logger.warn("idempotency outcome not recorded", { key: write.key });
+            }
+            return;
+        }
+        await pause(parts.settings.outcomeWaitMilliseconds, limit);
+    }
+}
+
+/** Takes back an intent that may have been written although nothing will be sent for it. */
+async function withdraw(key: string, intent: IdempotencyRecord, parts: GuardParts): Promise<void> {
+    const limit = AbortSignal.timeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
+    while (!limit.aborted) {
+        await pause(parts.settings.outcomeWaitMilliseconds, limit);
+        const found = await parts.store.read({ key });
+        if (found.isOk) {
+            const [entry] = found.value.entries;
+            if (entry?.value === encode(intent)) {
+                await parts.writer.write({ key, value: undefined, expectedRevision: entry.modRevision }, limit);
+            }
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/stand-ins/processes.ts
@@ -0,0 +1,101 @@
+/**
+ * Real processes for demos, tests and benches: start, wait until they listen, pause, kill, stop.
+ */
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { once } from "node:events";
+import { createWriteStream } from "node:fs";
+import { writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { createInterface } from "node:readline";
+
+const READY_LIMIT_MILLISECONDS = 20_000;
+
+/** What to start. */
+export interface ProcessOptions {
+    /** Name of the process; its settings and log files carry it. */
+    readonly name: string;
+    /** Compiled script, from the repository's root. */
+    readonly script: string;
+    readonly settings: object;
+    /** Folder for settings and logs. */
+    readonly directory: string;
+    /** Flags of Node.js, such as a heap limit. */
+    readonly nodeFlags?: readonly string[];
+}
+
+/** A process that has announced where it listens. */
+export interface RunningProcess {
+    readonly name: string;
+    readonly pid: number;
+    /** Origins by port name. */
+    readonly announcement: Readonly<Record<string, string>>;
+    /** Exit code, or the signal that ended it. */
+    readonly exited: Promise<number | NodeJS.Signals>;
+    kill(): Promise<void>;
+    pause(): void;
+    resume(): void;
+    /** Asks for a graceful stop and gives the exit code. */
+    stop(): Promise<number | NodeJS.Signals>;
+}
+
+/** Starts a process; rejects when it ends or stays silent before it listens. */
+export async function startProcess(options: ProcessOptions): Promise<RunningProcess> {
+    const settingsFile = join(options.directory, `${options.name}.json`);
+    await writeFile(settingsFile, JSON.stringify(options.settings, undefined, 4));
+    const child = spawn(
+        process.execPath,
+        [...options.nodeFlags ?? [], options.script, "--settings", settingsFile],
+        { stdio: ["ignore", "pipe", "pipe"] },
+    );
+    child.stderr.pipe(createWriteStream(join(options.directory, `${options.name}.log`), { flags: "a" }));
+    const exited = waitForExit(child);
+    const announcement = await waitForAnnouncement(child, exited, options);
+    return {
+        name: options.name,
+        pid: child.pid ?? 0,
+        announcement,
+        exited,
+        kill: async () => {
+            child.kill("SIGKILL");
+            await exited;
+        },
+        pause: () => child.kill("SIGSTOP"),
+        resume: () => child.kill("SIGCONT"),
+        stop: () => {
+            child.kill("SIGTERM");
+            return exited;
+        },
+    };
+}
+
+async function waitForExit(child: ChildProcess): Promise<number | NodeJS.Signals> {
+    const [code, signal] = await once(child, "exit") as [number | null, NodeJS.Signals | null];
+    return code ?? signal ?? 0;
+}
+
+async function waitForAnnouncement(
+    child: ChildProcess,
+    exited: Promise<number | NodeJS.Signals>,
+    options: ProcessOptions,
+): Promise<Record<string, string>> {
+    const { stdout } = child;
+    if (stdout === null) {
+        throw new Error(`${options.name}: no standard output`);
+    }
+    const lines = createInterface({ input: stdout });
+    const limit = AbortSignal.timeout(READY_LIMIT_MILLISECONDS);
+    try {
+        const line = await Promise.race([
+            once(lines, "line", { signal: limit }),
+            exited.then(code => {
+                throw new Error(`${options.name}: ended with ${code} before it listened`);
+            }),
+        ]);
+        return JSON.parse(String(line[0])) as Record<string, string>;
+    }
+    catch (thrown) {
+        child.kill("SIGKILL");
+        throw thrown;
+    }
+}
