--- a/src/core/messages/identity.ts
+++ b/src/core/messages/identity.ts
@@ -16,7 +16,3 @@
 /** Origin of an HTTP endpoint, such as `http://127.0.0.1:7000`. */
 export const Origin = z.string().regex(/^https?:\/\/[^/\s]+$/, "use http://ADDRESS:PORT without a path");
 export type Origin = z.infer<typeof Origin>;
-
-/** A team's key in the store; unlike a rule's name it may carry the whole company. */
-export const Team = Name;
-export type Team = z.infer<typeof Team>;
--- a/src/platform/adapters/etcd.ts
+++ b/src/platform/adapters/etcd.ts
@@ -59,7 +59,7 @@
 });
 
 /** gRPC status codes that tell that a call had no effect. */
-export const etcdStatus = { notFound: 5, resourceExhausted: 8, outOfRange: 11 } as const;
+export const etcdStatus = { invalidArgument: 3, notFound: 5, resourceExhausted: 8, outOfRange: 11 } as const;
 
 /** Encodes text as base64. */
 export function encodeText(text: string): string {
--- a/src/platform/adapters/store.ts
+++ b/src/platform/adapters/store.ts
@@ -126,6 +126,7 @@
     switch (error.code) {
         case etcdStatus.notFound:
             return createFailure("not-found", step, error.message, { peer });
+        case etcdStatus.invalidArgument:
         case etcdStatus.resourceExhausted:
         case etcdStatus.outOfRange:
             return createFailure("refused", step, error.message, { peer });
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -2,7 +2,7 @@
  * Rules as data: what operators have asked for, who asked, and when it ends.
  */
 import { z } from "zod";
-import { Name, Team } from "../core/messages/identity.js";
+import { Name } from "../core/messages/identity.js";
 
 /** When a rule ends. At least one of the three is given, the first to come true ends it. */
 export const RuleEnd = z.strictObject({
@@ -105,7 +105,7 @@
 
 /** All rules of a team, as accepted together. */
 export const RulesDocument = z.strictObject({
-    team: Team,
+    team: Name,
     /** The store's revision at which the document was accepted; it only rises. */
     revision: z.int().min(0),
     /** The text as the operator wrote it. */
