--- /dev/null
+++ b/stand-ins/instances/index.ts
@@ -0,0 +1,1 @@
+export * from "./server.js";
--- /dev/null
+++ b/stand-ins/store/index.ts
@@ -0,0 +1,2 @@
+export * from "./server.js";
+export * from "./settings.js";
