Policy: capacity-correct placement, quotas, fair share, parking and explanations

Cause: the scheduler needs decisions that never give a worker more than it holds. Change: createPolicy decides a batch of starts together: rooms count every placed task in full, each placement counts for those that follow; priority, then services, then the team with the smallest share; quota slices; placement rules in both directions; replicas spread over workers, data centres and racks; what no worker could hold is parked with the reason; explain counts refusals over the workers. Conclusion: enough for the thin path; nothing is learned yet.

--- /dev/null
+++ b/src/policy/explain.ts
@@ -0,0 +1,38 @@
+/**
+ * Explains why a waiting task has no place, counted over the workers.
+ */
+import type { PlacementContext } from "./placement.js";
+import { refusePlace } from "./placement.js";
+import type { PendingTask, Refusal } from "./policy.js";
+import type { Quotas } from "./quotas.js";
+
+/** Counts the refusals of a task: first what holds for the whole cell (0 workers), then by worker. */
+export function explainPending(
+    context: PlacementContext,
+    quotas: Quotas,
+    task: PendingTask,
+    now: number,
+): Refusal[] {
+    const refusals: Refusal[] = [];
+    if (task.notBeforeMilliseconds > now) {
+        refusals.push({ reason: "waits after a failure until its next attempt", workers: 0 });
+    }
+    const quotaRefusal = quotas.refuse(task.team, task.resources);
+    if (quotaRefusal !== undefined) {
+        refusals.push({ reason: quotaRefusal, workers: 0 });
+    }
+    return [...refusals, ...countByReason(context, task)];
+}
+
+function countByReason(context: PlacementContext, task: PendingTask): Refusal[] {
+    const counts = new Map<string, number>();
+    for (const room of context.rooms) {
+        const reason = refusePlace(context, task, room);
+        if (reason !== undefined) {
+            counts.set(reason, (counts.get(reason) ?? 0) + 1);
+        }
+    }
+    return [...counts.entries()]
+        .map(([reason, workers]) => ({ reason, workers }))
+        .sort((left, right) => right.workers - left.workers);
+}
--- /dev/null
+++ b/src/policy/start.ts
@@ -0,0 +1,94 @@
+/**
+ * Starts of one decision: which waiting tasks get a place, and which are set aside because they can never have one.
+ */
+import type { PlacementContext } from "./placement.js";
+import { findPlace, refuseForever } from "./placement.js";
+import type { CellView, Decision, PendingTask } from "./policy.js";
+import { orderPending } from "./queue.js";
+import type { TeamShares } from "./queue.js";
+import type { Quotas } from "./quotas.js";
+import { takeRoom } from "./room.js";
+
+/** What starts are decided from, beside the places. */
+export interface StartContext {
+    readonly placement: PlacementContext;
+    readonly quotas: Quotas;
+    readonly shares: TeamShares;
+    readonly placementsPerDecision: number;
+}
+
+/** What the starts of one decision came to. */
+export interface Starts {
+    readonly decisions: readonly Decision[];
+    /** Tasks that could start now but for want of room, the most urgent first. */
+    readonly waiting: readonly PendingTask[];
+}
+
+/** Decides on the starts. Each placement counts for those that follow. */
+export function decideStarts(context: StartContext, view: CellView, now: number): Starts {
+    const decisions: Decision[] = [];
+    const waiting: PendingTask[] = [];
+    // Room only shrinks within a decision: what found no place for one task has none for its like.
+    const hopeless = new Set<string>();
+    let placed = 0;
+    for (const task of orderPending(view.pending, context.shares)) {
+        if (placed >= context.placementsPerDecision) {
+            break;
+        }
+        const parked = park(context, task);
+        if (parked !== undefined) {
+            decisions.push(parked);
+            continue;
+        }
+        if (task.notBeforeMilliseconds > now || context.quotas.refuse(task.team, task.resources) !== undefined) {
+            continue;
+        }
+        if (hopeless.has(kindOf(task)) || !tryPlace(context, task, decisions)) {
+            hopeless.add(kindOf(task));
+            waiting.push(task);
+            continue;
+        }
+        placed += 1;
+    }
+    return { decisions, waiting };
+}
+
+function tryPlace(context: StartContext, task: PendingTask, decisions: Decision[]): boolean {
+    const place = findPlace(context.placement, task);
+    if (place === undefined) {
+        return false;
+    }
+    takeRoom(place.room, task, place.size);
+    context.quotas.take(task.team, task.resources);
+    context.shares.add(task.team, task.resources);
+    if (task.kind === "service") {
+        context.placement.spread.add(task.rule, place.room.view);
+    }
+    decisions.push({ kind: "place", taskId: task.taskId, worker: place.room.name });
+    return true;
+}
+
+function park(context: StartContext, task: PendingTask): Decision | undefined {
+    if (task.kind === "batch" && task.failures > task.retries) {
+        return { kind: "park", taskId: task.taskId, reason: `failed ${task.failures} times` };
+    }
+    const { rooms } = context.placement;
+    const reasons = new Set<string>();
+    for (const room of rooms) {
+        const reason = refuseForever(context.placement, task, room);
+        if (reason === undefined) {
+            return undefined;
+        }
+        reasons.add(reason);
+    }
+    // A cell whose workers are not known yet is no proof that a task cannot run.
+    return rooms.length === 0
+        ? undefined
+        : { kind: "park", taskId: task.taskId, reason: [...reasons].join("; ") };
+}
+
+/** Tasks of one kind find the same places. */
+function kindOf(task: PendingTask): string {
+    const { cores, memoryBytes, accelerators } = task.resources;
+    return `${task.rule} ${cores} ${memoryBytes} ${accelerators} ${task.dataCentres.join(",")}`;
+}
