--- a/features/policy/cells.ts
+++ b/features/policy/cells.ts
@@ -103,9 +103,9 @@
 const teams = ["desk", "mills", "bookings"];
 
 const arbitrarySize = fc.record({
-    cores: fc.integer({ min: 1, max: 80 }).map(halves => halves / 2),
-    gibibytes: fc.integer({ min: 1, max: 140 }),
-    accelerators: fc.constantFrom(0, 0, 0, 0, 1, 2),
+    cores: fc.oneof(fc.integer({ min: 1, max: 8 }), fc.integer({ min: 1, max: 80 })).map(halves => halves / 2),
+    gibibytes: fc.oneof(fc.integer({ min: 1, max: 8 }), fc.integer({ min: 1, max: 140 })),
+    accelerators: fc.constantFrom(0, 0, 0, 0, 0, 0, 1, 2),
 }).map(({ cores, gibibytes, accelerators }) => size(cores, gibibytes, accelerators));
 
 const arbitraryPlacedSize = fc.record({
@@ -129,6 +129,7 @@
     dataCentre: fc.constantFrom("levi", "rovaniemi"),
     rack: fc.integer({ min: 0, max: 2 }),
     accelerators: fc.constantFrom(0, 0, 4),
+    slots: fc.integer({ min: 5, max: 8 }),
     state: fc.constantFrom(
         "live" as const,
         "live" as const,
