Gateway: routes, choice of replicas, whole answers, refusals with their outcome

Cause: nothing answered callers yet. Change: createGateway with the route reader (one long poll per scheduler, newest epoch and version win), one undici client per connection, two random choices near first, adaptive limit with a queue by priority, retry budget on not-run only, circuit breakers, guards, forwarding to the holder of an exclusive key under /forward with the peer token. Callers send flamingowell-deadline as the milliseconds that they can wait; upstreams and other gateways get the time as milliseconds since the Unix epoch. Conclusion: enough for the thin whole path; connection credits are still a fixed share of 7 per worker and follow next.

--- /dev/null
+++ b/features/gateway/support/gateway.ts
@@ -0,0 +1,189 @@
+/**
+ * A gateway on a port of its own, with a scheduler that says what the scenario wants.
+ */
+import express from "express";
+import { Result } from "true-myth/result";
+import type { Failure } from "../../../src/core/errors.js";
+import { listen } from "../../../src/core/http.js";
+import type { RunningServer } from "../../../src/core/http.js";
+import { createLogger } from "../../../src/core/log.js";
+import { readRoutes } from "../../../src/core/messages/routes.js";
+import type { CellRoutes, Route } from "../../../src/core/messages/routes.js";
+import { createMetrics } from "../../../src/core/metrics.js";
+import type { Metrics } from "../../../src/core/metrics.js";
+import { createRandom } from "../../../src/core/random.js";
+import { createRpcClient, createRpcRouter, implement } from "../../../src/core/rpc.js";
+import type { MethodHandler } from "../../../src/core/rpc.js";
+import { pause, systemClock } from "../../../src/core/time.js";
+import { createGateway } from "../../../src/gateway/gateway.js";
+import type { Gateway } from "../../../src/gateway/gateway.js";
+import type { Guard } from "../../../src/gateway/guard.js";
+import { RequestSettings } from "../../../src/gateway/settings.js";
+import type { Member, MembershipSource } from "../../../src/membership/member.js";
+import type { Configuration, ConfigurationSource, ServiceRule } from "../../../src/rules/rule.js";
+
+export const PEER_TOKEN = "peer-token";
+const HOST = "127.0.0.1";
+const CHANGE_STEP_MILLISECONDS = 10;
+
+/** A scheduler that offers the routes that it was told to. */
+export interface TestScheduler {
+    readonly origin: string;
+    offer(cell: Partial<CellRoutes>, routes: readonly Partial<Route>[]): void;
+    close(): Promise<void>;
+}
+
+/** Starts a scheduler; `handlers` are served beside the routes. */
+export async function startScheduler(handlers: readonly MethodHandler[] = []): Promise<TestScheduler> {
+    let cell: CellRoutes = { cell: "levi-0", epoch: 1, version: 0, routes: [] };
+    const routes = implement(readRoutes, async ({ known, waitMilliseconds }) => {
+        const endsAt = systemClock() + waitMilliseconds;
+        const isKnown = () =>
+            known.some(one => one.cell === cell.cell && one.epoch === cell.epoch && one.version === cell.version);
+        while (isKnown() && systemClock() < endsAt) {
+            await pause(CHANGE_STEP_MILLISECONDS);
+        }
+        return Result.ok<{ owned: string[]; cells: CellRoutes[]; }, Failure>({
+            owned: [cell.cell],
+            cells: isKnown() ? [] : [cell],
+        });
+    });
+    const application = express();
+    application.use(createRpcRouter({ handlers: [routes, ...handlers], token: PEER_TOKEN }));
+    const server = await listen(application, { host: HOST, port: 0 });
+    return {
+        origin: server.origin,
+        offer: (changed, offered) => {
+            cell = {
+                ...cell,
+                version: cell.version + 1,
+                ...changed,
+                routes: offered.map((route, index) => ({
+                    service: "beacon-check",
+                    taskId: `beacon-check-${index}`,
+                    attempt: 1,
+                    worker: `worker-${index}`,
+                    dataCentre: "levi",
+                    cell: cell.cell,
+                    origin: "http://127.0.0.1:1",
+                    state: "serving",
+                    ...route,
+                })),
+            };
+        },
+        close: async () => {
+            server.server.closeAllConnections();
+            await server.close();
+        },
+    };
+}
+
+/** What a gateway under test is made of. */
+export interface TestGatewayOptions {
+    readonly schedulers: readonly string[];
+    readonly instance?: string;
+    readonly dataCentre?: string;
+    readonly settings?: Partial<RequestSettings>;
+    readonly rule?: Partial<ServiceRule>;
+    readonly guards?: readonly Guard[];
+}
+
+/** A running gateway. */
+export interface TestGateway {
+    readonly origin: string;
+    readonly peerOrigin: string;
+    readonly gateway: Gateway;
+    readonly metrics: Metrics;
+    readonly server: RunningServer;
+    /** Value of a counter for one label. */
+    count(name: string, labels: Record<string, string>): Promise<number>;
+    close(): Promise<void>;
+}
+
+/** Starts a gateway in this process. */
+export async function startGateway(options: TestGatewayOptions): Promise<TestGateway> {
+    const instance = options.instance ?? "entry-1";
+    const metrics = createMetrics({});
+    const gateway = createGateway({
+        identity: { instance, dataCentre: options.dataCentre ?? "levi", incarnation: `${instance}-${systemClock()}` },
+        settings: RequestSettings.parse(options.settings ?? {}),
+        configuration: createConfigurationSource(options.rule ?? {}),
+        membership: createMembershipSource(instance, options.schedulers),
+        rpc: createRpcClient({ token: PEER_TOKEN, timeoutMilliseconds: 2_000 }),
+        guards: options.guards ?? [],
+        peerToken: PEER_TOKEN,
+        clock: systemClock,
+        random: createRandom(1),
+        metrics,
+        logger: createLogger("gateway-test"),
+    });
+    const server = await listen(gateway.listener, { host: HOST, port: 0 });
+    const peers = await listen(express().use(gateway.peerListener), { host: HOST, port: 0 });
+    const controller = new AbortController();
+    const running = gateway.run(controller.signal);
+    return {
+        origin: server.origin,
+        peerOrigin: peers.origin,
+        gateway,
+        metrics,
+        server,
+        async count(name, labels) {
+            const metric = await metrics.registry.getSingleMetric(name)?.get();
+            const found = metric?.values.find(value =>
+                Object.entries(labels).every(([label, text]) => value.labels[label] === text)
+            );
+            return found?.value ?? 0;
+        },
+        async close() {
+            controller.abort();
+            await running;
+            server.server.closeAllConnections();
+            peers.server.closeAllConnections();
+            await Promise.all([server.close(), peers.close()]);
+        },
+    };
+}
+
+function createConfigurationSource(rule: Partial<ServiceRule>): ConfigurationSource {
+    const configuration: Configuration = {
+        revision: 1,
+        documents: [{
+            team: "rental",
+            revision: 1,
+            text: "",
+            appliedBy: "test",
+            appliedAtMilliseconds: 0,
+            rules: [{
+                kind: "service",
+                name: "beacon-check",
+                requester: "Aino",
+                line: 1,
+                end: {},
+                resources: { cores: 1, memoryBytes: 1, accelerators: 0 },
+                dataCentres: [],
+                priority: 3,
+                replicas: 1,
+                deadlineMilliseconds: 5_000,
+                ...rule,
+            }],
+        }],
+    };
+    return { current: () => configuration, onChange: () => () => undefined };
+}
+
+function createMembershipSource(instance: string, schedulers: readonly string[]): MembershipSource {
+    const member = (name: string, role: "gateway" | "scheduler", origin: string): Member => ({
+        instance: name,
+        role,
+        dataCentre: "levi",
+        origin,
+        incarnation: 1,
+        state: "alive",
+        configurationRevision: 1,
+    });
+    return {
+        members: () => schedulers.map((origin, index) => member(`entry-${index + 1}`, "scheduler", origin)),
+        self: () => member(instance, "gateway", "http://127.0.0.1:1"),
+        onChange: () => () => undefined,
+    };
+}
--- /dev/null
+++ b/features/gateway/support/world.ts
@@ -0,0 +1,72 @@
+/**
+ * What scenarios of the request path share.
+ */
+import { After } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { request } from "undici";
+import { headers } from "../../../src/platform/worker.js";
+import type { TestGateway, TestScheduler } from "./gateway.js";
+import type { TestUpstream } from "./upstream.js";
+
+const CONDITION_STEP_MILLISECONDS = 10;
+const CONDITION_LIMIT_MILLISECONDS = 20_000;
+
+/** An answer as the caller saw it; `error` where the connection broke. */
+export interface SeenAnswer {
+    readonly status: number;
+    readonly body: string;
+    readonly outcome: string | undefined;
+    readonly reason: string | undefined;
+    readonly error: string | undefined;
+}
+
+/** State of one scenario. */
+export interface RequestWorld {
+    upstreams: TestUpstream[];
+    schedulers: TestScheduler[];
+    gateways: TestGateway[];
+    answers: SeenAnswer[];
+}
+
+/** What a caller sends. */
+export interface CallOptions {
+    readonly method?: string;
+    readonly body?: string;
+    readonly headers?: Record<string, string>;
+}
+
+/** Makes a call and takes in whatever comes of it. */
+export async function call(url: string, options: CallOptions = {}): Promise<SeenAnswer> {
+    try {
+        const answer = await request(url, {
+            method: (options.method ?? "POST") as "POST",
+            headers: options.headers ?? {},
+            ...(options.body === undefined ? {} : { body: options.body }),
+        });
+        const read = (name: string) => answer.headers[name]?.toString();
+        return {
+            status: answer.statusCode,
+            outcome: read(headers.outcome),
+            reason: read(headers.reason),
+            body: await answer.body.text(),
+            error: undefined,
+        };
+    }
+    catch (thrown) {
+        return { status: 0, body: "", outcome: undefined, reason: undefined, error: (thrown as Error).message };
+    }
+}
+
+/** Waits until a condition holds; fails the scenario where it never does. */
+export async function waitUntil(what: string, holds: () => boolean | Promise<boolean>): Promise<void> {
+    const endsAt = Date.now() + CONDITION_LIMIT_MILLISECONDS;
+    while (!(await holds())) {
+        assert.ok(Date.now() < endsAt, `never: ${what}`);
+        await new Promise(resolve => setTimeout(resolve, CONDITION_STEP_MILLISECONDS));
+    }
+}
+
+After(async function(this: Partial<RequestWorld>) {
+    await Promise.all((this.gateways ?? []).map(gateway => gateway.close()));
+    await Promise.all([...this.schedulers ?? [], ...this.upstreams ?? []].map(server => server.close()));
+});
--- /dev/null
+++ b/src/gateway/admission/queue.ts
@@ -0,0 +1,76 @@
+/**
+ * Requests of one service that wait for a place, by priority and arrival.
+ */
+
+/** A waiting request. */
+export interface Waiter {
+    /** 0 goes first. */
+    readonly priority: number;
+    readonly deadlineMilliseconds: number;
+    /** Tries to go ahead; answers false where there is still no place, and the queue stops there. */
+    tryStart(now: number): boolean;
+    /** Called once the deadline has passed in the queue. */
+    expire(): void;
+}
+
+/** A queue with priorities. */
+export interface WaitQueue {
+    add(waiter: Waiter): void;
+    /** Requests that go before a newcomer of this priority. */
+    lengthBefore(priority: number): number;
+    length(): number;
+    /** Lets requests go ahead as long as they find a place; those whose time is up expire. */
+    advance(now: number): void;
+    /** Takes out requests whose deadline has passed. */
+    expire(now: number): void;
+}
+
+const PRIORITIES = 10;
+
+/** Creates an empty queue. */
+export function createWaitQueue(): WaitQueue {
+    const lanes: Waiter[][] = Array.from({ length: PRIORITIES }, () => []);
+    let length = 0;
+    const takeExpired = (lane: Waiter[], now: number) => {
+        const kept = lane.filter(waiter => waiter.deadlineMilliseconds > now);
+        if (kept.length === lane.length) {
+            return;
+        }
+        const expired = lane.filter(waiter => waiter.deadlineMilliseconds <= now);
+        lane.splice(0, lane.length, ...kept);
+        length -= expired.length;
+        expired.forEach(waiter => waiter.expire());
+    };
+    return {
+        length: () => length,
+        lengthBefore: priority => lanes.slice(0, priority + 1).reduce((sum, lane) => sum + lane.length, 0),
+        add(waiter) {
+            lanes[waiter.priority]?.push(waiter);
+            length += 1;
+        },
+        advance(now) {
+            for (const lane of lanes) {
+                while (lane.length > 0) {
+                    const [waiter] = lane;
+                    if (waiter === undefined) {
+                        break;
+                    }
+                    if (waiter.deadlineMilliseconds <= now) {
+                        lane.shift();
+                        length -= 1;
+                        waiter.expire();
+                        continue;
+                    }
+                    if (!waiter.tryStart(now)) {
+                        return;
+                    }
+                    lane.shift();
+                    length -= 1;
+                }
+            }
+        },
+        expire(now) {
+            lanes.forEach(lane => takeExpired(lane, now));
+        },
+    };
+}
--- /dev/null
+++ b/src/gateway/admission/selector.ts
@@ -0,0 +1,279 @@
+/**
+ * Gives each request a replica and a connection, or lets it wait for them until its deadline.
+ */
+import { Result } from "true-myth/result";
+import type { Route } from "../../core/messages/routes.js";
+import type { Random } from "../../core/random.js";
+import type { Clock } from "../../core/time.js";
+import { reasons } from "../counters.js";
+import { notRun } from "../refusal.js";
+import type { Refusal } from "../refusal.js";
+import { nameAttempt } from "../routes/table.js";
+import type { RouteTable } from "../routes/table.js";
+import type { RequestSettings } from "../settings.js";
+import { chooseReplica } from "../upstream/choose.js";
+import type { Connection } from "../upstream/connections.js";
+import { createReplicaHealth, findOutliers, mayTry, observeVerdict } from "../upstream/health.js";
+import type { ReplicaHealth, Verdict } from "../upstream/health.js";
+import type { UpstreamPool } from "../upstream/pool.js";
+import { createConcurrencyLimit } from "./limit.js";
+import type { ConcurrencyLimit } from "./limit.js";
+import { createWaitQueue } from "./queue.js";
+import type { WaitQueue } from "./queue.js";
+
+/** What a request needs. */
+export interface Wanted {
+    readonly service: string;
+    readonly priority: number;
+    readonly deadlineMilliseconds: number;
+    /** Replicas that the request has been refused by. */
+    readonly tried: ReadonlySet<Route>;
+}
+
+/** A replica and a connection, held until `finish`. */
+export interface Lease {
+    readonly route: Route;
+    readonly connection: Connection;
+    readonly startedAtMilliseconds: number;
+}
+
+/** Hands out leases. */
+export interface UpstreamSelector {
+    acquire(wanted: Wanted, now: number): Promise<Result<Lease, Refusal>>;
+    /** Ends a lease; the connection is kept only after an answer that arrived whole. */
+    finish(lease: Lease, verdict: Verdict, now: number): void;
+    /** Health of a replica. */
+    healthOf(route: Route): ReplicaHealth;
+    /** Lets waiting requests try again, after routes or credits have changed. */
+    wake(now: number): void;
+    /** Takes out requests whose time is up, and forgets replicas that are gone. */
+    sweep(now: number): void;
+    /** Requests that wait, and connections that they want, by worker. */
+    waiting(): number;
+    demand(worker: string): number;
+    inFlight(): number;
+}
+
+/** Options of the selector. */
+export interface SelectorOptions {
+    readonly settings: RequestSettings;
+    readonly table: RouteTable;
+    readonly pool: UpstreamPool;
+    readonly clock: Clock;
+    readonly random: Random;
+    /** Called when a circuit breaker opens. */
+    onBreakerOpen(route: Route): void;
+    /** Called when a request has to wait for a connection; more credits may help. */
+    onShortage(): void;
+}
+
+interface ServiceState {
+    readonly limit: ConcurrencyLimit;
+    readonly queue: WaitQueue;
+    inFlight: number;
+    outliers: ReadonlySet<Route>;
+}
+
+const SMALLEST_LATENCY_MILLISECONDS = 0.1;
+
+type Attempted = Lease | "no-replica" | "breakers-open" | "no-place";
+
+/** Creates a selector. */
+export function createUpstreamSelector(options: SelectorOptions): UpstreamSelector {
+    return new Selector(options);
+}
+
+class Selector implements UpstreamSelector {
+    private readonly services = new Map<string, ServiceState>();
+    private health = new Map<string, ReplicaHealth>();
+    private readonly demands = new Map<string, number>();
+
+    constructor(private readonly options: SelectorOptions) {}
+
+    async acquire(wanted: Wanted, now: number): Promise<Result<Lease, Refusal>> {
+        const state = this.findService(wanted.service);
+        if (state.queue.lengthBefore(wanted.priority) === 0) {
+            const attempted = this.attempt(wanted, state, now);
+            if (attempted === "no-replica") {
+                return Result.err(notRun(503, reasons.noUpstream, "no replica of the service is known"));
+            }
+            if (attempted === "breakers-open") {
+                return Result.err(notRun(503, reasons.circuitOpen, "every replica of the service is failing"));
+            }
+            if (attempted !== "no-place") {
+                return Result.ok(attempted);
+            }
+        }
+        if (this.options.settings.shedding && this.isHopeless(wanted, state, now)) {
+            return Result.err(notRun(503, reasons.queueFull, "the queue is longer than the time that is left"));
+        }
+        return this.wait(wanted, state);
+    }
+
+    finish(lease: Lease, verdict: Verdict, now: number): void {
+        const { route, connection } = lease;
+        const state = this.findService(route.service);
+        const health = this.healthOf(route);
+        const connections = this.options.pool.find(route.worker);
+        state.inFlight -= 1;
+        health.inFlight -= 1;
+        const latency = now - lease.startedAtMilliseconds;
+        if (verdict === "failed" || verdict === "timed-out" || verdict === "unused") {
+            connections?.discard(connection, now);
+        }
+        else {
+            connections?.release(connection, now);
+        }
+        if (connections === undefined) {
+            void connection.client.destroy();
+        }
+        if (verdict === "answered") {
+            state.limit.observe(latency, state.inFlight + 1);
+        }
+        if (verdict === "timed-out") {
+            state.limit.observeTimeout();
+        }
+        if (observeVerdict(health, verdict, latency, this.options.settings, now)) {
+            this.options.onBreakerOpen(route);
+        }
+        this.wake(now);
+    }
+
+    healthOf(route: Route): ReplicaHealth {
+        const name = nameAttempt(route);
+        let health = this.health.get(name);
+        if (health === undefined) {
+            health = createReplicaHealth(this.options.settings);
+            this.health.set(name, health);
+        }
+        return health;
+    }
+
+    wake(now: number): void {
+        for (const state of this.services.values()) {
+            if (state.queue.length() > 0) {
+                state.queue.advance(now);
+            }
+        }
+    }
+
+    sweep(now: number): void {
+        const routes = this.options.table.all();
+        const names = new Set(routes.map(nameAttempt));
+        this.health = new Map([...this.health].filter(([name, { inFlight }]) => names.has(name) || inFlight > 0));
+        for (const [service, state] of this.services) {
+            state.queue.expire(now);
+            const own = routes.filter(route => route.service === service && route.state === "serving");
+            state.outliers = new Set(
+                findOutliers(own, route => this.healthOf(route), this.options.settings.ejectedShare),
+            );
+        }
+        this.wake(now);
+    }
+
+    waiting(): number {
+        return [...this.services.values()].reduce((sum, state) => sum + state.queue.length(), 0);
+    }
+
+    /** Requests that found no free connection spread their wish over the workers that could serve them. */
+    demand(worker: string): number {
+        const demand = this.demands.get(worker) ?? 0;
+        this.demands.delete(worker);
+        return Math.ceil(demand);
+    }
+
+    inFlight(): number {
+        return [...this.services.values()].reduce((sum, state) => sum + state.inFlight, 0);
+    }
+
+    private findService(service: string): ServiceState {
+        let state = this.services.get(service);
+        if (state === undefined) {
+            state = {
+                limit: createConcurrencyLimit(this.options.settings),
+                queue: createWaitQueue(),
+                inFlight: 0,
+                outliers: new Set(),
+            };
+            this.services.set(service, state);
+        }
+        return state;
+    }
+
+    private attempt(wanted: Wanted, state: ServiceState, now: number): Attempted {
+        const { settings, table, pool, random } = this.options;
+        const routes = table.find(wanted.service);
+        if (routes === undefined) {
+            return "no-replica";
+        }
+        if (settings.shedding && state.inFlight >= state.limit.current()) {
+            return "no-place";
+        }
+        const mayUse = (replica: Route) => !wanted.tried.has(replica) && mayTry(this.healthOf(replica), settings, now);
+        const route = chooseReplica(
+            routes.near,
+            routes.far,
+            {
+                isFree: replica =>
+                    mayUse(replica) && !state.outliers.has(replica)
+                    && pool.find(replica.worker)?.available(now) === true,
+                cost: replica => this.costOf(replica),
+            },
+            settings.spillFactor,
+            random,
+        );
+        if (route === undefined) {
+            const usable = [...routes.near, ...routes.far].filter(mayUse);
+            return usable.length > 0 ? this.noteShortage(usable) : "breakers-open";
+        }
+        const connection = pool.find(route.worker)?.acquire(now);
+        if (connection === undefined) {
+            return "no-place";
+        }
+        state.inFlight += 1;
+        this.healthOf(route).inFlight += 1;
+        return { route, connection, startedAtMilliseconds: now };
+    }
+
+    private costOf(route: Route): number {
+        const { inFlight, latencyMilliseconds } = this.healthOf(route);
+        return (inFlight + 1) * Math.max(latencyMilliseconds, SMALLEST_LATENCY_MILLISECONDS);
+    }
+
+    private noteShortage(routes: readonly Route[]): "no-place" {
+        for (const { worker } of routes) {
+            this.demands.set(worker, (this.demands.get(worker) ?? 0) + 1 / routes.length);
+        }
+        this.options.onShortage();
+        return "no-place";
+    }
+
+    /** Expects the wait from the requests ahead, the places, and the mean time that one is taken. */
+    private isHopeless(wanted: Wanted, state: ServiceState, now: number): boolean {
+        const places = Math.max(1, Math.min(state.limit.current(), state.inFlight));
+        const rounds = state.queue.lengthBefore(wanted.priority) / places + 1;
+        const expected = (rounds + 1) * state.limit.meanLatencyMilliseconds();
+        return now + expected > wanted.deadlineMilliseconds;
+    }
+
+    private wait(wanted: Wanted, state: ServiceState): Promise<Result<Lease, Refusal>> {
+        // A replica that refused once is better than none once the request has had to wait.
+        const again = { ...wanted, tried: new Set<Route>() };
+        return new Promise(resolve => {
+            state.queue.add({
+                priority: wanted.priority,
+                deadlineMilliseconds: wanted.deadlineMilliseconds,
+                tryStart: now => {
+                    const attempted = this.attempt(again, state, now);
+                    if (typeof attempted === "string") {
+                        return false;
+                    }
+                    resolve(Result.ok(attempted));
+                    return true;
+                },
+                expire: () =>
+                    resolve(Result.err(notRun(503, reasons.deadlinePassed, "the deadline passed in the queue"))),
+            });
+        });
+    }
+}
--- /dev/null
+++ b/src/gateway/attempts.ts
@@ -0,0 +1,162 @@
+/**
+ * Sends one request to replicas until one has answered, or until sending again could run it twice.
+ */
+import type { Route } from "../core/messages/routes.js";
+import type { Random } from "../core/random.js";
+import { jitter } from "../core/random.js";
+import type { Clock } from "../core/time.js";
+import { pause } from "../core/time.js";
+import { headers } from "../platform/worker.js";
+import type { RetryBudget } from "./admission/budget.js";
+import type { Lease, UpstreamSelector } from "./admission/selector.js";
+import type { WholeAnswer } from "./callers/answer.js";
+import type { CallerRequest } from "./callers/request.js";
+import { reasons } from "./counters.js";
+import type { RequestCounters } from "./counters.js";
+import { notRun, unknownOutcome } from "./refusal.js";
+import type { Refusal } from "./refusal.js";
+import { nameAttempt } from "./routes/table.js";
+import type { RequestSettings } from "./settings.js";
+import { exchange } from "./upstream/exchange.js";
+import type { AnswerSink, ExchangeResult } from "./upstream/exchange.js";
+import type { Verdict } from "./upstream/health.js";
+
+/** Reason by which an upstream says that it takes no new work, or that the attempt is not its own. */
+const LEAVING_REASONS = new Set(["leaving", "wrong-attempt"]);
+const FIRST_SERVER_ERROR = 500;
+const RETRY_SPREAD = 0.5;
+
+/** What became of a request after all attempts. */
+export type AttemptsResult =
+    | { readonly kind: "whole"; readonly answer: WholeAnswer; }
+    | { readonly kind: "streamed"; readonly status: number; }
+    /** The caller's connection has been cut in the middle of an answer. */
+    | { readonly kind: "cut"; readonly reason: string; }
+    | { readonly kind: "refused"; readonly refusal: Refusal; };
+
+/** What attempts are made with. */
+export interface AttemptsOptions {
+    readonly instance: string;
+    readonly settings: RequestSettings;
+    readonly selector: UpstreamSelector;
+    readonly counters: RequestCounters;
+    readonly clock: Clock;
+    readonly random: Random;
+    budgetOf(service: string): RetryBudget;
+    /** Called after a time-out on a replica. */
+    onTimeout(route: Route, startedAtMilliseconds: number): void;
+}
+
+/** One request with what its attempts depend on. */
+export interface AttemptsRequest {
+    readonly request: CallerRequest;
+    readonly sink: AnswerSink;
+    /** Asked right before the first byte of each attempt leaves. */
+    maySend(now: number): boolean;
+}
+
+/** Makes attempts. A request is sent again only where its last attempt provably did not run. */
+export async function makeAttempts(wanted: AttemptsRequest, options: AttemptsOptions): Promise<AttemptsResult> {
+    const { request } = wanted;
+    const { settings, selector, clock } = options;
+    const tried = new Set<Route>();
+    const budget = options.budgetOf(request.service);
+    let last: Refusal | undefined;
+    for (let attempt = 1; attempt <= settings.attempts; attempt += 1) {
+        if (last !== undefined) {
+            if (!budget.take()) {
+                return { kind: "refused", refusal: last };
+            }
+            options.counters.countRetry(last.reason);
+            await pause(jitter(settings.retryDelayMilliseconds, RETRY_SPREAD, options.random));
+        }
+        const { service, priority, deadlineMilliseconds } = request;
+        const acquired = await selector.acquire({ service, priority, deadlineMilliseconds, tried }, clock());
+        if (acquired.isErr) {
+            return { kind: "refused", refusal: last ?? acquired.error };
+        }
+        const outcome = await makeAttempt(acquired.value, wanted, options);
+        if (outcome.kind !== "refused" || outcome.refusal.outcome !== "not-run" || !outcome.again) {
+            if (outcome.kind === "whole" || outcome.kind === "streamed") {
+                budget.observeSuccess();
+            }
+            return outcome;
+        }
+        tried.add(acquired.value.route);
+        last = outcome.refusal;
+    }
+    return { kind: "refused", refusal: last ?? notRun(503, reasons.noUpstream, "no attempt was made") };
+}
+
+type AttemptOutcome =
+    | Exclude<AttemptsResult, { kind: "refused"; }>
+    | { readonly kind: "refused"; readonly refusal: Refusal; readonly again: boolean; };
+
+async function makeAttempt(lease: Lease, wanted: AttemptsRequest, options: AttemptsOptions): Promise<AttemptOutcome> {
+    const { request, sink } = wanted;
+    const { settings, selector, clock, instance } = options;
+    const { route, connection } = lease;
+    const { requestId, idempotencyKey } = request.guarded;
+    const sentHeaders = request.headers;
+    sentHeaders[headers.service] = request.service;
+    sentHeaders[headers.attempt] = nameAttempt(route);
+    sentHeaders[headers.deadline] = String(Math.floor(request.deadlineMilliseconds));
+    sentHeaders[headers.gateway] = instance;
+    sentHeaders[headers.requestId] = requestId;
+    sentHeaders[headers.priority] = String(request.priority);
+    const result = await exchange(connection.client, {
+        method: request.method,
+        path: request.path,
+        headers: sentHeaders,
+        body: request.body,
+        requestId,
+        bufferBytes: idempotencyKey === undefined ? settings.answerBufferBytes : settings.recordedAnswerBytes,
+        limitBytes: settings.answerLimitBytes,
+        timeoutMilliseconds: request.deadlineMilliseconds - clock(),
+        maySend: () => wanted.maySend(clock()),
+    }, sink);
+    const verdict = judge(result);
+    selector.finish(lease, verdict, clock());
+    if (verdict === "timed-out") {
+        options.onTimeout(route, lease.startedAtMilliseconds);
+    }
+    return conclude(result);
+}
+
+function judge(result: ExchangeResult): Verdict {
+    if (result.kind === "failed") {
+        return result.reason === reasons.permitLapsed
+            ? "unused"
+            : result.reason === reasons.upstreamTimeout
+            ? "timed-out"
+            : "failed";
+    }
+    if (result.kind === "whole" && result.headers[headers.outcome] === "not-run") {
+        return LEAVING_REASONS.has(String(result.headers[headers.reason])) ? "left" : "refused";
+    }
+    return result.status >= FIRST_SERVER_ERROR ? "erred" : "answered";
+}
+
+function conclude(result: ExchangeResult): AttemptOutcome {
+    if (result.kind === "whole") {
+        const { status, headers: answerHeaders, body } = result;
+        if (answerHeaders[headers.outcome] === "not-run") {
+            const message = `an upstream refused the request: ${String(answerHeaders[headers.reason] ?? status)}`;
+            return { kind: "refused", refusal: notRun(503, reasons.upstreamRefused, message), again: true };
+        }
+        return { kind: "whole", answer: { status, headers: answerHeaders, body } };
+    }
+    if (result.kind === "streamed") {
+        return { kind: "streamed", status: result.status };
+    }
+    const { reason, message, begun, sent } = result;
+    if (begun) {
+        return { kind: "cut", reason };
+    }
+    if (!sent) {
+        const again = reason === reasons.connectFailed;
+        return { kind: "refused", refusal: notRun(again ? 502 : 503, reason, message), again };
+    }
+    const status = reason === reasons.upstreamTimeout ? 504 : 502;
+    return { kind: "refused", refusal: unknownOutcome(status, reason, message), again: false };
+}
--- /dev/null
+++ b/src/gateway/callers/request.ts
@@ -0,0 +1,166 @@
+/**
+ * Callers' requests as the gateway works on them.
+ */
+import { createHash } from "node:crypto";
+import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import { Result } from "true-myth/result";
+import { headers } from "../../platform/worker.js";
+import type { ServiceRule } from "../../rules/rule.js";
+import { reasons } from "../counters.js";
+import type { GuardedRequest } from "../guard.js";
+import { notRun } from "../refusal.js";
+import type { Refusal } from "../refusal.js";
+
+/** Header that makes a request safe to repeat. */
+const IDEMPOTENCY_KEY_HEADER = "idempotency-key";
+const LOWEST_PRIORITY = 9;
+const LONGEST_KEY_CHARACTERS = 256;
+
+/** Headers that hold between two neighbours only, and those that the gateway sets itself. */
+const DROPPED_REQUEST_HEADERS = new Set<string>([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    "host",
+    "content-length",
+    ...Object.values(headers),
+]);
+
+/** A caller's request with its body. */
+export interface CallerRequest {
+    readonly service: string;
+    readonly method: string;
+    /** Path and query without the service's name. */
+    readonly path: string;
+    readonly headers: Record<string, string | string[]>;
+    readonly body: Buffer;
+    readonly priority: number;
+    readonly guarded: GuardedRequest;
+    readonly deadlineMilliseconds: number;
+}
+
+/** Where a caller's URL leads. */
+export interface Target {
+    readonly service: string;
+    readonly path: string;
+}
+
+/** Splits `/SERVICE/PATH?QUERY`. */
+export function readTarget(url: string): Target {
+    const end = url.slice(1).search(/[/?]/);
+    if (end < 0) {
+        return { service: url.slice(1), path: "/" };
+    }
+    const rest = url.slice(end + 1);
+    return { service: url.slice(1, end + 1), path: rest.startsWith("/") ? rest : `/${rest}` };
+}
+
+/** What a request is read with. */
+export interface ReadOptions {
+    readonly target: Target;
+    readonly rule: ServiceRule;
+    readonly body: Buffer;
+    readonly longestDeadlineMilliseconds: number;
+    /** Another gateway has passed the request on; its deadline is absolute, a caller's is remaining milliseconds. */
+    readonly forwarded: boolean;
+    createRequestId(): string;
+}
+
+/** Reads deadline, priority and keys from a request whose body is at hand. */
+export function readCallerRequest(
+    incoming: IncomingMessage,
+    options: ReadOptions,
+    now: number,
+): Result<CallerRequest, Refusal> {
+    const { rule, target, body, forwarded } = options;
+    const deadline = readDeadline(incoming.headers, options, now);
+    const priority = readPriority(incoming.headers, rule.priority);
+    const idempotencyKey = readText(incoming.headers, IDEMPOTENCY_KEY_HEADER);
+    if (deadline === undefined || priority === undefined || (idempotencyKey?.length ?? 0) > LONGEST_KEY_CHARACTERS) {
+        return Result.err(notRun(400, reasons.invalidRequest, "a flamingowell or idempotency header is not valid"));
+    }
+    const exclusiveKey = readExclusiveKey(incoming.headers, rule, target.path);
+    if (rule.exclusive !== undefined && exclusiveKey === undefined) {
+        return Result.err(notRun(400, reasons.invalidRequest, "the service is exclusive and the request has no key"));
+    }
+    const method = incoming.method ?? "GET";
+    const given = forwarded ? readText(incoming.headers, headers.requestId) : undefined;
+    return Result.ok({
+        service: target.service,
+        method,
+        path: target.path,
+        headers: copyHeaders(incoming.headers),
+        body,
+        priority,
+        deadlineMilliseconds: deadline,
+        guarded: {
+            requestId: given ?? options.createRequestId(),
+            service: target.service,
+            ...(exclusiveKey === undefined ? {} : { exclusiveKey }),
+            ...(idempotencyKey === undefined
+                ? {}
+                : { idempotencyKey, fingerprint: takeFingerprint(method, target.path, body) }),
+            deadlineMilliseconds: deadline,
+            forwarded,
+        },
+    });
+}
+
+function readDeadline(incoming: IncomingHttpHeaders, options: ReadOptions, now: number): number | undefined {
+    const text = readText(incoming, headers.deadline);
+    if (text === undefined) {
+        return now + Math.min(options.rule.deadlineMilliseconds, options.longestDeadlineMilliseconds);
+    }
+    const value = Number(text);
+    if (!Number.isFinite(value) || value < 0) {
+        return undefined;
+    }
+    const latest = now + options.longestDeadlineMilliseconds;
+    return Math.min(latest, options.forwarded ? value : now + value);
+}
+
+function readPriority(incoming: IncomingHttpHeaders, byRule: number): number | undefined {
+    const text = readText(incoming, headers.priority);
+    if (text === undefined) {
+        return byRule;
+    }
+    const value = Number(text);
+    return Number.isInteger(value) && value >= 0 && value <= LOWEST_PRIORITY ? value : undefined;
+}
+
+function readExclusiveKey(incoming: IncomingHttpHeaders, rule: ServiceRule, path: string): string | undefined {
+    if (rule.exclusive === undefined) {
+        return undefined;
+    }
+    if (rule.exclusive.source === "header") {
+        return readText(incoming, rule.exclusive.name.toLowerCase());
+    }
+    const [pathOnly = ""] = path.split("?", 1);
+    const segment = pathOnly.split("/")[rule.exclusive.segment + 1];
+    return segment === "" ? undefined : segment;
+}
+
+function readText(incoming: IncomingHttpHeaders, name: string): string | undefined {
+    const value = incoming[name];
+    return Array.isArray(value) ? value[0] : value;
+}
+
+function copyHeaders(incoming: IncomingHttpHeaders): Record<string, string | string[]> {
+    const copied: Record<string, string | string[]> = {};
+    for (const name in incoming) {
+        const value = incoming[name];
+        if (value !== undefined && !DROPPED_REQUEST_HEADERS.has(name)) {
+            copied[name] = value;
+        }
+    }
+    return copied;
+}
+
+function takeFingerprint(method: string, path: string, body: Buffer): string {
+    return createHash("sha256").update(`${method}\n${path}\n`).update(body).digest("hex");
+}
--- /dev/null
+++ b/src/gateway/counters.ts
@@ -0,0 +1,65 @@
+/**
+ * Counters of the request path: answers, refusals by reason, retries by reason.
+ */
+import type { Metrics } from "../core/metrics.js";
+
+/** Why the gateway refuses a request or gives up on it. Guards add reasons of their own. */
+export const reasons = {
+    noConfiguration: "no-configuration",
+    unknownService: "unknown-service",
+    invalidRequest: "invalid-request",
+    bodyTooLarge: "body-too-large",
+    bodyTimeout: "body-timeout",
+    noUpstream: "no-upstream",
+    circuitOpen: "circuit-open",
+    queueFull: "queue-full",
+    deadlinePassed: "deadline-passed",
+    connectFailed: "connect-failed",
+    upstreamRefused: "upstream-refused",
+    upstreamTimeout: "upstream-timeout",
+    upstreamFailed: "upstream-failed",
+    answerTruncated: "answer-truncated",
+    answerCrossed: "answer-crossed",
+    answerOversized: "answer-oversized",
+    answerUndelimited: "answer-undelimited",
+    retriesExhausted: "retries-exhausted",
+    permitLapsed: "permit-lapsed",
+    forwardFailed: "forward-failed",
+    stopping: "stopping",
+    internal: "internal",
+} as const;
+
+/** Counts what becomes of requests. */
+export interface RequestCounters {
+    countAnswer(service: string, statusClass: string): void;
+    countRefusal(reason: string): void;
+    countRetry(reason: string): void;
+}
+
+/** Creates the counters; children are kept, since looking up labels costs more than counting. */
+export function createRequestCounters(metrics: Metrics): RequestCounters {
+    const answers = metrics.counter("flamingowell_answers_total", "Whole answers of upstreams passed to callers", [
+        "service",
+        "status",
+    ]);
+    const refusals = metrics.counter("flamingowell_refusals_total", "Answers made by the gateway itself, by reason", [
+        "reason",
+    ]);
+    const retries = metrics.counter("flamingowell_retries_total", "Requests sent again, by the reason for it", [
+        "reason",
+    ]);
+    const answerCounts = new Map<string, { inc(): void; }>();
+    return {
+        countAnswer: (service, status) => {
+            const key = `${service} ${status}`;
+            let count = answerCounts.get(key);
+            if (count === undefined) {
+                count = answers.labels({ service, status });
+                answerCounts.set(key, count);
+            }
+            count.inc();
+        },
+        countRefusal: reason => refusals.inc({ reason }),
+        countRetry: reason => retries.inc({ reason }),
+    };
+}
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,183 @@
+/**
+ * The gateway: answers callers' requests through the replicas of services.
+ */
+import express from "express";
+import type { Router } from "express";
+import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import type { Logger } from "../core/log.js";
+import type { Metrics } from "../core/metrics.js";
+import type { Part } from "../core/part.js";
+import type { Random } from "../core/random.js";
+import { requireToken } from "../core/rpc.js";
+import type { RpcClient } from "../core/rpc.js";
+import { pause } from "../core/time.js";
+import type { Clock } from "../core/time.js";
+import type { MembershipSource } from "../membership/member.js";
+import type { Configuration, ConfigurationSource, ServiceRule } from "../rules/rule.js";
+import { createRetryBudget } from "./admission/budget.js";
+import type { RetryBudget } from "./admission/budget.js";
+import { createUpstreamSelector } from "./admission/selector.js";
+import { createRequestCounters } from "./counters.js";
+import { createPeerForwarder, FORWARD_PATH, restoreForwarded } from "./forward.js";
+import type { Guard } from "./guard.js";
+import { runRouteReader } from "./routes/reader.js";
+import { createRouteTable } from "./routes/table.js";
+import { serve } from "./serve.js";
+import type { ServeOptions } from "./serve.js";
+import type { RequestSettings } from "./settings.js";
+import { createUpstreamPool } from "./upstream/pool.js";
+
+const SWEEP_MILLISECONDS = 100;
+const DRAIN_STEP_MILLISECONDS = 20;
+
+/** Which process the gateway is. */
+export interface GatewayIdentity {
+    readonly instance: string;
+    readonly dataCentre: string;
+    /** Differs after each start. */
+    readonly incarnation: string;
+}
+
+/** What the gateway is made of. */
+export interface GatewayOptions {
+    readonly identity: GatewayIdentity;
+    readonly settings: RequestSettings;
+    readonly configuration: ConfigurationSource;
+    readonly membership: MembershipSource;
+    readonly rpc: RpcClient;
+    readonly guards: readonly Guard[];
+    readonly peerToken: string;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+}
+
+/** The gateway as the wiring sees it. */
+export interface Gateway extends Part {
+    /** Serves the callers' port. */
+    readonly listener: RequestListener;
+    /** Serves requests that other gateways pass on; belongs on the peers' port. */
+    readonly peerListener: Router;
+    /** The gateway knows a configuration, and is not stopping. */
+    ready(): boolean;
+    /** Stops gracefully: closes callers' connections after their answers, waits for requests under way. */
+    drain(limitMilliseconds: number): Promise<void>;
+}
+
+/** Creates a gateway. */
+export function createGateway(options: GatewayOptions): Gateway {
+    const { identity, settings, configuration, clock, random, logger } = options;
+    const counters = createRequestCounters(options.metrics);
+    const table = createRouteTable({ ...identity, subset: settings.subset });
+    const pool = createUpstreamPool(settings);
+    const budgets = new Map<string, RetryBudget>();
+    let rules = indexRules(configuration.current());
+    let stopping = false;
+    let underWay = 0;
+    const selector = createUpstreamSelector({
+        settings,
+        table,
+        pool,
+        clock,
+        random,
+        onBreakerOpen: route => logger.warn("breaker-open", { service: route.service, peer: route.worker }),
+        onShortage: () => undefined,
+    });
+    const forwarder = createPeerForwarder({ peerToken: options.peerToken, settings, clock });
+    const budgetOf = (service: string): RetryBudget => {
+        let budget = budgets.get(service);
+        if (budget === undefined) {
+            budget = createRetryBudget(settings);
+            budgets.set(service, budget);
+        }
+        return budget;
+    };
+    const serveOptions: ServeOptions = {
+        settings,
+        guards: options.guards,
+        attempts: {
+            instance: identity.instance,
+            settings,
+            selector,
+            counters,
+            clock,
+            random,
+            budgetOf,
+            onTimeout: () => undefined,
+        },
+        forwarder,
+        counters,
+        clock,
+        logger,
+        findRule: service => rules.get(service),
+        isConfigured: () => configuration.current() !== undefined,
+    };
+    const handle = async (incoming: IncomingMessage, response: ServerResponse, url: string, forwarded: boolean) => {
+        underWay += 1;
+        if (stopping) {
+            response.setHeader("connection", "close");
+        }
+        response.once("close", () => {
+            underWay -= 1;
+        });
+        await serve(incoming, response, url, forwarded, serveOptions);
+    };
+    const peerListener = express.Router();
+    peerListener.use(FORWARD_PATH, requireToken(options.peerToken), (incoming, response) => {
+        restoreForwarded(incoming);
+        return handle(incoming, response, incoming.url, true);
+    });
+    return {
+        handlers: [],
+        listener: (incoming, response) => void handle(incoming, response, incoming.url ?? "/", false),
+        peerListener,
+        ready: () => !stopping && configuration.current() !== undefined,
+        async run(signal) {
+            const stopFollowing = configuration.onChange(current => {
+                rules = indexRules(current);
+            });
+            rules = indexRules(configuration.current());
+            const reader = runRouteReader({
+                table,
+                membership: options.membership,
+                rpc: options.rpc,
+                random,
+                logger,
+                waitMilliseconds: settings.routesWaitMilliseconds,
+                onChange: () => {
+                    const now = clock();
+                    pool.follow(table.all(), now);
+                    for (const connections of pool.workers()) {
+                        connections.setCredits(THIN_CREDITS, Number.POSITIVE_INFINITY, now);
+                    }
+                    selector.wake(now);
+                },
+                onOwned: () => undefined,
+            }, signal);
+            while (!signal.aborted) {
+                pool.follow(table.all(), clock());
+                selector.sweep(clock());
+                await pause(SWEEP_MILLISECONDS, signal);
+            }
+            stopFollowing();
+            await reader;
+            await forwarder.close();
+            await pool.close();
+        },
+        async drain(limitMilliseconds) {
+            stopping = true;
+            const endsAt = clock() + limitMilliseconds;
+            while (underWay > 0 && clock() < endsAt) {
+                await pause(DRAIN_STEP_MILLISECONDS);
+            }
+        },
+    };
+}
+
+const THIN_CREDITS = 7;
+
+function indexRules(configuration: Configuration | undefined): Map<string, ServiceRule> {
+    const rules = (configuration?.documents ?? []).flatMap(document => document.rules);
+    return new Map(rules.filter(rule => rule.kind === "service").map(rule => [rule.name, rule]));
+}
--- a/src/gateway/guard.ts
+++ b/src/gateway/guard.ts
@@ -43,10 +43,10 @@
 
 /** What a guard says to a request. */
 export type Admission =
-    | { readonly kind: "proceed"; readonly permit: Permit }
+    | { readonly kind: "proceed"; readonly permit: Permit; }
     /** Another gateway holds the key: pass the request on to its peer origin. */
-    | { readonly kind: "forward"; readonly origin: string }
-    | { readonly kind: "replay"; readonly answer: RecordedAnswer }
+    | { readonly kind: "forward"; readonly origin: string; }
+    | { readonly kind: "replay"; readonly answer: RecordedAnswer; }
     | {
         readonly kind: "refuse";
         readonly status: number;
--- /dev/null
+++ b/src/gateway/serve.ts
@@ -0,0 +1,211 @@
+/**
+ * The way of one request through the gateway, from its head to the last byte of its answer.
+ */
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { describeThrown } from "../core/errors.js";
+import type { Logger } from "../core/log.js";
+import type { Clock } from "../core/time.js";
+import type { ServiceRule } from "../rules/rule.js";
+import { makeAttempts } from "./attempts.js";
+import type { AttemptsOptions, AttemptsResult } from "./attempts.js";
+import { createAnswerSink, recordAnswer, replayAnswer, writeAnswer } from "./callers/answer.js";
+import { readBody } from "./callers/body.js";
+import { readCallerRequest, readTarget } from "./callers/request.js";
+import type { CallerRequest } from "./callers/request.js";
+import { reasons } from "./counters.js";
+import type { RequestCounters } from "./counters.js";
+import type { PeerForwarder } from "./forward.js";
+import type { Admission, Guard, Permit, PermitOutcome } from "./guard.js";
+import { notRun, unknownOutcome, writeRefusal } from "./refusal.js";
+import type { Refusal } from "./refusal.js";
+import type { RequestSettings } from "./settings.js";
+import type { AnswerSink } from "./upstream/exchange.js";
+
+const STATUS_CLASS_DIVISOR = 100;
+
+/** What requests are served with. */
+export interface ServeOptions {
+    readonly settings: RequestSettings;
+    readonly guards: readonly Guard[];
+    readonly attempts: AttemptsOptions;
+    readonly forwarder: PeerForwarder;
+    readonly counters: RequestCounters;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    /** Rule of a service; `undefined` where the configuration has none, or where there is no configuration. */
+    findRule(service: string): ServiceRule | undefined;
+    isConfigured(): boolean;
+}
+
+/** Serves one request; does not reject. */
+export async function serve(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    url: string,
+    forwarded: boolean,
+    options: ServeOptions,
+): Promise<void> {
+    // A caller that goes away shows in `destroyed`; without a listener its error would end the process.
+    response.on("error", ignoreError);
+    try {
+        const refusal = await answer(incoming, response, url, forwarded, options);
+        if (refusal !== undefined) {
+            options.counters.countRefusal(refusal.reason);
+            writeRefusal(response, refusal);
+        }
+    }
+    catch (thrown) {
+        options.logger.error("request-failed", { step: "serve", message: describeThrown(thrown) });
+        options.counters.countRefusal(reasons.internal);
+        writeRefusal(response, unknownOutcome(500, reasons.internal, "the gateway failed"));
+    }
+}
+
+function ignoreError(): void {
+    // See serve.
+}
+
+async function answer(
+    incoming: IncomingMessage,
+    response: ServerResponse,
+    url: string,
+    forwarded: boolean,
+    options: ServeOptions,
+): Promise<Refusal | undefined> {
+    const { settings, clock } = options;
+    const target = readTarget(url);
+    const rule = options.findRule(target.service);
+    if (rule === undefined) {
+        return options.isConfigured()
+            ? notRun(404, reasons.unknownService, "no rule has a service of this name")
+            : notRun(503, reasons.noConfiguration, "the gateway knows no configuration yet");
+    }
+    const arrivedAt = clock();
+    const body = await readBody(incoming, settings);
+    if (body.isErr) {
+        return body.error;
+    }
+    const request = readCallerRequest(incoming, {
+        target,
+        rule,
+        body: body.value,
+        longestDeadlineMilliseconds: settings.longestDeadlineMilliseconds,
+        forwarded,
+        createRequestId: randomUUID,
+    }, arrivedAt);
+    if (request.isErr) {
+        return request.error;
+    }
+    return answerRequest(request.value, response, options);
+}
+
+async function answerRequest(
+    request: CallerRequest,
+    response: ServerResponse,
+    options: ServeOptions,
+): Promise<Refusal | undefined> {
+    const { requestId, idempotencyKey } = request.guarded;
+    const sink = createAnswerSink(response, requestId);
+    const permits: Permit[] = [];
+    const admission = await passGuards(request, permits, options);
+    if (admission !== undefined) {
+        await finishAll(permits, "not-run");
+        return conclude(await settle(admission, request, sink, options), request, response, options);
+    }
+    let outcome: PermitOutcome = "unknown";
+    let result: AttemptsResult | undefined;
+    try {
+        const maySend = (now: number) => permits.every(permit => permit.maySend(now));
+        result = await makeAttempts({ request, sink, maySend }, options.attempts);
+        outcome = judge(result);
+    }
+    finally {
+        // The record comes before the answer: a caller that has its answer finds it recorded.
+        const recorded = idempotencyKey !== undefined && result?.kind === "whole"
+            ? recordAnswer(result.answer)
+            : undefined;
+        await finishAll(permits, outcome, recorded);
+    }
+    return conclude(result, request, response, options);
+}
+
+/** Asks the guards one after the other; answers with the first word but `proceed`. */
+async function passGuards(
+    request: CallerRequest,
+    permits: Permit[],
+    options: ServeOptions,
+): Promise<Exclude<Admission, { kind: "proceed"; }> | undefined> {
+    for (const guard of options.guards) {
+        const admission = await guard.admit(request.guarded, options.clock());
+        if (admission.kind !== "proceed") {
+            return admission;
+        }
+        permits.push(admission.permit);
+    }
+    return undefined;
+}
+
+async function settle(
+    admission: Exclude<Admission, { kind: "proceed"; }>,
+    request: CallerRequest,
+    sink: AnswerSink,
+    options: ServeOptions,
+): Promise<AttemptsResult> {
+    if (admission.kind === "forward") {
+        return options.forwarder.forward(admission.origin, request, sink);
+    }
+    if (admission.kind === "replay") {
+        return { kind: "whole", answer: replayAnswer(admission.answer) };
+    }
+    const { status, outcome, reason, message } = admission;
+    return { kind: "refused", refusal: { status, outcome, reason, message } };
+}
+
+async function finishAll(
+    permits: readonly Permit[],
+    outcome: PermitOutcome,
+    recorded?: ReturnType<typeof recordAnswer>,
+): Promise<void> {
+    for (const permit of permits.toReversed()) {
+        await permit.finish(outcome, recorded);
+    }
+}
+
+function judge(result: AttemptsResult): PermitOutcome {
+    switch (result.kind) {
+        case "whole":
+        case "streamed":
+            return "answered";
+        case "cut":
+            return "unknown";
+        case "refused":
+            return result.refusal.outcome;
+    }
+}
+
+function conclude(
+    result: AttemptsResult,
+    request: CallerRequest,
+    response: ServerResponse,
+    options: ServeOptions,
+): Refusal | undefined {
+    switch (result.kind) {
+        case "whole":
+            countAnswer(request, result.answer.status, options);
+            writeAnswer(response, result.answer, request.method, request.guarded.requestId);
+            return undefined;
+        case "streamed":
+            countAnswer(request, result.status, options);
+            return undefined;
+        case "cut":
+            options.counters.countRefusal(result.reason);
+            return undefined;
+        case "refused":
+            return result.refusal;
+    }
+}
+
+function countAnswer(request: CallerRequest, status: number, options: ServeOptions): void {
+    options.counters.countAnswer(request.service, `${Math.floor(status / STATUS_CLASS_DIVISOR)}xx`);
+}
--- /dev/null
+++ b/src/gateway/upstream/choose.ts
@@ -0,0 +1,60 @@
+/**
+ * Choice of a replica: the better of two random ones, near ones first.
+ */
+import type { Random } from "../../core/random.js";
+
+/** What a choice is made by. */
+export interface ChoiceView<Replica> {
+    /** The replica can take a request now. */
+    readonly isFree: (replica: Replica) => boolean;
+    /** Load times latency: the less the better. */
+    readonly cost: (replica: Replica) => number;
+}
+
+/**
+ * Chooses a replica. Far ones are chosen where no near one is free, or where a near one costs `spillFactor` times as
+ * much; the cost is measured, so that it contains the way between the data centres.
+ */
+export function chooseReplica<Replica>(
+    near: readonly Replica[],
+    far: readonly Replica[],
+    view: ChoiceView<Replica>,
+    spillFactor: number,
+    random: Random,
+): Replica | undefined {
+    const nearest = chooseOfTwo(near, view, random);
+    if (far.length === 0) {
+        return nearest;
+    }
+    const other = chooseOfTwo(far, view, random);
+    if (nearest === undefined || other === undefined) {
+        return nearest ?? other;
+    }
+    return view.cost(nearest) > spillFactor * view.cost(other) ? other : nearest;
+}
+
+/** Draws two replicas and takes the cheaper; where neither is free, the first free one from a random place on. */
+function chooseOfTwo<Replica>(
+    replicas: readonly Replica[],
+    view: ChoiceView<Replica>,
+    random: Random,
+): Replica | undefined {
+    if (replicas.length === 0) {
+        return undefined;
+    }
+    const firstIndex = Math.floor(random() * replicas.length);
+    const first = replicas[firstIndex];
+    const second = replicas[(firstIndex + 1 + Math.floor(random() * (replicas.length - 1))) % replicas.length];
+    const candidates = [first, second].filter(replica => replica !== undefined).filter(view.isFree);
+    const [left, right] = candidates;
+    if (left !== undefined) {
+        return right !== undefined && view.cost(right) < view.cost(left) ? right : left;
+    }
+    for (let step = 0; step < replicas.length; step += 1) {
+        const replica = replicas[(firstIndex + step) % replicas.length];
+        if (replica !== undefined && view.isFree(replica)) {
+            return replica;
+        }
+    }
+    return undefined;
+}
