Gateway: keeps to the latest end of a permit; an upstream's own unknown outcome is passed on as one

Cause: permits may bound the time that an upstream works, and the stand-in names its refusals 'attempt' and 'leaving'. Change: the deadline sent is the earliest of the caller's and the permits'; an answer marked unknown is counted as upstream-gave-up and recorded by no guard as an answer.

--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -22,7 +22,7 @@
 import type { Verdict } from "./upstream/health.js";
 
 /** Reason by which an upstream says that it takes no new work, or that the attempt is not its own. */
-const LEAVING_REASONS = new Set(["leaving", "wrong-attempt"]);
+const LEAVING_REASONS = new Set(["leaving", "attempt"]);
 const FIRST_SERVER_ERROR = 500;
 const RETRY_SPREAD = 0.5;
 
@@ -51,6 +51,8 @@
 export interface AttemptsRequest {
     readonly request: CallerRequest;
     readonly sink: AnswerSink;
+    /** Time until which the upstream may work on the request; never later than the caller's deadline. */
+    readonly latestEndMilliseconds: number;
     /** Asked right before the first byte of each attempt leaves. */
     maySend(now: number): boolean;
 }
@@ -100,7 +102,7 @@
     const sentHeaders = request.headers;
     sentHeaders[headers.service] = request.service;
     sentHeaders[headers.attempt] = nameAttempt(route);
-    sentHeaders[headers.deadline] = String(Math.floor(request.deadlineMilliseconds));
+    sentHeaders[headers.deadline] = String(Math.floor(wanted.latestEndMilliseconds));
     sentHeaders[headers.gateway] = instance;
     sentHeaders[headers.requestId] = requestId;
     sentHeaders[headers.priority] = String(request.priority);
@@ -112,7 +114,7 @@
         requestId,
         bufferBytes: idempotencyKey === undefined ? settings.answerBufferBytes : settings.recordedAnswerBytes,
         limitBytes: settings.answerLimitBytes,
-        timeoutMilliseconds: request.deadlineMilliseconds - clock(),
+        timeoutMilliseconds: wanted.latestEndMilliseconds - clock(),
         maySend: () => wanted.maySend(clock()),
     }, sink);
     const verdict = judge(result);
@@ -144,6 +146,14 @@
             const message = `an upstream refused the request: ${String(answerHeaders[headers.reason] ?? status)}`;
             return { kind: "refused", refusal: notRun(503, reasons.upstreamRefused, message), again: true };
         }
+        if (answerHeaders[headers.outcome] === "unknown") {
+            const message = `an upstream gave the request up: ${String(answerHeaders[headers.reason] ?? status)}`;
+            return {
+                kind: "refused",
+                refusal: unknownOutcome(status, reasons.upstreamGaveUp, message),
+                again: false,
+            };
+        }
         return { kind: "whole", answer: { status, headers: answerHeaders, body } };
     }
     if (result.kind === "streamed") {
--- a/src/gateway/counters.ts
+++ b/src/gateway/counters.ts
@@ -16,6 +16,7 @@
     deadlinePassed: "deadline-passed",
     connectFailed: "connect-failed",
     upstreamRefused: "upstream-refused",
+    upstreamGaveUp: "upstream-gave-up",
     upstreamTimeout: "upstream-timeout",
     upstreamFailed: "upstream-failed",
     answerTruncated: "answer-truncated",
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -117,7 +117,11 @@
     let result: AttemptsResult | undefined;
     try {
         const maySend = (now: number) => permits.every(permit => permit.maySend(now));
-        result = await makeAttempts({ request, sink, maySend }, options.attempts);
+        const latestEndMilliseconds = permits.reduce(
+            (earliest, permit) => Math.min(earliest, permit.latestEndMilliseconds ?? earliest),
+            request.deadlineMilliseconds,
+        );
+        result = await makeAttempts({ request, sink, maySend, latestEndMilliseconds }, options.attempts);
         outcome = judge(result);
     }
     finally {
