Rules file: read all errors at once, print back

A rules file is split by shell-quote, its options by util.parseArgs, its values checked by zod; there is no parser of our own. Every error of a file is reported in one go with file, line, column, what is allowed and a suggestion for a mistyped word.

--- /dev/null
+++ b/src/rules/line.ts
@@ -0,0 +1,222 @@
+/**
+ * Turns the words of one line into a rule.
+ */
+import { parseArgs } from "node:util";
+import { Name } from "../core/messages/identity.js";
+import { DEFAULT_EXCLUSIVE_KEY, optionReaders, optionsOfKind, requiredOptions, RULE_KINDS } from "./option.js";
+import type { OptionName } from "./option.js";
+import type { Report, SplitLine, SplitWord } from "./parse.js";
+import type { Rule, RuleEnd } from "./rule.js";
+import { suggestWord } from "./suggest.js";
+
+const DEFAULT_SERVICE_PRIORITY = 2;
+const DEFAULT_BATCH_PRIORITY = 5;
+const DEFAULT_DEADLINE_MILLISECONDS = 2_000;
+const DEFAULT_EXPECTED_SECONDS = 600;
+const DEFAULT_RETRIES = 3;
+
+type OptionValues = { -readonly [Option in OptionName]?: ReturnType<(typeof optionReaders)[Option]["parse"]>; };
+
+/** Reads a line's words; reports every failure and gives `undefined` where there was one. */
+export function readWords(split: SplitLine, report: Report): Rule | undefined {
+    const columns: number[] = [];
+    const track: Report = (column, message) => {
+        columns.push(column);
+        report(column, message);
+    };
+    const kind = readKind(split, track);
+    if (kind === undefined) {
+        return undefined;
+    }
+    const { values, positionals } = readOptions(split, kind, track);
+    const name = readName(positionals, kind, split, track);
+    const requester = split.requester;
+    if (requester === "") {
+        track(endColumn(split), "say at the end of the line who asked for it: # NAME");
+    }
+    checkNeeds(kind, values, split, track);
+    return columns.length === 0 && name !== undefined ? build(kind, name, requester, split.line, values) : undefined;
+}
+
+function readKind(split: SplitLine, report: Report): Rule["kind"] | undefined {
+    const [first] = split.words;
+    const kind = RULE_KINDS.find(candidate => candidate === first?.text);
+    if (kind === undefined) {
+        report(first?.column ?? 1, unknownWord(first?.text ?? "", "a line starts with", RULE_KINDS));
+    }
+    return kind;
+}
+
+function unknownWord(word: string, introduction: string, known: readonly string[]): string {
+    const suggestion = suggestWord(word, known);
+    const hint = suggestion === undefined ? "" : `; did you mean ${suggestion}?`;
+    return `unknown word ${JSON.stringify(word)}: ${introduction} ${known.join(", ")}${hint}`;
+}
+
+function endColumn(split: SplitLine): number {
+    const last = split.words.at(-1);
+    return last === undefined ? 1 : last.column + last.text.length;
+}
+
+interface ReadOptions {
+    readonly values: OptionValues;
+    readonly positionals: readonly SplitWord[];
+}
+
+function readOptions(split: SplitLine, kind: Rule["kind"], report: Report): ReadOptions {
+    const words = split.words.slice(1);
+    const allowed = optionsOfKind[kind];
+    const { tokens } = parseArgs({
+        args: words.map((word, index) => completeExclusive(word.text, words[index + 1]?.text)),
+        options: Object.fromEntries(Object.keys(optionReaders).map(option => [option, { type: "string" as const }])),
+        strict: false,
+        allowPositionals: true,
+        tokens: true,
+    });
+    const values: OptionValues = {};
+    const positionals: SplitWord[] = [];
+    for (const token of tokens) {
+        const word = words[token.index] ?? { text: "", column: 1 };
+        if (token.kind === "positional") {
+            positionals.push(word);
+        }
+        if (token.kind === "option") {
+            readOption({ rawName: token.rawName, name: token.name, value: token.value, word, allowed }, values, report);
+        }
+    }
+    return { values, positionals };
+}
+
+/** A bare `--exclusive` stands for its default key. */
+function completeExclusive(word: string, next: string | undefined): string {
+    const bare = word === "--exclusive" && (next === undefined || next.startsWith("--"));
+    return bare ? `--exclusive=${DEFAULT_EXCLUSIVE_KEY}` : word;
+}
+
+interface GivenOption {
+    readonly rawName: string;
+    readonly name: string;
+    readonly value: string | undefined;
+    readonly word: SplitWord;
+    readonly allowed: readonly OptionName[];
+}
+
+function readOption(given: GivenOption, values: OptionValues, report: Report): void {
+    const option = given.allowed.find(candidate => candidate === given.name);
+    if (option === undefined) {
+        const known = given.allowed.map(candidate => `--${candidate}`);
+        report(given.word.column, unknownWord(given.rawName, "options here are", known));
+        return;
+    }
+    if (option in values) {
+        report(given.word.column, `--${option} is given twice`);
+        return;
+    }
+    const read = optionReaders[option].safeParse(given.value ?? "");
+    if (!read.success) {
+        const allowed = [...new Set(read.error.issues.map(issue => issue.message))].join("; ");
+        report(given.word.column, `--${option} ${JSON.stringify(given.value ?? "")}: ${allowed}`);
+        return;
+    }
+    Object.assign(values, { [option]: read.data });
+}
+
+function readName(
+    positionals: readonly SplitWord[],
+    kind: Rule["kind"],
+    split: SplitLine,
+    report: Report,
+): string | undefined {
+    const [first, ...others] = positionals;
+    for (const other of others) {
+        report(other.column, `unexpected word ${JSON.stringify(other.text)}: a line has one name, then options`);
+    }
+    if (first === undefined) {
+        report(endColumn(split), `${kind} needs a name after it`);
+        return undefined;
+    }
+    const name = Name.safeParse(first.text);
+    if (!name.success) {
+        report(first.column, `name ${JSON.stringify(first.text)}: ${name.error.issues[0]?.message ?? "not allowed"}`);
+    }
+    return name.success ? name.data : undefined;
+}
+
+function checkNeeds(kind: Rule["kind"], values: OptionValues, split: SplitLine, report: Report): void {
+    const column = endColumn(split);
+    for (const option of requiredOptions[kind].filter(candidate => !(candidate in values))) {
+        report(column, `${kind} needs --${option}`);
+    }
+    const endless = values.until === undefined && values.feature === undefined && values.runs === undefined;
+    if (endless && kind !== "quota" && kind !== "retire") {
+        const runs = kind === "batch" ? ", --runs N" : "";
+        report(column, `say when it ends: --until DATE, --feature NAME${runs}`);
+    }
+    if (values["time-zone"] !== undefined && values.schedule === undefined) {
+        report(column, "--time-zone goes with --schedule");
+    }
+    if (kind === "quota" && !["cores", "memory", "accelerators"].some(option => option in values)) {
+        report(column, "quota needs one of --cores, --memory, --accelerators");
+    }
+    if ((kind === "allow" || kind === "deny") && values.beside === undefined && values.in === undefined) {
+        report(column, `${kind} needs --in DATA-CENTRE or --beside RULE`);
+    }
+}
+
+function build(kind: Rule["kind"], name: string, requester: string, line: number, values: OptionValues): Rule {
+    const common = { name, requester, line, end: buildEnd(values) };
+    const resources = {
+        cores: values.cores ?? 0,
+        memoryBytes: values.memory ?? 0,
+        accelerators: values.accelerators ?? 0,
+    };
+    const dataCentres = values.in ?? [];
+    switch (kind) {
+        case "service":
+            return {
+                kind,
+                ...common,
+                resources,
+                dataCentres,
+                priority: values.priority ?? DEFAULT_SERVICE_PRIORITY,
+                replicas: values.replicas ?? 1,
+                ...(values.exclusive === undefined ? {} : { exclusive: values.exclusive }),
+                deadlineMilliseconds: values.deadline ?? DEFAULT_DEADLINE_MILLISECONDS,
+            };
+        case "batch":
+            return {
+                kind,
+                ...common,
+                resources,
+                dataCentres,
+                priority: values.priority ?? DEFAULT_BATCH_PRIORITY,
+                ...(values.schedule === undefined
+                    ? {}
+                    : { schedule: { expression: values.schedule, timeZone: values["time-zone"] ?? "UTC" } }),
+                expectedSeconds: values.seconds ?? DEFAULT_EXPECTED_SECONDS,
+                tasks: values.tasks ?? 1,
+                retries: values.retries ?? DEFAULT_RETRIES,
+            };
+        case "quota":
+            return {
+                kind,
+                ...common,
+                ...(values.cores === undefined ? {} : { cores: values.cores }),
+                ...(values.memory === undefined ? {} : { memoryBytes: values.memory }),
+                ...(values.accelerators === undefined ? {} : { accelerators: values.accelerators }),
+            };
+        case "retire":
+            return { kind, ...common };
+        case "allow":
+        case "deny":
+            return { kind, ...common, ...(values.beside === undefined ? {} : { beside: values.beside }), dataCentres };
+    }
+}
+
+function buildEnd(values: OptionValues): RuleEnd {
+    return {
+        ...(values.until === undefined ? {} : { untilMilliseconds: values.until }),
+        ...(values.feature === undefined ? {} : { feature: values.feature }),
+        ...(values.runs === undefined ? {} : { runs: values.runs }),
+    };
+}
--- /dev/null
+++ b/src/rules/option.ts
@@ -0,0 +1,134 @@
+/**
+ * Options of rules: which kinds take them and how their values are read.
+ */
+import { CronExpressionParser } from "cron-parser";
+import { z } from "zod";
+import { Name } from "../core/messages/identity.js";
+import type { Rule } from "./rule.js";
+import { readDuration, readExclusiveKey, readSize, readUntil } from "./words.js";
+
+/** Key of a bare `--exclusive`: the first segment of the path after the service's name. */
+export const DEFAULT_EXCLUSIVE_KEY = "path:0";
+
+/** The first words that a line may have. */
+export const RULE_KINDS = ["service", "batch", "quota", "retire", "allow", "deny"] as const;
+
+const LARGEST_COUNT = 1_000_000;
+
+function count(smallest: number, largest = LARGEST_COUNT) {
+    return z.string()
+        .regex(/^\d{1,9}$/, `use a whole number from ${smallest} to ${largest}`)
+        .transform(Number)
+        .refine(value => value >= smallest && value <= largest, `use a whole number from ${smallest} to ${largest}`);
+}
+
+function amount(unit: string) {
+    return z.string()
+        .regex(/^\d{1,9}(?:\.\d{1,6})?$/, `use a number of ${unit} above 0`)
+        .transform(Number)
+        .refine(value => value > 0, `use a number of ${unit} above 0`);
+}
+
+function spelled<Value>(read: (text: string) => Value | undefined, allowed: string) {
+    return z.string().transform((text, context): Value => {
+        const value = read(text);
+        if (value === undefined) {
+            context.addIssue({ code: "custom", message: `use ${allowed}` });
+            return z.NEVER;
+        }
+        return value;
+    });
+}
+
+/** Readers of the options' values, by the option's name. */
+export const optionReaders = {
+    "replicas": count(1),
+    "cores": amount("cores"),
+    "memory": spelled(
+        text => (readSize(text) ?? 0) > 0 ? readSize(text) : undefined,
+        "a size with its unit, such as 512MiB or 4GiB",
+    ),
+    "accelerators": count(0),
+    "in": z.string().transform(text => text.split(",")).pipe(z.array(Name)),
+    "exclusive": spelled(readExclusiveKey, "header:NAME or path:N, or leave the value out"),
+    "until": spelled(readUntil, "a date such as 2027-05-31 or a time such as 2027-05-31T18:00:00Z"),
+    "feature": Name,
+    "runs": count(1),
+    "schedule": spelled(readCron, 'a cron expression in quotes, such as "0 2 * * *"'),
+    "time-zone": spelled(readTimeZone, "a time zone such as Europe/Helsinki"),
+    "seconds": amount("seconds"),
+    "tasks": count(1),
+    "retries": count(0),
+    "priority": count(0, 9),
+    "deadline": spelled(
+        text => (readDuration(text) ?? 0) > 0 ? readDuration(text) : undefined,
+        "a duration such as 800ms or 2s",
+    ),
+    "beside": Name,
+} as const;
+export type OptionName = keyof typeof optionReaders;
+
+/** The options that each kind takes. */
+export const optionsOfKind: Readonly<Record<Rule["kind"], readonly OptionName[]>> = {
+    service: [
+        "replicas",
+        "cores",
+        "memory",
+        "accelerators",
+        "in",
+        "exclusive",
+        "until",
+        "feature",
+        "priority",
+        "deadline",
+    ],
+    batch: [
+        "cores",
+        "memory",
+        "accelerators",
+        "in",
+        "until",
+        "feature",
+        "runs",
+        "schedule",
+        "time-zone",
+        "seconds",
+        "tasks",
+        "retries",
+        "priority",
+    ],
+    quota: ["cores", "memory", "accelerators", "until", "feature"],
+    retire: ["until"],
+    allow: ["in", "beside", "until", "feature"],
+    deny: ["in", "beside", "until", "feature"],
+};
+
+/** The options that each kind cannot do without. */
+export const requiredOptions: Readonly<Record<Rule["kind"], readonly OptionName[]>> = {
+    service: ["cores", "memory"],
+    batch: ["cores", "memory"],
+    quota: [],
+    retire: [],
+    allow: [],
+    deny: [],
+};
+
+function readCron(text: string): string | undefined {
+    try {
+        CronExpressionParser.parse(text, { tz: "UTC" });
+        return /^\S+(?: \S+){4}$/.test(text) ? text : undefined;
+    }
+    catch {
+        return undefined;
+    }
+}
+
+function readTimeZone(text: string): string | undefined {
+    try {
+        new Intl.DateTimeFormat("en", { timeZone: text });
+        return text;
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/rules/parse.ts
@@ -0,0 +1,113 @@
+/**
+ * Reads a rules file: one rule per line in command-line syntax, each with a comment that names who asked for it.
+ */
+import { parse as splitWords } from "shell-quote";
+import { createFailure, describeThrown } from "../core/errors.js";
+import type { Failure } from "../core/errors.js";
+import { identifyRule } from "./diff.js";
+import { readWords } from "./line.js";
+import type { Rule } from "./rule.js";
+
+/** What a rules file is known by in messages. */
+export interface ParseRulesOptions {
+    readonly team: string;
+    readonly file?: string;
+}
+
+/** All rules of a file, or every failure in it. */
+export type ParsedRules =
+    | { readonly success: true; readonly rules: Rule[]; }
+    | { readonly success: false; readonly failures: Failure[]; };
+
+/** A line split into words. */
+export interface SplitLine {
+    readonly line: number;
+    readonly words: readonly SplitWord[];
+    readonly requester: string;
+}
+
+/** A word with the column where it starts, from 1. */
+export interface SplitWord {
+    readonly text: string;
+    readonly column: number;
+}
+
+/** Reports a failure at a column of the line at hand. */
+export type Report = (column: number, message: string) => void;
+
+const LONGEST_LINE_CHARACTERS = 2_000;
+
+/** Parses a rules file. Failures carry the path `[file, line, column]` and say what is allowed. */
+export function safeParseRules(text: string, options: ParseRulesOptions): ParsedRules {
+    const file = options.file ?? `${options.team}.rules`;
+    const failures: Failure[] = [];
+    const rules: Rule[] = [];
+    for (const [index, content] of text.split(/\r\n|\r|\n/).entries()) {
+        const report: Report = (column, message) => {
+            failures.push(toFailure(file, index + 1, column, message));
+        };
+        const split = splitLine(content, index + 1, report);
+        const rule = split === undefined ? undefined : readWords(split, report);
+        if (rule !== undefined) {
+            reportDuplicate(rule, rules, report);
+            rules.push(rule);
+        }
+    }
+    return failures.length === 0 ? { success: true, rules } : { success: false, failures };
+}
+
+function toFailure(file: string, line: number, column: number, message: string): Failure {
+    return createFailure("invalid-input", `${file}:${line}:${column}`, message, { path: [file, line, column] });
+}
+
+function splitLine(content: string, line: number, report: Report): SplitLine | undefined {
+    const trimmed = content.trim();
+    if (trimmed === "" || trimmed.startsWith("#")) {
+        return undefined;
+    }
+    if (content.length > LONGEST_LINE_CHARACTERS) {
+        report(1, `the line is longer than ${LONGEST_LINE_CHARACTERS} characters`);
+        return undefined;
+    }
+    try {
+        return collectWords(content, line, report);
+    }
+    catch (thrown) {
+        report(1, `the line cannot be split into words: ${describeThrown(thrown)}`);
+        return undefined;
+    }
+}
+
+function collectWords(content: string, line: number, report: Report): SplitLine | undefined {
+    const words: SplitWord[] = [];
+    let requester = "";
+    let position = 0;
+    for (const entry of splitWords(content, name => `$${name}`)) {
+        if (typeof entry !== "string" && "comment" in entry) {
+            requester = entry.comment.trim();
+            continue;
+        }
+        if (typeof entry !== "string" && entry.op !== "glob") {
+            report(findColumn(content, entry.op, position), `put words that contain ${entry.op} in quotes`);
+            return undefined;
+        }
+        const text = typeof entry === "string" ? entry : "pattern" in entry ? entry.pattern : "";
+        const column = findColumn(content, text, position);
+        position = column - 1 + text.length;
+        words.push({ text, column });
+    }
+    return { line, words, requester };
+}
+
+/** Finds where a word starts; escapes make it differ from the text, then the end of the last word must do. */
+function findColumn(content: string, word: string, from: number): number {
+    const found = content.indexOf(word, from);
+    return (found === -1 ? from : found) + 1;
+}
+
+function reportDuplicate(rule: Rule, earlier: readonly Rule[], report: Report): void {
+    const same = earlier.find(other => identifyRule(other) === identifyRule(rule));
+    if (same !== undefined) {
+        report(1, `${rule.kind} ${rule.name} stands already on line ${same.line}; use another name`);
+    }
+}
--- /dev/null
+++ b/src/rules/print.ts
@@ -0,0 +1,80 @@
+/**
+ * Prints rules back as the text of a rules file.
+ */
+import { quote } from "shell-quote";
+import type { Rule } from "./rule.js";
+import { printDuration, printExclusiveKey, printSize, printUntil } from "./words.js";
+
+type Option = readonly [string, string | number | undefined];
+
+/** Prints rules, a line each; the text parses back to the same rules but for their line numbers. */
+export function printRules(rules: readonly Rule[]): string {
+    return rules.map(rule => `${printRule(rule)}\n`).join("");
+}
+
+/** Prints one rule without the end of the line. */
+export function printRule(rule: Rule): string {
+    const options = [...listOptions(rule), ...listEnd(rule)].flatMap(([name, value]) =>
+        value === undefined ? [] : [`--${name}`, String(value)]
+    );
+    return `${[rule.kind, rule.name, ...options].map(quoteWord).join(" ")}   # ${rule.requester}`;
+}
+
+/** Words without special characters stand as they are, which reads better than with each comma escaped. */
+function quoteWord(word: string): string {
+    return /^[\w.,:/+-]+$/.test(word) ? word : quote([word]);
+}
+
+function listOptions(rule: Rule): Option[] {
+    switch (rule.kind) {
+        case "service":
+            return [
+                ["replicas", rule.replicas],
+                ...listPlaced(rule),
+                ["exclusive", rule.exclusive === undefined ? undefined : printExclusiveKey(rule.exclusive)],
+                ["deadline", printDuration(rule.deadlineMilliseconds)],
+            ];
+        case "batch":
+            return [
+                ...listPlaced(rule),
+                ["schedule", rule.schedule?.expression],
+                ["time-zone", rule.schedule?.timeZone],
+                ["seconds", rule.expectedSeconds],
+                ["tasks", rule.tasks],
+                ["retries", rule.retries],
+            ];
+        case "quota":
+            return [
+                ["cores", rule.cores],
+                ["memory", rule.memoryBytes === undefined ? undefined : printSize(rule.memoryBytes)],
+                ["accelerators", rule.accelerators],
+            ];
+        case "retire":
+            return [];
+        case "allow":
+        case "deny":
+            return [["beside", rule.beside], ["in", joinNames(rule.dataCentres)]];
+    }
+}
+
+function listPlaced(rule: Rule & { kind: "service" | "batch"; }): Option[] {
+    return [
+        ["cores", rule.resources.cores],
+        ["memory", printSize(rule.resources.memoryBytes)],
+        ["accelerators", rule.resources.accelerators],
+        ["in", joinNames(rule.dataCentres)],
+        ["priority", rule.priority],
+    ];
+}
+
+function listEnd({ end }: Rule): Option[] {
+    return [
+        ["until", end.untilMilliseconds === undefined ? undefined : printUntil(end.untilMilliseconds)],
+        ["feature", end.feature],
+        ["runs", end.runs],
+    ];
+}
+
+function joinNames(names: readonly string[]): string | undefined {
+    return names.length === 0 ? undefined : names.join(",");
+}
