Membership and distribution of rules

Rules live in the store, a record per team. A record is replaced only by one of a higher revision, so replayed watches and stale reads change nothing. Members are both daemons of each entry instance; every process probes one random peer per interval, so the traffic per node does not grow with the fleet. Not yet run between processes.

--- /dev/null
+++ b/src/configuration/exchange.ts
@@ -0,0 +1,36 @@
+/**
+ * Compares what this process knows with its peers: all of them at the start, then one at a time.
+ */
+import { jitter } from "../core/random.js";
+import { pause } from "../core/time.js";
+import { listReachable, readFromPeer } from "./feed.js";
+import type { FeedContext } from "./feed.js";
+
+const INTERVAL_JITTER_SHARE = 0.2;
+
+/** Runs until the signal is aborted. */
+export async function runExchange(context: FeedContext, signal: AbortSignal): Promise<void> {
+    const { settings, random } = context;
+    while (!signal.aborted) {
+        await (context.isInformed() ? compareWithOne(context) : askAll(context));
+        await pause(jitter(settings.compareIntervalMilliseconds, INTERVAL_JITTER_SHARE, random), signal);
+    }
+}
+
+async function compareWithOne(context: FeedContext): Promise<void> {
+    const peers = listReachable(context);
+    const peer = peers[Math.floor(context.random() * peers.length)];
+    if (peer !== undefined) {
+        await readFromPeer(context, peer.origin);
+    }
+}
+
+/** A process that starts without the store needs the newest of what most peers know: one alone may be behind. */
+export async function askAll(context: FeedContext): Promise<void> {
+    const peers = context.membership.members();
+    const answers = await Promise.all(peers.map(peer => readFromPeer(context, peer.origin)));
+    const informed = answers.filter(answer => answer).length;
+    if (informed > 0 && informed * 2 >= peers.length) {
+        context.becomeInformed();
+    }
+}
--- /dev/null
+++ b/src/configuration/feed.ts
@@ -0,0 +1,187 @@
+/**
+ * Brings the rules to every process: a few watch the store, all others hear from peers.
+ */
+import Emittery from "emittery";
+import { Result } from "true-myth/result";
+import { formatFailure } from "../core/errors.js";
+import type { Logger } from "../core/log.js";
+import type { Metrics } from "../core/metrics.js";
+import type { Part } from "../core/part.js";
+import { rankByRendezvous } from "../core/random.js";
+import type { Random } from "../core/random.js";
+import { implement } from "../core/rpc.js";
+import type { RpcClient } from "../core/rpc.js";
+import type { Clock } from "../core/time.js";
+import { nameMember } from "../membership/member.js";
+import type { Member, MembershipSource } from "../membership/member.js";
+import type { Store } from "../platform/store.js";
+import type { Configuration, ConfigurationSource } from "../rules/rule.js";
+import { createCatalog } from "./catalog.js";
+import type { Catalog } from "./catalog.js";
+import { runExchange } from "./exchange.js";
+import { announceConfiguration, readConfiguration, readReach } from "./messages.js";
+import type { RevisedRecord } from "./record.js";
+import type { ConfigurationSettings } from "./settings.js";
+import { runStoreWatch } from "./watch.js";
+
+/** Options of the feed. */
+export interface ConfigurationFeedOptions {
+    readonly settings: ConfigurationSettings;
+    readonly store: Store;
+    readonly membership: MembershipSource;
+    readonly rpc: RpcClient;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+}
+
+/** The feed: a part of the process and its source of rules. */
+export interface ConfigurationFeed extends Part {
+    readonly source: ConfigurationSource;
+    /** Takes in a record that this process itself has committed. */
+    accept(revised: RevisedRecord): void;
+    /** Revision of a team's rules in force here; 0 without any. */
+    revisionOf(team: string): number;
+}
+
+/** Where a record came from; label of the counter. */
+export type RecordOrigin = "store" | "peer" | "own";
+
+/** What the tasks of the feed share. */
+export interface FeedContext extends ConfigurationFeedOptions {
+    readonly catalog: Catalog;
+    /** Merges records, counts them and tells listeners and peers of a change. */
+    take(records: readonly RevisedRecord[], complete: number, from: RecordOrigin): void;
+    /** The store or a peer has told all that it knows. */
+    becomeInformed(): void;
+    isInformed(): boolean;
+}
+
+/** Creates the feed. */
+export function createConfigurationFeed(options: ConfigurationFeedOptions): ConfigurationFeed {
+    const events = new Emittery<{ changed: Configuration; announce: undefined; }>();
+    const { metrics, logger } = options;
+    const catalog = createCatalog();
+    const taken = metrics.counter("flamingowell_configuration_records_total", "Changed records of rules", ["from"]);
+    const unreadable = metrics.counter("flamingowell_configuration_unreadable_total", "Records that do not parse");
+    const revision = metrics.gauge("flamingowell_configuration_revision", "Highest revision in force");
+    let informed = false;
+
+    const context: FeedContext = {
+        ...options,
+        catalog,
+        isInformed: () => informed,
+        becomeInformed() {
+            if (!informed) {
+                informed = true;
+                logger.info("configuration known", { revision: catalog.configuration().revision });
+                void events.emit("changed", catalog.configuration());
+            }
+        },
+        take(records, complete, from) {
+            const { changed, failures } = catalog.merge(records, complete);
+            for (const failure of failures) {
+                unreadable.inc();
+                logger.error("rules unreadable", { failure: formatFailure(failure) });
+            }
+            if (changed) {
+                taken.inc({ from });
+                revision.set(catalog.configuration().revision);
+                logger.info("configuration changed", { revision: catalog.configuration().revision, from });
+                void events.emit("announce");
+            }
+            if (changed && informed) {
+                void events.emit("changed", catalog.configuration());
+            }
+        },
+    };
+    events.on("announce", () => announce(context));
+
+    return {
+        source: {
+            current: () => informed ? catalog.configuration() : undefined,
+            onChange: listener => events.on("changed", listener),
+        },
+        accept: revised => context.take([revised], 0, "own"),
+        revisionOf: team => catalog.revisionOf(team),
+        handlers: createHandlers(context),
+        async run(signal) {
+            await Promise.all([runStoreWatch(context, signal), runExchange(context, signal)]);
+        },
+    };
+}
+
+/** Members that can be asked or told. */
+export function listReachable(context: FeedContext): Member[] {
+    return context.membership.members().filter(member => member.state !== "dead");
+}
+
+/** Tells whether this process is one of the few that watch the store. */
+export function isWatcher(context: FeedContext): boolean {
+    const self = context.membership.self();
+    const candidates = [self, ...context.membership.members().filter(member => member.state === "alive")];
+    const watchers = rankByRendezvous("configuration", candidates, nameMember).slice(0, context.settings.watchers);
+    return watchers.some(member => nameMember(member) === nameMember(self));
+}
+
+/** Tells a few random peers of a change; each of them that did not know it does the same. */
+async function announce(context: FeedContext): Promise<void> {
+    const { settings, rpc, random, membership } = context;
+    const peers = listReachable(context)
+        .map(member => ({ member, order: random() }))
+        .sort((left, right) => left.order - right.order)
+        .slice(0, settings.announceFanout);
+    const message = { origin: membership.self().origin, digest: toMutable(context.catalog) };
+    await Promise.all(peers.map(({ member }) =>
+        rpc.call(member.origin, announceConfiguration, message, {
+            timeoutMilliseconds: settings.peerTimeoutMilliseconds,
+        })
+    ));
+}
+
+function toMutable(catalog: Catalog): { complete: number; beyond: number[]; } {
+    const { complete, beyond } = catalog.digest();
+    return { complete, beyond: [...beyond] };
+}
+
+/** Reads from a peer what this process lacks. */
+export async function readFromPeer(context: FeedContext, origin: string): Promise<boolean> {
+    const answer = await context.rpc.call(origin, readConfiguration, toMutable(context.catalog), {
+        timeoutMilliseconds: context.settings.peerTimeoutMilliseconds,
+    });
+    if (answer.isErr) {
+        context.logger.debug("peer not read", { failure: formatFailure(answer.error) });
+        return false;
+    }
+    const { informed, digest, records } = answer.value;
+    if (informed) {
+        context.take(records, digest.complete, "peer");
+    }
+    return informed;
+}
+
+function createHandlers(context: FeedContext): Part["handlers"] {
+    const { catalog } = context;
+    return [
+        implement(readConfiguration, async digest =>
+            Result.ok({
+                informed: context.isInformed(),
+                digest: toMutable(catalog),
+                records: catalog.missingFrom(digest),
+            })),
+        implement(announceConfiguration, async ({ origin, digest }) => {
+            const own = catalog.digest();
+            const news = digest.beyond.some(revision => revision > own.complete && !own.beyond.includes(revision));
+            if (digest.complete > own.complete || news) {
+                void readFromPeer(context, origin);
+            }
+            return Result.ok({});
+        }),
+        implement(readReach, async ({ team }) =>
+            Result.ok({
+                revision: context.isInformed() ? catalog.revisionOf(team) : 0,
+                configurationRevision: context.isInformed() ? catalog.configuration().revision : 0,
+            })),
+    ];
+}
--- /dev/null
+++ b/src/membership/membership.ts
@@ -0,0 +1,170 @@
+/**
+ * Membership: which of the system's own processes live. Every process probes one peer per interval and passes changes
+ * on with its probes, so the traffic of a process does not grow with the fleet.
+ */
+import Emittery from "emittery";
+import { Result } from "true-myth/result";
+import { formatFailure } from "../core/errors.js";
+import type { Logger } from "../core/log.js";
+import type { Metrics } from "../core/metrics.js";
+import type { Part } from "../core/part.js";
+import type { Random } from "../core/random.js";
+import { jitter } from "../core/random.js";
+import { implement } from "../core/rpc.js";
+import type { RpcClient } from "../core/rpc.js";
+import { pause } from "../core/time.js";
+import type { Clock } from "../core/time.js";
+import type { EntryInstance, InstanceList } from "../platform/instances.js";
+import { nameMember } from "./member.js";
+import type { Member, MembershipSource } from "./member.js";
+import { probeForPeer, probePeer } from "./messages.js";
+import { exchangeHeartbeat, probeNext } from "./probe.js";
+import { createRoster } from "./roster.js";
+import type { Roster } from "./roster.js";
+import type { MembershipSettings } from "./settings.js";
+
+/** Options of the membership. */
+export interface MembershipOptions {
+    readonly self: Pick<Member, "instance" | "role" | "dataCentre" | "origin" | "incarnation">;
+    /** Highest revision of the configuration in force here. */
+    readonly configurationRevision: () => number;
+    readonly settings: MembershipSettings;
+    readonly instanceList: InstanceList;
+    readonly rpc: RpcClient;
+    readonly clock: Clock;
+    readonly random: Random;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+}
+
+/** The membership: a part of the process and its source of members. */
+export interface Membership extends Part {
+    readonly source: MembershipSource;
+    /** Tells peers that this process is going; resolves when some have heard it. */
+    leave(): Promise<void>;
+}
+
+/** What the tasks of the membership share. */
+export interface MembershipContext extends MembershipOptions {
+    readonly roster: Roster;
+    current(): Member;
+    /** Takes in news of members, of this process as well. */
+    hear(news: readonly Member[]): void;
+    /** What the next heartbeat to a peer says. */
+    compose(target: Member | undefined): { self: Member; changes: Member[]; };
+}
+
+const LEAVE_FANOUT = 4;
+const INTERVAL_JITTER_SHARE = 0.1;
+
+/** Creates the membership. */
+export function createMembership(options: MembershipOptions): Membership {
+    const { metrics, logger, settings } = options;
+    const events = new Emittery<{ changed: undefined; }>();
+    const roster = createRoster(nameMember(options.self));
+    const states = metrics.gauge("flamingowell_members", "Peers by state", ["state"]);
+    const refuted = metrics.counter("flamingowell_membership_refutations_total", "Suspicions of this process refuted");
+    let incarnation = options.self.incarnation;
+    let leaving = false;
+
+    const current = (): Member => ({
+        ...options.self,
+        incarnation,
+        state: leaving ? "leaving" : "alive",
+        configurationRevision: options.configurationRevision(),
+    });
+
+    function refute(news: Member): void {
+        if (news.incarnation >= incarnation && (news.state === "suspect" || news.state === "dead")) {
+            incarnation = news.incarnation + 1;
+            refuted.inc();
+            logger.info("suspicion refuted", { incarnation });
+        }
+    }
+
+    function publish(): void {
+        for (const state of ["alive", "suspect", "leaving", "dead"] as const) {
+            states.set({ state }, roster.entries().filter(entry => entry.member.state === state).length);
+        }
+        void events.emit("changed");
+    }
+
+    const context: MembershipContext = {
+        ...options,
+        roster,
+        current,
+        hear(news) {
+            const now = options.clock();
+            news.filter(member => nameMember(member) === nameMember(options.self)).forEach(refute);
+            const changes = news.map(member => roster.merge(member, now));
+            if (changes.includes(true)) {
+                publish();
+            }
+        },
+        compose(target) {
+            const changes = roster.takeChanges(settings.changesPerHeartbeat);
+            const doubt = target === undefined || target.state === "alive" ? [] : [target];
+            return { self: current(), changes: [...doubt, ...changes] };
+        },
+    };
+
+    async function runProbes(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const startedAt = options.clock();
+            await probeNext(context);
+            if (roster.expire(settings.suspicionMilliseconds, options.clock())) {
+                publish();
+            }
+            const interval = jitter(settings.probeIntervalMilliseconds, INTERVAL_JITTER_SHARE, options.random);
+            await pause(Math.max(1, interval - (options.clock() - startedAt)), signal);
+        }
+    }
+
+    async function runList(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            const list = await options.instanceList.list();
+            if (list.isErr) {
+                logger.warn("instance list not read", { failure: formatFailure(list.error) });
+            }
+            else if (roster.mergeList(list.value.filter(isEntry), options.clock())) {
+                publish();
+            }
+            await pause(jitter(settings.listIntervalMilliseconds, INTERVAL_JITTER_SHARE, options.random), signal);
+        }
+    }
+
+    return {
+        source: {
+            members: () => roster.entries().map(entry => entry.member),
+            self: current,
+            onChange: listener => events.on("changed", listener),
+        },
+        handlers: createHandlers(context),
+        async run(signal) {
+            await Promise.all([runProbes(signal), runList(signal)]);
+        },
+        async leave() {
+            leaving = true;
+            const peers = roster.entries().map(entry => entry.member).filter(member => member.state === "alive");
+            await Promise.all(peers.slice(0, LEAVE_FANOUT).map(peer => exchangeHeartbeat(context, peer)));
+        },
+    };
+}
+
+function isEntry(instance: { kind: string; }): instance is EntryInstance {
+    return instance.kind === "entry";
+}
+
+function createHandlers(context: MembershipContext): Part["handlers"] {
+    return [
+        implement(probePeer, async ({ self, changes }) => {
+            context.hear([self, ...changes]);
+            return Result.ok(context.compose(context.roster.get(nameMember(self))?.member));
+        }),
+        implement(probeForPeer, async ({ target }) => {
+            const member = context.roster.entries().find(entry => entry.member.origin === target)?.member;
+            const answer = await exchangeHeartbeat(context, member ?? { ...context.current(), origin: target });
+            return Result.ok(answer === undefined ? {} : { target: answer });
+        }),
+    ];
+}
--- /dev/null
+++ b/src/membership/probe.ts
@@ -0,0 +1,84 @@
+/**
+ * Probes of one peer: directly, and through others where it does not answer.
+ */
+import { formatFailure } from "../core/errors.js";
+import type { Random } from "../core/random.js";
+import { nameMember } from "./member.js";
+import type { Member } from "./member.js";
+import type { MembershipContext } from "./membership.js";
+import { probeForPeer, probePeer } from "./messages.js";
+
+/** Share of the probes that go to dead members, so that a healed partition is found. */
+const DEAD_PROBE_SHARE = 0.125;
+
+/** An indirect probe passes two hops. */
+const INDIRECT_TIMEOUT_FACTOR = 2;
+
+/** Probes one peer and suspects it where nobody reaches it. */
+export async function probeNext(context: MembershipContext): Promise<void> {
+    const peer = choosePeer(context);
+    if (peer === undefined) {
+        return;
+    }
+    const answered = await exchangeHeartbeat(context, peer) !== undefined;
+    if (answered || peer.state === "dead" || await probeIndirectly(context, peer)) {
+        return;
+    }
+    // News may have come in the meantime; the suspicion counts only for the incarnation that was probed.
+    context.logger.info("peer suspected", { peer: nameMember(peer), incarnation: peer.incarnation });
+    context.hear([{ ...peer, state: "suspect" }]);
+}
+
+function choosePeer(context: MembershipContext): Member | undefined {
+    const members = context.roster.entries().map(entry => entry.member);
+    const dead = members.filter(member => member.state === "dead");
+    const others = members.filter(member => member.state !== "dead");
+    const candidates = dead.length > 0 && (others.length === 0 || context.random() < DEAD_PROBE_SHARE) ? dead : others;
+    return candidates[Math.floor(context.random() * candidates.length)];
+}
+
+/** Sends a heartbeat; gives the peer as it answered, or `undefined`. */
+export async function exchangeHeartbeat(context: MembershipContext, peer: Member): Promise<Member | undefined> {
+    const answer = await context.rpc.call(peer.origin, probePeer, context.compose(peer), {
+        timeoutMilliseconds: context.settings.probeTimeoutMilliseconds,
+    });
+    if (answer.isErr) {
+        context.logger.debug("probe failed", { failure: formatFailure(answer.error) });
+        return undefined;
+    }
+    const { self, changes } = answer.value;
+    context.hear([self, ...changes]);
+    // Another process may have taken over the address.
+    return nameMember(self) === nameMember(peer) ? self : undefined;
+}
+
+async function probeIndirectly(context: MembershipContext, peer: Member): Promise<boolean> {
+    const helpers = draw(
+        context.roster.entries()
+            .map(entry => entry.member)
+            .filter(member => member.state === "alive" && nameMember(member) !== nameMember(peer)),
+        context.settings.indirectProbes,
+        context.random,
+    );
+    const answers = await Promise.all(
+        helpers.map(helper =>
+            context.rpc.call(helper.origin, probeForPeer, { target: peer.origin }, {
+                timeoutMilliseconds: context.settings.probeTimeoutMilliseconds * INDIRECT_TIMEOUT_FACTOR,
+            })
+        ),
+    );
+    const found = answers.flatMap(answer =>
+        answer.isOk && answer.value.target !== undefined ? answer.value.target : []
+    );
+    context.hear(found);
+    return found.some(member => nameMember(member) === nameMember(peer));
+}
+
+/** Draws up to a number of members at random. */
+function draw(members: readonly Member[], count: number, random: Random): Member[] {
+    return members
+        .map(member => ({ member, order: random() }))
+        .sort((left, right) => left.order - right.order)
+        .slice(0, count)
+        .map(({ member }) => member);
+}
--- /dev/null
+++ b/src/membership/roster.ts
@@ -0,0 +1,171 @@
+/**
+ * The members as one process sees them, and the rules by which news of a member replaces older news.
+ */
+import type { EntryInstance } from "../platform/instances.js";
+import { nameMember } from "./member.js";
+import type { Member } from "./member.js";
+
+/** At one incarnation, news of a later state in this order replaces an earlier one. */
+const stateOrder: Record<Member["state"], number> = { alive: 0, leaving: 1, suspect: 2, dead: 3 };
+
+/** A member with what this process notes about it. */
+export interface RosterEntry {
+    member: Member;
+    suspectedAtMilliseconds: number | undefined;
+    /** The instance list names it, or has named it and since dropped it. */
+    listed: "never" | "now" | "dropped";
+    /** Origin that the list named last. */
+    listedOrigin: string | undefined;
+    /** Heartbeats that still pass the latest change on. */
+    sendsLeft: number;
+}
+
+/** Tells whether news of a member replaces what is known. */
+export function replaces(news: Member, known: Member): boolean {
+    if (news.incarnation !== known.incarnation) {
+        return news.incarnation > known.incarnation;
+    }
+    return stateOrder[news.state] > stateOrder[known.state];
+}
+
+/** Holds the members but the process itself. */
+export interface Roster {
+    entries(): RosterEntry[];
+    get(name: string): RosterEntry | undefined;
+    /** Takes in news of a member; true where something changed. */
+    merge(news: Member, now: number): boolean;
+    /** Takes in the instance list; true where something changed. */
+    mergeList(instances: readonly EntryInstance[], now: number): boolean;
+    /** Suspects that did not refute in time become dead, and dead ones that are listed no more go; true on a change. */
+    expire(suspicionMilliseconds: number, now: number): boolean;
+    /** Picks changes to pass on. */
+    takeChanges(limit: number): Member[];
+}
+
+const SENDS_PER_DOUBLING = 3;
+
+/** Creates an empty roster for the process of the given name. */
+export function createRoster(selfName: string): Roster {
+    const entries = new Map<string, RosterEntry>();
+
+    function countSends(): number {
+        return SENDS_PER_DOUBLING * Math.ceil(Math.log2(entries.size + 2));
+    }
+
+    function set(entry: RosterEntry, member: Member, now: number): void {
+        entry.suspectedAtMilliseconds = member.state === "suspect" ? entry.suspectedAtMilliseconds ?? now : undefined;
+        entry.member = member;
+        entry.sendsLeft = countSends();
+    }
+
+    function add(member: Member, now: number): RosterEntry {
+        const entry: RosterEntry = {
+            member,
+            suspectedAtMilliseconds: member.state === "suspect" ? now : undefined,
+            listed: "never",
+            listedOrigin: undefined,
+            sendsLeft: 0,
+        };
+        entries.set(nameMember(member), entry);
+        return entry;
+    }
+
+    function merge(news: Member, now: number): boolean {
+        const name = nameMember(news);
+        if (name === selfName) {
+            return false;
+        }
+        const entry = entries.get(name);
+        if (entry === undefined) {
+            // News of the death of one that is not known helps nobody.
+            if (news.state !== "dead") {
+                add(news, now).sendsLeft = countSends();
+            }
+            return news.state !== "dead";
+        }
+        const configurationRevision = Math.max(news.configurationRevision, entry.member.configurationRevision);
+        if (replaces(news, entry.member)) {
+            // A new process starts without rules.
+            const restarted = news.incarnation > entry.member.incarnation;
+            set(entry, restarted ? news : { ...news, configurationRevision }, now);
+            return true;
+        }
+        const risen = news.incarnation === entry.member.incarnation
+            && configurationRevision > entry.member.configurationRevision;
+        if (risen) {
+            entry.member = { ...entry.member, configurationRevision };
+        }
+        return risen;
+    }
+
+    function mergeListed(listed: Member, now: number): boolean {
+        const known = entries.get(nameMember(listed));
+        const entry = known ?? add(listed, now);
+        const moved = entry.listedOrigin !== undefined && entry.listedOrigin !== listed.origin;
+        entry.listed = "now";
+        entry.listedOrigin = listed.origin;
+        if (known !== undefined && moved && entry.member.origin !== listed.origin && entry.member.state !== "alive") {
+            // A replacement stands at a new origin; its incarnation is learnt when it answers.
+            set(entry, { ...listed, incarnation: entry.member.incarnation }, now);
+            return true;
+        }
+        return known === undefined;
+    }
+
+    return {
+        entries: () => [...entries.values()],
+        get: name => entries.get(name),
+        merge,
+        mergeList(instances, now) {
+            const members = instances.flatMap(listProcesses).filter(member => nameMember(member) !== selfName);
+            const names = new Set(members.map(nameMember));
+            const changes = members.map(member => mergeListed(member, now));
+            for (const [name, entry] of entries) {
+                if (entry.listed === "now" && !names.has(name)) {
+                    entry.listed = "dropped";
+                }
+            }
+            return changes.includes(true);
+        },
+        expire(suspicionMilliseconds, now) {
+            let changed = false;
+            for (const [name, entry] of entries) {
+                const suspectedAt = entry.suspectedAtMilliseconds;
+                if (suspectedAt !== undefined && now - suspectedAt >= suspicionMilliseconds) {
+                    set(entry, { ...entry.member, state: "dead" }, now);
+                    changed = true;
+                }
+                if (entry.member.state === "dead" && entry.listed !== "now" && entry.sendsLeft === 0) {
+                    entries.delete(name);
+                    changed = true;
+                }
+            }
+            return changed;
+        },
+        takeChanges(limit) {
+            const chosen = [...entries.values()]
+                .filter(entry => entry.sendsLeft > 0)
+                .sort((left, right) => right.sendsLeft - left.sendsLeft)
+                .slice(0, limit);
+            for (const entry of chosen) {
+                entry.sendsLeft -= 1;
+            }
+            return chosen.map(entry => entry.member);
+        },
+    };
+}
+
+/** Gives both daemons of an entry instance, as far as the list can tell. */
+function listProcesses(instance: EntryInstance): Member[] {
+    const common = {
+        instance: instance.name,
+        dataCentre: instance.dataCentre,
+        incarnation: 0,
+        state: instance.state === "leaving" ? "leaving" as const : "alive" as const,
+        configurationRevision: 0,
+    };
+    return [
+        { ...common, role: "gateway", origin: instance.gatewayOrigin },
+        { ...common, role: "scheduler", origin: instance.schedulerOrigin },
+    ];
+}
--- /dev/null
+++ b/src/membership/settings.ts
@@ -0,0 +1,20 @@
+/**
+ * Settings of the membership.
+ */
+import { z } from "zod";
+
+export const MembershipSettings = z.strictObject({
+    /** Interval at which the instance list is read. */
+    listIntervalMilliseconds: z.int().min(10).default(2_000),
+    /** Interval at which a process probes one of its peers. */
+    probeIntervalMilliseconds: z.int().min(10).default(500),
+    /** Time within which a probe has to be answered. */
+    probeTimeoutMilliseconds: z.int().min(1).default(400),
+    /** Peers that are asked to probe in turn where a probe was not answered. */
+    indirectProbes: z.int().min(0).default(3),
+    /** Time that a suspected peer has to refute the suspicion. */
+    suspicionMilliseconds: z.int().min(1).default(2_000),
+    /** Most changes of members that one heartbeat carries. */
+    changesPerHeartbeat: z.int().min(1).default(12),
+});
+export type MembershipSettings = z.infer<typeof MembershipSettings>;
