--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -2,7 +2,7 @@
  * Messages by which peers exchange rules.
  */
 import { z } from "zod";
-import { Origin, Team } from "../core/messages/identity.js";
+import { Name, Origin } from "../core/messages/identity.js";
 import { defineMethod } from "../core/rpc.js";
 import { RevisedRecord } from "./record.js";
 
@@ -30,6 +30,6 @@
 /** Asks at which revision a team's rules are in force. */
 export const readReach = defineMethod(
     "configuration.reach",
-    z.strictObject({ team: Team }),
+    z.strictObject({ team: Name }),
     z.strictObject({ revision: z.int().min(0), configurationRevision: z.int().min(0) }),
 );
--- a/src/configuration/record.ts
+++ b/src/configuration/record.ts
@@ -5,7 +5,7 @@
 import { z } from "zod";
 import { createFailure, formatFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
-import { Team } from "../core/messages/identity.js";
+import { Name } from "../core/messages/identity.js";
 import { decodeRecord } from "../platform/commit.js";
 import type { KeyValue } from "../platform/store.js";
 import { safeParseRules } from "../rules/parse.js";
@@ -21,7 +21,7 @@
 
 /** A team's rules as kept: the text alone, since every reader can parse it. */
 export const RulesRecord = z.object({
-    team: Team,
+    team: Name,
     text: z.string(),
     appliedBy: z.string(),
     appliedAtMilliseconds: z.number(),
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -3,7 +3,7 @@
  */
 import { z } from "zod";
 import { Failure } from "../core/errors.js";
-import { Name, Team } from "../core/messages/identity.js";
+import { Name } from "../core/messages/identity.js";
 import {
     cancelTask,
     drainWorker,
@@ -18,7 +18,7 @@
 
 /** A version of a team's rules. */
 export const RulesVersion = z.strictObject({
-    team: Team,
+    team: Name,
     revision: z.int().min(0),
     sequence: z.int().min(0),
     text: z.string(),
@@ -53,7 +53,7 @@
 export const applyRules = defineMethod(
     "rules.apply",
     z.strictObject({
-        team: Team,
+        team: Name,
         file: z.string().optional(),
         text: z.string(),
         baseRevision: z.int().min(0),
@@ -67,7 +67,7 @@
 export const revertRules = defineMethod(
     "rules.revert",
     z.strictObject({
-        team: Team,
+        team: Name,
         sequence: z.int().min(1),
         baseRevision: z.int().min(0),
         applyId: z.string().min(1),
@@ -79,7 +79,7 @@
 /** Checks rules and tells what an apply would change. */
 export const planRules = defineMethod(
     "rules.plan",
-    z.strictObject({ team: Team, file: z.string().optional(), text: z.string() }),
+    z.strictObject({ team: Name, file: z.string().optional(), text: z.string() }),
     z.strictObject({
         baseRevision: z.int().min(0),
         failures: z.array(Failure),
@@ -90,7 +90,7 @@
 /** Shows the rules of one team or of all. */
 export const showRules = defineMethod(
     "rules.show",
-    z.strictObject({ team: Team.optional() }),
+    z.strictObject({ team: Name.optional() }),
     z.strictObject({
         /** `in-force` where the store did not answer: what this gateway acts on. */
         source: z.enum(["store", "in-force"]),
@@ -101,7 +101,7 @@
 /** Lists the versions of a team's rules, the newest first, with what each changed. */
 export const listHistory = defineMethod(
     "rules.history",
-    z.strictObject({ team: Team }),
+    z.strictObject({ team: Name }),
     z.strictObject({
         entries: z.array(z.strictObject({ version: RulesVersion, changes: z.array(RuleChange) })),
     }),
@@ -110,7 +110,7 @@
 /** Counts the processes that have a revision of a team's rules in force. */
 export const readSpread = defineMethod(
     "rules.spread",
-    z.strictObject({ team: Team, revision: z.int().min(0) }),
+    z.strictObject({ team: Name, revision: z.int().min(0) }),
     z.strictObject({ processes: z.int(), inForce: z.int(), behind: z.array(z.string()), silent: z.array(z.string()) }),
 );
 
