Scheduler: first scenarios with stand-ins of the platform

Cause: nothing showed that rules become running tasks and that a successor repeats no finished run. Change: a fleet of stand-ins and schedulers for scenarios, and a check of workers' records that shares no code with the scheduler.

--- /dev/null
+++ b/features/scheduler/cells.feature
@@ -0,0 +1,21 @@
+Feature: Owners of cells run what the rules ask for
+
+    Scenario: Replicas and batch tasks run, and end with their rules
+        Given data centres "levi" with 2 workers and "rovaniemi" with 3 workers
+        And a scheduler "entry-1" in "levi"
+        When the rules are "beacon-check" with 4 replicas and "season-prep" with 3 tasks
+        Then 4 replicas of "beacon-check" and 3 tasks of "season-prep" run
+        And replicas of "beacon-check" run in both data centres
+        When there are no rules
+        Then nothing runs
+        And no task has run in two places at once
+
+    Scenario: A finished batch run is not run again by a successor
+        Given data centres "levi" with 2 workers and "rovaniemi" with 2 workers
+        And workers do a minute's work in a moment
+        And a scheduler "entry-1" in "levi"
+        When the rules are "beacon-check" with 2 replicas and "season-prep" with 5 tasks
+        Then 5 tasks of "season-prep" have finished
+        When the scheduler "entry-1" ends without a word and "entry-2" in "levi" starts
+        Then "entry-2" owns all cells
+        And 5 attempts of "season-prep" were started in all
--- /dev/null
+++ b/features/scheduler/cells.steps.ts
@@ -0,0 +1,140 @@
+/**
+ * Steps for cells and their owners, with all parts in one process.
+ */
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { WorkerBehaviour } from "../../stand-ins/worker/index.js";
+import { findOverlaps, listRunning } from "./support/check.js";
+import { createFleet, waitUntil } from "./support/fleet.js";
+import type { Fleet } from "./support/fleet.js";
+import { createBatch, createService } from "./support/rules.js";
+
+const FAST_WORK_SPEED = 600;
+
+interface CellsWorld {
+    dataCentres: Record<string, number>;
+    behaviour: Partial<WorkerBehaviour>;
+    fleet?: Fleet;
+}
+
+Given(
+    "data centres {string} with {int} workers and {string} with {int} workers",
+    function(this: CellsWorld, first: string, firstCount: number, second: string, secondCount: number) {
+        this.dataCentres = { [first]: firstCount, [second]: secondCount };
+        this.behaviour = {};
+    },
+);
+
+Given("workers do a minute's work in a moment", function(this: CellsWorld) {
+    this.behaviour = { speed: FAST_WORK_SPEED };
+});
+
+Given("a scheduler {string} in {string}", async function(this: CellsWorld, instance: string, dataCentre: string) {
+    this.fleet ??= await createFleet(this.dataCentres, this.behaviour);
+    this.fleet.startScheduler(instance, dataCentre);
+});
+
+When(
+    "the rules are {string} with {int} replicas and {string} with {int} tasks",
+    function(this: CellsWorld, service: string, replicas: number, batch: string, tasks: number) {
+        fleetOf(this).configuration.apply([createService(service, { replicas }), createBatch(batch, { tasks })]);
+    },
+);
+
+When("there are no rules", function(this: CellsWorld) {
+    fleetOf(this).configuration.apply([]);
+});
+
+When(
+    "the scheduler {string} ends without a word and {string} in {string} starts",
+    async function(this: CellsWorld, ending: string, starting: string, dataCentre: string) {
+        const fleet = fleetOf(this);
+        const scheduler = fleet.schedulers.find(candidate => candidate.instance === ending);
+        scheduler?.abort();
+        await scheduler?.finished;
+        fleet.startScheduler(starting, dataCentre);
+    },
+);
+
+Then(
+    "{int} replicas of {string} and {int} tasks of {string} run",
+    async function(this: CellsWorld, replicas: number, service: string, tasks: number, batch: string) {
+        const { records } = fleetOf(this);
+        await waitUntil("replicas and tasks run", () => {
+            const running = listRunning(records);
+            return running.filter(({ rule }) => rule === service).length === replicas
+                && running.filter(({ rule }) => rule === batch).length === tasks;
+        });
+    },
+);
+
+Then("replicas of {string} run in both data centres", function(this: CellsWorld, service: string) {
+    const { records, workers } = fleetOf(this);
+    const places = new Set(
+        listRunning(records).filter(({ rule }) => rule === service).map(({ worker }) =>
+            workers.find(({ instance }) => instance.name === worker)?.instance.dataCentre
+        ),
+    );
+    assert.equal(places.size, Object.keys(this.dataCentres).length);
+});
+
+Then("nothing runs", async function(this: CellsWorld) {
+    await waitUntil("nothing runs", () => listRunning(fleetOf(this).records).length === 0);
+});
+
+Then("no task has run in two places at once", function(this: CellsWorld) {
+    const { records } = fleetOf(this);
+    assert.ok(records.some(({ event }) => event === "attempt-started"), "nothing was ever started");
+    assert.deepEqual(findOverlaps(records), []);
+});
+
+Then("{int} tasks of {string} have finished", async function(this: CellsWorld, tasks: number, rule: string) {
+    const { records } = fleetOf(this);
+    await waitUntil(
+        "tasks have finished",
+        () =>
+            records.filter(record =>
+                record.event === "attempt-ended" && record.rule === rule && record.state === "finished"
+            )
+                .length === tasks,
+    );
+    await waitUntil(
+        "their ends are committed",
+        () => fleetOf(this).schedulers.every(({ scheduler }) => scheduler.ownedCells().every(cell => cell.tasks <= 2)),
+    );
+});
+
+Then("{string} owns all cells", async function(this: CellsWorld, instance: string) {
+    const fleet = fleetOf(this);
+    const scheduler = fleet.schedulers.find(candidate => candidate.instance === instance);
+    await waitUntil(
+        "all cells are owned",
+        () => scheduler?.scheduler.ownedCells().length === Object.keys(this.dataCentres).length,
+    );
+});
+
+Then("{int} attempts of {string} were started in all", async function(this: CellsWorld, count: number, rule: string) {
+    const fleet = fleetOf(this);
+    // The successor has planned all rules once it has committed replicas of a service that was not there before.
+    fleet.configuration.apply([
+        ...fleet.configuration.current()?.documents.flatMap(({ rules }) => rules) ?? [],
+        createService("proof-of-plan", { replicas: 2, line: 3 }),
+    ]);
+    await waitUntil(
+        "the successor has planned",
+        () => listRunning(fleet.records).filter(running => running.rule === "proof-of-plan").length === 2,
+    );
+    const started = fleet.records.filter(record => record.event === "attempt-started" && record.rule === rule);
+    assert.equal(started.length, count);
+});
+
+After(async function(this: CellsWorld) {
+    await this.fleet?.close();
+});
+
+function fleetOf(world: CellsWorld): Fleet {
+    if (world.fleet === undefined) {
+        throw new Error("no fleet has been started");
+    }
+    return world.fleet;
+}
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -55,6 +55,7 @@
     readonly configuration: ConfigurationSource;
     readonly membership: MembershipSource;
     readonly rpc: RpcClient;
+    /** One policy serves all cells that the scheduler owns. */
     createPolicy(): Policy;
     readonly credits: CreditHooks;
     readonly clock: Clock;
@@ -86,6 +87,7 @@
 export function createScheduler(options: SchedulerOptions): Scheduler {
     const { store, settings, clock, logger } = options;
     const metrics = createSchedulerMetrics(options.metrics);
+    const policy = options.createPolicy();
     const events = new Emittery<SchedulerEvents>();
     const self: LiveScheduler = {
         instance: options.identity.instance,
@@ -180,7 +182,7 @@
                 owner: self.instance,
                 settings,
                 workers: options.workers,
-                policy: options.createPolicy(),
+                policy,
                 credits: options.credits,
                 clock,
                 metrics,
