--- /dev/null
+++ b/stand-ins/proxy/index.ts
@@ -0,0 +1,3 @@
+export * from "./fleet.js";
+export * from "./proxy.js";
+export * from "./rules.js";
