Scheduler: assignments of runs to cells, ended tasks stay visible

Cause: homes of tasks followed from the cells of the moment, so a new rack could have made a second cell admit a task that runs; finished runs left no trace. Change: cells that share a rule's runs are agreed once in the store (assignment, kept by a watch); cells admit each run once by generation and time; ended tasks stay listed, bounded by count and time; cells without workers keep an owner.

--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -9,8 +9,8 @@
 import type { Configuration, PlacementRule } from "../../rules/rule.js";
 import type { CellMap } from "../cells.js";
 import type { CreditHooks } from "../hooks.js";
+import type { Assignments } from "../jobs/assignments.js";
 import { planCell } from "../jobs/plan.js";
-import type { PlanInput } from "../jobs/plan.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -24,10 +24,13 @@
 import { createLink } from "./link.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
 import { leasesEndAt, observeEvent } from "./observe.js";
+import { forgetEnded } from "./transitions.js";
 import { buildView, stateOf } from "./view.js";
 import type { ViewInput } from "./view.js";
 import { runWorker } from "./worker.js";
 
+const SWEEP_INTERVAL_MILLISECONDS = 5_000;
+
 /** Why a cell's task ended. */
 export type CellEnd = "fenced" | "released" | "aborted";
 
@@ -45,8 +48,7 @@
     readonly metrics: SchedulerMetrics;
     readonly logger: Logger;
     configuration(): Configuration | undefined;
-    cells(): readonly CellMap[];
-    dueRun: PlanInput["dueRun"];
+    readonly assignments: Pick<Assignments, "find" | "version">;
     quotas(ledger: Ledger, configuration: Configuration): readonly QuotaSlice[];
     /** Routes of the cell have changed. */
     onRoutes(): void;
@@ -92,6 +94,7 @@
     const wake = createWake();
     let end: CellEnd | undefined;
     let releasing = false;
+    let sweepAt = 0;
     let configuration: Configuration | undefined;
     const tasks = new Set<Promise<void>>();
 
@@ -170,11 +173,15 @@
     };
 
     const decide = (now: number) => {
+        if (now >= sweepAt) {
+            sweepAt = now + SWEEP_INTERVAL_MILLISECONDS;
+            forgetEnded(ledger, settings, now);
+        }
         configuration = options.configuration();
         if (configuration === undefined) {
             return;
         }
-        planCell({ cell: name, cells: options.cells(), configuration, ledger, dueRun: options.dueRun }, now);
+        planCell({ cell: name, configuration, ledger, findAssignment: options.assignments.find }, now);
         moveOffWorkers(now);
         const decisions = policy.decide(buildView(viewInput(), now), now);
         applyDecisions(
--- a/src/scheduler/cell/transitions.ts
+++ b/src/scheduler/cell/transitions.ts
@@ -3,7 +3,7 @@
  */
 import type { AttemptStatus } from "../../platform/worker.js";
 import type { Ledger } from "../ledger/ledger.js";
-import { HOLDING_STATES, WAITING_STATES } from "../ledger/task.js";
+import { ENDED_STATES, HOLDING_STATES, WAITING_STATES } from "../ledger/task.js";
 import type { Task } from "../ledger/task.js";
 
 /** Waits after failed attempts. */
@@ -28,9 +28,9 @@
 /** Ends a task for good: at once where it waits, after its stop has been confirmed where it may run. */
 export function endTask(ledger: Ledger, task: Task, reason: string, now: number): void {
     if (WAITING_STATES.has(task.state) || task.state === "parked") {
-        ledger.remove(task.taskId);
+        close(ledger, task, "cancelled", { reason, now });
     }
-    else if (task.state !== "stopping") {
+    else if (HOLDING_STATES.has(task.state) && task.state !== "stopping") {
         ledger.put({ ...task, state: "stopping", sinceMilliseconds: now, reason });
     }
 }
@@ -109,7 +109,7 @@
         release(ledger, task, { reason: "ended by itself", now });
         return;
     }
-    ledger.remove(task.taskId);
+    close(ledger, task, "finished", { reason: "", now });
 }
 
 function fail(ledger: Ledger, task: Task, reason: string, backOff: BackOff, now: number): void {
@@ -141,7 +141,7 @@
     }
     if (task.state === "stopping" || ledger.specOf(task).kind === "service") {
         // A replica is never moved: the plan admits another one with another id.
-        ledger.remove(task.taskId);
+        close(ledger, task, "cancelled", { reason: task.state === "stopping" ? task.reason : reason, now });
         return;
     }
     const evicted = task.state === "checkpointing";
@@ -156,6 +156,29 @@
     });
 }
 
+function close(ledger: Ledger, task: Task, state: "finished" | "cancelled", { reason, now }: Release): void {
+    const ended: Task = { ...withoutWorker(task), state, sinceMilliseconds: now, reason };
+    delete ended.checkpoint;
+    ledger.put(state === "finished" ? { ...ended, checkpointProgress: 1 } : ended);
+}
+
+/** Forgets ended tasks that are older than the limit, and the oldest ones beyond the count. */
+export function forgetEnded(ledger: Ledger, keep: EndedLimits, now: number): void {
+    const ended = [...ledger.draft.values()].filter(task => ENDED_STATES.has(task.state))
+        .sort((left, right) => right.sinceMilliseconds - left.sinceMilliseconds);
+    for (const [index, task] of ended.entries()) {
+        if (index >= keep.endedKeptAtMost || now - task.sinceMilliseconds >= keep.endedKeptMilliseconds) {
+            ledger.remove(task.taskId);
+        }
+    }
+}
+
+/** How long and how many ended tasks are kept. */
+export interface EndedLimits {
+    readonly endedKeptMilliseconds: number;
+    readonly endedKeptAtMost: number;
+}
+
 function withoutWorker(task: Task): Task {
     const rest = { ...task };
     delete rest.worker;
--- /dev/null
+++ b/src/scheduler/jobs/assignments.ts
@@ -0,0 +1,187 @@
+/**
+ * Keeps a copy of all assignments by a watch, and revises the ones that this scheduler leads.
+ */
+import type { Result } from "true-myth/result";
+import type { Failure } from "../../core/errors.js";
+import type { Logger } from "../../core/log.js";
+import { rankByRendezvous } from "../../core/random.js";
+import { pause } from "../../core/time.js";
+import type { Clock } from "../../core/time.js";
+import { commitRecord, decodeRecord } from "../../platform/commit.js";
+import type { StoredRecord } from "../../platform/commit.js";
+import type { KeyValue, Store } from "../../platform/store.js";
+import type { BatchRule, Configuration } from "../../rules/rule.js";
+import type { CellMap } from "../cells.js";
+import { Assignment, ASSIGNMENTS_PREFIX, keyOfAssignment, reviseAssignment } from "./assignment.js";
+import type { AssignmentNeed } from "./assignment.js";
+import { findDueRun } from "./due.js";
+import { allowedCells } from "./home.js";
+import { listRunnable } from "./spec.js";
+
+const PAGE_ENTRIES = 200;
+const WRITES_AT_ONCE = 16;
+const RETRY_MILLISECONDS = 500;
+/** After this time another scheduler revises an assignment whose leader has not done so. */
+const LEADER_LIMIT_MILLISECONDS = 3_000;
+
+/** What the copy needs. */
+export interface AssignmentsOptions {
+    readonly store: Store;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    configuration(): Configuration | undefined;
+    cells(): readonly CellMap[];
+    owns(cell: string): boolean;
+}
+
+/** Copy of all assignments. */
+export interface Assignments {
+    find(rule: string): Assignment | undefined;
+    /** Rises with each change of the copy. */
+    version(): number;
+    /** Revises the assignments that this scheduler leads. */
+    revise(signal: AbortSignal): Promise<void>;
+    /** Keeps the copy until the signal is aborted. */
+    run(signal: AbortSignal): Promise<void>;
+}
+
+/** Creates the copy. */
+export function createAssignments(options: AssignmentsOptions): Assignments {
+    const { store, clock, logger } = options;
+    const records = new Map<string, StoredRecord<Assignment>>();
+    const neededSince = new Map<string, number>();
+    let loaded = false;
+    let version = 0;
+
+    const take = (entry: KeyValue): void => {
+        const decoded = decodeRecord(entry, Assignment);
+        if (decoded.isErr) {
+            logger.error("assignment not readable", { failure: decoded.error });
+            return;
+        }
+        const { rule } = decoded.value.body;
+        if ((records.get(rule)?.revision ?? 0) < decoded.value.revision) {
+            records.set(rule, decoded.value);
+            version += 1;
+        }
+    };
+
+    const load = async (): Promise<Result<number, Failure>> => {
+        let after: string | undefined;
+        for (;;) {
+            const page = await store.read({
+                key: ASSIGNMENTS_PREFIX,
+                prefix: true,
+                limit: PAGE_ENTRIES,
+                ...(after === undefined ? {} : { after }),
+            });
+            if (page.isErr) {
+                return page.map(({ revision }) => revision);
+            }
+            page.value.entries.forEach(take);
+            after = page.value.entries.at(-1)?.key;
+            if (!page.value.more || after === undefined) {
+                return page.map(({ revision }) => revision);
+            }
+        }
+    };
+
+    const write = async (next: Assignment, signal: AbortSignal): Promise<void> => {
+        const committed = await commitRecord(store, {
+            key: keyOfAssignment(next.rule),
+            body: next,
+            expectedRevision: records.get(next.rule)?.revision ?? 0,
+            signal,
+        });
+        if (committed.isOk) {
+            records.set(next.rule, { body: next, revision: committed.value, leaseId: "" });
+            version += 1;
+            neededSince.delete(next.rule);
+        }
+    };
+
+    /** One scheduler leads each assignment; the others step in where it does not act. */
+    const isMine = (rule: string, cells: readonly { readonly cell: string; }[]): boolean => {
+        const leader = rankByRendezvous(rule, cells, ({ cell }) => cell)[0];
+        if (leader !== undefined && options.owns(leader.cell)) {
+            return true;
+        }
+        const since = neededSince.get(rule) ?? clock();
+        neededSince.set(rule, since);
+        return clock() - since >= LEADER_LIMIT_MILLISECONDS && cells.some(({ cell }) => options.owns(cell));
+    };
+
+    const reviseNeeded = async (configuration: Configuration, signal: AbortSignal): Promise<void> => {
+        const writes: Assignment[] = [];
+        for (const need of listNeeds(configuration, options.cells(), clock())) {
+            const next = reviseAssignment(records.get(need.rule)?.body, need);
+            if (next === undefined) {
+                neededSince.delete(need.rule);
+            }
+            else if (isMine(need.rule, need.cells)) {
+                writes.push(next);
+            }
+        }
+        for (let start = 0; start < writes.length; start += WRITES_AT_ONCE) {
+            await Promise.all(writes.slice(start, start + WRITES_AT_ONCE).map(next => write(next, signal)));
+        }
+    };
+
+    const markRemoved = async (configuration: Configuration, signal: AbortSignal): Promise<void> => {
+        const names = new Set(configuration.documents.flatMap(({ rules }) => rules.map(({ name }) => name)));
+        for (const { body } of [...records.values()]) {
+            const isGone = body.removedRevision === undefined && !names.has(body.rule)
+                && body.generation <= configuration.revision;
+            if (isGone && isMine(body.rule, options.cells())) {
+                await write({ ...body, removedRevision: configuration.revision }, signal);
+            }
+        }
+    };
+
+    return {
+        version: () => version,
+        find: rule => records.get(rule)?.body,
+        async revise(signal) {
+            const configuration = options.configuration();
+            if (loaded && configuration !== undefined) {
+                await reviseNeeded(configuration, signal);
+                await markRemoved(configuration, signal);
+            }
+        },
+        async run(signal) {
+            while (!signal.aborted) {
+                const revision = await load();
+                if (revision.isOk) {
+                    loaded = true;
+                    await store.watch({
+                        prefix: ASSIGNMENTS_PREFIX,
+                        fromRevision: revision.value + 1,
+                        signal,
+                        onEvents: events =>
+                            events.forEach(({ kind, entry }) => kind === "put" ? take(entry) : undefined),
+                    });
+                }
+                await pause(RETRY_MILLISECONDS, signal);
+            }
+        },
+    };
+}
+
+function listNeeds(configuration: Configuration, cells: readonly CellMap[], now: number): AssignmentNeed[] {
+    return listRunnable(configuration, now).flatMap(({ rule, document }): AssignmentNeed[] => {
+        const common = {
+            rule: rule.name,
+            cells: allowedCells(cells, rule.dataCentres),
+            revision: document.revision,
+        };
+        if (rule.kind === "service") {
+            return [{ ...common, kind: rule.kind, run: 0, runsAtMost: 1 }];
+        }
+        const run = findDueRun(rule, document.appliedAtMilliseconds, now);
+        return run === undefined ? [] : [{ ...common, kind: rule.kind, run, runsAtMost: runsAtMost(rule) }];
+    });
+}
+
+function runsAtMost(rule: BatchRule): number {
+    return rule.end.runs ?? Infinity;
+}
--- a/src/scheduler/jobs/home.ts
+++ b/src/scheduler/jobs/home.ts
@@ -3,6 +3,7 @@
  */
 import { rankByRendezvous } from "../../core/random.js";
 import type { CellMap } from "../cells.js";
+import type { AssignedCell } from "./assignment.js";
 
 /** Cells that a rule's data centres allow; an empty list of data centres allows all. */
 export function allowedCells(cells: readonly CellMap[], dataCentres: readonly string[]): CellMap[] {
@@ -18,7 +19,7 @@
  * Gives the home of each replica of a service, by its slot: data centres take turns, and within each data centre its
  * cells do.
  */
-export function homesOfReplicas(rule: string, replicas: number, cells: readonly CellMap[]): string[] {
+export function homesOfReplicas(rule: string, replicas: number, cells: readonly AssignedCell[]): string[] {
     const groups = new Map<string, string[]>();
     for (const { cell, dataCentre } of cells) {
         groups.set(dataCentre, [...groups.get(dataCentre) ?? [], cell]);
--- a/src/scheduler/jobs/plan.ts
+++ b/src/scheduler/jobs/plan.ts
@@ -3,10 +3,11 @@
  */
 import type { Configuration } from "../../rules/rule.js";
 import { endTask } from "../cell/transitions.js";
-import type { CellMap } from "../cells.js";
 import type { Ledger } from "../ledger/ledger.js";
-import type { Admission, Task, TaskSpec } from "../ledger/task.js";
-import { allowedCells, homeOfTask, homesOfReplicas } from "./home.js";
+import { ENDED_STATES } from "../ledger/task.js";
+import type { Task, TaskSpec } from "../ledger/task.js";
+import type { AssignedRun, Assignment } from "./assignment.js";
+import { homeOfTask, homesOfReplicas } from "./home.js";
 import { listRunnable, toSpec } from "./spec.js";
 import type { RunnableRule } from "./spec.js";
 
@@ -16,77 +17,104 @@
 /** What a plan is made from. */
 export interface PlanInput {
     readonly cell: string;
-    readonly cells: readonly CellMap[];
     readonly configuration: Configuration;
     readonly ledger: Ledger;
-    /** Newest run of a scheduled rule that is due, in seconds since the Unix epoch; `undefined` where none is. */
-    dueRun(runnable: RunnableRule, now: number): number | undefined;
+    findAssignment(rule: string): Assignment | undefined;
 }
 
 /** Brings the ledger's draft in line with the rules. */
 export function planCell(input: PlanInput, now: number): void {
+    const { ledger } = input;
     const runnable = listRunnable(input.configuration, now);
     const names = new Set(runnable.map(({ rule }) => rule.name));
-    for (const task of [...input.ledger.draft.values()]) {
-        if (!names.has(input.ledger.specOf(task).rule)) {
-            endTask(input.ledger, task, "its rule has ended", now);
+    const replicas = new Map<string, Task[]>();
+    for (const task of [...ledger.draft.values()]) {
+        const { rule, kind } = ledger.specOf(task);
+        if (!names.has(rule)) {
+            endTask(ledger, task, "its rule has ended", now);
+        }
+        else if (kind === "service" && !ENDED_STATES.has(task.state)) {
+            replicas.set(rule, [...replicas.get(rule) ?? [], task]);
         }
     }
     for (const candidate of runnable) {
+        const assignment = input.findAssignment(candidate.rule.name);
+        if (assignment === undefined || assignment.removedRevision !== undefined) {
+            continue;
+        }
         if (candidate.rule.kind === "service") {
-            planService(input, candidate, candidate.rule.replicas, now);
+            planService(input, candidate, { assignment, replicas: replicas.get(candidate.rule.name) ?? [] }, now);
         }
         else {
-            planBatch(input, candidate, candidate.rule.tasks, now);
+            planBatch(input, candidate, assignment, now);
         }
     }
 }
 
-function planService(input: PlanInput, runnable: RunnableRule, replicas: number, now: number): void {
+interface ServicePlan {
+    readonly assignment: Assignment;
+    /** Replicas that the ledger has. */
+    readonly replicas: readonly Task[];
+}
+
+function planService(input: PlanInput, runnable: RunnableRule, plan: ServicePlan, now: number): void {
     const { ledger, cell } = input;
-    const { name, dataCentres } = runnable.rule;
-    const homes = homesOfReplicas(name, replicas, allowedCells(input.cells, dataCentres));
+    if (runnable.rule.kind !== "service") {
+        return;
+    }
+    const { name } = runnable.rule;
+    const homes = homesOfReplicas(name, runnable.rule.replicas, plan.assignment.runs.at(-1)?.cells ?? []);
     const wanted = new Set(homes.flatMap((home, slot) => home === cell ? [slot] : []));
-    const spec = toSpec(runnable);
-    let admission = ledger.admissions.get(name) ?? { rule: name, run: 0, replacements: 0, generation: 0 };
-    for (const task of tasksOfRule(ledger, name)) {
-        if (task.state === "stopping") {
-            continue;
-        }
-        if (!wanted.delete(slotOf(task.taskId))) {
+    for (const task of plan.replicas) {
+        if (task.state !== "stopping" && !wanted.delete(slotOf(task.taskId))) {
             endTask(ledger, task, "surplus replica", now);
         }
     }
-    const first = !ledger.admissions.has(name);
+    const { generation } = plan.assignment;
+    let admission = ledger.admissions.get(name);
     for (const slot of wanted) {
-        if (!first) {
-            admission = { ...admission, replacements: admission.replacements + 1 };
-        }
-        admit(ledger, spec, `${name}/${slot + REPLICA_STRIDE * admission.replacements}`, now);
-    }
-    if (wanted.size > 0) {
+        const replacements = admission === undefined ? 0 : admission.replacements + 1;
+        admission = { rule: name, run: 0, generation, replacements };
+        admit(ledger, toSpec(runnable), `${name}/${slot + REPLICA_STRIDE * replacements}`, now);
         ledger.putAdmission(admission);
     }
 }
 
-function planBatch(input: PlanInput, runnable: RunnableRule, tasks: number, now: number): void {
-    const { ledger, cell } = input;
+function planBatch(input: PlanInput, runnable: RunnableRule, assignment: Assignment, now: number): void {
+    const { ledger } = input;
+    const { name } = runnable.rule;
+    const { generation } = assignment;
+    for (const assigned of assignment.runs) {
+        const admission = ledger.admissions.get(name);
+        const isNew = admission === undefined || generation > admission.generation
+            || (generation === admission.generation && assigned.run > admission.run);
+        if (isNew && admitRun(input, runnable, assigned, now)) {
+            ledger.putAdmission({ rule: name, run: assigned.run, generation, replacements: 0 });
+        }
+    }
+}
+
+/** Admits this cell's share of a run; not while tasks of the same names are still on their way out. */
+function admitRun(input: PlanInput, runnable: RunnableRule, assigned: AssignedRun, now: number): boolean {
     const { rule } = runnable;
-    const run = input.dueRun(runnable, now);
-    const admission = ledger.admissions.get(rule.name);
-    if (run === undefined || (admission !== undefined && run <= admission.run)) {
-        return;
+    if (rule.kind !== "batch") {
+        return false;
     }
-    const cells = allowedCells(input.cells, rule.dataCentres).map(allowed => allowed.cell);
-    const spec = toSpec(runnable);
-    for (let index = 0; index < tasks; index += 1) {
-        const taskId = `${rule.name}@${run === 0 ? "once" : run}/${index}`;
-        if (homeOfTask(taskId, cells) === cell) {
-            admit(ledger, spec, taskId, now);
-        }
+    const cells = assigned.cells.map(({ cell }) => cell);
+    const taskIds = Array.from(
+        { length: rule.tasks },
+        (entry, index) => `${rule.name}@${assigned.run === 0 ? "once" : assigned.run}/${index}`,
+    ).filter(taskId => homeOfTask(taskId, cells) === input.cell);
+    const isPresent = (taskId: string) => {
+        const state = input.ledger.draft.get(taskId)?.state;
+        return state !== undefined && !ENDED_STATES.has(state);
+    };
+    if (taskIds.some(isPresent)) {
+        return false;
     }
-    const next: Admission = { rule: rule.name, run, replacements: 0, generation: admission?.generation ?? 0 };
-    ledger.putAdmission(next);
+    const spec = toSpec(runnable);
+    taskIds.forEach(taskId => admit(input.ledger, spec, taskId, now));
+    return true;
 }
 
 function admit(ledger: Ledger, spec: TaskSpec, taskId: string, now: number): void {
@@ -95,7 +123,8 @@
         taskId,
         specId: spec.specId,
         state: "pending",
-        attempt: 0,
+        // Attempts of an earlier task of this name are told apart by their numbers.
+        attempt: ledger.draft.get(taskId)?.attempt ?? 0,
         checkpointProgress: 0,
         submittedAtMilliseconds: now,
         notBeforeMilliseconds: now,
@@ -107,10 +136,6 @@
     });
 }
 
-function tasksOfRule(ledger: Ledger, rule: string): Task[] {
-    return [...ledger.draft.values()].filter(task => ledger.specOf(task).rule === rule);
-}
-
 function slotOf(taskId: string): number {
     return Number(taskId.slice(taskId.lastIndexOf("/") + 1)) % REPLICA_STRIDE;
 }
--- a/src/scheduler/ledger/task.ts
+++ b/src/scheduler/ledger/task.ts
@@ -69,3 +69,6 @@
 
 /** States in which a task waits for a place. */
 export const WAITING_STATES: ReadonlySet<TaskState> = new Set(["pending", "evicted"]);
+
+/** States of tasks that have ended for good; they are kept for a while for operators to see. */
+export const ENDED_STATES: ReadonlySet<TaskState> = new Set(["finished", "cancelled"]);
--- /dev/null
+++ b/src/scheduler/ownership.ts
@@ -0,0 +1,230 @@
+/**
+ * The cells that a scheduler owns: claims them, runs them, hands them over.
+ */
+import { Result } from "true-myth/result";
+import type { z } from "zod";
+import type { Failure } from "../core/errors.js";
+import type { Logger } from "../core/log.js";
+import { parseJson } from "../core/parse.js";
+import type { Clock } from "../core/time.js";
+import type { PlatformInstance } from "../platform/instances.js";
+import type { Store } from "../platform/store.js";
+import type { Cell } from "./cell/cell.js";
+import type { CellMap } from "./cells.js";
+import { listClaimActions } from "./claims.js";
+import type { ClaimAction } from "./claims.js";
+import { Claim, CLAIMS_PREFIX, LIVE_PREFIX, LiveScheduler } from "./ledger/head.js";
+import { claimCell, loadLedger, readHead } from "./ledger/journal.js";
+import type { Journal } from "./ledger/journal.js";
+import type { Ledger } from "./ledger/ledger.js";
+import type { SchedulerMetrics } from "./metrics.js";
+import type { CellSettings } from "./settings.js";
+
+/** A holder whose liveness record is missing has to stay so for this long. */
+const ABSENT_GRACE_MILLISECONDS = 1_000;
+/** A cell that another scheduler should own is handed over after this time. */
+const MISPLACED_GRACE_MILLISECONDS = 5_000;
+
+/** What the store said of schedulers and claims at the last look. */
+export interface Directory {
+    readonly live: readonly LiveScheduler[];
+    readonly claims: ReadonlyMap<string, Claim>;
+}
+
+/** What ownership needs. */
+export interface OwnershipOptions {
+    readonly self: LiveScheduler;
+    readonly store: Store;
+    readonly settings: CellSettings;
+    readonly clock: Clock;
+    readonly metrics: SchedulerMetrics;
+    readonly logger: Logger;
+    createCell(map: CellMap, journal: Journal, ledger: Ledger): Cell;
+    /** The set of owned cells has changed. */
+    onChange(): void;
+}
+
+/** The cells that a scheduler owns. */
+export interface Ownership {
+    readonly owned: ReadonlyMap<string, Cell>;
+    directory(): Directory | undefined;
+    /** Takes in the instance list. */
+    update(instances: readonly PlatformInstance[], maps: readonly CellMap[]): void;
+    /** Looks at the store once, claims and hands over what is due; false where the store gave no answer. */
+    look(signal: AbortSignal): Promise<boolean>;
+    /** Gives all cells up with their last commits. */
+    releaseAll(): void;
+    /** Resolves when no cell runs any more. */
+    settled(): Promise<void>;
+}
+
+/** Creates an ownership of no cells. */
+export function createOwnership(options: OwnershipOptions): Ownership {
+    const { self, store, settings, clock, metrics, logger } = options;
+    const holder = { instance: self.instance, incarnation: self.incarnation, origin: self.origin };
+    const owned = new Map<string, Cell>();
+    const running = new Map<string, Promise<void>>();
+    const absentSince = new Map<string, number>();
+    const misplacedSince = new Map<string, number>();
+    let instances: readonly PlatformInstance[] = [];
+    let maps: readonly CellMap[] = [];
+    let directory: Directory | undefined;
+    let isReleasing = false;
+
+    const own = async (cell: Cell, signal: AbortSignal): Promise<void> => {
+        const end = await cell.run(signal);
+        owned.delete(cell.name);
+        running.delete(cell.name);
+        metrics.cellsOwned.set(owned.size);
+        logger.info("cell given up", { cell: cell.name, epoch: cell.epoch(), end });
+        options.onChange();
+    };
+
+    const open = async (action: ClaimCellAction, signal: AbortSignal): Promise<Result<Cell, Failure>> => {
+        const found = await readHead(store, action.map.cell);
+        if (found.isErr) {
+            return Result.err(found.error);
+        }
+        const journal = await claimCell({
+            store,
+            cell: action.map.cell,
+            holder,
+            found: found.value,
+            now: clock(),
+            horizonMilliseconds: settings.horizonMilliseconds,
+            predecessorGone: action.predecessorGone,
+            segmentsPerSnapshot: settings.segmentsPerSnapshot,
+            signal,
+        });
+        if (journal.isErr) {
+            return Result.err(journal.error);
+        }
+        // Loaded after the claim: from then on nobody else can add to the ledger.
+        const ledger = await loadLedger(store, journal.value.head());
+        return ledger.map(loaded => options.createCell(action.map, journal.value, loaded));
+    };
+
+    const claim = async (action: ClaimCellAction, signal: AbortSignal): Promise<void> => {
+        const opened = await open(action, signal);
+        metrics.claims.inc({ outcome: opened.isOk ? "claimed" : opened.error.code });
+        if (opened.isErr) {
+            logger.warn("cell not claimed", { cell: action.map.cell, failure: opened.error });
+            return;
+        }
+        const cell = opened.value;
+        owned.set(cell.name, cell);
+        metrics.cellsOwned.set(owned.size);
+        const { predecessorGone } = action;
+        logger.info("cell claimed", { cell: cell.name, epoch: cell.epoch(), predecessorGone });
+        running.set(cell.name, own(cell, signal));
+        options.onChange();
+    };
+
+    /** Absence and misplacement have to last before they count, so that a short gap moves no cell. */
+    const isDue = (action: ClaimAction, now: number): boolean => {
+        const cell = action.kind === "claim" ? action.map.cell : action.cell;
+        const isDoubtful = action.kind === "claim" && action.predecessorAbsent;
+        const since = action.kind === "hand-over" ? misplacedSince : absentSince;
+        if (action.kind === "claim" && !isDoubtful) {
+            return true;
+        }
+        const start = since.get(cell) ?? now;
+        since.set(cell, start);
+        return now - start >= (isDoubtful ? ABSENT_GRACE_MILLISECONDS : MISPLACED_GRACE_MILLISECONDS);
+    };
+
+    const listActions = ({ live, claims }: Directory): ClaimAction[] => {
+        const actions = listClaimActions({
+            self,
+            cells: [...maps, ...listEmptyCells(claims, maps)],
+            live,
+            claims,
+            owned: new Set(owned.keys()),
+            instances,
+        });
+        forgetOthers(absentSince, actions.flatMap(action => action.kind === "claim" ? [action.map.cell] : []));
+        forgetOthers(misplacedSince, actions.flatMap(action => action.kind === "hand-over" ? [action.cell] : []));
+        return actions.filter(action => isDue(action, clock()));
+    };
+
+    return {
+        owned,
+        directory: () => directory,
+        update(listed, grouped) {
+            instances = listed;
+            maps = grouped;
+            for (const cell of owned.values()) {
+                const map = maps.find(candidate => candidate.cell === cell.name);
+                cell.updateMap(map ?? { cell: cell.name, dataCentre: self.dataCentre, workers: [] }, clock());
+            }
+        },
+        async look(signal) {
+            const live = await readRecords(store, LIVE_PREFIX, LiveScheduler);
+            const claims = await readRecords(store, CLAIMS_PREFIX, Claim);
+            if (live.isErr || claims.isErr) {
+                absentSince.clear();
+                return false;
+            }
+            directory = {
+                live: live.value,
+                claims: new Map(claims.value.map(record => [record.cell, record])),
+            };
+            const isAnnounced = live.value.some(({ incarnation }) => incarnation === self.incarnation);
+            if (isAnnounced && !isReleasing && maps.length > 0) {
+                const actions = listActions(directory);
+                await Promise.all(
+                    actions.map(async action =>
+                        action.kind === "claim" ? claim(action, signal) : owned.get(action.cell)?.release()
+                    ),
+                );
+            }
+            return true;
+        },
+        releaseAll() {
+            isReleasing = true;
+            owned.forEach(cell => cell.release());
+        },
+        async settled() {
+            await Promise.all(running.values());
+        },
+    };
+}
+
+type ClaimCellAction = Extract<ClaimAction, { kind: "claim"; }>;
+
+/** Cells that have been owned and whose workers have all left; their ledgers may still hold tasks. */
+function listEmptyCells(claims: ReadonlyMap<string, Claim>, maps: readonly CellMap[]): CellMap[] {
+    const present = new Set(maps.map(({ cell }) => cell));
+    return [...claims.keys()].filter(cell => !present.has(cell)).map(cell => ({
+        cell,
+        dataCentre: cell.slice(0, cell.lastIndexOf("-")),
+        workers: [],
+    }));
+}
+
+function forgetOthers(since: Map<string, number>, cells: readonly string[]): void {
+    for (const cell of [...since.keys()]) {
+        if (!cells.includes(cell)) {
+            since.delete(cell);
+        }
+    }
+}
+
+async function readRecords<Schema extends z.ZodType>(
+    store: Store,
+    prefix: string,
+    schema: Schema,
+): Promise<Result<z.output<Schema>[], Failure>> {
+    const found = await store.read({ key: prefix, prefix: true });
+    return found.andThen(({ entries }) => {
+        const records: z.output<Schema>[] = [];
+        for (const entry of entries) {
+            const record = parseJson(schema, entry.value, `record ${entry.key}`);
+            if (record.isErr) {
+                return Result.err(record.error);
+            }
+            records.push(record.value);
+        }
+        return Result.ok(records);
+    });
+}
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -19,6 +19,8 @@
 const DEFAULT_SEGMENTS_PER_SNAPSHOT = 64;
 const DEFAULT_BACK_OFF_MILLISECONDS = 1_000;
 const DEFAULT_LONGEST_BACK_OFF_MILLISECONDS = 300_000;
+const DEFAULT_ENDED_KEPT_MILLISECONDS = 3_600_000;
+const DEFAULT_ENDED_KEPT_AT_MOST = 200;
 const DEFAULT_OVERFLOW_AFTER_MILLISECONDS = 3_000;
 
 export const CellSettings = z.strictObject({
@@ -49,6 +51,10 @@
     /** First wait after a failed attempt; doubles with each further one. */
     backOffMilliseconds: z.int().min(1).default(DEFAULT_BACK_OFF_MILLISECONDS),
     longestBackOffMilliseconds: z.int().min(1).default(DEFAULT_LONGEST_BACK_OFF_MILLISECONDS),
+    /** Ended tasks stay in a cell's ledger for this long, for operators to see. */
+    endedKeptMilliseconds: z.int().min(0).default(DEFAULT_ENDED_KEPT_MILLISECONDS),
+    /** Ended tasks that stay in a cell's ledger at most. */
+    endedKeptAtMost: z.int().min(0).default(DEFAULT_ENDED_KEPT_AT_MOST),
     /** Time that a task waits in its home cell before other cells are asked to take it. */
     overflowAfterMilliseconds: z.int().min(1).default(DEFAULT_OVERFLOW_AFTER_MILLISECONDS),
 });
