Scheduler: plans and decides on change, wakes only workers concerned

Cause: each interval planned, decided and woke every worker's task, whatever had changed; tasks on workers that the list no longer has were never given up. Change: pace of a cell, crew of worker tasks, lost tasks of unlisted workers.

--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -18,16 +18,16 @@
 import type { RouteTable } from "../routes.js";
 import type { CellSettings } from "../settings.js";
 import { createWake } from "../wake.js";
-import type { Wake } from "../wake.js";
+import { createCrew } from "./crew.js";
 import { applyDecisions } from "./decide.js";
+import type { DecideInput } from "./decide.js";
 import { moveOff } from "./drain.js";
-import { createLink } from "./link.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
 import { leasesEndAt, observeEvent } from "./observe.js";
+import { createPace } from "./pace.js";
 import { forgetEnded } from "./transitions.js";
 import { buildView, stateOf } from "./view.js";
 import type { ViewInput } from "./view.js";
-import { runWorker } from "./worker.js";
 
 const SWEEP_INTERVAL_MILLISECONDS = 5_000;
 
@@ -84,19 +84,41 @@
 export function createCell(options: CellOptions): Cell {
     const { settings, ledger, journal, clock, policy } = options;
     const name = options.map.cell;
-    const links = new Map<string, WorkerLink>();
-    const wakes = new Map<string, Wake>();
-    const stops = new Map<string, AbortController>();
+    const takenAt = clock();
     const routes = createRouteTable(name, journal.head().epoch);
     const inbox: WorkerEvent[] = [];
     const commands: WaitingCommand[] = [];
     const ended = new AbortController();
     const wake = createWake();
+    const pace = createPace();
     let end: CellEnd | undefined;
     let releasing = false;
     let sweepAt = 0;
     let configuration: Configuration | undefined;
-    const tasks = new Set<Promise<void>>();
+
+    const finish = (reason: CellEnd) => {
+        end ??= reason;
+        ended.abort();
+        wake.wake();
+    };
+
+    const crew = createCrew({
+        ledger,
+        header: { cell: name, owner: options.owner, epoch: journal.head().epoch },
+        settings,
+        workers: options.workers,
+        clock,
+        horizon: () => journal.head().horizonMilliseconds,
+        emit: event => {
+            inbox.push(event);
+        },
+        onReport: (report, now) => {
+            policy.observeReport(report, now);
+            options.credits.observeConnections(name, report, now);
+        },
+        onFenced: () => finish("fenced"),
+    }, ended.signal);
+    const { links } = crew;
 
     const viewInput = (): ViewInput => ({
         cell: name,
@@ -106,48 +128,7 @@
         quotas: configuration === undefined ? [] : options.quotas(ledger, configuration),
         silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds,
     });
-    const isLive = (link: WorkerLink) => stateOf(viewInput(), link, clock()) === "live";
-
-    const finish = (reason: CellEnd) => {
-        end ??= reason;
-        ended.abort();
-        wake.wake();
-    };
-
-    const startWorker = (link: WorkerLink, signal: AbortSignal) => {
-        const { name: worker } = link.instance;
-        const stop = new AbortController();
-        const workerWake = createWake();
-        stops.set(worker, stop);
-        wakes.set(worker, workerWake);
-        const task = runWorker({
-            link,
-            ledger,
-            header: { cell: name, owner: options.owner, epoch: journal.head().epoch },
-            settings,
-            workers: options.workers,
-            clock,
-            wake: workerWake,
-            horizon: () => journal.head().horizonMilliseconds,
-            emit: event => {
-                inbox.push(event);
-            },
-            onReport: (report, now) => {
-                policy.observeReport(report, now);
-                options.credits.observeConnections(name, report, now);
-            },
-            onFenced: () => finish("fenced"),
-        }, AbortSignal.any([signal, stop.signal]));
-        tasks.add(task);
-        void task.finally(() => tasks.delete(task));
-    };
-
-    const dropWorker = (worker: string) => {
-        stops.get(worker)?.abort();
-        stops.delete(worker);
-        wakes.delete(worker);
-        links.delete(worker);
-    };
+    const silence = { ledger, silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds };
 
     const observe = (now: number) => {
         const input = {
@@ -161,13 +142,15 @@
         for (const event of inbox.splice(0)) {
             observeEvent(input, event, now);
         }
-        const silence = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
-        for (const link of [...links.values()]) {
-            if (now >= leasesEndAt(silence, link) && ledger.committedOn(link.instance.name).length > 0) {
-                observeEvent(input, { kind: "lost", worker: link.instance.name, reason: "its lease lapsed" }, now);
+        const leases = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
+        for (const worker of ledger.workers()) {
+            if (now >= leasesEndAt(leases, links.get(worker), takenAt)) {
+                observeEvent(input, { kind: "lost", worker, reason: "its lease lapsed" }, now);
             }
+        }
+        for (const link of [...links.values()]) {
             if (!link.listed && ledger.committedOn(link.instance.name).length === 0) {
-                dropWorker(link.instance.name);
+                crew.drop(link.instance.name);
             }
         }
     };
@@ -182,45 +165,43 @@
             return;
         }
         planCell({ cell: name, configuration, ledger, findAssignment: options.assignments.find }, now);
-        moveOffWorkers(now);
-        const decisions = policy.decide(buildView(viewInput(), now), now);
-        applyDecisions(
-            {
-                ledger,
-                links,
-                isLive,
-                onRejected: (decision, reason) =>
-                    options.metrics.decisionsRejected.inc({ kind: decision.kind, reason }),
-            },
-            decisions,
-            now,
-        );
-    };
-
-    const moveOffWorkers = (now: number) => {
         for (const link of links.values()) {
-            const state = stateOf(viewInput(), link, now);
+            const state = stateOf(silence, link, now);
             if (state === "leaving" || state === "draining") {
                 moveOff(ledger, link.instance.name, state, now);
             }
         }
+        const decisions = policy.decide(buildView(viewInput(), now), now);
+        const input: DecideInput = {
+            ledger,
+            links,
+            isLive: link => stateOf(silence, link, now) === "live",
+            onRejected: ({ kind }, reason) => options.metrics.decisionsRejected.inc({ kind, reason }),
+        };
+        applyDecisions(input, decisions, now);
     };
 
-    const commit = async (signal: AbortSignal): Promise<Failure | undefined> => {
+    const commit = async (): Promise<Failure | undefined> => {
         const now = clock();
         const renewHorizon = now > journal.head().horizonMilliseconds - settings.horizonMilliseconds * 2 / 3;
         if (!ledger.hasChanges() && !renewHorizon && !releasing) {
             return undefined;
         }
+        const { workers } = ledger.changes();
         const committed = await journal.commit({
             ledger,
             now,
             horizonMilliseconds: settings.horizonMilliseconds,
             release: releasing,
-            signal,
+            signal: ended.signal,
         });
         options.metrics.commits.inc({ outcome: committed.isOk ? "committed" : committed.error.code });
-        return committed.isErr ? committed.error : undefined;
+        if (committed.isErr) {
+            return committed.error;
+        }
+        publish();
+        workers.forEach(worker => crew.wake(worker));
+        return undefined;
     };
 
     const publish = () => {
@@ -229,21 +210,25 @@
         if (routes.update(deriveRoutes(name, ledger, links, serving))) {
             options.onRoutes();
         }
-        wakes.forEach(workerWake => workerWake.wake());
     };
 
-    const round = async (signal: AbortSignal): Promise<void> => {
+    const round = async (): Promise<void> => {
         const now = clock();
+        const isBusy = inbox.length + commands.length > 0;
         observe(now);
         const taken = commands.splice(0);
         taken.forEach(({ command }) => command(ledger, now));
-        if (!releasing) {
+        const isDue = pace.isDue({
+            now,
+            isBusy: isBusy || ledger.hasChanges(),
+            version: options.assignments.version(),
+        });
+        if (isDue && !releasing) {
             decide(now);
         }
-        const failure = await commit(signal);
+        const failure = await commit();
         if (failure === undefined) {
             taken.forEach(({ settle }) => settle(true));
-            publish();
             if (releasing) {
                 finish("released");
             }
@@ -268,20 +253,11 @@
         epoch: () => journal.head().epoch,
         view: now => buildView(viewInput(), now),
         updateMap(map, now) {
-            const listed = new Map(map.workers.map(worker => [worker.name, worker]));
-            for (const link of links.values()) {
-                const instance = listed.get(link.instance.name);
-                link.listed = instance !== undefined;
-                link.instance = instance ?? link.instance;
-            }
-            for (const instance of map.workers) {
-                if (!links.has(instance.name)) {
-                    const link = createLink(instance, now);
-                    links.set(instance.name, link);
-                    startWorker(link, ended.signal);
-                }
+            if (crew.update(map.workers, now)) {
+                pace.hurry();
+                publish();
+                options.credits.updateWorkers(name, map.workers, now);
             }
-            options.credits.updateWorkers(name, map.workers, now);
         },
         command(command) {
             return new Promise(settle => {
@@ -299,18 +275,18 @@
         async run(signal) {
             const abort = () => finish("aborted");
             signal.addEventListener("abort", abort, { once: true });
-            options.credits.takeCell(name, journal.head().epoch, options.map.workers, clock());
-            this.updateMap(options.map, clock());
+            options.credits.takeCell(name, journal.head().epoch, options.map.workers, takenAt);
+            crew.update(options.map.workers, takenAt);
             publish();
             while (end === undefined && !signal.aborted) {
-                await round(ended.signal);
+                await round();
                 await wake.wait(settings.commitIntervalMilliseconds, ended.signal);
             }
             signal.removeEventListener("abort", abort);
-            ended.abort();
+            finish("aborted");
             commands.splice(0).forEach(({ settle }) => settle(false));
             options.credits.dropCell(name);
-            await Promise.all(tasks);
+            await crew.settled();
             return end ?? "aborted";
         },
     };
--- a/src/scheduler/cell/observe.ts
+++ b/src/scheduler/cell/observe.ts
@@ -126,9 +126,10 @@
  * Tells when all leases on a silent worker have lapsed. A renewal that got no answer may have been taken in until the
  * lease before it lapsed, and prolongs it by one lease at most; so two leases after the last answer none is left.
  */
-export function leasesEndAt(input: SilenceInput, link: WorkerLink): number {
-    const lastRenewal = link.incarnation === undefined
-        ? Math.max(link.answeredAtMilliseconds, input.predecessorsEndMilliseconds)
-        : link.answeredAtMilliseconds;
+export function leasesEndAt(input: SilenceInput, link: WorkerLink | undefined, takenAtMilliseconds: number): number {
+    // A worker that the instance list no longer has is gone, so nobody else renews anything on it.
+    const isListed = link?.listed === true;
+    const formerOwners = isListed && link.incarnation === undefined ? input.predecessorsEndMilliseconds : 0;
+    const lastRenewal = Math.max(link?.answeredAtMilliseconds ?? takenAtMilliseconds, formerOwners);
     return lastRenewal + 2 * input.workerLeaseMilliseconds * (1 + input.clockRateShare);
 }
--- /dev/null
+++ b/src/scheduler/cell/pace.ts
@@ -0,0 +1,41 @@
+/**
+ * How often the owner of a cell plans and decides: at once after a change, seldom while nothing changes.
+ */
+
+const IDLE_INTERVAL_MILLISECONDS = 1_000;
+
+/** What a round has seen. */
+export interface RoundState {
+    readonly now: number;
+    /** Something was observed or asked for. */
+    readonly isBusy: boolean;
+    /** Version of the rules and assignments. */
+    readonly version: string;
+}
+
+/** Pace of one cell. */
+export interface Pace {
+    /** Tells whether this round plans and decides. */
+    isDue(state: RoundState): boolean;
+    /** Makes the next round plan and decide. */
+    hurry(): void;
+}
+
+/** Creates the pace of a cell; its first round is due. */
+export function createPace(): Pace {
+    let version = "";
+    let nextAt = 0;
+    return {
+        isDue(state) {
+            if (!state.isBusy && state.version === version && state.now < nextAt) {
+                return false;
+            }
+            version = state.version;
+            nextAt = state.now + IDLE_INTERVAL_MILLISECONDS;
+            return true;
+        },
+        hurry() {
+            nextAt = 0;
+        },
+    };
+}
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -14,6 +14,9 @@
 // Renewals that are sent to a silent worker for longer than this share of a lease could prolong a lease by more than one.
 const RENEWABLE_SHARE_OF_LEASE = 0.5;
 
+/** Orders that have not been carried out are repeated after this time. */
+const ORDER_RETRY_MILLISECONDS = 400;
+
 const ENDED_STATES: ReadonlySet<AttemptStatus["state"]> = new Set(["finished", "failed", "stopped", "lapsed"]);
 
 /** What the task of one worker needs. */
@@ -57,10 +60,16 @@
             const report = await options.workers.report(link.instance.controlOrigin);
             report.map(measured => options.onReport(measured, clock()));
         }
-        await wake.wait(Math.min(renewAt, reportAt) - clock(), signal);
+        const orderAt = hasOpenOrders(options) ? clock() + ORDER_RETRY_MILLISECONDS : Infinity;
+        await wake.wait(Math.min(renewAt, reportAt, orderAt) - clock(), signal);
     }
 }
 
+function hasOpenOrders({ link, ledger }: WorkerTaskOptions): boolean {
+    return link.incarnation !== undefined
+        && ledger.committedOn(link.instance.name).some(({ state }) => state !== "running");
+}
+
 async function renewLeases(options: WorkerTaskOptions, signal: AbortSignal): Promise<void> {
     const { link, ledger, settings, clock } = options;
     const tasks = ledger.committedOn(link.instance.name);
--- a/src/scheduler/ledger/ledger.ts
+++ b/src/scheduler/ledger/ledger.ts
@@ -14,6 +14,8 @@
     readonly admissions: readonly Admission[];
     readonly drains: readonly Drain[];
     readonly drainsEnded: readonly string[];
+    /** Workers that something changes for. */
+    readonly workers: ReadonlySet<string>;
 }
 
 /** Ledger of one cell in memory. */
@@ -27,6 +29,8 @@
     readonly drains: ReadonlyMap<string, Drain>;
     /** Committed tasks that hold room on a worker. */
     committedOn(worker: string): readonly Task[];
+    /** Workers on which committed tasks hold room. */
+    workers(): readonly string[];
     specOf(task: Task): TaskSpec;
     put(task: Task): void;
     remove(taskId: string): void;
@@ -60,7 +64,11 @@
     const applyTask = (taskId: string, task: Task | undefined) => {
         const before = committed.get(taskId);
         if (before?.worker !== undefined && before.worker !== task?.worker) {
-            byWorker.get(before.worker)?.delete(taskId);
+            const group = byWorker.get(before.worker);
+            group?.delete(taskId);
+            if (group?.size === 0) {
+                byWorker.delete(before.worker);
+            }
         }
         if (task?.worker !== undefined) {
             const group = byWorker.get(task.worker) ?? new Set();
@@ -83,6 +91,9 @@
         committedOn(worker) {
             return [...byWorker.get(worker) ?? []].flatMap(taskId => committed.get(taskId) ?? []);
         },
+        workers() {
+            return [...byWorker.keys()];
+        },
         specOf(task) {
             const spec = specs.get(task.specId);
             if (spec === undefined) {
@@ -127,6 +138,12 @@
                 admissions: pick(changedAdmissions, admissions),
                 drains: pick(changedDrains, drains),
                 drainsEnded: [...changedDrains].filter(worker => !drains.has(worker)),
+                workers: new Set([...changedTasks].flatMap(taskId =>
+                    [
+                        draft.get(taskId)?.worker ?? [],
+                        committed.get(taskId)?.worker ?? [],
+                    ].flat()
+                )),
             };
         },
         markCommitted() {
@@ -166,6 +183,7 @@
                 admissions: [...admissions.values()],
                 drains: [...drains.values()],
                 drainsEnded: [],
+                workers: new Set(),
             };
         },
     };
