--- a/src/core/rpc.ts
+++ b/src/core/rpc.ts
@@ -13,6 +13,7 @@
 import { z } from "zod";
 import { createFailure, describeThrown, Failure } from "./errors.js";
 import { parse } from "./parse.js";
+import { createTimeout } from "./time.js";
 
 /** Path of the JSON-RPC endpoint on peer and operator ports. */
 export const RPC_PATH = "/rpc";
@@ -164,7 +165,7 @@
     options: RpcClientOptions,
     callOptions: RpcCallOptions,
 ): Promise<Result<unknown, Failure>> {
-    const timeoutSignal = AbortSignal.timeout(callOptions.timeoutMilliseconds ?? options.timeoutMilliseconds);
+    const timeoutSignal = createTimeout(callOptions.timeoutMilliseconds ?? options.timeoutMilliseconds);
     const signal = callOptions.signal === undefined
         ? timeoutSignal
         : AbortSignal.any([timeoutSignal, callOptions.signal]);
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -23,3 +23,8 @@
         // An abort ends the wait early; callers look at the signal themselves.
     }
 }
+
+/** Creates a signal that aborts after a time; unlike the platform's own function it takes fractions and times past. */
+export function createTimeout(milliseconds: number): AbortSignal {
+    return AbortSignal.timeout(Math.max(1, Math.ceil(milliseconds)));
+}
--- a/src/gateway/exclusive/holder.ts
+++ b/src/gateway/exclusive/holder.ts
@@ -5,6 +5,7 @@
 import { createFailure } from "../../core/errors.js";
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
+import { createTimeout } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import { commitRecord } from "../../platform/commit.js";
 import type { StoredRecord } from "../../platform/commit.js";
@@ -112,7 +113,7 @@
         body: record,
         expectedRevision: previous?.revision ?? 0,
         // The claim counts from before it was written, so a write that takes too long is of no use.
-        signal: AbortSignal.timeout(options.settings.refreshMilliseconds),
+        signal: createTimeout(options.settings.refreshMilliseconds),
     });
     if (committed.isOk) {
         options.table.put(partition, { body: record, revision: committed.value, leaseId: "" });
--- a/src/gateway/idempotency/guard.ts
+++ b/src/gateway/idempotency/guard.ts
@@ -10,7 +10,7 @@
 import type { Metrics } from "../../core/metrics.js";
 import { parseJson } from "../../core/parse.js";
 import type { Clock } from "../../core/time.js";
-import { MILLISECONDS_PER_SECOND, pause } from "../../core/time.js";
+import { createTimeout, MILLISECONDS_PER_SECOND, pause } from "../../core/time.js";
 import type { KeyValue, Store } from "../../platform/store.js";
 import type { Admission, Guard, GuardedRequest, Permit, PermitOutcome, RecordedAnswer } from "../guard.js";
 import { IdempotencyRecord, nameRecord } from "./record.js";
@@ -75,7 +75,7 @@
         return refuseUnrecorded(leaseId.error);
     }
     const intent = createIntent(request);
-    const deadline = AbortSignal.timeout(Math.max(1, request.deadlineMilliseconds - now));
+    const deadline = createTimeout(request.deadlineMilliseconds - now);
     const write = { key: nameRecord(request), value: encode(intent), expectedRevision: 0, leaseId: leaseId.value };
     const outcome = await parts.writer.write(write, deadline);
     if (outcome.isErr) {
@@ -221,7 +221,7 @@
     write: { key: string; value: string | undefined; expectedRevision: number; leaseId: string; },
     parts: GuardParts,
 ): Promise<void> {
-    const limit = AbortSignal.timeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
+    const limit = createTimeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
     while (!limit.aborted) {
         const outcome = await parts.writer.write(write, limit);
         if (outcome.isOk) {
@@ -236,7 +236,7 @@
 
 /** Takes back an intent that may have been written although nothing will be sent for it. */
 async function withdraw(key: string, intent: IdempotencyRecord, parts: GuardParts): Promise<void> {
-    const limit = AbortSignal.timeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
+    const limit = createTimeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
     while (!limit.aborted) {
         await pause(parts.settings.outcomeWaitMilliseconds, limit);
         const found = await parts.store.read({ key });
--- a/src/platform/adapters/calls.ts
+++ b/src/platform/adapters/calls.ts
@@ -7,6 +7,7 @@
 import { z } from "zod";
 import { createFailure, describeThrown, Failure } from "../../core/errors.js";
 import { parse } from "../../core/parse.js";
+import { createTimeout } from "../../core/time.js";
 
 /** A call; without a body it is a GET. */
 export interface JsonCall<Schema extends z.ZodType> {
@@ -24,7 +25,7 @@
 export async function callJson<Schema extends z.ZodType>(
     call: JsonCall<Schema>,
 ): Promise<Result<z.output<Schema>, Failure>> {
-    const signal = AbortSignal.timeout(call.timeoutMilliseconds);
+    const signal = createTimeout(call.timeoutMilliseconds);
     const { origin: peer, pathname: step } = new URL(call.url);
     try {
         const answer = await request(call.url, {
--- a/src/platform/adapters/store.ts
+++ b/src/platform/adapters/store.ts
@@ -7,6 +7,7 @@
 import { createFailure, describeThrown } from "../../core/errors.js";
 import type { Failure } from "../../core/errors.js";
 import { parse } from "../../core/parse.js";
+import { createTimeout } from "../../core/time.js";
 import type { Comparison, KeyValue, ReadRequest, Store, Transaction, WatchRequest, WriteOperation } from "../store.js";
 import {
     decodeText,
@@ -107,7 +108,7 @@
             method: "POST",
             headers: { "content-type": "application/json" },
             body: JSON.stringify(body),
-            signal: AbortSignal.timeout(options.timeoutMilliseconds),
+            signal: createTimeout(options.timeoutMilliseconds),
             dispatcher,
         });
         const content = await answer.body.json();
--- a/src/settings/common.ts
+++ b/src/settings/common.ts
@@ -2,13 +2,17 @@
  * Settings that both daemons share.
  */
 import { z } from "zod";
+import { ConfigurationSettings } from "../configuration/settings.js";
 import { ListenAddress } from "../core/http.js";
 import { Name, Origin } from "../core/messages/identity.js";
+import { MembershipSettings } from "../membership/settings.js";
 
 const DEFAULT_STORE_TIMEOUT_MILLISECONDS = 2_000;
 const DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS = 2_000;
+const DEFAULT_PEER_TIMEOUT_MILLISECONDS = 2_000;
 const DEFAULT_STOP_LIMIT_MILLISECONDS = 20_000;
 
+/** Keys of both daemons' settings files. */
 export const commonSettings = {
     /** Name of the entry instance. */
     instance: Name,
@@ -29,6 +33,10 @@
     metrics: ListenAddress,
     /** Shared secret of the system's own processes. */
     peerToken: z.string().min(8),
+    /** Time within which a peer has to answer. */
+    peerTimeoutMilliseconds: z.int().min(1).default(DEFAULT_PEER_TIMEOUT_MILLISECONDS),
     /** Longest time that a graceful stop may take. */
     stopLimitMilliseconds: z.int().min(0).default(DEFAULT_STOP_LIMIT_MILLISECONDS),
+    membership: MembershipSettings.prefault({}),
+    configuration: ConfigurationSettings.prefault({}),
 };
--- /dev/null
+++ b/src/wiring.ts
@@ -0,0 +1,269 @@
+/**
+ * Constructs the parts of both daemons and joins them.
+ */
+import { randomUUID } from "node:crypto";
+import { Result } from "true-myth/result";
+import { createConfigurationFeed } from "./configuration/feed.js";
+import type { RunningDaemon } from "./core/daemon.js";
+import { listen } from "./core/http.js";
+import type { Logger } from "./core/log.js";
+import type { Role } from "./core/messages/identity.js";
+import { readStatus } from "./core/messages/operator.js";
+import { createMetrics } from "./core/metrics.js";
+import type { Metrics } from "./core/metrics.js";
+import type { Part } from "./core/part.js";
+import { createRandom, hashText } from "./core/random.js";
+import { createRpcClient, createRpcRouter, implement } from "./core/rpc.js";
+import type { MethodHandler } from "./core/rpc.js";
+import { answerErrors, mountMetrics, openSurface } from "./core/surface.js";
+import type { Surface } from "./core/surface.js";
+import { systemClock } from "./core/time.js";
+import { createExclusive } from "./gateway/exclusive/exclusive.js";
+import { createGateway } from "./gateway/gateway.js";
+import { createIdempotencyGuard } from "./gateway/idempotency/guard.js";
+import { createMembership } from "./membership/membership.js";
+import { createOperatorSurface } from "./operator/operator.js";
+import { createInstanceList } from "./platform/adapters/instances.js";
+import { createStore } from "./platform/adapters/store.js";
+import { createWorkerControl } from "./platform/adapters/worker.js";
+import { createPolicy } from "./policy/create.js";
+import type { ConfigurationSource } from "./rules/rule.js";
+import { createScheduler } from "./scheduler/scheduler.js";
+import type { GatewaySettings } from "./settings/gateway.js";
+import type { SchedulerSettings } from "./settings/scheduler.js";
+
+type Settings = GatewaySettings | SchedulerSettings;
+
+/** Starts a gateway. */
+export async function startGateway(settings: GatewaySettings, logger: Logger): Promise<RunningDaemon> {
+    const foundation = await layFoundation("gateway", settings, logger);
+    const { clock, configuration, instanceList, membership, metrics, random, rpc, store } = foundation;
+    const exclusive = createExclusive({
+        identity: { ...foundation.identity, origin: foundation.origin },
+        settings: settings.exclusive,
+        store,
+        instanceList,
+        configuration: configuration.source,
+        membership: membership.source,
+        rpc,
+        clock,
+        metrics,
+        logger,
+    });
+    const gateway = createGateway({
+        identity: foundation.identity,
+        settings: settings.requests,
+        configuration: configuration.source,
+        membership: membership.source,
+        rpc,
+        guards: [
+            exclusive.guard,
+            createIdempotencyGuard({ settings: settings.idempotency, store, clock, metrics, logger }),
+        ],
+        peerToken: settings.peerToken,
+        clock,
+        random,
+        metrics,
+        logger,
+    });
+    const operator = createOperatorSurface({
+        settings: settings.operator,
+        store,
+        instanceList,
+        feed: configuration,
+        membership: membership.source,
+        rpc,
+        clock,
+        metrics,
+        logger,
+    });
+    const ready = () => gateway.ready();
+    const operators = await openSurface(settings.operators);
+    operators.app.use(createRpcRouter({ handlers: operator.handlers, token: settings.operatorToken }));
+    operators.app.use(answerErrors);
+    foundation.peers.app.use(gateway.peerListener);
+    const running = await foundation.run([gateway, operator, exclusive], {
+        ready,
+        ownedCells: () => [],
+        storeReachable: () => true,
+    });
+    const callers = await listen(gateway.listener, settings.callers);
+    return {
+        announcement: { ...running.announcement, callers: callers.origin, operators: operators.running.origin },
+        stop: async () => {
+            await membership.leave();
+            await Promise.all([gateway.drain(settings.stopLimitMilliseconds), exclusive.handOver()]);
+            await callers.close();
+            await operators.running.close();
+            await running.stop();
+        },
+    };
+}
+
+/** Starts a scheduler. */
+export async function startScheduler(settings: SchedulerSettings, logger: Logger): Promise<RunningDaemon> {
+    const foundation = await layFoundation("scheduler", settings, logger);
+    const { clock, configuration, instanceList, membership, metrics, random, rpc, store } = foundation;
+    const scheduler = createScheduler({
+        identity: { ...foundation.identity, origin: foundation.origin },
+        settings: settings.cells,
+        store,
+        instanceList,
+        workers: createWorkerControl({ timeoutMilliseconds: settings.workerTimeoutMilliseconds }),
+        configuration: configuration.source,
+        membership: membership.source,
+        rpc,
+        createPolicy: () => createPolicy({ settings: settings.policy, random, metrics, logger }),
+        credits: {
+            takeCell: () => undefined,
+            updateWorkers: () => undefined,
+            dropCell: () => undefined,
+            observeConnections: () => undefined,
+        },
+        clock,
+        random,
+        metrics,
+        logger,
+    });
+    const running = await foundation.run([scheduler], {
+        ready: () => scheduler.ready(),
+        ownedCells: () => scheduler.ownedCells(),
+        storeReachable: () => scheduler.storeReachable(),
+    });
+    return {
+        announcement: running.announcement,
+        stop: async () => {
+            await membership.leave();
+            await scheduler.handOver(settings.stopLimitMilliseconds);
+            await running.stop();
+        },
+    };
+}
+
+/** Opens the ports and constructs what both daemons have. */
+async function layFoundation(role: Role, settings: Settings, logger: Logger) {
+    const clock = systemClock;
+    const startedAtMilliseconds = clock();
+    const incarnation = randomUUID();
+    const random = createRandom(hashText(incarnation));
+    const metrics = createMetrics({ instance: settings.instance, role });
+    const peers = await openSurface(settings.peers);
+    const origin = settings.advertisedOrigin ?? peers.running.origin;
+    const rpc = createRpcClient({ token: settings.peerToken, timeoutMilliseconds: settings.peerTimeoutMilliseconds });
+    const store = createStore(settings.store);
+    const instanceList = createInstanceList(settings.instanceList);
+    const membership = createMembership({
+        self: {
+            instance: settings.instance,
+            role,
+            dataCentre: settings.dataCentre,
+            origin,
+            incarnation: Math.floor(startedAtMilliseconds),
+        },
+        configurationRevision: () => configuration.source.current()?.revision ?? 0,
+        settings: settings.membership,
+        instanceList,
+        rpc,
+        clock,
+        random,
+        metrics,
+        logger,
+    });
+    const configuration = createConfigurationFeed({
+        settings: settings.configuration,
+        store,
+        membership: membership.source,
+        rpc,
+        clock,
+        random,
+        metrics,
+        logger,
+    });
+    const identity = { instance: settings.instance, dataCentre: settings.dataCentre, incarnation };
+    const run = (parts: readonly Part[], state: DaemonState) =>
+        runParts({
+            parts: [membership, configuration, ...parts],
+            status: describeStatus(state, { ...identity, role, origin, startedAtMilliseconds }, configuration.source),
+            peers,
+            settings,
+            metrics,
+            ready: () => state.ready(),
+        });
+    return {
+        clock,
+        random,
+        metrics,
+        peers,
+        origin,
+        rpc,
+        store,
+        instanceList,
+        membership,
+        configuration,
+        identity,
+        run,
+    };
+}
+
+/** What a daemon says of itself beside its identity. */
+interface DaemonState {
+    ready(): boolean;
+    ownedCells(): { cell: string; epoch: number; tasks: number; workers: number; }[];
+    storeReachable(): boolean;
+}
+
+function describeStatus(
+    state: DaemonState,
+    identity: {
+        readonly instance: string;
+        readonly dataCentre: string;
+        readonly role: Role;
+        readonly origin: string;
+        readonly startedAtMilliseconds: number;
+    },
+    configuration: ConfigurationSource,
+): MethodHandler {
+    const { instance, dataCentre, role, origin, startedAtMilliseconds } = identity;
+    return implement(readStatus, async () =>
+        Result.ok({
+            instance,
+            dataCentre,
+            role,
+            origin,
+            startedAtMilliseconds,
+            ready: state.ready(),
+            configurationRevision: configuration.current()?.revision ?? 0,
+            storeReachable: state.storeReachable(),
+            cells: state.ownedCells(),
+        }));
+}
+
+interface RunOptions {
+    readonly parts: readonly Part[];
+    readonly status: MethodHandler;
+    readonly peers: Surface;
+    readonly settings: Settings;
+    readonly metrics: Metrics;
+    ready(): boolean;
+}
+
+/** Mounts the methods of all parts and runs the parts until `stop`. */
+async function runParts(options: RunOptions): Promise<RunningDaemon> {
+    const { parts, peers, settings } = options;
+    const handlers = [...parts.flatMap(part => part.handlers), options.status];
+    peers.app.use(createRpcRouter({ handlers, token: settings.peerToken }));
+    peers.app.use(answerErrors);
+    const metricsSurface = await openSurface(settings.metrics);
+    mountMetrics(metricsSurface, { metrics: options.metrics, ready: () => options.ready() });
+    const stopping = new AbortController();
+    const runs = parts.map(part => part.run(stopping.signal));
+    return {
+        announcement: { peers: peers.running.origin, metrics: metricsSurface.running.origin },
+        stop: async () => {
+            stopping.abort();
+            await Promise.all(runs);
+            await peers.running.close();
+            await metricsSurface.running.close();
+        },
+    };
+}
