--- a/bench/main.ts
+++ b/bench/main.ts
@@ -3,6 +3,7 @@
  *
  * The last line of a run is its result as JSON. Exit codes: 0 all checks hold, 1 one does not, 2 bad command line.
  */
+import { existsSync } from "node:fs";
 import { readdir, readFile, writeFile } from "node:fs/promises";
 import { basename } from "node:path";
 import { parseArgs } from "node:util";
@@ -33,7 +34,7 @@
 }
 
 async function listNames(): Promise<string[]> {
-    const files = await readdir(EXPERIMENTS_FOLDER);
+    const files = existsSync(EXPERIMENTS_FOLDER) ? await readdir(EXPERIMENTS_FOLDER) : [];
     return files.filter(file => file.endsWith(".js")).map(file => basename(file, ".js")).sort();
 }
 
