--- /dev/null
+++ b/bench/support/checker/index.ts
@@ -0,0 +1,2 @@
+export * from "./evidence.js";
+export * from "./judges.js";
--- /dev/null
+++ b/bench/support/checker/judges.ts
@@ -0,0 +1,29 @@
+/**
+ * All promises that the checker judges.
+ */
+import { judgeResumes, judgeSinglePlace } from "./batch.js";
+import { judgeCapacity } from "./capacity.js";
+import type { Evidence, Judge, Verdict } from "./evidence.js";
+import { judgeExclusive } from "./exclusive.js";
+import { judgeLeaving, judgePlannedStops } from "./leaving.js";
+import { judgeAnswers, judgeAtMostOnce, judgeNotRun } from "./requests.js";
+import { judgeConfiguration, judgeForgottenJobs } from "./rules.js";
+
+const judges: readonly Judge[] = [
+    judgeCapacity,
+    judgeExclusive,
+    judgeSinglePlace,
+    judgeResumes,
+    judgeAnswers,
+    judgeNotRun,
+    judgeAtMostOnce,
+    judgeLeaving,
+    judgePlannedStops,
+    judgeConfiguration,
+    judgeForgottenJobs,
+];
+
+/** Judges all promises. */
+export function judgeAll(evidence: Evidence): Verdict[] {
+    return judges.map(judge => judge(evidence));
+}
--- /dev/null
+++ b/bench/support/checker/runs.ts
@@ -0,0 +1,82 @@
+/**
+ * Runs of tasks and requests, put together from their starts and ends.
+ */
+import { pick } from "./evidence.js";
+import type { Evidence } from "./evidence.js";
+
+/** One attempt on one worker. */
+export interface TaskRun {
+    readonly worker: string;
+    readonly taskId: string;
+    readonly attempt: number;
+    readonly rule: string;
+    readonly kind: "service" | "batch";
+    readonly cores: number;
+    readonly memoryBytes: number;
+    readonly accelerators: number;
+    readonly startedAt: number;
+    readonly endedAt: number;
+    /** `running` where the log ends before the attempt. */
+    readonly state: "running" | "finished" | "failed" | "stopped" | "lapsed" | "lost";
+    readonly resumedProgress: number;
+    readonly progress: number;
+    readonly checkpointed: boolean;
+}
+
+/** One run of a request on one worker. */
+export interface RequestRun {
+    readonly worker: string;
+    readonly taskId: string;
+    readonly attempt: number;
+    readonly service: string;
+    readonly call: string;
+    readonly idempotencyKey: string;
+    readonly startedAt: number;
+    readonly endedAt: number;
+    readonly outcome: string;
+}
+
+/** Puts task runs together. */
+export function findTaskRuns({ workers, endedAt }: Evidence): TaskRun[] {
+    const ends = new Map(
+        pick(workers, "attempt-ended").map(end => [`${end.worker} ${end.taskId}#${end.attempt}`, end]),
+    );
+    return pick(workers, "attempt-started").map(start => {
+        const end = ends.get(`${start.worker} ${start.taskId}#${start.attempt}`);
+        return {
+            worker: start.worker,
+            taskId: start.taskId,
+            attempt: start.attempt,
+            rule: start.rule,
+            kind: start.kind,
+            cores: start.cores,
+            memoryBytes: start.memoryBytes,
+            accelerators: start.accelerators,
+            startedAt: start.at,
+            endedAt: end?.at ?? endedAt,
+            state: end?.state ?? "running",
+            resumedProgress: start.resumedProgress,
+            progress: end?.progress ?? start.resumedProgress,
+            checkpointed: end?.checkpointed ?? false,
+        };
+    });
+}
+
+/** Puts request runs together. */
+export function findRequestRuns({ workers, endedAt }: Evidence): RequestRun[] {
+    const ends = new Map(pick(workers, "request-ended").map(end => [`${end.worker} ${end.run}`, end]));
+    return pick(workers, "request-started").map(start => {
+        const end = ends.get(`${start.worker} ${start.run}`);
+        return {
+            worker: start.worker,
+            taskId: start.taskId,
+            attempt: start.attempt,
+            service: start.service,
+            call: start.call,
+            idempotencyKey: start.idempotencyKey,
+            startedAt: start.at,
+            endedAt: end?.at ?? endedAt,
+            outcome: end?.outcome ?? "under way",
+        };
+    });
+}
--- a/bench/support/load.ts
+++ b/bench/support/load.ts
@@ -22,6 +22,7 @@
     readonly key: string;
     readonly method: "GET" | "POST";
     readonly idempotencyKey?: string;
+    /** Time within which the caller needs its answer. */
     readonly deadlineMilliseconds?: number;
     readonly priority?: number;
 }
@@ -131,7 +132,7 @@
     const sentAt = options.clock();
     result.sent += 1;
     result.latestStartMilliseconds = Math.max(result.latestStartMilliseconds, sentAt - dueAt);
-    const ended = await send(load, call, id, origin, sentAt);
+    const ended = await send(load, call, id, origin);
     const endedAt = options.clock();
     result.outcomes[ended.outcome] += 1;
     if (ended.outcome === "answered") {
@@ -142,13 +143,13 @@
 
 type Ended = Pick<CallRecord, "outcome" | "status" | "detail">;
 
-async function send(load: Load, call: Call, id: string, origin: string, now: number): Promise<Ended> {
+async function send(load: Load, call: Call, id: string, origin: string): Promise<Ended> {
     const body = call.method === "POST" ? JSON.stringify({ call: id, content: `${call.service} ${call.key}` }) : "";
     let status = 0;
     try {
         const answer = await request(`${origin}/${call.service}/${encodeURIComponent(call.key)}?call=${id}`, {
             method: call.method,
-            headers: createHeaders(call, now),
+            headers: createHeaders(call),
             ...(body === "" ? {} : { body }),
             signal: AbortSignal.timeout(load.options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS),
             dispatcher: load.dispatcher,
@@ -164,14 +165,14 @@
     }
 }
 
-function createHeaders(call: Call, now: number): Record<string, string> {
+function createHeaders(call: Call): Record<string, string> {
     return {
         [headers.service]: call.service,
         ...(call.method === "POST" ? { "content-type": "application/json" } : {}),
         ...(call.idempotencyKey === undefined ? {} : { "idempotency-key": call.idempotencyKey }),
         ...(call.deadlineMilliseconds === undefined
             ? {}
-            : { [headers.deadline]: String(Math.round(now + call.deadlineMilliseconds)) }),
+            : { [headers.deadline]: String(call.deadlineMilliseconds) }),
         ...(call.priority === undefined ? {} : { [headers.priority]: String(call.priority) }),
     };
 }
