Connection credits: bank of the cell's owner and client of the gateway

Cause: gateways used a fixed share of 7 connections per worker, which neither bounds the sum nor follows demand. Change: the owner keeps an account per worker; a grant counts until it is given back, or until its lease has lapsed and a later report of the worker shows what is left. A new owner only confirms what is in use until one lease and a report have passed; the owner of epoch 1 has no predecessor. Requests carry a sequence, so that late ones change nothing. After a lapse a gateway opens nothing but keeps using what is open, so that no request is cut off by a lost owner. The gateway header names the start of the gateway (nameHolder), so that reports tell incarnations apart.

--- a/features/gateway/support/gateway.ts
+++ b/features/gateway/support/gateway.ts
@@ -13,7 +13,6 @@
 import type { Metrics } from "../../../src/core/metrics.js";
 import { createRandom } from "../../../src/core/random.js";
 import { createRpcClient, createRpcRouter, implement } from "../../../src/core/rpc.js";
-import type { MethodHandler } from "../../../src/core/rpc.js";
 import { pause, systemClock } from "../../../src/core/time.js";
 import { createGateway } from "../../../src/gateway/gateway.js";
 import type { Gateway } from "../../../src/gateway/gateway.js";
@@ -21,20 +20,33 @@
 import { RequestSettings } from "../../../src/gateway/settings.js";
 import type { Member, MembershipSource } from "../../../src/membership/member.js";
 import type { Configuration, ConfigurationSource, ServiceRule } from "../../../src/rules/rule.js";
+import { createCreditBank } from "../../../src/scheduler/credits/bank.js";
+import type { CreditBank, CreditBankOptions } from "../../../src/scheduler/credits/bank.js";
 
 export const PEER_TOKEN = "peer-token";
 const HOST = "127.0.0.1";
 const CHANGE_STEP_MILLISECONDS = 10;
 
+const WORKER_CONNECTIONS = 64;
+
 /** A scheduler that offers the routes that it was told to. */
 export interface TestScheduler {
     readonly origin: string;
+    readonly bank: CreditBank;
     offer(cell: Partial<CellRoutes>, routes: readonly Partial<Route>[]): void;
     close(): Promise<void>;
 }
 
-/** Starts a scheduler; `handlers` are served beside the routes. */
-export async function startScheduler(handlers: readonly MethodHandler[] = []): Promise<TestScheduler> {
+/** Starts a scheduler that owns one cell. */
+export async function startScheduler(options: Partial<CreditBankOptions> = {}): Promise<TestScheduler> {
+    const bank = createCreditBank({
+        clock: systemClock,
+        metrics: createMetrics({}),
+        logger: createLogger("scheduler-test"),
+        isOwner: () => true,
+        ...options,
+    });
+    let takenEpoch = 0;
     let cell: CellRoutes = { cell: "levi-0", epoch: 1, version: 0, routes: [] };
     const routes = implement(readRoutes, async ({ known, waitMilliseconds }) => {
         const endsAt = systemClock() + waitMilliseconds;
@@ -49,10 +61,11 @@
         });
     });
     const application = express();
-    application.use(createRpcRouter({ handlers: [routes, ...handlers], token: PEER_TOKEN }));
+    application.use(createRpcRouter({ handlers: [routes, ...bank.handlers], token: PEER_TOKEN }));
     const server = await listen(application, { host: HOST, port: 0 });
     return {
         origin: server.origin,
+        bank,
         offer: (changed, offered) => {
             cell = {
                 ...cell,
@@ -70,6 +83,14 @@
                     ...route,
                 })),
             };
+            const workers = [...new Set(cell.routes.map(({ worker }) => worker))];
+            const capacities = workers.map(worker => ({ worker, connections: WORKER_CONNECTIONS }));
+            if (cell.epoch === takenEpoch) {
+                bank.updateWorkers(cell.cell, capacities, systemClock());
+                return;
+            }
+            takenEpoch = cell.epoch;
+            bank.takeCell(cell.cell, cell.epoch, capacities, systemClock());
         },
         close: async () => {
             server.server.closeAllConnections();
--- a/src/core/messages/credits.ts
+++ b/src/core/messages/credits.ts
@@ -8,7 +8,10 @@
 /** Credits that a gateway holds on one worker. */
 export const CreditHolding = z.strictObject({
     worker: Name,
-    /** Credits in use or kept in reserve; what the gateway had beyond this it has given back. */
+    /**
+     * Credits in use or kept in reserve. What the gateway had beyond this it has given back: it opens no more until it
+     * has the answer.
+     */
     held: z.int().min(0),
     /** Credits wanted in all. */
     wanted: z.int().min(0),
@@ -21,10 +24,11 @@
 
 /**
  * Renews, enlarges or gives back a gateway's credits in one cell. The grant lapses `leaseMilliseconds` after the
- * gateway SENT the request, on the gateway's clock; the owner counts from its arrival, which is later. A gateway
- * closes connections beyond its grant before the lapse. A new incarnation of a gateway starts from zero.
+ * gateway SENT the request, on the gateway's clock; the owner counts from its arrival, which is later. After the lapse
+ * a gateway opens no connection; those that are open stay in use, and the owner counts them by the worker's reports,
+ * under the name that `nameHolder` gives. A new incarnation of a gateway starts from zero.
  *
- * Errors: `fenced` where the scheduler does not own the cell.
+ * Errors: `fenced` where the scheduler does not own the cell, `conflict` where a later request was seen before.
  */
 export const exchangeCredits = defineMethod(
     "credits.exchange",
@@ -32,6 +36,8 @@
         gateway: Name,
         incarnation: z.string(),
         cell: z.string(),
+        /** Rises with each request of an incarnation, so that one that arrives late changes nothing. */
+        sequence: z.int().min(0),
         holdings: z.array(CreditHolding),
     }),
     z.strictObject({
@@ -40,3 +46,8 @@
         grants: z.array(CreditGrant),
     }),
 );
+
+/** Names one start of a gateway, as the `flamingowell-gateway` header and the workers' reports do. */
+export function nameHolder(gateway: string, incarnation: string): string {
+    return `${gateway}/${incarnation}`;
+}
--- a/src/gateway/admission/selector.ts
+++ b/src/gateway/admission/selector.ts
@@ -48,8 +48,8 @@
     wake(now: number): void;
     /** Takes out requests whose time is up, and forgets replicas that are gone. */
     sweep(now: number): void;
-    /** Requests that wait, and connections that they want, by worker. */
     waiting(): number;
+    /** Connections that waiting requests want on a worker. */
     demand(worker: string): number;
     inFlight(): number;
 }
@@ -86,7 +86,6 @@
 class Selector implements UpstreamSelector {
     private readonly services = new Map<string, ServiceState>();
     private health = new Map<string, ReplicaHealth>();
-    private readonly demands = new Map<string, number>();
 
     constructor(private readonly options: SelectorOptions) {}
 
@@ -119,7 +118,7 @@
         health.inFlight -= 1;
         const latency = now - lease.startedAtMilliseconds;
         if (verdict === "failed" || verdict === "timed-out" || verdict === "unused") {
-            connections?.discard(connection, now);
+            connections?.discard(connection);
         }
         else {
             connections?.release(connection, now);
@@ -175,10 +174,15 @@
         return [...this.services.values()].reduce((sum, state) => sum + state.queue.length(), 0);
     }
 
-    /** Requests that found no free connection spread their wish over the workers that could serve them. */
     demand(worker: string): number {
-        const demand = this.demands.get(worker) ?? 0;
-        this.demands.delete(worker);
+        let demand = 0;
+        for (const [service, state] of this.services) {
+            const waiting = Math.min(state.queue.length(), state.limit.current() - state.inFlight);
+            const routes = waiting > 0 ? this.options.table.find(service) : undefined;
+            const replicas = [...routes?.near ?? [], ...routes?.far ?? []];
+            const own = replicas.filter(route => route.worker === worker).length;
+            demand += own === 0 ? 0 : waiting * own / replicas.length;
+        }
         return Math.ceil(demand);
     }
 
@@ -223,8 +227,8 @@
             random,
         );
         if (route === undefined) {
-            const usable = [...routes.near, ...routes.far].filter(mayUse);
-            return usable.length > 0 ? this.noteShortage(usable) : "breakers-open";
+            const isUsable = routes.near.some(mayUse) || routes.far.some(mayUse);
+            return isUsable ? "no-place" : "breakers-open";
         }
         const connection = pool.find(route.worker)?.acquire(now);
         if (connection === undefined) {
@@ -240,14 +244,6 @@
         return (inFlight + 1) * Math.max(latencyMilliseconds, SMALLEST_LATENCY_MILLISECONDS);
     }
 
-    private noteShortage(routes: readonly Route[]): "no-place" {
-        for (const { worker } of routes) {
-            this.demands.set(worker, (this.demands.get(worker) ?? 0) + 1 / routes.length);
-        }
-        this.options.onShortage();
-        return "no-place";
-    }
-
     /** Expects the wait from the requests ahead, the places, and the mean time that one is taken. */
     private isHopeless(wanted: Wanted, state: ServiceState, now: number): boolean {
         const places = Math.max(1, Math.min(state.limit.current(), state.inFlight));
@@ -259,6 +255,7 @@
     private wait(wanted: Wanted, state: ServiceState): Promise<Result<Lease, Refusal>> {
         // A replica that refused once is better than none once the request has had to wait.
         const again = { ...wanted, tried: new Set<Route>() };
+        this.options.onShortage();
         return new Promise(resolve => {
             state.queue.add({
                 priority: wanted.priority,
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -36,7 +36,8 @@
 
 /** What attempts are made with. */
 export interface AttemptsOptions {
-    readonly instance: string;
+    /** Name under which workers report this gateway's connections. */
+    readonly holder: string;
     readonly settings: RequestSettings;
     readonly selector: UpstreamSelector;
     readonly counters: RequestCounters;
@@ -96,14 +97,14 @@
 
 async function makeAttempt(lease: Lease, wanted: AttemptsRequest, options: AttemptsOptions): Promise<AttemptOutcome> {
     const { request, sink } = wanted;
-    const { settings, selector, clock, instance } = options;
+    const { settings, selector, clock, holder } = options;
     const { route, connection } = lease;
     const { requestId, idempotencyKey } = request.guarded;
     const sentHeaders = request.headers;
     sentHeaders[headers.service] = request.service;
     sentHeaders[headers.attempt] = nameAttempt(route);
     sentHeaders[headers.deadline] = String(Math.floor(wanted.latestEndMilliseconds));
-    sentHeaders[headers.gateway] = instance;
+    sentHeaders[headers.gateway] = holder;
     sentHeaders[headers.requestId] = requestId;
     sentHeaders[headers.priority] = String(request.priority);
     const result = await exchange(connection.client, {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import type { Router } from "express";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import type { Logger } from "../core/log.js";
+import { nameHolder } from "../core/messages/credits.js";
 import type { Metrics } from "../core/metrics.js";
 import type { Part } from "../core/part.js";
 import type { Random } from "../core/random.js";
@@ -18,6 +19,8 @@
 import type { RetryBudget } from "./admission/budget.js";
 import { createUpstreamSelector } from "./admission/selector.js";
 import { createRequestCounters } from "./counters.js";
+import { createCreditClient } from "./credits/client.js";
+import { createCellOwners } from "./credits/owners.js";
 import { createPeerForwarder, FORWARD_PATH, restoreForwarded } from "./forward.js";
 import type { Guard } from "./guard.js";
 import { runRouteReader } from "./routes/reader.js";
@@ -70,7 +73,8 @@
     const { identity, settings, configuration, clock, random, logger } = options;
     const counters = createRequestCounters(options.metrics);
     const table = createRouteTable({ ...identity, subset: settings.subset });
-    const pool = createUpstreamPool(settings);
+    const pool = createUpstreamPool({ ...settings, clock });
+    const owners = createCellOwners();
     const budgets = new Map<string, RetryBudget>();
     let rules = indexRules(configuration.current());
     let stopping = false;
@@ -82,7 +86,19 @@
         clock,
         random,
         onBreakerOpen: route => logger.warn("breaker-open", { service: route.service, peer: route.worker }),
-        onShortage: () => undefined,
+        onShortage: () => credits.hurry(),
+    });
+    const credits = createCreditClient({
+        ...identity,
+        rpc: options.rpc,
+        pool,
+        owners,
+        clock,
+        random,
+        logger,
+        routes: () => table.all(),
+        demandOn: worker => selector.demand(worker),
+        onChange: () => selector.wake(clock()),
     });
     const forwarder = createPeerForwarder({ peerToken: options.peerToken, settings, clock });
     const budgetOf = (service: string): RetryBudget => {
@@ -97,7 +113,7 @@
         settings,
         guards: options.guards,
         attempts: {
-            instance: identity.instance,
+            holder: nameHolder(identity.instance, identity.incarnation),
             settings,
             selector,
             counters,
@@ -145,23 +161,24 @@
                 random,
                 logger,
                 waitMilliseconds: settings.routesWaitMilliseconds,
+                owners,
                 onChange: () => {
                     const now = clock();
                     pool.follow(table.all(), now);
-                    for (const connections of pool.workers()) {
-                        connections.setCredits(THIN_CREDITS, Number.POSITIVE_INFINITY, now);
-                    }
+                    credits.follow(signal);
+                    credits.hurry();
                     selector.wake(now);
                 },
-                onOwned: () => undefined,
             }, signal);
             while (!signal.aborted) {
                 pool.follow(table.all(), clock());
+                credits.follow(signal);
                 selector.sweep(clock());
                 await pause(SWEEP_MILLISECONDS, signal);
             }
             stopFollowing();
             await reader;
+            await credits.giveBack();
             await forwarder.close();
             await pool.close();
         },
@@ -175,8 +192,6 @@
     };
 }
 
-const THIN_CREDITS = 7;
-
 function indexRules(configuration: Configuration | undefined): Map<string, ServiceRule> {
     const rules = (configuration?.documents ?? []).flatMap(document => document.rules);
     return new Map(rules.filter(rule => rule.kind === "service").map(rule => [rule.name, rule]));
--- a/src/gateway/routes/reader.ts
+++ b/src/gateway/routes/reader.ts
@@ -12,6 +12,7 @@
 import { pause } from "../../core/time.js";
 import { nameMember } from "../../membership/member.js";
 import type { MembershipSource } from "../../membership/member.js";
+import type { CellOwners } from "../credits/owners.js";
 import type { RouteTable } from "./table.js";
 
 const RETRY_MILLISECONDS = 500;
@@ -29,8 +30,7 @@
     readonly waitMilliseconds: number;
     /** Called after the table has changed. */
     onChange(): void;
-    /** Called with the cells that the scheduler at the origin says it owns. */
-    onOwned(origin: string, cells: readonly string[]): void;
+    readonly owners: CellOwners;
 }
 
 /** Reads routes from every scheduler that membership knows, until the signal is aborted. */
@@ -82,7 +82,10 @@
             await pause(jitter(RETRY_MILLISECONDS, RETRY_SPREAD, options.random), signal);
             continue;
         }
-        options.onOwned(origin, answer.value.owned);
+        for (const { cell, epoch } of answer.value.cells) {
+            options.owners.observeRoutes(cell, epoch, origin);
+        }
+        options.owners.observeOwned(origin, answer.value.owned);
         const changed = answer.value.cells.map(cell => table.update(cell)).includes(true);
         if (changed) {
             options.onChange();
--- a/src/gateway/upstream/connections.ts
+++ b/src/gateway/upstream/connections.ts
@@ -5,6 +5,7 @@
  * destroyed for one request's sake without harm to another.
  */
 import { Client } from "undici";
+import type { Clock } from "../../core/time.js";
 
 /** One connection; it belongs to whoever acquired it until it is released or discarded. */
 export interface Connection {
@@ -15,6 +16,7 @@
 
 /** How connections are made. */
 export interface ConnectionOptions {
+    readonly clock: Clock;
     readonly connectTimeoutMilliseconds: number;
     /** Idle connections are closed after this time. */
     readonly idleMilliseconds: number;
@@ -26,19 +28,22 @@
 export interface WorkerConnections {
     readonly worker: string;
     readonly origin: string;
-    /** Takes an idle connection or creates one; `undefined` where the credits are used up or have lapsed. */
+    /** Takes an idle connection or creates one; after the lapse of the credits only open connections are taken. */
     acquire(now: number): Connection | undefined;
     /** A connection could be acquired now. */
     available(now: number): boolean;
     /** Gives back a connection whose last answer arrived whole. */
     release(connection: Connection, now: number): void;
     /** Destroys a connection in doubt. */
-    discard(connection: Connection, now: number): void;
-    /** Destroys idle connections, for instance because another one has turned out to be dead. */
-    dropIdle(now: number): void;
-    /** Sets the credits; connections beyond them are closed, busy ones last and only where `force` is set. */
-    setCredits(credits: number, lapsesAtMilliseconds: number, now: number): void;
-    /** Closes what has been idle for long and, after a lapse, everything. */
+    discard(connection: Connection): void;
+    /** Destroys connections that have been idle since before a time, because another one has turned out to be dead. */
+    dropIdle(olderThanMilliseconds: number): void;
+    /** Sets the credits and the time at which they lapse; idle connections beyond them are closed. */
+    setCredits(credits: number, lapsesAtMilliseconds: number): void;
+    /** Credits in force. */
+    credits(now: number): number;
+    lapsesAt(): number;
+    /** Closes what has been idle for long. */
     sweep(now: number): void;
     /** Connections that count against the credits. */
     held(now: number): number;
@@ -64,38 +69,48 @@
         return cooling.length;
     };
     const held = (now: number) => idle.length + busy.size + cool(now);
-    const connect = (): Connection => ({
-        worker,
-        idleSinceMilliseconds: 0,
-        client: new Client(origin, {
+    const end = (connection: Connection) => {
+        cooling.push(options.clock() + options.coolingMilliseconds);
+        void connection.client.destroy();
+    };
+    const connect = (): Connection => {
+        const client = new Client(origin, {
             pipelining: 1,
             connect: { timeout: options.connectTimeoutMilliseconds },
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: options.idleMilliseconds,
-        }),
-    });
-    const end = (connection: Connection, now: number) => {
-        cooling.push(now + options.coolingMilliseconds);
-        void connection.client.destroy();
+        });
+        const connection: Connection = { worker, client, idleSinceMilliseconds: 0 };
+        client.on("connect", () => {
+            // The process may have been paused since it looked at the lease.
+            if (options.clock() >= lapsesAt) {
+                void client.destroy();
+            }
+        });
+        client.on("disconnect", () => {
+            const index = idle.indexOf(connection);
+            if (index >= 0) {
+                idle.splice(index, 1);
+                end(connection);
+            }
+        });
+        return connection;
     };
-    const trimIdle = (now: number) => {
-        while (idle.length > 0 && held(now) > credits) {
-            const [oldest] = idle.splice(0, 1);
+    const trimIdle = () => {
+        while (idle.length > 0 && idle.length + busy.size > credits) {
+            const oldest = idle.shift();
             if (oldest !== undefined) {
-                void oldest.client.destroy();
+                end(oldest);
             }
         }
     };
     return {
         worker,
         origin,
-        available: now => now < lapsesAt && (idle.length > 0 || held(now) < credits),
+        available: now => idle.length > 0 || now < lapsesAt && held(now) < credits,
         acquire(now) {
-            if (now >= lapsesAt) {
-                return undefined;
-            }
-            const connection = idle.pop() ?? (held(now) < credits ? connect() : undefined);
+            const connection = idle.pop() ?? (now < lapsesAt && held(now) < credits ? connect() : undefined);
             if (connection !== undefined) {
                 busy.add(connection);
             }
@@ -105,39 +120,38 @@
             if (!busy.delete(connection)) {
                 return;
             }
-            connection.idleSinceMilliseconds = now;
             if (connection.client.destroyed || connection.client.closed) {
+                end(connection);
                 return;
             }
+            connection.idleSinceMilliseconds = now;
             idle.push(connection);
-            trimIdle(now);
+            trimIdle();
         },
-        discard(connection, now) {
+        discard(connection) {
             if (busy.delete(connection)) {
-                end(connection, now);
+                end(connection);
             }
         },
-        dropIdle(now) {
-            for (const connection of idle.splice(0)) {
-                end(connection, now);
-            }
+        dropIdle(olderThanMilliseconds) {
+            const dropped = idle.filter(one => one.idleSinceMilliseconds < olderThanMilliseconds);
+            idle.splice(0, idle.length, ...idle.filter(one => !dropped.includes(one)));
+            dropped.forEach(end);
         },
-        setCredits(granted, until, now) {
+        setCredits(granted, until) {
             credits = granted;
             lapsesAt = until;
-            trimIdle(now);
+            trimIdle();
         },
+        credits: now => now < lapsesAt ? credits : 0,
+        lapsesAt: () => lapsesAt,
         sweep(now) {
-            if (now >= lapsesAt) {
-                for (const connection of [...idle.splice(0), ...busy]) {
-                    busy.delete(connection);
-                    end(connection, now);
-                }
-                return;
-            }
             const oldest = now - options.idleMilliseconds;
             while ((idle[0]?.idleSinceMilliseconds ?? now) < oldest) {
-                void idle.shift()?.client.destroy();
+                const connection = idle.shift();
+                if (connection !== undefined) {
+                    end(connection);
+                }
             }
         },
         held,
--- /dev/null
+++ b/src/scheduler/credits/bank.ts
@@ -0,0 +1,164 @@
+/**
+ * Credit bank of a scheduler: leases connections on the workers of its cells to gateways.
+ */
+import { Result } from "true-myth/result";
+import { fail } from "../../core/errors.js";
+import type { Failure } from "../../core/errors.js";
+import type { Logger } from "../../core/log.js";
+import { exchangeCredits, nameHolder } from "../../core/messages/credits.js";
+import type { CreditGrant, CreditHolding } from "../../core/messages/credits.js";
+import type { Metrics } from "../../core/metrics.js";
+import { implement } from "../../core/rpc.js";
+import type { MethodHandler } from "../../core/rpc.js";
+import type { Clock } from "../../core/time.js";
+import type { WorkerReport } from "../../platform/worker.js";
+import { createCreditAccount } from "./account.js";
+import type { CreditAccount } from "./account.js";
+
+const DEFAULT_LEASE_MILLISECONDS = 6_000;
+const DEFAULT_CLOCK_MARGIN_MILLISECONDS = 250;
+/** Epoch of a cell's first owner. */
+const FIRST_EPOCH = 1;
+
+/** A worker with the connections that it holds in all. */
+export interface WorkerCapacity {
+    readonly worker: string;
+    readonly connections: number;
+}
+
+/** Options of the bank. */
+export interface CreditBankOptions {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    readonly leaseMilliseconds?: number;
+    /** How far a worker's clock may be behind the owner's. */
+    readonly clockMarginMilliseconds?: number;
+    /**
+     * Tells whether no other scheduler can own the cell at this time, by the claim's own lease. A scheduler that was
+     * paused beyond it grants nothing, since its successor may already do so.
+     */
+    readonly isOwner: (cell: string, now: number) => boolean;
+}
+
+/** Leases connections of the cells that a scheduler owns. */
+export interface CreditBank {
+    readonly handlers: readonly MethodHandler[];
+    /**
+     * Starts to grant credits in a cell. What an earlier owner may have granted counts until its leases have lapsed
+     * and a worker's report tells what is left of them; the owner of epoch 1 has no predecessor.
+     */
+    takeCell(cell: string, epoch: number, workers: readonly WorkerCapacity[], now: number): void;
+    /** Follows workers that come, go, or change their size. */
+    updateWorkers(cell: string, workers: readonly WorkerCapacity[], now: number): void;
+    dropCell(cell: string): void;
+    /** Takes in the connections that a worker reports; without reports, credits of dead gateways never return. */
+    observeConnections(report: Pick<WorkerReport, "worker" | "measuredAtMilliseconds" | "connections">): void;
+    /** Credits that count as taken on a worker; 0 for workers of other cells. */
+    reserved(worker: string, now: number): number;
+}
+
+interface CellCredits {
+    readonly epoch: number;
+    readonly accounts: Map<string, CreditAccount>;
+    /** Highest sequence seen, by holder. */
+    readonly sequences: Map<string, number>;
+}
+
+/** Creates a bank without cells. */
+export function createCreditBank(options: CreditBankOptions): CreditBank {
+    const leaseMilliseconds = options.leaseMilliseconds ?? DEFAULT_LEASE_MILLISECONDS;
+    const clockMarginMilliseconds = options.clockMarginMilliseconds ?? DEFAULT_CLOCK_MARGIN_MILLISECONDS;
+    const exchanges = options.metrics.counter(
+        "flamingowell_credit_exchanges_total",
+        "Requests of gateways for connection credits, by result",
+        ["result"],
+    );
+    const cells = new Map<string, CellCredits>();
+
+    const createAccount = (capacity: number, takenAtMilliseconds: number | undefined): CreditAccount =>
+        createCreditAccount({ capacity, leaseMilliseconds, clockMarginMilliseconds, takenAtMilliseconds });
+
+    const grant = (credits: CellCredits, holder: string, holdings: readonly CreditHolding[], now: number) =>
+        holdings.map(({ worker, held, wanted }): CreditGrant => ({
+            worker,
+            granted: credits.accounts.get(worker)?.claim({ holder, held, wanted }, now) ?? 0,
+        }));
+
+    const exchange = implement(exchangeCredits, async ({ gateway, incarnation, cell, sequence, holdings }) => {
+        const now = options.clock();
+        const credits = cells.get(cell);
+        if (credits === undefined || !options.isOwner(cell, now)) {
+            exchanges.inc({ result: "fenced" });
+            return fail<{ epoch: number; leaseMilliseconds: number; grants: CreditGrant[]; }>(
+                "fenced",
+                exchangeCredits.name,
+                `cell ${cell} has another owner`,
+            );
+        }
+        const holder = nameHolder(gateway, incarnation);
+        if (sequence <= (credits.sequences.get(holder) ?? -1)) {
+            exchanges.inc({ result: "conflict" });
+            return fail("conflict", exchangeCredits.name, `request ${sequence} of ${holder} arrived late`);
+        }
+        credits.sequences.set(holder, sequence);
+        exchanges.inc({ result: "granted" });
+        return Result.ok<{ epoch: number; leaseMilliseconds: number; grants: CreditGrant[]; }, Failure>({
+            epoch: credits.epoch,
+            leaseMilliseconds,
+            grants: grant(credits, holder, holdings, now),
+        });
+    });
+
+    return {
+        handlers: [exchange],
+        takeCell(cell, epoch, workers, now) {
+            const takenAt = epoch <= FIRST_EPOCH ? undefined : now;
+            const accounts = new Map(workers.map(({ worker, connections }) => [
+                worker,
+                createAccount(connections, takenAt),
+            ]));
+            cells.set(cell, { epoch, accounts, sequences: new Map() });
+            options.logger.debug("credits-taken", { cell, epoch, workers: workers.length });
+        },
+        updateWorkers(cell, workers, now) {
+            const credits = cells.get(cell);
+            if (credits === undefined) {
+                return;
+            }
+            const named = new Set(workers.map(({ worker }) => worker));
+            for (const worker of credits.accounts.keys()) {
+                if (!named.has(worker)) {
+                    credits.accounts.delete(worker);
+                }
+            }
+            for (const { worker, connections } of workers) {
+                const account = credits.accounts.get(worker);
+                if (account === undefined) {
+                    // It may come from another cell, whose owner has granted credits on it.
+                    credits.accounts.set(worker, createAccount(connections, now));
+                    continue;
+                }
+                account.resize(connections);
+            }
+        },
+        dropCell(cell) {
+            cells.delete(cell);
+        },
+        observeConnections({ worker, measuredAtMilliseconds, connections }) {
+            const reported = connections.map(one => ({ holder: one.gateway, connections: one.connections }));
+            for (const { accounts } of cells.values()) {
+                accounts.get(worker)?.observe(reported, measuredAtMilliseconds);
+            }
+        },
+        reserved(worker, now) {
+            for (const { accounts } of cells.values()) {
+                const account = accounts.get(worker);
+                if (account !== undefined) {
+                    return account.reserved(now);
+                }
+            }
+            return 0;
+        },
+    };
+}
