Scheduler: long poll no longer answers at once for cells of others

Cause: readers tell of every cell that they know, also of other schedulers' ones; each such cell counted as news, so nine gateways polled in a loop. Change: only owned cells and changes of the owned set end the wait.

--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -214,18 +214,16 @@
 
     const round = async (): Promise<void> => {
         const now = clock();
-        const isBusy = inbox.length + commands.length > 0;
         observe(now);
         const taken = commands.splice(0);
         taken.forEach(({ command }) => command(ledger, now));
-        const isDue = pace.isDue({
-            now,
-            isBusy: isBusy || ledger.hasChanges(),
-            version: options.assignments.version(),
-        });
-        if (isDue && !releasing) {
+        const version = `${options.assignments.version()}/${options.configuration()?.revision ?? 0}`;
+        if (!releasing && pace.isDue({ now, isBusy: ledger.hasChanges(), version })) {
             decide(now);
         }
+        if (ledger.hasChanges()) {
+            pace.hurry();
+        }
         const failure = await commit();
         if (failure === undefined) {
             taken.forEach(({ settle }) => settle(true));
--- a/src/scheduler/handlers.ts
+++ b/src/scheduler/handlers.ts
@@ -39,7 +39,10 @@
     return [
         implement(readRoutes, async ({ known, waitMilliseconds }) => {
             const deadline = options.clock() + waitMilliseconds;
-            while (!hasNews(options.cells(), known) && options.clock() < deadline) {
+            const ownedAtFirst = nameCells(options.cells());
+            const hasNews = () =>
+                readChanged(options.cells(), known).cells.length > 0 || nameCells(options.cells()) !== ownedAtFirst;
+            while (!hasNews() && options.clock() < deadline) {
                 await waitForRoutes(options.events, deadline - options.clock());
             }
             return Result.ok(readChanged(options.cells(), known));
@@ -113,9 +116,8 @@
     stop();
 }
 
-function hasNews(cells: readonly Cell[], known: readonly KnownCell[]): boolean {
-    return readChanged(cells, known).cells.length > 0
-        || known.some(({ cell }) => cells.every(({ name }) => name !== cell));
+function nameCells(cells: readonly Cell[]): string {
+    return cells.map(({ name }) => name).sort().join(",");
 }
 
 function readChanged(cells: readonly Cell[], known: readonly KnownCell[]) {
