Wire connection credits between schedulers and gateways

Cause: gateways opened connections to workers without leave of the cell's owner. Change: the credit bank follows the scheduler's cells; its method is served on the peers' port.

--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -26,8 +26,12 @@
 import { createInstanceList } from "./platform/adapters/instances.js";
 import { createStore } from "./platform/adapters/store.js";
 import { createWorkerControl } from "./platform/adapters/worker.js";
+import type { WorkerInstance } from "./platform/instances.js";
 import { createPolicy } from "./policy/create.js";
 import type { ConfigurationSource } from "./rules/rule.js";
+import { createCreditBank } from "./scheduler/credits/bank.js";
+import type { CreditBank } from "./scheduler/credits/bank.js";
+import type { CreditHooks } from "./scheduler/hooks.js";
 import { createScheduler } from "./scheduler/scheduler.js";
 import type { GatewaySettings } from "./settings/gateway.js";
 import type { SchedulerSettings } from "./settings/scheduler.js";
@@ -104,6 +108,12 @@
 export async function startScheduler(settings: SchedulerSettings, logger: Logger): Promise<RunningDaemon> {
     const foundation = await layFoundation("scheduler", settings, logger);
     const { clock, configuration, instanceList, membership, metrics, random, rpc, store } = foundation;
+    const credits = createCreditBank({
+        clock,
+        metrics,
+        logger,
+        isOwner: cell => scheduler.ownedCells().some(owned => owned.cell === cell),
+    });
     const scheduler = createScheduler({
         identity: { ...foundation.identity, origin: foundation.origin },
         settings: settings.cells,
@@ -114,18 +124,14 @@
         membership: membership.source,
         rpc,
         createPolicy: () => createPolicy({ settings: settings.policy, random, metrics, logger }),
-        credits: {
-            takeCell: () => undefined,
-            updateWorkers: () => undefined,
-            dropCell: () => undefined,
-            observeConnections: () => undefined,
-        },
+        credits: createCreditHooks(credits),
         clock,
         random,
         metrics,
         logger,
     });
-    const running = await foundation.run([scheduler], {
+    const creditPart: Part = { handlers: credits.handlers, run: async () => undefined };
+    const running = await foundation.run([scheduler, creditPart], {
         ready: () => scheduler.ready(),
         ownedCells: () => scheduler.ownedCells(),
         storeReachable: () => scheduler.storeReachable(),
@@ -140,6 +146,18 @@
     };
 }
 
+/** Lets the credit bank follow the cells of a scheduler. */
+function createCreditHooks(bank: CreditBank): CreditHooks {
+    const toCapacities = (workers: readonly WorkerInstance[]) =>
+        workers.map(({ name, shape }) => ({ worker: name, connections: shape.connections }));
+    return {
+        takeCell: (cell, epoch, workers, now) => bank.takeCell(cell, epoch, toCapacities(workers), now),
+        updateWorkers: (cell, workers, now) => bank.updateWorkers(cell, toCapacities(workers), now),
+        dropCell: cell => bank.dropCell(cell),
+        observeConnections: (cell, report) => bank.observeConnections(report),
+    };
+}
+
 /** Opens the ports and constructs what both daemons have. */
 async function layFoundation(role: Role, settings: Settings, logger: Logger) {
     const clock = systemClock;
