Orders may name the worker's incarnation

Cause: a worker that restarts forgets the epochs it has seen, so a former owner that wakes could start a task there which its successor runs elsewhere. Orders without it are taken in as before.

--- a/src/platform/worker.ts
+++ b/src/platform/worker.ts
@@ -14,8 +14,16 @@
 export const Attempt = z.strictObject({ taskId: z.string().min(1), attempt: z.int().min(1) });
 export type Attempt = z.infer<typeof Attempt>;
 
-/** Who gives an order. */
-export const OrderHeader = z.strictObject({ cell: z.string(), owner: z.string(), epoch: z.int().min(0) });
+/**
+ * Who gives an order. An order that names a worker's incarnation is refused (`fenced`) by any other one: a worker that
+ * restarts forgets epochs, and must not take in what a former owner ordered before.
+ */
+export const OrderHeader = z.strictObject({
+    cell: z.string(),
+    owner: z.string(),
+    epoch: z.int().min(0),
+    workerIncarnation: z.string().optional(),
+});
 export type OrderHeader = z.infer<typeof OrderHeader>;
 
 /** An order to run a task. */
