--- a/features/scheduler/support/rules.ts
+++ b/features/scheduler/support/rules.ts
@@ -46,7 +46,7 @@
 }
 
 /** Creates a configuration without rules. */
-export function createConfiguration(): ChangingConfiguration {
+export function createConfiguration(clock: () => number = Date.now): ChangingConfiguration {
     const listeners = new Set<(configuration: Configuration) => void>();
     let configuration: Configuration = { revision: 0, documents: [] };
     return {
@@ -65,7 +65,7 @@
                     text: "",
                     rules: [...rules],
                     appliedBy: "Aino",
-                    appliedAtMilliseconds: Date.now(),
+                    appliedAtMilliseconds: clock(),
                 }],
             };
             listeners.forEach(listener => listener(configuration));
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -21,14 +21,16 @@
 import { createCrew } from "./crew.js";
 import { applyDecisions } from "./decide.js";
 import type { DecideInput } from "./decide.js";
-import { moveOff } from "./drain.js";
+import { moveOff, replaceReplicas } from "./drain.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
-import { leasesEndAt, observeEvent } from "./observe.js";
+import { leasesEndAt, observeEvent, observeSilence } from "./observe.js";
 import { createPace } from "./pace.js";
 import { forgetEnded } from "./transitions.js";
 import { buildView, stateOf } from "./view.js";
 import type { ViewInput } from "./view.js";
 
+/** Replicas on a worker that is silent for this share of a lease are replaced by others. */
+const SILENT_SHARE_OF_LEASE = 0.75;
 const SWEEP_INTERVAL_MILLISECONDS = 5_000;
 
 /** Why a cell's task ended. */
@@ -145,7 +147,7 @@
         const leases = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
         for (const worker of ledger.workers()) {
             if (now >= leasesEndAt(leases, links.get(worker), takenAt)) {
-                observeEvent(input, { kind: "lost", worker, reason: "its lease lapsed" }, now);
+                observeSilence(input, worker, links.get(worker), now);
             }
         }
         for (const link of [...links.values()]) {
@@ -170,6 +172,9 @@
             if (state === "leaving" || state === "draining") {
                 moveOff(ledger, link.instance.name, state, now);
             }
+            else if (now - link.answeredAtMilliseconds >= settings.workerLeaseMilliseconds * SILENT_SHARE_OF_LEASE) {
+                replaceReplicas(ledger, link.instance.name, now);
+            }
         }
         const decisions = policy.decide(buildView(viewInput(), now), now);
         const input: DecideInput = {
--- a/src/scheduler/cell/drain.ts
+++ b/src/scheduler/cell/drain.ts
@@ -19,3 +19,13 @@
         }
     }
 }
+
+/** Replaces the replicas on a silent worker: another replica has another id, so no lease has to lapse first. */
+export function replaceReplicas(ledger: Ledger, worker: string, now: number): void {
+    for (const committed of ledger.committedOn(worker)) {
+        const task = ledger.draft.get(committed.taskId);
+        if (task?.worker === worker && ledger.specOf(task).kind === "service") {
+            endTask(ledger, task, `${worker} is silent`, now);
+        }
+    }
+}
--- a/src/scheduler/cell/link.ts
+++ b/src/scheduler/cell/link.ts
@@ -21,6 +21,8 @@
     readonly throttled: Map<string, number>;
     /** Starts that the worker has answered, by task and attempt. */
     started: Set<string>;
+    /** Starts that have been sent and not answered: the worker may carry them out at any later time. */
+    readonly open: Set<string>;
 }
 
 /** Creates the link to a worker. */
@@ -33,6 +35,7 @@
         progress: new Map(),
         throttled: new Map(),
         started: new Set(),
+        open: new Set(),
     };
 }
 
@@ -52,8 +55,7 @@
         readonly reason: string;
     }
     | { readonly kind: "started"; readonly worker: string; readonly taskId: string; readonly attempt: number; }
-    | { readonly kind: "ended"; readonly worker: string; readonly status: AttemptStatus; }
-    | { readonly kind: "lost"; readonly worker: string; readonly reason: string; };
+    | { readonly kind: "ended"; readonly worker: string; readonly status: AttemptStatus; };
 
 /** Answer to a renewal. */
 export interface AnswerEvent {
--- a/src/scheduler/cell/observe.ts
+++ b/src/scheduler/cell/observe.ts
@@ -45,10 +45,6 @@
             observeStatus(input, event.worker, event.status, now);
             return;
         }
-        case "lost": {
-            observeSilence(input, event.worker, event.reason, now);
-            return;
-        }
     }
 }
 
@@ -83,12 +79,32 @@
     }
 }
 
-function observeSilence(input: ObserveInput, worker: string, reason: string, now: number): void {
-    for (const task of [...input.ledger.draft.values()]) {
-        if (task.worker === worker && HOLDING_STATES.has(task.state)) {
-            lose(input, task, reason, now);
+/**
+ * Takes in that all leases on a worker have lapsed. A batch task whose start was sent and never answered stays: the
+ * worker may still carry the start out when it wakes, unless the instance list no longer has it.
+ */
+export function observeSilence(
+    input: ObserveInput,
+    worker: string,
+    link: WorkerLink | undefined,
+    now: number,
+): void {
+    for (const committed of input.ledger.committedOn(worker)) {
+        const task = findHeld(input.ledger, worker, committed);
+        if (task === undefined || mayStartLate(input.ledger, task, link)) {
+            continue;
         }
+        // Its start has not been sent, and from now on never is.
+        link?.started.add(nameAttempt(task));
+        lose(input, task, `its lease on ${worker} lapsed`, now);
+    }
+}
+
+function mayStartLate(ledger: Ledger, task: Task, link: WorkerLink | undefined): boolean {
+    if (link?.listed !== true || task.state !== "starting" || ledger.specOf(task).kind === "service") {
+        return false;
     }
+    return link.incarnation === undefined || link.open.has(nameAttempt(task));
 }
 
 function lose(input: ObserveInput, task: Task, reason: string, now: number): void {
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -1,7 +1,6 @@
 /**
  * One task per worker: carries out what has been committed, renews leases in one batch, and reads usage reports.
  */
-import type { Failure } from "../../core/errors.js";
 import type { Clock } from "../../core/time.js";
 import type { AttemptStatus, OrderHeader, StartOrder, WorkerControl, WorkerReport } from "../../platform/worker.js";
 import type { Ledger } from "../ledger/ledger.js";
@@ -82,21 +81,27 @@
         ),
     });
     if (answer.isErr) {
-        noteFailure(options, answer.error);
+        if (answer.error.code === "fenced") {
+            options.onFenced();
+        }
         return;
     }
     if (signal.aborted) {
         return;
     }
-    const first = link.incarnation === undefined;
+    // What was to be started on an earlier incarnation never is: a successor may have given those tasks to others.
+    const isNew = link.incarnation !== answer.value.incarnation;
     link.incarnation = answer.value.incarnation;
     link.answeredAtMilliseconds = clock();
     link.attempts = answer.value.attempts;
     for (const status of answer.value.attempts) {
         link.progress.set(status.taskId, status.progress);
     }
-    const expected = tasks.filter(task => first || link.started.has(nameAttempt(task))).map(toAttempt);
-    // What the worker does not know after its first answer was never started, and this attempt never will be.
+    const known = isNew ? [...tasks, ...listDrafted(options)] : tasks;
+    const expected = known.filter(task => isNew || link.started.has(nameAttempt(task))).map(toAttempt);
+    if (isNew) {
+        link.open.clear();
+    }
     link.started = new Set([...expected, ...answer.value.attempts].map(nameAttempt));
     options.emit({
         kind: "answer",
@@ -105,6 +110,11 @@
     });
 }
 
+/** Starts that are being committed; whoever noticed a new incarnation before they were leaves them to a later attempt. */
+function listDrafted({ link, ledger }: WorkerTaskOptions): Task[] {
+    return [...ledger.draft.values()].filter(task => task.worker === link.instance.name && task.state === "starting");
+}
+
 function isRenewable(options: WorkerTaskOptions, task: Task): boolean {
     const { link, ledger, settings, clock } = options;
     const now = clock();
@@ -125,17 +135,20 @@
     if (tasks.length === 0) {
         return;
     }
+    tasks.forEach(task => link.open.add(nameAttempt(task)));
     const answer = await options.workers.start(link.instance.controlOrigin, {
-        ...options.header,
+        ...headerFor(options),
         starts: tasks.map(task => toStart(options, task)),
     });
     if (answer.isErr) {
         // The next round repeats the order; the worker answers a repeated one as before.
-        noteFailure(options, answer.error);
         return;
     }
+    // The leases of what has just started begin here.
+    link.answeredAtMilliseconds = options.clock();
     for (const { taskId, attempt, outcome, reason } of answer.value) {
         link.started.add(nameAttempt({ taskId, attempt }));
+        link.open.delete(nameAttempt({ taskId, attempt }));
         options.emit(
             outcome === "started"
                 ? { kind: "started", worker: link.instance.name, taskId, attempt }
@@ -153,7 +166,7 @@
         return;
     }
     const answer = await options.workers.stop(link.instance.controlOrigin, {
-        ...options.header,
+        ...headerFor(options),
         stops: [
             ...ending.map(task => ({
                 ...toAttempt(task),
@@ -164,7 +177,6 @@
         ],
     });
     if (answer.isErr) {
-        noteFailure(options, answer.error);
         return;
     }
     const orphaned = new Set(orphans.map(nameAttempt));
@@ -185,11 +197,10 @@
         return;
     }
     const answer = await options.workers.throttle(link.instance.controlOrigin, {
-        ...options.header,
+        ...headerFor(options),
         throttles: tasks.map(task => ({ ...toAttempt(task), share: task.throttleShare })),
     });
     if (answer.isErr) {
-        noteFailure(options, answer.error);
         return;
     }
     tasks.forEach(task => link.throttled.set(nameAttempt(task), task.throttleShare));
@@ -227,8 +238,6 @@
     };
 }
 
-function noteFailure(options: WorkerTaskOptions, failure: Failure): void {
-    if (failure.code === "fenced") {
-        options.onFenced();
-    }
+function headerFor({ header, link }: WorkerTaskOptions): OrderHeader {
+    return { ...header, ...(link.incarnation === undefined ? {} : { workerIncarnation: link.incarnation }) };
 }
--- a/src/scheduler/jobs/assignments.ts
+++ b/src/scheduler/jobs/assignments.ts
@@ -20,6 +20,8 @@
 
 const PAGE_ENTRIES = 200;
 const WRITES_AT_ONCE = 16;
+/** Interval at which all assignments are read again. */
+const REFRESH_MILLISECONDS = 30_000;
 const RETRY_MILLISECONDS = 500;
 /** After this time another scheduler revises an assignment whose leader has not done so. */
 const LEADER_LIMIT_MILLISECONDS = 3_000;
@@ -86,6 +88,20 @@
         }
     };
 
+    /** Watches for a while; a watch may have gone silent without a sign, so all is read again after that. */
+    const watchFor = async (milliseconds: number, fromRevision: number, signal: AbortSignal): Promise<void> => {
+        const over = new AbortController();
+        const watching = store.watch({
+            prefix: ASSIGNMENTS_PREFIX,
+            fromRevision,
+            signal: AbortSignal.any([signal, over.signal]),
+            onEvents: events => events.filter(({ kind }) => kind === "put").forEach(({ entry }) => take(entry)),
+        });
+        await Promise.race([watching, pause(milliseconds, signal)]);
+        over.abort();
+        await watching;
+    };
+
     const write = async (next: Assignment, signal: AbortSignal): Promise<void> => {
         const committed = await commitRecord(store, {
             key: keyOfAssignment(next.rule),
@@ -98,6 +114,11 @@
             version += 1;
             neededSince.delete(next.rule);
         }
+        else if (committed.error.code === "conflict") {
+            // The watch has not told of the newest record; it may have gone silent.
+            const found = await store.read({ key: keyOfAssignment(next.rule) });
+            found.map(({ entries }) => entries.forEach(take));
+        }
     };
 
     /** One scheduler leads each assignment; the others step in where it does not act. */
@@ -153,13 +174,7 @@
                 const revision = await load();
                 if (revision.isOk) {
                     loaded = true;
-                    await store.watch({
-                        prefix: ASSIGNMENTS_PREFIX,
-                        fromRevision: revision.value + 1,
-                        signal,
-                        onEvents: events =>
-                            events.forEach(({ kind, entry }) => kind === "put" ? take(entry) : undefined),
-                    });
+                    await watchFor(REFRESH_MILLISECONDS, revision.value + 1, signal);
                 }
                 await pause(RETRY_MILLISECONDS, signal);
             }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -92,6 +92,7 @@
     };
     const announceRoutes = () => void events.emit("routes", undefined);
     let maps: readonly CellMap[] = [];
+    const leaving = new AbortController();
     let isReachable = false;
     const ownership = createOwnership({
         self,
@@ -157,6 +158,8 @@
             })),
         storeReachable: () => isReachable,
         async handOver(limitMilliseconds) {
+            // Others stop counting on this scheduler before its cells become free.
+            leaving.abort();
             ownership.releaseAll();
             await Promise.race([ownership.settled(), pause(limitMilliseconds)]);
         },
@@ -169,7 +172,7 @@
                 onStore: answered => {
                     isReachable = answered;
                 },
-            }, signal);
+            }, AbortSignal.any([signal, leaving.signal]));
             await Promise.all([presence, pollInstances(signal), assignments.run(signal), claimCells(signal)]);
             await ownership.settled();
         },
