Scheduler: certainty of ownership for credits, no start on a worker that leaves by now

Cause: a start whose commit hung in a store outage was sent to a worker that had begun to leave; the credit bank could not tell whether a claim may have passed on. Change: places on workers that take no new work are given back unless their start has been sent; ownsCell() doubts claims after the process stood still.

--- a/features/scheduler/cells.feature
+++ b/features/scheduler/cells.feature
@@ -19,3 +19,14 @@
         When the scheduler "entry-1" ends without a word and "entry-2" in "levi" starts
         Then "entry-2" owns all cells
         And 5 attempts of "season-prep" were started in all
+
+    Scenario: A worker that leaves in a store outage gets no new work
+        Given data centres "levi" with 2 workers and "rovaniemi" with 1 workers
+        And a scheduler "entry-1" in "levi"
+        When the rules are "beacon-check" with 4 replicas and "season-prep" with 1 tasks
+        Then 4 replicas of "beacon-check" and 1 tasks of "season-prep" run
+        When the store hangs and the worker "levi-1" is leaving
+        Then no route leads to "levi-1" but as leaving
+        When the store is back with 6 replicas of "beacon-check" asked for meanwhile
+        Then 6 replicas of "beacon-check" run, none of them on "levi-1"
+        And nothing was started on "levi-1" after it began to leave
--- a/features/scheduler/cells.steps.ts
+++ b/features/scheduler/cells.steps.ts
@@ -3,6 +3,8 @@
  */
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { readRoutes } from "../../src/core/messages/routes.js";
+import type { Route } from "../../src/core/messages/routes.js";
 import type { WorkerBehaviour } from "../../stand-ins/worker/index.js";
 import { findOverlaps, listRunning } from "./support/check.js";
 import { createFleet, waitUntil } from "./support/fleet.js";
@@ -15,6 +17,7 @@
     dataCentres: Record<string, number>;
     behaviour: Partial<WorkerBehaviour>;
     fleet?: Fleet;
+    startsBefore?: number;
 }
 
 Given(
@@ -104,6 +107,46 @@
     );
 });
 
+When("the store hangs and the worker {string} is leaving", function(this: CellsWorld, name: string) {
+    const fleet = fleetOf(this);
+    const worker = fleet.workers.find(({ instance }) => instance.name === name);
+    assert.ok(worker !== undefined, `no worker ${name}`);
+    fleet.store.setFaults({ down: "hang" });
+    fleet.instances.put({ ...worker.instance, state: "leaving" });
+    this.startsBefore = countStarts(fleet, name);
+});
+
+Then("no route leads to {string} but as leaving", async function(this: CellsWorld, name: string) {
+    await waitUntil("routes say that the worker leaves", async () => {
+        const routes = await listRoutes(fleetOf(this));
+        const there = routes.filter(({ worker }) => worker === name);
+        return there.length > 0 && there.every(({ state }) => state === "leaving");
+    });
+});
+
+When(
+    "the store is back with {int} replicas of {string} asked for meanwhile",
+    function(this: CellsWorld, replicas: number, service: string) {
+        const fleet = fleetOf(this);
+        fleet.configuration.apply([createService(service, { replicas })]);
+        fleet.store.setFaults({ down: "no" });
+    },
+);
+
+Then(
+    "{int} replicas of {string} run, none of them on {string}",
+    async function(this: CellsWorld, replicas: number, service: string, name: string) {
+        await waitUntil("replicas run elsewhere", () => {
+            const running = listRunning(fleetOf(this).records).filter(({ rule }) => rule === service);
+            return running.length === replicas && running.every(({ worker }) => worker !== name);
+        });
+    },
+);
+
+Then("nothing was started on {string} after it began to leave", function(this: CellsWorld, name: string) {
+    assert.equal(countStarts(fleetOf(this), name), this.startsBefore);
+});
+
 Then("{string} owns all cells", async function(this: CellsWorld, instance: string) {
     const fleet = fleetOf(this);
     const scheduler = fleet.schedulers.find(candidate => candidate.instance === instance);
@@ -138,3 +181,13 @@
     }
     return world.fleet;
 }
+
+function countStarts(fleet: Fleet, worker: string): number {
+    return fleet.records.filter(record => record.event === "attempt-started" && record.worker === worker).length;
+}
+
+async function listRoutes(fleet: Fleet): Promise<Route[]> {
+    const handler = fleet.schedulers[0]?.scheduler.handlers.find(({ name }) => name === readRoutes.name);
+    const answer = readRoutes.answer.parse(await handler?.handle({ known: [], waitMilliseconds: 0 }));
+    return answer.cells.flatMap(({ routes }) => routes);
+}
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -1,6 +1,7 @@
 /**
  * Owner's task of one cell: observes, plans, decides, and commits all of an interval's transitions together.
  */
+import { setMaxListeners } from "node:events";
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
 import type { Clock } from "../../core/time.js";
@@ -67,6 +68,8 @@
     readonly links: ReadonlyMap<string, WorkerLink>;
     readonly policy: Policy;
     epoch(): number;
+    /** Until when leases may be renewed without the store. */
+    horizonMilliseconds(): number;
     view(now: number): ReturnType<typeof buildView>;
     /** Takes in the newest instance list. */
     updateMap(map: CellMap, now: number): void;
@@ -91,6 +94,7 @@
     const inbox: WorkerEvent[] = [];
     const commands: WaitingCommand[] = [];
     const ended = new AbortController();
+    setMaxListeners(0, ended.signal);
     const wake = createWake();
     const pace = createPace();
     let end: CellEnd | undefined;
@@ -254,6 +258,7 @@
         links,
         policy,
         epoch: () => journal.head().epoch,
+        horizonMilliseconds: () => journal.head().horizonMilliseconds,
         view: now => buildView(viewInput(), now),
         updateMap(map, now) {
             if (crew.update(map.workers, now)) {
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -132,13 +132,17 @@
     const { link, ledger } = options;
     const tasks = ledger.committedOn(link.instance.name)
         .filter(task => task.state === "starting" && !link.started.has(nameAttempt(task)));
-    if (tasks.length === 0) {
+    const isTaking = link.listed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
+    // The commit may have taken long; a worker that leaves by now gets nothing new, but what was sent is settled.
+    const sendable = tasks.filter(task => isTaking || link.open.has(nameAttempt(task)));
+    tasks.filter(task => !sendable.includes(task)).forEach(task => giveBack(options, task));
+    if (sendable.length === 0) {
         return;
     }
-    tasks.forEach(task => link.open.add(nameAttempt(task)));
+    sendable.forEach(task => link.open.add(nameAttempt(task)));
     const answer = await options.workers.start(link.instance.controlOrigin, {
         ...headerFor(options),
-        starts: tasks.map(task => toStart(options, task)),
+        starts: sendable.map(task => toStart(options, task)),
     });
     if (answer.isErr) {
         // The next round repeats the order; the worker answers a repeated one as before.
@@ -157,6 +161,13 @@
     }
 }
 
+/** Gives a place back that has not been used: its start has not been sent, and never is. */
+function giveBack(options: WorkerTaskOptions, { taskId, attempt }: Task): void {
+    const { link } = options;
+    link.started.add(nameAttempt({ taskId, attempt }));
+    options.emit({ kind: "refused", worker: link.instance.name, taskId, attempt, reason: "it takes no new work" });
+}
+
 async function sendStops(options: WorkerTaskOptions): Promise<void> {
     const { link, ledger, settings, clock } = options;
     const now = clock();
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -6,6 +6,7 @@
 import type { Failure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
 import { parseJson } from "../core/parse.js";
+import { pause } from "../core/time.js";
 import type { Clock } from "../core/time.js";
 import type { PlatformInstance } from "../platform/instances.js";
 import type { Store } from "../platform/store.js";
@@ -25,6 +26,10 @@
 /** A cell that another scheduler should own is handed over after this time. */
 const MISPLACED_GRACE_MILLISECONDS = 5_000;
 
+/** A process that has stood still for this long may have lost its cells meanwhile. */
+const STANDSTILL_LIMIT_MILLISECONDS = 1_500;
+const TICK_MILLISECONDS = 250;
+
 /** What the store said of schedulers and claims at the last look. */
 export interface Directory {
     readonly live: readonly LiveScheduler[];
@@ -48,10 +53,17 @@
 export interface Ownership {
     readonly owned: ReadonlyMap<string, Cell>;
     directory(): Directory | undefined;
+    /**
+     * The cell is this scheduler's beyond doubt: the horizon has not passed, and since the process last stood still for
+     * long the store has confirmed the claim.
+     */
+    isCertain(cell: string, now: number): boolean;
     /** Takes in the instance list. */
     update(instances: readonly PlatformInstance[], maps: readonly CellMap[]): void;
     /** Looks at the store once, claims and hands over what is due; false where the store gave no answer. */
     look(signal: AbortSignal): Promise<boolean>;
+    /** Notes when the process has stood still; runs until the signal is aborted. */
+    watchStandstill(signal: AbortSignal): Promise<void>;
     /** Gives all cells up with their last commits. */
     releaseAll(): void;
     /** Resolves when no cell runs any more. */
@@ -70,6 +82,14 @@
     let maps: readonly CellMap[] = [];
     let directory: Directory | undefined;
     let isReleasing = false;
+    let tickedAt = clock();
+    let doubtedAt = 0;
+    const confirmedAt = new Map<string, number>();
+
+    const tick = (now: number): void => {
+        doubtedAt = now - tickedAt > STANDSTILL_LIMIT_MILLISECONDS ? now : doubtedAt;
+        tickedAt = now;
+    };
 
     const own = async (cell: Cell, signal: AbortSignal): Promise<void> => {
         const end = await cell.run(signal);
@@ -105,6 +125,7 @@
     };
 
     const claim = async (action: ClaimCellAction, signal: AbortSignal): Promise<void> => {
+        const claimedAt = clock();
         const opened = await open(action, signal);
         metrics.claims.inc({ outcome: opened.isOk ? "claimed" : opened.error.code });
         if (opened.isErr) {
@@ -112,6 +133,7 @@
             return;
         }
         const cell = opened.value;
+        confirmedAt.set(cell.name, claimedAt);
         owned.set(cell.name, cell);
         metrics.cellsOwned.set(owned.size);
         const { predecessorGone } = action;
@@ -158,7 +180,20 @@
                 cell.updateMap(map ?? { cell: cell.name, dataCentre: self.dataCentre, workers: [] }, clock());
             }
         },
+        async watchStandstill(signal) {
+            while (!signal.aborted) {
+                tick(clock());
+                await pause(TICK_MILLISECONDS, signal);
+            }
+        },
+        isCertain(cell, now) {
+            tick(now);
+            const owner = owned.get(cell);
+            return owner !== undefined && now < owner.horizonMilliseconds() && (confirmedAt.get(cell) ?? 0) > doubtedAt;
+        },
         async look(signal) {
+            const startedAt = clock();
+            tick(startedAt);
             const live = await readRecords(store, LIVE_PREFIX, LiveScheduler);
             const claims = await readRecords(store, CLAIMS_PREFIX, Claim);
             if (live.isErr || claims.isErr) {
@@ -169,6 +204,11 @@
                 live: live.value,
                 claims: new Map(claims.value.map(record => [record.cell, record])),
             };
+            for (const cell of owned.values()) {
+                if (directory.claims.get(cell.name)?.epoch === cell.epoch()) {
+                    confirmedAt.set(cell.name, startedAt);
+                }
+            }
             const isAnnounced = live.value.some(({ incarnation }) => incarnation === self.incarnation);
             if (isAnnounced && !isReleasing && maps.length > 0) {
                 const actions = listActions(directory);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -2,6 +2,7 @@
  * The scheduler: claims cells, owns them, and hands them over.
  */
 import Emittery from "emittery";
+import { setMaxListeners } from "node:events";
 import type { Logger } from "../core/log.js";
 import type { Metrics } from "../core/metrics.js";
 import type { Part } from "../core/part.js";
@@ -74,6 +75,11 @@
     /** Gives all cells up with their last commits, within the limit, and claims no more. */
     handOver(limitMilliseconds: number): Promise<void>;
     ownedCells(): OwnedCell[];
+    /**
+     * Tells whether the cell is this scheduler's beyond doubt. False once its horizon has passed, and after the process
+     * stood still until the store has confirmed the claim again.
+     */
+    ownsCell(cell: string, now: number): boolean;
     /** The last call of the store got an answer. */
     storeReachable(): boolean;
 }
@@ -156,6 +162,7 @@
                 tasks: countTasks(cell),
                 workers: cell.links.size,
             })),
+        ownsCell: (cell, now) => ownership.isCertain(cell, now),
         storeReachable: () => isReachable,
         async handOver(limitMilliseconds) {
             // Others stop counting on this scheduler before its cells become free.
@@ -164,6 +171,8 @@
             await Promise.race([ownership.settled(), pause(limitMilliseconds)]);
         },
         async run(signal) {
+            // Each cell and each wait listens for the end; their number is no sign of a leak.
+            setMaxListeners(0, signal);
             const presence = keepPresence({
                 store,
                 self,
@@ -173,7 +182,13 @@
                     isReachable = answered;
                 },
             }, AbortSignal.any([signal, leaving.signal]));
-            await Promise.all([presence, pollInstances(signal), assignments.run(signal), claimCells(signal)]);
+            await Promise.all([
+                presence,
+                pollInstances(signal),
+                assignments.run(signal),
+                claimCells(signal),
+                ownership.watchStandstill(signal),
+            ]);
             await ownership.settled();
         },
     };
