--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -24,7 +24,7 @@
 import type { DecideInput } from "./decide.js";
 import { moveOff, replaceReplicas } from "./drain.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
-import { leasesEndAt, observeEvent, observeSilence } from "./observe.js";
+import { leasesEndAt, observeEvent, observeSilence, wasAskedInVain } from "./observe.js";
 import { createPace } from "./pace.js";
 import { forgetEnded } from "./transitions.js";
 import { buildView, stateOf } from "./view.js";
@@ -150,8 +150,10 @@
         }
         const leases = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
         for (const worker of ledger.workers()) {
-            if (now >= leasesEndAt(leases, links.get(worker), takenAt)) {
-                observeSilence(input, worker, links.get(worker), now);
+            const link = links.get(worker);
+            const isOver = now >= leasesEndAt(leases, link, takenAt);
+            if (isOver && wasAskedInVain(link, settings.workerLeaseMilliseconds)) {
+                observeSilence(input, worker, link, now);
             }
         }
         for (const link of [...links.values()]) {
--- a/src/scheduler/cell/link.ts
+++ b/src/scheduler/cell/link.ts
@@ -13,6 +13,8 @@
     incarnation?: string;
     /** When the last answer to a renewal came; the time of the takeover before the first. */
     answeredAtMilliseconds: number;
+    /** When the last renewal was sent that got no answer. */
+    failedAtMilliseconds: number;
     /** Attempts that the worker told of in its last answer. */
     attempts: readonly AttemptStatus[];
     /** Progress of running attempts by task, newer than the ledger's. */
@@ -31,6 +33,7 @@
         instance,
         listed: true,
         answeredAtMilliseconds: now,
+        failedAtMilliseconds: 0,
         attempts: [],
         progress: new Map(),
         throttled: new Map(),
--- a/src/scheduler/cell/observe.ts
+++ b/src/scheduler/cell/observe.ts
@@ -79,6 +79,14 @@
     }
 }
 
+/**
+ * Tells whether a worker was asked in vain after a lease should have lapsed. An owner that stood still itself has to ask
+ * first: the worker may have finished its tasks meanwhile.
+ */
+export function wasAskedInVain(link: WorkerLink | undefined, leaseMilliseconds: number): boolean {
+    return link?.listed !== true || link.failedAtMilliseconds >= link.answeredAtMilliseconds + leaseMilliseconds;
+}
+
 /**
  * Takes in that all leases on a worker have lapsed. A batch task whose start was sent and never answered stays: the
  * worker may still carry the start out when it wakes, unless the instance list no longer has it.
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -72,6 +72,7 @@
 async function renewLeases(options: WorkerTaskOptions, signal: AbortSignal): Promise<void> {
     const { link, ledger, settings, clock } = options;
     const tasks = ledger.committedOn(link.instance.name);
+    const sentAt = clock();
     const answer = await options.workers.renew(link.instance.controlOrigin, {
         ...options.header,
         leaseMilliseconds: settings.workerLeaseMilliseconds,
@@ -81,6 +82,7 @@
         ),
     });
     if (answer.isErr) {
+        link.failedAtMilliseconds = sentAt;
         if (answer.error.code === "fenced") {
             options.onFenced();
         }
