Scenarios of cells wait until routes show what runs

Cause: the store was made to hang before the ledger had the replicas as running, so the scenario waited in vain; step limits were shorter than the waits.

--- a/features/scheduler/cells.steps.ts
+++ b/features/scheduler/cells.steps.ts
@@ -12,6 +12,8 @@
 import { createBatch, createService } from "./support/rules.js";
 
 const FAST_WORK_SPEED = 600;
+/** Steps wait for conditions; the limit only ends a step that waits in vain. */
+const LIMIT = { timeout: 60_000 };
 
 interface CellsWorld {
     dataCentres: Record<string, number>;
@@ -32,10 +34,14 @@
     this.behaviour = { speed: FAST_WORK_SPEED };
 });
 
-Given("a scheduler {string} in {string}", async function(this: CellsWorld, instance: string, dataCentre: string) {
-    this.fleet ??= await createFleet(this.dataCentres, this.behaviour);
-    this.fleet.startScheduler(instance, dataCentre);
-});
+Given(
+    "a scheduler {string} in {string}",
+    LIMIT,
+    async function(this: CellsWorld, instance: string, dataCentre: string) {
+        this.fleet ??= await createFleet(this.dataCentres, this.behaviour);
+        this.fleet.startScheduler(instance, dataCentre);
+    },
+);
 
 When(
     "the rules are {string} with {int} replicas and {string} with {int} tasks",
@@ -50,6 +56,7 @@
 
 When(
     "the scheduler {string} ends without a word and {string} in {string} starts",
+    LIMIT,
     async function(this: CellsWorld, ending: string, starting: string, dataCentre: string) {
         const fleet = fleetOf(this);
         const scheduler = fleet.schedulers.find(candidate => candidate.instance === ending);
@@ -61,6 +68,7 @@
 
 Then(
     "{int} replicas of {string} and {int} tasks of {string} run",
+    LIMIT,
     async function(this: CellsWorld, replicas: number, service: string, tasks: number, batch: string) {
         const { records } = fleetOf(this);
         await waitUntil("replicas and tasks run", () => {
@@ -81,7 +89,7 @@
     assert.equal(places.size, Object.keys(this.dataCentres).length);
 });
 
-Then("nothing runs", async function(this: CellsWorld) {
+Then("nothing runs", LIMIT, async function(this: CellsWorld) {
     await waitUntil("nothing runs", () => listRunning(fleetOf(this).records).length === 0);
 });
 
@@ -91,7 +99,7 @@
     assert.deepEqual(findOverlaps(records), []);
 });
 
-Then("{int} tasks of {string} have finished", async function(this: CellsWorld, tasks: number, rule: string) {
+Then("{int} tasks of {string} have finished", LIMIT, async function(this: CellsWorld, tasks: number, rule: string) {
     const { records } = fleetOf(this);
     await waitUntil(
         "tasks have finished",
@@ -107,8 +115,13 @@
     );
 });
 
-When("the store hangs and the worker {string} is leaving", function(this: CellsWorld, name: string) {
+When("the store hangs and the worker {string} is leaving", LIMIT, async function(this: CellsWorld, name: string) {
     const fleet = fleetOf(this);
+    // Once the routes have it, the ledger has it as running.
+    await waitUntil(
+        "replicas are in the routes",
+        async () => (await listRoutes(fleet)).some(({ worker, state }) => worker === name && state === "serving"),
+    );
     const worker = fleet.workers.find(({ instance }) => instance.name === name);
     assert.ok(worker !== undefined, `no worker ${name}`);
     fleet.store.setFaults({ down: "hang" });
@@ -116,7 +129,7 @@
     this.startsBefore = countStarts(fleet, name);
 });
 
-Then("no route leads to {string} but as leaving", async function(this: CellsWorld, name: string) {
+Then("no route leads to {string} but as leaving", LIMIT, async function(this: CellsWorld, name: string) {
     await waitUntil("routes say that the worker leaves", async () => {
         const routes = await listRoutes(fleetOf(this));
         const there = routes.filter(({ worker }) => worker === name);
@@ -135,6 +148,7 @@
 
 Then(
     "{int} replicas of {string} run, none of them on {string}",
+    LIMIT,
     async function(this: CellsWorld, replicas: number, service: string, name: string) {
         await waitUntil("replicas run elsewhere", () => {
             const running = listRunning(fleetOf(this).records).filter(({ rule }) => rule === service);
@@ -147,7 +161,7 @@
     assert.equal(countStarts(fleetOf(this), name), this.startsBefore);
 });
 
-Then("{string} owns all cells", async function(this: CellsWorld, instance: string) {
+Then("{string} owns all cells", LIMIT, async function(this: CellsWorld, instance: string) {
     const fleet = fleetOf(this);
     const scheduler = fleet.schedulers.find(candidate => candidate.instance === instance);
     await waitUntil(
@@ -156,22 +170,26 @@
     );
 });
 
-Then("{int} attempts of {string} were started in all", async function(this: CellsWorld, count: number, rule: string) {
-    const fleet = fleetOf(this);
-    // The successor has planned all rules once it has committed replicas of a service that was not there before.
-    fleet.configuration.apply([
-        ...fleet.configuration.current()?.documents.flatMap(({ rules }) => rules) ?? [],
-        createService("proof-of-plan", { replicas: 2, line: 3 }),
-    ]);
-    await waitUntil(
-        "the successor has planned",
-        () => listRunning(fleet.records).filter(running => running.rule === "proof-of-plan").length === 2,
-    );
-    const started = fleet.records.filter(record => record.event === "attempt-started" && record.rule === rule);
-    assert.equal(started.length, count);
-});
+Then(
+    "{int} attempts of {string} were started in all",
+    LIMIT,
+    async function(this: CellsWorld, count: number, rule: string) {
+        const fleet = fleetOf(this);
+        // The successor has planned all rules once it has committed replicas of a service that was not there before.
+        fleet.configuration.apply([
+            ...fleet.configuration.current()?.documents.flatMap(({ rules }) => rules) ?? [],
+            createService("proof-of-plan", { replicas: 2, line: 3 }),
+        ]);
+        await waitUntil(
+            "the successor has planned",
+            () => listRunning(fleet.records).filter(running => running.rule === "proof-of-plan").length === 2,
+        );
+        const started = fleet.records.filter(record => record.event === "attempt-started" && record.rule === rule);
+        assert.equal(started.length, count);
+    },
+);
 
-After(async function(this: CellsWorld) {
+After(LIMIT, async function(this: CellsWorld) {
     await this.fleet?.close();
 });
 
