--- a/features/scheduler/cells.feature
+++ b/features/scheduler/cells.feature
@@ -30,3 +30,13 @@
         When the store is back with 6 replicas of "beacon-check" asked for meanwhile
         Then 6 replicas of "beacon-check" run, none of them on "levi-1"
         And nothing was started on "levi-1" after it began to leave
+
+    Scenario: A wave of cancellations is drained in commits that fit, and an urgent replica starts meanwhile
+        Given data centres "levi" with 2 workers and "rovaniemi" with 1 workers
+        And a scheduler "entry-1" in "levi"
+        When the rule "season-prep" with 6000 tasks is applied
+        Then all 6000 tasks are in the ledgers
+        When the rule is replaced by an urgent service "beacon-check" with 2 replicas
+        Then 2 replicas of "beacon-check" run
+        And nothing of "season-prep" runs or waits
+        And the store has refused no write for its size
--- a/features/scheduler/cells.steps.ts
+++ b/features/scheduler/cells.steps.ts
@@ -161,6 +161,42 @@
     assert.equal(countStarts(fleetOf(this), name), this.startsBefore);
 });
 
+When("the rule {string} with {int} tasks is applied", function(this: CellsWorld, batch: string, tasks: number) {
+    fleetOf(this).configuration.apply([createBatch(batch, { tasks })]);
+});
+
+Then("all {int} tasks are in the ledgers", LIMIT, async function(this: CellsWorld, tasks: number) {
+    await waitUntil("all tasks are admitted", async () => countTasks(fleetOf(this)) === tasks);
+});
+
+When(
+    "the rule is replaced by an urgent service {string} with {int} replicas",
+    function(this: CellsWorld, service: string, replicas: number) {
+        fleetOf(this).configuration.apply([createService(service, { replicas, priority: 0 })]);
+    },
+);
+
+Then("{int} replicas of {string} run", LIMIT, async function(this: CellsWorld, replicas: number, service: string) {
+    await waitUntil(
+        "replicas run",
+        () => listRunning(fleetOf(this).records).filter(({ rule }) => rule === service).length === replicas,
+    );
+});
+
+Then("nothing of {string} runs or waits", LIMIT, async function(this: CellsWorld, batch: string) {
+    const fleet = fleetOf(this);
+    await waitUntil(
+        "all tasks have ended",
+        () => listRunning(fleet.records).every(({ rule }) => rule !== batch) && countTasks(fleet) <= 2,
+    );
+});
+
+Then("the store has refused no write for its size", function(this: CellsWorld) {
+    const counts = fleetOf(this).store.counts();
+    assert.ok(counts.writes > 0);
+    assert.equal(counts.refusedBySize, 0);
+});
+
 Then("{string} owns all cells", LIMIT, async function(this: CellsWorld, instance: string) {
     const fleet = fleetOf(this);
     const scheduler = fleet.schedulers.find(candidate => candidate.instance === instance);
@@ -200,6 +236,11 @@
     return world.fleet;
 }
 
+function countTasks(fleet: Fleet): number {
+    const cells = fleet.schedulers.flatMap(({ scheduler }) => scheduler.ownedCells());
+    return cells.reduce((sum, { tasks }) => sum + tasks, 0);
+}
+
 function countStarts(fleet: Fleet, worker: string): number {
     return fleet.records.filter(record => record.event === "attempt-started" && record.worker === worker).length;
 }
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -172,7 +172,13 @@
         if (configuration === undefined) {
             return;
         }
-        planCell({ cell: name, configuration, ledger, findAssignment: options.assignments.find }, now);
+        planCell({
+            cell: name,
+            configuration,
+            ledger,
+            findAssignment: options.assignments.find,
+            stopsAtMost: settings.stopsPerInterval,
+        }, now);
         for (const link of links.values()) {
             const state = stateOf(silence, link, now);
             if (state === "leaving" || state === "draining") {
--- a/src/scheduler/jobs/plan.ts
+++ b/src/scheduler/jobs/plan.ts
@@ -4,7 +4,7 @@
 import type { Configuration } from "../../rules/rule.js";
 import { endTask } from "../cell/transitions.js";
 import type { Ledger } from "../ledger/ledger.js";
-import { ENDED_STATES } from "../ledger/task.js";
+import { ENDED_STATES, HOLDING_STATES } from "../ledger/task.js";
 import type { Task, TaskSpec } from "../ledger/task.js";
 import type { AssignedRun, Assignment } from "./assignment.js";
 import { homeOfTask, homesOfReplicas } from "./home.js";
@@ -13,6 +13,9 @@
 
 /** Numbers of replicas of one slot differ by multiples of this. */
 const REPLICA_STRIDE = 10_000;
+/** Tasks that one plan admits or cancels at most; a commit's segment has to fit into one value of the store. */
+const ADMISSIONS_PER_PLAN = 500;
+const CANCELLATIONS_PER_PLAN = 500;
 
 /** What a plan is made from. */
 export interface PlanInput {
@@ -20,6 +23,8 @@
     readonly configuration: Configuration;
     readonly ledger: Ledger;
     findAssignment(rule: string): Assignment | undefined;
+    /** Running tasks that one plan may begin to stop. */
+    readonly stopsAtMost: number;
 }
 
 /** Brings the ledger's draft in line with the rules. */
@@ -28,10 +33,11 @@
     const runnable = listRunnable(input.configuration, now);
     const names = new Set(runnable.map(({ rule }) => rule.name));
     const replicas = new Map<string, Task[]>();
+    const budget = { stops: input.stopsAtMost, cancellations: CANCELLATIONS_PER_PLAN };
     for (const task of [...ledger.draft.values()]) {
         const { rule, kind } = ledger.specOf(task);
         if (!names.has(rule)) {
-            endTask(ledger, task, "its rule has ended", now);
+            endWithin(budget, ledger, task, now);
         }
         else if (kind === "service" && !ENDED_STATES.has(task.state)) {
             replicas.set(rule, [...replicas.get(rule) ?? [], task]);
@@ -51,6 +57,23 @@
     }
 }
 
+/** What one plan may still end, so that a wave of cancellations fits into commits and delays no start. */
+interface EndBudget {
+    stops: number;
+    cancellations: number;
+}
+
+function endWithin(budget: EndBudget, ledger: Ledger, task: Task, now: number): void {
+    if (ENDED_STATES.has(task.state) || task.state === "stopping") {
+        return;
+    }
+    const kind = HOLDING_STATES.has(task.state) ? "stops" : "cancellations";
+    if (budget[kind] > 0) {
+        budget[kind] -= 1;
+        endTask(ledger, task, "its rule has ended", now);
+    }
+}
+
 interface ServicePlan {
     readonly assignment: Assignment;
     /** Replicas that the ledger has. */
@@ -74,7 +97,7 @@
     let admission = ledger.admissions.get(name);
     for (const slot of wanted) {
         const replacements = admission === undefined ? 0 : admission.replacements + 1;
-        admission = { rule: name, run: 0, generation, replacements };
+        admission = { rule: name, run: 0, generation, tasks: 0, replacements };
         admit(ledger, toSpec(runnable), `${name}/${slot + REPLICA_STRIDE * replacements}`, now);
         ledger.putAdmission(admission);
     }
@@ -86,35 +109,53 @@
     const { generation } = assignment;
     for (const assigned of assignment.runs) {
         const admission = ledger.admissions.get(name);
+        const isSame = admission?.generation === generation && admission.run === assigned.run;
         const isNew = admission === undefined || generation > admission.generation
             || (generation === admission.generation && assigned.run > admission.run);
-        if (isNew && admitRun(input, runnable, assigned, now)) {
-            ledger.putAdmission({ rule: name, run: assigned.run, generation, replacements: 0 });
+        if (isNew || isSame) {
+            const from = isSame ? admission.tasks : 0;
+            const tasks = admitSlice(input, runnable, { assigned, from }, now);
+            if (tasks > from) {
+                ledger.putAdmission({ rule: name, run: assigned.run, generation, tasks, replacements: 0 });
+            }
+            if (runnable.rule.kind === "batch" && tasks < runnable.rule.tasks) {
+                return;
+            }
         }
     }
 }
 
-/** Admits this cell's share of a run; not while tasks of the same names are still on their way out. */
-function admitRun(input: PlanInput, runnable: RunnableRule, assigned: AssignedRun, now: number): boolean {
+/** Part of a run. */
+interface Slice {
+    readonly assigned: AssignedRun;
+    /** Index of the first task that has not been looked at. */
+    readonly from: number;
+}
+
+/** Admits the next tasks of this cell's share, and gives the index after the last one that was looked at. */
+function admitSlice(input: PlanInput, runnable: RunnableRule, { assigned, from }: Slice, now: number): number {
     const { rule } = runnable;
     if (rule.kind !== "batch") {
-        return false;
+        return from;
     }
     const cells = assigned.cells.map(({ cell }) => cell);
-    const taskIds = Array.from(
-        { length: rule.tasks },
-        (entry, index) => `${rule.name}@${assigned.run === 0 ? "once" : assigned.run}/${index}`,
-    ).filter(taskId => homeOfTask(taskId, cells) === input.cell);
-    const isPresent = (taskId: string) => {
+    const spec = toSpec(runnable);
+    let admitted = 0;
+    for (let index = from; index < rule.tasks; index += 1) {
+        const taskId = `${rule.name}@${assigned.run === 0 ? "once" : assigned.run}/${index}`;
+        if (homeOfTask(taskId, cells) !== input.cell) {
+            continue;
+        }
         const state = input.ledger.draft.get(taskId)?.state;
-        return state !== undefined && !ENDED_STATES.has(state);
-    };
-    if (taskIds.some(isPresent)) {
-        return false;
+        const isOnItsWayOut = state !== undefined && !ENDED_STATES.has(state);
+        if (isOnItsWayOut || admitted >= ADMISSIONS_PER_PLAN) {
+            // Looked at again by the next plan.
+            return index;
+        }
+        admit(input.ledger, spec, taskId, now);
+        admitted += 1;
     }
-    const spec = toSpec(runnable);
-    taskIds.forEach(taskId => admit(input.ledger, spec, taskId, now));
-    return true;
+    return rule.tasks;
 }
 
 function admit(ledger: Ledger, spec: TaskSpec, taskId: string, now: number): void {
--- a/src/scheduler/ledger/task.ts
+++ b/src/scheduler/ledger/task.ts
@@ -53,6 +53,8 @@
     rule: Name,
     /** Scheduled time in seconds since the Unix epoch, or 0 for work that runs once. */
     run: z.number(),
+    /** Tasks of the run that have been looked at so far; a large run is admitted in slices. */
+    tasks: z.int().min(0),
     /** Counts replicas that a service has been given here, so that a replacement gets another id. */
     replacements: z.int().min(0),
     /** Rises when a rule is removed and later created again. */
