--- a/bench/demo/open.ts
+++ b/bench/demo/open.ts
@@ -1,19 +1,12 @@
 /**
  * Opens a demo: starts the deployment, waits until gateways are ready, applies the example's rules with the client.
  */
-import { execFile } from "node:child_process";
 import { mkdtemp } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { promisify } from "node:util";
-import { request } from "undici";
-import { pause } from "../../src/core/time.js";
 import type { Deployment } from "../../stand-ins/deployment.js";
-import { deploymentPlans, OPERATOR_TOKEN, startDeployment } from "../../stand-ins/deployment.js";
-
-const CLIENT = "dist/src/binaries/flamingowell.js";
-const READY_LIMIT_MILLISECONDS = 15_000;
-const POLL_MILLISECONDS = 50;
+import { deploymentPlans, startDeployment } from "../../stand-ins/deployment.js";
+import { createDeploymentOperator } from "../../stand-ins/operator.js";
 
 /** Name of one of the users' deployments. */
 export type DeploymentName = keyof typeof deploymentPlans;
@@ -73,8 +66,9 @@
     console.log(
         `${options.instances} entry instances, ${deployment.workers.length} workers, logs in ${deployment.directory}`,
     );
-    await runClient(demo, ["rules", "apply", plan.rules, "--team", plan.team]);
-    await waitForGateways(demo);
+    const operator = createDeploymentOperator(deployment);
+    process.stdout.write(await operator.runClient(["rules", "apply", plan.rules, "--team", plan.team]));
+    await operator.waitForGateways();
     if (options.truncateAnswers) {
         await Promise.all(
             deployment.workers.map(worker => deployment.setFaults(worker.control, { truncateAnswers: true })),
@@ -86,35 +80,3 @@
 function listOrigins(deployment: Deployment, port: string): string[] {
     return deployment.instances.flatMap(({ gateway }) => gateway.announcement[port] ?? []);
 }
-
-/** Runs the operators' client and prints what it prints. */
-export async function runClient(demo: Demo, words: readonly string[]): Promise<void> {
-    const [gateway = ""] = demo.operatorOrigins;
-    const { stdout, stderr } = await promisify(execFile)(process.execPath, [
-        CLIENT,
-        ...words,
-        "--gateway",
-        gateway,
-        "--token",
-        OPERATOR_TOKEN,
-    ]);
-    process.stdout.write(stdout + stderr);
-}
-
-async function waitForGateways(demo: Demo): Promise<void> {
-    const limit = AbortSignal.timeout(READY_LIMIT_MILLISECONDS);
-    await Promise.all(demo.deployment.instances.map(async ({ gateway }) => {
-        while (!limit.aborted && !await isReady(gateway.announcement["metrics"] ?? "")) {
-            await pause(POLL_MILLISECONDS);
-        }
-    }));
-    if (limit.aborted) {
-        throw new Error("gateways are not ready");
-    }
-}
-
-async function isReady(metricsOrigin: string): Promise<boolean> {
-    const answer = await request(`${metricsOrigin}/ready`);
-    await answer.body.dump();
-    return answer.statusCode === 200;
-}
--- a/bench/demo/smoke.ts
+++ b/bench/demo/smoke.ts
@@ -3,8 +3,8 @@
  * cut off by the stop.
  */
 import { readFile } from "node:fs/promises";
-import { request } from "undici";
 import { pause } from "../../src/core/time.js";
+import { createDeploymentOperator } from "../../stand-ins/operator.js";
 import { WorkerRecord } from "../../stand-ins/worker/record.js";
 import type { CallOutcome, LoadResult } from "../support/load.js";
 import type { Demo } from "./open.js";
@@ -27,7 +27,10 @@
         const running = (await readTasks(demo)).filter(isRunning);
         return services.every(service => running.some(task => task.rule === service));
     });
-    const reachable = await waitForAnswers(demo, services);
+    const reachable = await createDeploymentOperator(demo.deployment).waitForAnswers(services).then(
+        () => true,
+        () => false,
+    );
     const details: Record<string, number> = {};
     const result = await runTraffic(demo, {
         durationMilliseconds: TRAFFIC_MILLISECONDS,
@@ -100,19 +103,6 @@
     return false;
 }
 
-/** Waits until every gateway has an upstream for every service. */
-async function waitForAnswers(demo: Demo, services: readonly string[]): Promise<boolean> {
-    const urls = demo.origins.flatMap(origin => services.map(service => `${origin}/${service}/probe`));
-    const reached = await Promise.all(urls.map(url =>
-        waitFor(PLACED_LIMIT_MILLISECONDS, async () => {
-            const answer = await request(url);
-            await answer.body.dump();
-            return answer.statusCode === 200;
-        })
-    ));
-    return reached.every(Boolean);
-}
-
 /** Waits until the tasks of all batch rules that run once have finished. */
 async function waitForBatch(demo: Demo): Promise<{ expected: number; finished: number; }> {
     const expected = await countBatchTasks(demo);
--- a/features/exclusive/gateways.ts
+++ b/features/exclusive/gateways.ts
@@ -31,10 +31,11 @@
     return createIdempotencyGuard({
         settings: IdempotencySettings.parse({
             pollMilliseconds: 10,
+            retryMilliseconds: 50,
             outcomeWaitMilliseconds: 500,
-            groupMilliseconds: 1,
         }),
         store: createStoreClient(storeOrigin),
+        countGateways: () => 1,
         clock: systemClock,
         metrics: createMetrics({}),
         logger: silentLogger,
--- a/src/gateway/idempotency/guard.ts
+++ b/src/gateway/idempotency/guard.ts
@@ -29,18 +29,28 @@
 export interface IdempotencyOptions {
     readonly settings: IdempotencySettings;
     readonly store: Store;
+    /** Number of gateways that share the store's rate, this one included. */
+    countGateways(): number;
     readonly clock: Clock;
     readonly metrics: Metrics;
     readonly logger: Logger;
 }
 
+/** The guard, and the records that it still has to write. */
+export interface IdempotencyGuard extends Guard {
+    /** Waits until all outcomes are recorded, at most for a time; called when no request is under way any more. */
+    settle(limitMilliseconds: number): Promise<void>;
+}
+
 interface GuardParts extends IdempotencyOptions {
+    /** Outcomes that are being recorded. */
+    readonly recording: Set<Promise<void>>;
     readonly writer: RecordWriter;
     readonly retention: Retention;
 }
 
 /** Creates the guard. */
-export function createIdempotencyGuard(options: IdempotencyOptions): Guard {
+export function createIdempotencyGuard(options: IdempotencyOptions): IdempotencyGuard {
     const transactions = options.metrics.counter(
         "flamingowell_gateway_idempotency_transactions_total",
         "Transactions of idempotency records",
@@ -52,12 +62,14 @@
     const writer = createRecordWriter({
         settings: options.settings,
         store: options.store,
+        spacingMilliseconds: () =>
+            options.countGateways() * MILLISECONDS_PER_SECOND / options.settings.transactionsPerSecond,
         onTransaction: count => {
             transactions.inc();
             records.inc(count);
         },
     });
-    const parts = { ...options, writer, retention: createRetention(options) };
+    const parts = { ...options, writer, retention: createRetention(options), recording: new Set<Promise<void>>() };
     return {
         admit: async request => {
             if (request.idempotencyKey === undefined) {
@@ -65,9 +77,18 @@
             }
             return admitKeyed(request, parts);
         },
+        settle: async limitMilliseconds => {
+            await waitAtMost(Promise.all(parts.recording), limitMilliseconds);
+        },
     };
 }
 
+async function waitAtMost(work: Promise<unknown>, limitMilliseconds: number): Promise<void> {
+    const limit = new AbortController();
+    await Promise.race([work, pause(limitMilliseconds, limit.signal)]);
+    limit.abort();
+}
+
 async function admitKeyed(request: GuardedRequest, parts: GuardParts): Promise<Admission> {
     const now = parts.clock();
     const leaseId = await parts.retention.findLease(now);
@@ -192,7 +213,9 @@
             const record = describeOutcome(request, outcome, answer, parts.settings);
             const value = record === undefined ? undefined : encode(record);
             const recorded = recordOutcome({ key, value, expectedRevision: revision, leaseId }, parts);
-            await Promise.race([recorded, pause(parts.settings.outcomeWaitMilliseconds)]);
+            parts.recording.add(recorded);
+            void recorded.finally(() => parts.recording.delete(recorded));
+            await waitAtMost(recorded, parts.settings.outcomeWaitMilliseconds);
         },
     };
 }
@@ -230,7 +253,7 @@
             }
             return;
         }
-        await pause(parts.settings.outcomeWaitMilliseconds, limit);
+        await pause(parts.settings.retryMilliseconds, limit);
     }
 }
 
@@ -238,7 +261,7 @@
 async function withdraw(key: string, intent: IdempotencyRecord, parts: GuardParts): Promise<void> {
     const limit = createTimeout(parts.settings.retentionSeconds * MILLISECONDS_PER_SECOND);
     while (!limit.aborted) {
-        await pause(parts.settings.outcomeWaitMilliseconds, limit);
+        await pause(parts.settings.retryMilliseconds, limit);
         const found = await parts.store.read({ key });
         if (found.isOk) {
             const [entry] = found.value.entries;
--- a/src/gateway/idempotency/writer.ts
+++ b/src/gateway/idempotency/writer.ts
@@ -1,5 +1,6 @@
 /**
- * Group commit of idempotency records: all writes of a short interval go to the store in one transaction.
+ * Group commit of idempotency records. A gateway leaves a time between its transactions, so that all gateways together
+ * stay within a rate; a write that comes alone leaves at once, and what comes in between leaves together.
  *
  * A transaction fails whole when one comparison fails; the writes whose records have changed are told so, and the rest
  * is tried again without them.
@@ -45,6 +46,8 @@
 export interface RecordWriterOptions {
     readonly settings: IdempotencySettings;
     readonly store: Store;
+    /** Time between the starts of two transactions. */
+    spacingMilliseconds(): number;
     /** Called for each transaction, with the number of records in it. */
     onTransaction(records: number): void;
 }
@@ -52,29 +55,42 @@
 /** Creates a writer. */
 export function createRecordWriter(options: RecordWriterOptions): RecordWriter {
     let queue: QueuedWrite[] = [];
-    let timer: NodeJS.Timeout | undefined;
-    const flush = (): void => {
-        const { group, rest } = takeGroup(queue, options.settings.groupRecords);
-        queue = rest;
-        timer = rest.length > 0 ? setTimeout(flush, 0) : undefined;
-        void commitGroup(group, options);
+    let isFlushing = false;
+    const flush = async (): Promise<void> => {
+        isFlushing = true;
+        while (queue.length > 0) {
+            const { group, rest } = takeGroup(queue, options.settings);
+            queue = rest;
+            void commitGroup(group, options);
+            await pause(options.spacingMilliseconds());
+        }
+        isFlushing = false;
     };
     return {
         write: (write, signal) =>
             new Promise(resolve => {
                 queue.push({ ...write, signal, resolve });
-                timer ??= setTimeout(flush, options.settings.groupMilliseconds);
+                if (!isFlushing) {
+                    void flush();
+                }
             }),
     };
 }
 
-/** Takes the oldest write of each key, up to a limit; a transaction holds one write of a key at most. */
-function takeGroup(queue: readonly QueuedWrite[], limit: number): { group: QueuedWrite[]; rest: QueuedWrite[]; } {
+/** Takes the oldest write of each key, up to the limits; a transaction holds one write of a key at most. */
+function takeGroup(
+    queue: readonly QueuedWrite[],
+    settings: IdempotencySettings,
+): { group: QueuedWrite[]; rest: QueuedWrite[]; } {
     const keys = new Set<string>();
     const group: QueuedWrite[] = [];
     const rest: QueuedWrite[] = [];
+    let bytes = 0;
     for (const write of queue) {
-        const fits = group.length < limit && !keys.has(write.key);
+        bytes += write.value?.length ?? 0;
+        const isWithinLimits = group.length < settings.groupRecords
+            && (group.length === 0 || bytes <= settings.groupBytes);
+        const fits = isWithinLimits && !keys.has(write.key);
         keys.add(write.key);
         (fits ? group : rest).push(write);
     }
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -54,16 +54,21 @@
         metrics,
         logger,
     });
+    const idempotency = createIdempotencyGuard({
+        settings: settings.idempotency,
+        store,
+        countGateways: () => 1 + membership.source.members().filter(member => member.role === "gateway").length,
+        clock,
+        metrics,
+        logger,
+    });
     const gateway = createGateway({
         identity: foundation.identity,
         settings: settings.requests,
         configuration: configuration.source,
         membership: membership.source,
         rpc,
-        guards: [
-            exclusive.guard,
-            createIdempotencyGuard({ settings: settings.idempotency, store, clock, metrics, logger }),
-        ],
+        guards: [exclusive.guard, idempotency],
         peerToken: settings.peerToken,
         clock,
         random,
@@ -97,6 +102,7 @@
         stop: async () => {
             await membership.leave();
             await Promise.all([gateway.drain(settings.stopLimitMilliseconds), exclusive.handOver()]);
+            await idempotency.settle(settings.stopLimitMilliseconds);
             await callers.close();
             await operators.running.close();
             await running.stop();
