--- a/bench/experiments/idempotency.ts
+++ b/bench/experiments/idempotency.ts
@@ -134,7 +134,7 @@
         }
         const due = dueAt;
         running.push(
-            runRequest(index).then(() => {
+            way.runRequest(index).then(() => {
                 const took = systemClock() - due - UPSTREAM_MILLISECONDS;
                 added.recordValue(Math.max(1, Math.round(took * 1_000)));
             }),
