--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -1,6 +1,7 @@
 /**
  * Owner's task of one cell: observes, plans, decides, and commits all of an interval's transitions together.
  */
+import { setMaxListeners } from "node:events";
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
 import type { Clock } from "../../core/time.js";
@@ -21,14 +22,16 @@
 import { createCrew } from "./crew.js";
 import { applyDecisions } from "./decide.js";
 import type { DecideInput } from "./decide.js";
-import { moveOff } from "./drain.js";
+import { moveOff, replaceReplicas } from "./drain.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
-import { leasesEndAt, observeEvent } from "./observe.js";
+import { leasesEndAt, observeEvent, observeSilence, wasAskedInVain } from "./observe.js";
 import { createPace } from "./pace.js";
 import { forgetEnded } from "./transitions.js";
 import { buildView, stateOf } from "./view.js";
 import type { ViewInput } from "./view.js";
 
+/** Replicas on a worker that is silent for this share of a lease are replaced by others. */
+const SILENT_SHARE_OF_LEASE = 0.75;
 const SWEEP_INTERVAL_MILLISECONDS = 5_000;
 
 /** Why a cell's task ended. */
@@ -65,6 +68,8 @@
     readonly links: ReadonlyMap<string, WorkerLink>;
     readonly policy: Policy;
     epoch(): number;
+    /** Until when leases may be renewed without the store. */
+    horizonMilliseconds(): number;
     view(now: number): ReturnType<typeof buildView>;
     /** Takes in the newest instance list. */
     updateMap(map: CellMap, now: number): void;
@@ -89,6 +94,7 @@
     const inbox: WorkerEvent[] = [];
     const commands: WaitingCommand[] = [];
     const ended = new AbortController();
+    setMaxListeners(0, ended.signal);
     const wake = createWake();
     const pace = createPace();
     let end: CellEnd | undefined;
@@ -144,8 +150,10 @@
         }
         const leases = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
         for (const worker of ledger.workers()) {
-            if (now >= leasesEndAt(leases, links.get(worker), takenAt)) {
-                observeEvent(input, { kind: "lost", worker, reason: "its lease lapsed" }, now);
+            const link = links.get(worker);
+            const isOver = now >= leasesEndAt(leases, link, takenAt);
+            if (isOver && wasAskedInVain(link, settings.workerLeaseMilliseconds)) {
+                observeSilence(input, worker, link, now);
             }
         }
         for (const link of [...links.values()]) {
@@ -170,6 +178,9 @@
             if (state === "leaving" || state === "draining") {
                 moveOff(ledger, link.instance.name, state, now);
             }
+            else if (now - link.answeredAtMilliseconds >= settings.workerLeaseMilliseconds * SILENT_SHARE_OF_LEASE) {
+                replaceReplicas(ledger, link.instance.name, now);
+            }
         }
         const decisions = policy.decide(buildView(viewInput(), now), now);
         const input: DecideInput = {
@@ -249,6 +260,7 @@
         links,
         policy,
         epoch: () => journal.head().epoch,
+        horizonMilliseconds: () => journal.head().horizonMilliseconds,
         view: now => buildView(viewInput(), now),
         updateMap(map, now) {
             if (crew.update(map.workers, now)) {
