JSON-RPC endpoint answers every body

Cause: json-rpc-2.0 throws on a batch with an element that is no object (`[null]`), which became an HTTP 500; found by arbitrary bodies against a running process.

--- a/src/core/rpc.ts
+++ b/src/core/rpc.ts
@@ -5,7 +5,7 @@
  */
 import express from "express";
 import type { RequestHandler, Router } from "express";
-import { JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
+import { JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
 import { timingSafeEqual } from "node:crypto";
 import { Result } from "true-myth/result";
 import { request } from "undici";
@@ -82,7 +82,7 @@
     router.use(RPC_PATH, requireToken(options.token));
     router.use(RPC_PATH, express.text({ type: () => true, limit: options.bodyLimitBytes ?? DEFAULT_BODY_LIMIT_BYTES }));
     router.post(RPC_PATH, async (incoming, outgoing) => {
-        const answer = await server.receiveJSON(typeof incoming.body === "string" ? incoming.body : "");
+        const answer = await receive(server, typeof incoming.body === "string" ? incoming.body : "");
         if (answer === null) {
             outgoing.status(204).end();
             return;
@@ -92,6 +92,20 @@
     return router;
 }
 
+/** The library throws on some bodies that are JSON but no request, such as `[null]`. */
+async function receive(server: JSONRPCServer, body: string): Promise<object | null> {
+    try {
+        return await server.receiveJSON(body);
+    }
+    catch {
+        return {
+            jsonrpc: "2.0",
+            id: null,
+            error: { code: JSONRPCErrorCode.InvalidRequest, message: "Invalid Request" },
+        };
+    }
+}
+
 /** Refuses requests that do not carry the token. */
 export function requireToken(token: string): RequestHandler {
     const expected = Buffer.from(`Bearer ${token}`);
