Rules file and applies, tested; silent watches and lost answers

A watch that stays open but tells nothing is found by the revision of one key that every apply writes; heartbeats that carry a higher revision cause a read at once. An unclosed quote is an error, a mistyped option is one error and not three.

--- /dev/null
+++ b/features/rules/fleet.steps.ts
@@ -0,0 +1,55 @@
+/**
+ * Steps that every feature with a fleet of processes shares.
+ */
+import { After, Given } from "@cucumber/cucumber";
+import type { Fleet } from "../membership/fleet.js";
+import { startFleet, waitFor } from "../membership/fleet.js";
+
+/** Longest time that one step may take; no step is expected to. */
+export const STEP_LIMIT_MILLISECONDS = 90_000;
+
+/** Seed of all fleets in tests. */
+const SEED = 7;
+
+/** Short intervals, so that scenarios are quick; none of them is asserted. */
+const parts = {
+    membership: {
+        listIntervalMilliseconds: 200,
+        probeIntervalMilliseconds: 60,
+        probeTimeoutMilliseconds: 150,
+        suspicionMilliseconds: 600,
+    },
+    configuration: { compareIntervalMilliseconds: 200, headIntervalMilliseconds: 200, storeRetryMilliseconds: 100 },
+};
+
+/** World of scenarios with a fleet. */
+export interface FleetWorld {
+    fleet: Fleet;
+}
+
+Given(
+    "a fleet of {int} entry instances that know the rules",
+    { timeout: STEP_LIMIT_MILLISECONDS },
+    async function(this: FleetWorld, instances: number) {
+        this.fleet = await startFleet({ instances, seed: SEED, parts });
+        await waitFor("every process knows the rules and all peers", async () => {
+            const reports = await Promise.all(this.fleet.nodes.map(node => this.fleet.read(node)));
+            return reports.every(report =>
+                report.revision >= 0
+                && report.members.filter(member => member.incarnation > 0).length === this.fleet.nodes.length - 1
+            );
+        });
+    },
+);
+
+Given(
+    "a fleet of {int} entry instances whose store is down",
+    { timeout: STEP_LIMIT_MILLISECONDS },
+    async function(this: FleetWorld, instances: number) {
+        this.fleet = await startFleet({ instances, seed: SEED, parts, storeDown: true });
+    },
+);
+
+After(async function(this: Partial<FleetWorld>) {
+    await this.fleet?.stop();
+});
--- a/src/configuration/catalog.ts
+++ b/src/configuration/catalog.ts
@@ -30,6 +30,8 @@
     missingFrom(digest: CatalogDigest): RevisedRecord[];
     /** Revision of a team's document in force; 0 without one. */
     revisionOf(team: string): number;
+    /** Tells whether the record of a revision is known, or one that has replaced it. */
+    covers(revision: number): boolean;
     configuration(): Configuration;
 }
 
@@ -78,6 +80,7 @@
                 revision > digest.complete && !digest.beyond.includes(revision)
             ),
         revisionOf: team => records.get(team)?.revision ?? 0,
+        covers: revision => revision <= complete || [...records.values()].some(record => record.revision === revision),
         configuration: () => configuration,
     };
 }
--- a/src/configuration/exchange.ts
+++ b/src/configuration/exchange.ts
@@ -11,12 +11,24 @@
 /** Runs until the signal is aborted. */
 export async function runExchange(context: FeedContext, signal: AbortSignal): Promise<void> {
     const { settings, random } = context;
+    const unsubscribe = context.membership.onChange(() => void readFromNewest(context));
+    signal.addEventListener("abort", unsubscribe, { once: true });
     while (!signal.aborted) {
         await (context.isInformed() ? compareWithOne(context) : askAll(context));
         await pause(jitter(settings.compareIntervalMilliseconds, INTERVAL_JITTER_SHARE, random), signal);
     }
 }
 
+/** Heartbeats carry revisions: a peer that is ahead is read at once. */
+async function readFromNewest(context: FeedContext): Promise<void> {
+    const peers = listReachable(context);
+    const highest = Math.max(0, ...peers.map(peer => peer.configurationRevision));
+    const newest = peers.find(peer => peer.configurationRevision === highest);
+    if (newest !== undefined && highest > context.catalog.configuration().revision) {
+        await readFromPeer(context, newest.origin);
+    }
+}
+
 async function compareWithOne(context: FeedContext): Promise<void> {
     const peers = listReachable(context);
     const peer = peers[Math.floor(context.random() * peers.length)];
@@ -27,6 +39,7 @@
 
 /** A process that starts without the store needs the newest of what most peers know: one alone may be behind. */
 export async function askAll(context: FeedContext): Promise<void> {
+    // Dead members count as well: in a partition, those on this side alone may all be behind.
     const peers = context.membership.members();
     const answers = await Promise.all(peers.map(peer => readFromPeer(context, peer.origin)));
     const informed = answers.filter(answer => answer).length;
--- a/src/configuration/feed.ts
+++ b/src/configuration/feed.ts
@@ -3,7 +3,7 @@
  */
 import Emittery from "emittery";
 import { Result } from "true-myth/result";
-import { formatFailure } from "../core/errors.js";
+import { describeThrown, formatFailure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
 import type { Metrics } from "../core/metrics.js";
 import type { Part } from "../core/part.js";
@@ -68,6 +68,12 @@
     const revision = metrics.gauge("flamingowell_configuration_revision", "Highest revision in force");
     let informed = false;
 
+    function tell(): void {
+        events.emit("changed", catalog.configuration()).catch((thrown: unknown) => {
+            logger.error("listener failed", { message: describeThrown(thrown) });
+        });
+    }
+
     const context: FeedContext = {
         ...options,
         catalog,
@@ -76,7 +82,7 @@
             if (!informed) {
                 informed = true;
                 logger.info("configuration known", { revision: catalog.configuration().revision });
-                void events.emit("changed", catalog.configuration());
+                tell();
             }
         },
         take(records, complete, from) {
@@ -92,7 +98,7 @@
                 void events.emit("announce");
             }
             if (changed && informed) {
-                void events.emit("changed", catalog.configuration());
+                tell();
             }
         },
     };
--- a/src/configuration/record.ts
+++ b/src/configuration/record.ts
@@ -17,6 +17,9 @@
 /** Prefix of the records of earlier applies. */
 export const HISTORY_PREFIX = "/flamingowell/history/";
 
+/** Key written with every apply: its revision is that of the latest change. */
+export const HEAD_KEY = "/flamingowell/rules-head";
+
 const SEQUENCE_DIGITS = 10;
 
 /** A team's rules as kept: the text alone, since every reader can parse it. */
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -10,6 +10,8 @@
     announceFanout: z.int().min(1).default(3),
     /** Interval at which a daemon asks one peer whether it has missed a change. */
     compareIntervalMilliseconds: z.int().min(10).default(1_000),
+    /** Interval at which a watcher checks that its watch has not missed a change. */
+    headIntervalMilliseconds: z.int().min(10).default(2_000),
     /** Wait before a broken watch or a failed read of the store is tried again. */
     storeRetryMilliseconds: z.int().min(1).default(500),
     /** Longest wait between two such attempts. */
--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -9,9 +9,12 @@
 import { askAll } from "./exchange.js";
 import { isWatcher } from "./feed.js";
 import type { FeedContext } from "./feed.js";
-import { decodeRulesEntry, RULES_PREFIX } from "./record.js";
+import { decodeRulesEntry, HEAD_KEY, RULES_PREFIX } from "./record.js";
 import type { RevisedRecord } from "./record.js";
 
+const PEERS_POLL_MILLISECONDS = 20;
+const SILENT_AFTER_CHECKS = 2;
+
 /** Runs until the signal is aborted. */
 export async function runStoreWatch(context: FeedContext, signal: AbortSignal): Promise<void> {
     const { settings, logger } = context;
@@ -36,12 +39,20 @@
     }
     if (!context.isInformed()) {
         // The store may have answered from a replica that lags, so the peers are heard as well.
-        await Promise.race([askAll(context), pause(context.settings.startLimitMilliseconds, signal)]);
+        await Promise.race([askKnownPeers(context, signal), pause(context.settings.startLimitMilliseconds, signal)]);
         context.becomeInformed();
     }
     return isWatcher(context) ? watch(context, read.value + 1, signal) : Result.ok(undefined);
 }
 
+/** Asks all peers, once the instance list has named some. */
+async function askKnownPeers(context: FeedContext, signal: AbortSignal): Promise<void> {
+    while (context.membership.members().length === 0 && !context.isInformed() && !signal.aborted) {
+        await pause(PEERS_POLL_MILLISECONDS, signal);
+    }
+    await askAll(context);
+}
+
 /** Reads every record, page by page, and gives the revision up to which nothing is missing. */
 async function readAll(context: FeedContext): Promise<Result<number, Failure>> {
     const { store, settings } = context;
@@ -80,7 +91,7 @@
     });
 }
 
-/** Watches until the watch breaks, the process is no longer one of the watchers, or the signal is aborted. */
+/** Watches until the watch breaks or falls silent, the process is no longer one of the watchers, or the signal. */
 async function watch(context: FeedContext, fromRevision: number, signal: AbortSignal): Promise<Result<void, Failure>> {
     const ended = new AbortController();
     const unsubscribe = context.membership.onChange(() => {
@@ -88,11 +99,13 @@
             ended.abort();
         }
     });
+    const either = AbortSignal.any([signal, ended.signal]);
+    void checkHead(context, either, () => ended.abort());
     try {
         return await context.store.watch({
             prefix: RULES_PREFIX,
             fromRevision,
-            signal: AbortSignal.any([signal, ended.signal]),
+            signal: either,
             onEvents(events, revision) {
                 const entries = events.filter(event => event.kind === "put").map(event => event.entry);
                 context.take(decodeEntries(context, entries), revision, "store");
@@ -101,5 +114,22 @@
     }
     finally {
         unsubscribe();
+        ended.abort();
+    }
+}
+
+/** A watch can fall silent without breaking; the revision of the latest change tells. */
+async function checkHead(context: FeedContext, signal: AbortSignal, giveUp: () => void): Promise<void> {
+    let missed = 0;
+    while (!signal.aborted) {
+        await pause(context.settings.headIntervalMilliseconds, signal);
+        const head = await context.store.read({ key: HEAD_KEY, keysOnly: true });
+        const latest = head.isOk ? head.value.entries[0]?.modRevision ?? 0 : 0;
+        missed = context.catalog.covers(latest) ? 0 : missed + 1;
+        // An event may be on its way when the head is read first.
+        if (missed === SILENT_AFTER_CHECKS) {
+            context.logger.warn("watch fell silent", { latest });
+            giveUp();
+        }
     }
 }
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -3,8 +3,9 @@
  * on with its probes, so the traffic of a process does not grow with the fleet.
  */
 import Emittery from "emittery";
+import type { Counter } from "prom-client";
 import { Result } from "true-myth/result";
-import { formatFailure } from "../core/errors.js";
+import { describeThrown, formatFailure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
 import type { Metrics } from "../core/metrics.js";
 import type { Part } from "../core/part.js";
@@ -50,6 +51,8 @@
     current(): Member;
     /** Takes in news of members, of this process as well. */
     hear(news: readonly Member[]): void;
+    /** Counts how a probe went: answered directly, through another peer, or not at all. */
+    readonly probes: Counter<"outcome">;
     /** What the next heartbeat to a peer says. */
     compose(target: Member | undefined): { self: Member; changes: Member[]; };
 }
@@ -86,11 +89,14 @@
         for (const state of ["alive", "suspect", "leaving", "dead"] as const) {
             states.set({ state }, roster.entries().filter(entry => entry.member.state === state).length);
         }
-        void events.emit("changed");
+        events.emit("changed").catch((thrown: unknown) => {
+            logger.error("listener failed", { message: describeThrown(thrown) });
+        });
     }
 
     const context: MembershipContext = {
         ...options,
+        probes: metrics.counter("flamingowell_membership_probes_total", "Probes of peers by outcome", ["outcome"]),
         roster,
         current,
         hear(news) {
--- a/src/membership/probe.ts
+++ b/src/membership/probe.ts
@@ -20,8 +20,16 @@
     if (peer === undefined) {
         return;
     }
-    const answered = await exchangeHeartbeat(context, peer) !== undefined;
-    if (answered || peer.state === "dead" || await probeIndirectly(context, peer)) {
+    if (await exchangeHeartbeat(context, peer) !== undefined) {
+        context.probes.inc({ outcome: "direct" });
+        return;
+    }
+    if (peer.state !== "dead" && await probeIndirectly(context, peer)) {
+        context.probes.inc({ outcome: "indirect" });
+        return;
+    }
+    context.probes.inc({ outcome: "none" });
+    if (peer.state === "dead") {
         return;
     }
     // News may have come in the meantime; the suspicion counts only for the incarnation that was probed.
--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -3,7 +3,7 @@
  */
 import { Result } from "true-myth/result";
 import type { z } from "zod";
-import { HISTORY_PREFIX, historyKey, rulesKey, RulesRecord } from "../configuration/record.js";
+import { HEAD_KEY, historyKey, rulesKey, RulesRecord } from "../configuration/record.js";
 import type { RevisedRecord } from "../configuration/record.js";
 import { createFailure, formatFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
@@ -12,7 +12,7 @@
 import { safeParseRules } from "../rules/parse.js";
 import type { Rule } from "../rules/rule.js";
 import { checkAgainstOthers } from "./check.js";
-import { findExpired, findHistoryByRevision } from "./history.js";
+import { findExpired, readHistory } from "./history.js";
 import type { ApplyAnswer, applyRules, RulesVersion } from "./messages.js";
 import type { OperatorContext } from "./operator.js";
 
@@ -110,6 +110,7 @@
         expectedRevision: params.baseRevision,
         alongside: [
             { kind: "put", key: historyKey(params.team, record.sequence), value: JSON.stringify(history) },
+            { kind: "put", key: HEAD_KEY, value: params.team },
             ...expired.map(key => ({ kind: "delete" as const, key })),
         ],
         signal: AbortSignal.timeout(context.settings.settleLimitMilliseconds),
@@ -135,16 +136,22 @@
     params: ApplyParams,
     current: RevisedRecord | undefined,
 ): Promise<Result<ApplyAnswer, Failure>> {
-    context.applies.inc({ outcome: "conflict" });
     if (current === undefined) {
         const message = `${params.team} has no rules; its base revision is 0, not ${params.baseRevision}`;
         return Result.err(createFailure("conflict", "rules.apply", message));
     }
-    const base = await findHistoryByRevision(context, params.team, params.baseRevision);
-    if (base.isErr) {
-        context.logger.warn("history not read", { prefix: HISTORY_PREFIX, failure: formatFailure(base.error) });
+    const history = await readHistory(context, params.team);
+    if (history.isErr) {
+        context.logger.warn("history not read", { team: params.team, failure: formatFailure(history.error) });
+    }
+    const versions = history.unwrapOr([]);
+    const repeated = versions.find(version => version.record.applyId === params.applyId);
+    if (repeated !== undefined) {
+        // Accepted at an earlier call whose answer was lost; others have changed the rules since.
+        return Result.ok({ outcome: "accepted", revision: repeated.revision, changed: true, changes: [] });
     }
-    const baseText = base.isOk ? base.value?.record.text ?? "" : "";
+    context.applies.inc({ outcome: "conflict" });
+    const baseText = versions.find(version => version.revision === params.baseRevision)?.record.text ?? "";
     const changesSinceBase = diffRules(
         readRules(baseText, params.team),
         readRules(current.record.text, params.team),
--- a/src/operator/history.ts
+++ b/src/operator/history.ts
@@ -39,16 +39,6 @@
     }
 }
 
-/** Finds the version that was accepted at a revision. */
-export async function findHistoryByRevision(
-    context: OperatorContext,
-    team: string,
-    revision: number,
-): Promise<Result<RevisedRecord | undefined, Failure>> {
-    const versions = await readHistory(context, team);
-    return versions.map(all => all.find(version => version.revision === revision));
-}
-
 /** Keys of versions that are older than the settings keep; the oldest few. */
 export async function findExpired(context: OperatorContext, team: string, now: number): Promise<string[]> {
     const limit = now - context.settings.historyDays * MILLISECONDS_PER_DAY;
--- a/src/rules/line.ts
+++ b/src/rules/line.ts
@@ -28,13 +28,13 @@
     if (kind === undefined) {
         return undefined;
     }
-    const { values, positionals } = readOptions(split, kind, track);
+    const { values, given, positionals } = readOptions(split, kind, track);
     const name = readName(positionals, kind, split, track);
     const requester = split.requester;
     if (requester === "") {
         track(endColumn(split), "say at the end of the line who asked for it: # NAME");
     }
-    checkNeeds(kind, values, split, track);
+    checkNeeds(kind, given, split, track);
     return columns.length === 0 && name !== undefined ? build(kind, name, requester, split.line, values) : undefined;
 }
 
@@ -60,6 +60,8 @@
 
 interface ReadOptions {
     readonly values: OptionValues;
+    /** Names of all options of the line, also of those with a value that is not allowed. */
+    readonly given: ReadonlySet<string>;
     readonly positionals: readonly SplitWord[];
 }
 
@@ -75,6 +77,7 @@
     });
     const values: OptionValues = {};
     const positionals: SplitWord[] = [];
+    const given = new Set<string>();
     for (const token of tokens) {
         const word = words[token.index] ?? { text: "", column: 1 };
         if (token.kind === "positional") {
@@ -82,9 +85,11 @@
         }
         if (token.kind === "option") {
             readOption({ rawName: token.rawName, name: token.name, value: token.value, word, allowed }, values, report);
+            // A mistyped option counts as the one that was meant, so that one slip is one error.
+            given.add(suggestWord(token.name, allowed) ?? token.name);
         }
     }
-    return { values, positionals };
+    return { values, given, positionals };
 }
 
 /** A bare `--exclusive` stands for its default key. */
@@ -142,23 +147,23 @@
     return name.success ? name.data : undefined;
 }
 
-function checkNeeds(kind: Rule["kind"], values: OptionValues, split: SplitLine, report: Report): void {
+function checkNeeds(kind: Rule["kind"], given: ReadonlySet<string>, split: SplitLine, report: Report): void {
     const column = endColumn(split);
-    for (const option of requiredOptions[kind].filter(candidate => !(candidate in values))) {
+    for (const option of requiredOptions[kind].filter(candidate => !given.has(candidate))) {
         report(column, `${kind} needs --${option}`);
     }
-    const endless = values.until === undefined && values.feature === undefined && values.runs === undefined;
-    if (endless && kind !== "quota" && kind !== "retire") {
+    const ends = ["until", "feature", "runs"].some(option => given.has(option));
+    if (!ends && kind !== "quota" && kind !== "retire") {
         const runs = kind === "batch" ? ", --runs N" : "";
         report(column, `say when it ends: --until DATE, --feature NAME${runs}`);
     }
-    if (values["time-zone"] !== undefined && values.schedule === undefined) {
+    if (given.has("time-zone") && !given.has("schedule")) {
         report(column, "--time-zone goes with --schedule");
     }
-    if (kind === "quota" && !["cores", "memory", "accelerators"].some(option => option in values)) {
+    if (kind === "quota" && !["cores", "memory", "accelerators"].some(option => given.has(option))) {
         report(column, "quota needs one of --cores, --memory, --accelerators");
     }
-    if ((kind === "allow" || kind === "deny") && values.beside === undefined && values.in === undefined) {
+    if ((kind === "allow" || kind === "deny") && !given.has("beside") && !given.has("in")) {
         report(column, `${kind} needs --in DATA-CENTRE or --beside RULE`);
     }
 }
--- a/src/rules/parse.ts
+++ b/src/rules/parse.ts
@@ -80,11 +80,11 @@
 
 function collectWords(content: string, line: number, report: Report): SplitLine | undefined {
     const words: SplitWord[] = [];
-    let requester = "";
+    let comment: string | undefined;
     let position = 0;
     for (const entry of splitWords(content, name => `$${name}`)) {
         if (typeof entry !== "string" && "comment" in entry) {
-            requester = entry.comment.trim();
+            comment = entry.comment;
             continue;
         }
         if (typeof entry !== "string" && entry.op !== "glob") {
@@ -96,7 +96,18 @@
         position = column - 1 + text.length;
         words.push({ text, column });
     }
-    return { line, words, requester };
+    const before = comment === undefined ? content : content.slice(0, content.length - comment.length - 1);
+    return checkQuotes(before, report) ? { line, words, requester: comment?.trim() ?? "" } : undefined;
+}
+
+/** Splitting drops a quote that is not closed; words put after it then come out different. */
+function checkQuotes(before: string, report: Report): boolean {
+    const closed = ['"S T"', "'S T'"].every(sentinel => splitWords(`${before} ${sentinel}`).at(-1) === "S T");
+    if (!closed) {
+        const column = Math.max(before.lastIndexOf('"'), before.lastIndexOf("'"), before.lastIndexOf("\\")) + 1;
+        report(column, "the quote is not closed");
+    }
+    return closed;
 }
 
 /** Finds where a word starts; escapes make it differ from the text, then the end of the last word must do. */
