Distribution and membership, tested with real processes under faults

Cause: a process that restarted on a stale read took the answer's revision for the state's and missed the newest rules for good (found by the scenario on stale reads). Watches go on from the store's revision, since the head's may be compacted.

--- a/features/membership/fleet.ts
+++ b/features/membership/fleet.ts
@@ -26,6 +26,8 @@
     readonly messages: number;
     readonly bytes: number;
     readonly revisions: readonly { readonly team: string; readonly revision: number; readonly at: number; }[];
+    /** Every change of state of a peer as the process saw it, in order. */
+    readonly states: readonly { readonly name: string; readonly state: string; }[];
     readonly self: Member;
     readonly members: readonly Member[];
     /** -1 while the process knows no rules. */
--- /dev/null
+++ b/features/membership/membership.feature
@@ -0,0 +1,43 @@
+Feature: Processes know which of their peers live
+
+    Scenario: A killed process is found dead by all, and alive again after its restart
+        Given a fleet of 3 entry instances that know the rules
+        When the gateway of instance 2 is killed
+        Then every other process sees the gateway of instance 2 as "dead"
+        When the gateway of instance 2 restarts
+        Then every other process sees the gateway of instance 2 as "alive"
+        And its incarnation has risen
+
+    Scenario: A process that stops gracefully says so
+        Given a fleet of 3 entry instances that know the rules
+        When the gateway of instance 2 stops gracefully
+        Then every other process hears that the gateway of instance 2 leaves before it sees it dead
+
+    Scenario: A lost link between two processes is no death
+        Given a fleet of 3 entry instances that know the rules
+        When nothing passes from the gateway of instance 1 to the gateway of instance 2
+        Then the gateway of instance 1 reaches peers through others 3 times
+        And no process has suspected a peer
+
+    Scenario: A process that was paused refutes what was said of it
+        Given a fleet of 3 entry instances that know the rules
+        When the gateway of instance 2 is paused
+        Then every other process sees the gateway of instance 2 as "dead"
+        When the gateway of instance 2 goes on
+        Then every other process sees the gateway of instance 2 as "alive"
+        And its incarnation has risen
+
+    Scenario: Two sides of a partition find each other when it heals
+        Given a fleet of 4 entry instances that know the rules
+        When the links of instances 3 and 4 are cut
+        Then every other process sees the gateway of instance 3 as "dead"
+        When the links of instances 3 and 4 are whole again
+        Then every process sees every other as "alive"
+
+    Scenario: An instance that is gone from the list is forgotten
+        Given a fleet of 3 entry instances that know the rules
+        When the processes of instance 3 are killed and the list drops it
+        Then no process of instances 1 and 2 knows a member of instance 3
+
+    Scenario: News of a member replaces older news in every order of arrival
+        Then two processes that hear the same news in any order agree in the end
--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -4,13 +4,16 @@
  *
  * Control: `POST /control` on the operators' port with `LinkFaults`; `GET /control` answers what the process knows.
  */
+import Emittery from "emittery";
 import express from "express";
 import type { RequestHandler } from "express";
 import { parseArgs } from "node:util";
+import type { Result } from "true-myth/result";
 import { z } from "zod";
 import { createConfigurationFeed } from "../../src/configuration/feed.js";
 import { ConfigurationSettings } from "../../src/configuration/settings.js";
 import { fail, formatFailure } from "../../src/core/errors.js";
+import type { Failure } from "../../src/core/errors.js";
 import { listen } from "../../src/core/http.js";
 import { createLogger } from "../../src/core/log.js";
 import { Role } from "../../src/core/messages/identity.js";
@@ -20,12 +23,14 @@
 import type { RpcClient } from "../../src/core/rpc.js";
 import { loadSettings } from "../../src/core/settings.js";
 import { pause, systemClock } from "../../src/core/time.js";
+import { nameMember } from "../../src/membership/member.js";
 import { createMembership } from "../../src/membership/membership.js";
 import { MembershipSettings } from "../../src/membership/settings.js";
 import { createOperatorSurface } from "../../src/operator/operator.js";
 import { OperatorSettings } from "../../src/operator/settings.js";
 import { createInstanceList } from "../../src/platform/adapters/instances.js";
 import { createStore } from "../../src/platform/adapters/store.js";
+import type { Store } from "../../src/platform/store.js";
 
 const NodeSettings = z.strictObject({
     instance: z.string(),
@@ -43,7 +48,7 @@
 const LinkFaults = z.strictObject({
     /** Share of the messages that vanish, in each direction. */
     loss: z.number().min(0).max(1).default(0),
-    /** Nothing passes in either direction. */
+    /** Nothing passes in either direction; the store and the instance list are out of reach as well. */
     cut: z.boolean().default(false),
     /** Origins to which nothing goes out. */
     cutTo: z.array(z.string()).default([]),
@@ -64,6 +69,7 @@
     const random = createRandom(settings.seed);
     const faults: LinkFaults = { loss: 0, cut: false, cutTo: [] };
     const traffic = { messages: 0, bytes: 0, revisions: [] as { team: string; revision: number; at: number; }[] };
+    const cuts = new Emittery<{ cut: undefined; }>();
     const drops = () => faults.cut || random() < faults.loss;
     const peersApplication = express();
     const peers = await listen(peersApplication, { host: "127.0.0.1", port: 0 });
@@ -78,7 +84,11 @@
             traffic,
         ),
     };
-    const store = createStore({ origins: [settings.store], timeoutMilliseconds: PLATFORM_TIMEOUT_MILLISECONDS });
+    const store = cutStore(
+        createStore({ origins: [settings.store], timeoutMilliseconds: PLATFORM_TIMEOUT_MILLISECONDS }),
+        () => faults.cut,
+        cuts,
+    );
     const instanceList = createInstanceList({
         origin: settings.instanceList,
         timeoutMilliseconds: PLATFORM_TIMEOUT_MILLISECONDS,
@@ -117,6 +127,15 @@
             }
         }
     });
+    const states: { name: string; state: string; }[] = [];
+    membership.source.onChange(() => {
+        for (const member of membership.source.members()) {
+            const name = nameMember(member);
+            if (states.findLast(seen => seen.name === name)?.state !== member.state) {
+                states.push({ name, state: member.state });
+            }
+        }
+    });
     peersApplication.use(loseRequests(drops, traffic));
     peersApplication.use(
         createRpcRouter({ handlers: [...membership.handlers, ...feed.handlers], token: settings.token }),
@@ -125,6 +144,7 @@
     operatorsApplication.get("/control", (request, response) => {
         response.json({
             ...traffic,
+            states,
             self: membership.source.self(),
             members: membership.source.members(),
             revision: feed.source.current()?.revision ?? -1,
@@ -137,6 +157,9 @@
     });
     operatorsApplication.post("/control", express.json(), (request, response) => {
         Object.assign(faults, LinkFaults.parse(request.body));
+        if (faults.cut) {
+            void cuts.emit("cut");
+        }
         response.json(faults);
     });
     operatorsApplication.use(createRpcRouter({ handlers: surface.handlers, token: settings.token }));
@@ -170,6 +193,23 @@
     };
 }
 
+/** Makes the store fail while the links are cut, and ends the watches that are open. */
+function cutStore(store: Store, isCut: () => boolean, cuts: Emittery<{ cut: undefined; }>): Store {
+    const unlessCut = <Value>(call: () => Promise<Result<Value, Failure>>) =>
+        isCut() ? Promise.resolve(fail<Value>("unavailable", "store", "the link is cut")) : call();
+    return {
+        ...store,
+        read: request => unlessCut(() => store.read(request)),
+        transact: transaction => unlessCut(() => store.transact(transaction)),
+        watch: request =>
+            unlessCut(() => {
+                const broken = new AbortController();
+                cuts.once("cut").then(() => broken.abort(), () => undefined);
+                return store.watch({ ...request, signal: AbortSignal.any([request.signal, broken.signal]) });
+            }),
+    };
+}
+
 /** Drops incoming requests without an answer and counts the bytes of the others, headers and answers included. */
 function loseRequests(drops: () => boolean, traffic: { bytes: number; }): RequestHandler {
     return (request, response, next) => {
--- a/src/configuration/record.ts
+++ b/src/configuration/record.ts
@@ -17,8 +17,11 @@
 /** Prefix of the records of earlier applies. */
 export const HISTORY_PREFIX = "/flamingowell/history/";
 
-/** Key written with every apply: its revision is that of the latest change. */
-export const HEAD_KEY = "/flamingowell/rules-head";
+/**
+ * Key written with every apply, so that its revision is that of the latest change. It sorts before all teams and is read
+ * together with them: a read of an old state shows an old head, whatever revision the answer claims.
+ */
+export const HEAD_KEY = `${RULES_PREFIX}!head`;
 
 const SEQUENCE_DIGITS = 10;
 
--- a/src/configuration/watch.ts
+++ b/src/configuration/watch.ts
@@ -53,11 +53,15 @@
     await askAll(context);
 }
 
-/** Reads every record, page by page, and gives the revision up to which nothing is missing. */
+/**
+ * Reads every record, page by page, and gives the store's revision from which a watch goes on. It may be later than the
+ * head, whose revision may be compacted by now; what a watch misses in between, the check of the head finds.
+ */
 async function readAll(context: FeedContext): Promise<Result<number, Failure>> {
     const { store, settings } = context;
     const records: RevisedRecord[] = [];
     let complete: number | undefined;
+    let revision: number | undefined;
     let after: string | undefined;
     for (;;) {
         const page = await store.read({
@@ -69,19 +73,25 @@
         if (page.isErr) {
             return Result.err(page.error);
         }
-        // Pages are read at different revisions; nothing is missing up to the first of them.
-        complete ??= page.value.revision;
+        // Pages are read at different moments; nothing is missing up to the head that the first of them shows.
+        complete ??= findHead(page.value.entries);
+        revision ??= page.value.revision;
         records.push(...decodeEntries(context, page.value.entries));
         after = page.value.entries.at(-1)?.key;
         if (!page.value.more || after === undefined) {
             context.take(records, complete, "store");
-            return Result.ok(complete);
+            return Result.ok(revision);
         }
     }
 }
 
+/** Revision of the head among some entries; 0 without one. */
+function findHead(entries: readonly KeyValue[]): number {
+    return entries.findLast(entry => entry.key === HEAD_KEY)?.modRevision ?? 0;
+}
+
 function decodeEntries(context: FeedContext, entries: readonly KeyValue[]): RevisedRecord[] {
-    return entries.flatMap(entry => {
+    return entries.filter(entry => entry.key !== HEAD_KEY).flatMap(entry => {
         const decoded = decodeRulesEntry(entry);
         if (decoded.isErr) {
             context.logger.error("record unreadable", { failure: formatFailure(decoded.error) });
@@ -106,9 +116,9 @@
             prefix: RULES_PREFIX,
             fromRevision,
             signal: either,
-            onEvents(events, revision) {
+            onEvents(events) {
                 const entries = events.filter(event => event.kind === "put").map(event => event.entry);
-                context.take(decodeEntries(context, entries), revision, "store");
+                context.take(decodeEntries(context, entries), findHead(entries), "store");
             },
         });
     }
--- a/src/operator/show.ts
+++ b/src/operator/show.ts
@@ -3,7 +3,7 @@
  */
 import { Result } from "true-myth/result";
 import type { z } from "zod";
-import { decodeRulesEntry, RULES_PREFIX, rulesKey } from "../configuration/record.js";
+import { decodeRulesEntry, HEAD_KEY, RULES_PREFIX, rulesKey } from "../configuration/record.js";
 import type { Failure } from "../core/errors.js";
 import { toVersion } from "./apply.js";
 import type { RulesVersion, showRules } from "./messages.js";
@@ -29,10 +29,12 @@
         if (page.isErr) {
             return showInForce(context, team, page.error);
         }
-        versions.push(...page.value.entries.flatMap(entry => {
-            const decoded = decodeRulesEntry(entry);
-            return decoded.isOk ? [toVersion(decoded.value)] : [];
-        }));
+        versions.push(
+            ...page.value.entries.filter(entry => entry.key !== HEAD_KEY).flatMap(entry => {
+                const decoded = decodeRulesEntry(entry);
+                return decoded.isOk ? [toVersion(decoded.value)] : [];
+            }),
+        );
         after = page.value.entries.at(-1)?.key;
         if (!page.value.more || after === undefined) {
             return Result.ok({ source: "store", versions });
