--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -23,11 +23,11 @@
 
 When("the gateway of instance {int} is killed", async function(this: MembershipWorld, instance: number) {
     await aim(this, instance);
-    await this.fleet.kill(this.target);
+    await this.nodeFleet.kill(this.target);
 });
 
 When("the gateway of instance {int} restarts", limit, async function(this: MembershipWorld, instance: number) {
-    await this.fleet.restart(gatewayOf(this, instance));
+    await this.nodeFleet.restart(gatewayOf(this, instance));
 });
 
 When("the gateway of instance {int} stops gracefully", async function(this: MembershipWorld, instance: number) {
@@ -50,7 +50,7 @@
     "nothing passes from the gateway of instance {int} to the gateway of instance {int}",
     async function(this: MembershipWorld, from: number, to: number) {
         const origin = gatewayOf(this, to).process.announcement["peers"] ?? "";
-        await this.fleet.setLinks(gatewayOf(this, from), { cutTo: [origin] });
+        await this.nodeFleet.setLinks(gatewayOf(this, from), { cutTo: [origin] });
     },
 );
 
@@ -61,17 +61,17 @@
     state: string,
 ) {
     const names = [`entry-${first}`, `entry-${second}`];
-    const nodes = this.fleet.nodes.filter(node => names.includes(node.instance));
-    await Promise.all(nodes.map(node => this.fleet.setLinks(node, { cut: state === "cut" })));
+    const nodes = this.nodeFleet.nodes.filter(node => names.includes(node.instance));
+    await Promise.all(nodes.map(node => this.nodeFleet.setLinks(node, { cut: state === "cut" })));
 });
 
 When("the processes of instance {int} are killed and the list drops it", async function(
     this: MembershipWorld,
     instance: number,
 ) {
-    const nodes = this.fleet.nodes.filter(node => node.instance === `entry-${instance}`);
-    await Promise.all(nodes.map(node => this.fleet.kill(node)));
-    this.fleet.instanceList.remove(`entry-${instance}`);
+    const nodes = this.nodeFleet.nodes.filter(node => node.instance === `entry-${instance}`);
+    await Promise.all(nodes.map(node => this.nodeFleet.kill(node)));
+    this.nodeFleet.instanceList.remove(`entry-${instance}`);
 });
 
 Then("every other process sees the gateway of instance {int} as {string}", limit, async function(
@@ -82,26 +82,27 @@
     const target = gatewayOf(this, instance);
     const dead = state === "dead";
     // In a partition the other side sees everyone else as dead, so only processes of other instances are asked.
-    const others = this.fleet.nodes.filter(node => node.running && Number(node.instance.slice(6)) < (dead ? 3 : 9));
+    const others = this.nodeFleet.nodes.filter(node => node.running && Number(node.instance.slice(6)) < (dead ? 3 : 9));
     for (const node of others.filter(other => other !== target)) {
         await waitFor(`${node.name} sees ${target.name} as ${state}`, async () => {
-            const { members } = await this.fleet.read(node);
+            const { members } = await this.nodeFleet.read(node);
             return members.find(member => nameMember(member) === target.name)?.state === state;
         });
     }
 });
 
 Then("every process sees every other as {string}", limit, async function(this: MembershipWorld, state: string) {
-    for (const node of this.fleet.nodes) {
+    for (const node of this.nodeFleet.nodes) {
         await waitFor(`${node.name} sees all as ${state}`, async () => {
-            const { members } = await this.fleet.read(node);
-            return members.length === this.fleet.nodes.length - 1 && members.every(member => member.state === state);
+            const { members } = await this.nodeFleet.read(node);
+            return members.length === this.nodeFleet.nodes.length - 1
+                && members.every(member => member.state === state);
         });
     }
 });
 
 Then("its incarnation has risen", async function(this: MembershipWorld) {
-    const { self } = await this.fleet.read(this.target);
+    const { self } = await this.nodeFleet.read(this.target);
     assert.ok(self.incarnation > this.incarnation);
 });
 
@@ -110,7 +111,7 @@
     limit,
     async function(this: MembershipWorld, instance: number) {
         const target = gatewayOf(this, instance);
-        for (const node of this.fleet.nodes.filter(other => other !== target)) {
+        for (const node of this.nodeFleet.nodes.filter(other => other !== target)) {
             await waitFor(`${node.name} has heard`, async () => (await readHistory(this, node, target)).length > 0);
             const states = await readHistory(this, node, target);
             assert.equal(states.find(state => state !== "alive"), "leaving", `${node.name}: ${states.join(", ")}`);
@@ -126,14 +127,14 @@
     const node = gatewayOf(this, instance);
     await waitFor(
         "probes went through others",
-        async () => await this.fleet.readMetric(node, PROBES, "indirect") >= times,
+        async () => await this.nodeFleet.readMetric(node, PROBES, "indirect") >= times,
     );
 });
 
 Then("no process has suspected a peer", async function(this: MembershipWorld) {
-    for (const node of this.fleet.nodes) {
-        assert.equal(await this.fleet.readMetric(node, PROBES, '"none"'), 0, node.name);
-        const { members } = await this.fleet.read(node);
+    for (const node of this.nodeFleet.nodes) {
+        assert.equal(await this.nodeFleet.readMetric(node, PROBES, '"none"'), 0, node.name);
+        const { members } = await this.nodeFleet.read(node);
         assert.ok(members.every(member => member.state === "alive"), node.name);
     }
 });
@@ -142,9 +143,9 @@
     this: MembershipWorld,
     instance: number,
 ) {
-    for (const node of this.fleet.nodes.filter(other => other.running)) {
+    for (const node of this.nodeFleet.nodes.filter(other => other.running)) {
         await waitFor(`${node.name} has forgotten`, async () => {
-            const { members } = await this.fleet.read(node);
+            const { members } = await this.nodeFleet.read(node);
             return members.every(member => member.instance !== `entry-${instance}`);
         });
     }
@@ -195,19 +196,19 @@
 };
 
 function gatewayOf(world: FleetWorld, instance: number): FleetNode {
-    const node = world.fleet.nodes.find(candidate => candidate.name === `entry-${instance}/gateway`);
+    const node = world.nodeFleet.nodes.find(candidate => candidate.name === `entry-${instance}/gateway`);
     assert.ok(node !== undefined);
     return node;
 }
 
 async function aim(world: MembershipWorld, instance: number): Promise<void> {
     world.target = gatewayOf(world, instance);
-    world.incarnation = (await world.fleet.read(world.target)).self.incarnation;
+    world.incarnation = (await world.nodeFleet.read(world.target)).self.incarnation;
 }
 
 /** States in which a process has seen another one, without repeats. */
 async function readHistory(world: FleetWorld, node: FleetNode, target: FleetNode): Promise<string[]> {
-    const { states } = await world.fleet.read(node);
+    const { states } = await world.nodeFleet.read(node);
     return states.filter(({ name }) => name === target.name).map(({ state }) => state).filter(state =>
         state !== "alive"
     );
--- a/features/rules/apply.steps.ts
+++ b/features/rules/apply.steps.ts
@@ -1,7 +1,7 @@
 /**
  * Steps for applies of rules through gateways' operators' ports.
  */
-import { Given, Then, When } from "@cucumber/cucumber";
+import { Before, Given, Then, When } from "@cucumber/cucumber";
 import fastCheck from "fast-check";
 import assert from "node:assert/strict";
 import type { Result } from "true-myth/result";
@@ -19,20 +19,25 @@
 type ApplyParams = z.input<typeof applyRules.params>;
 
 interface ApplyWorld extends FleetWorld {
-    answer: Result<ApplyAnswer, Failure>;
+    applyAnswer: Result<ApplyAnswer, Failure>;
     previous: Result<ApplyAnswer, Failure>;
     both: Result<ApplyAnswer, Failure>[];
-    calls: Map<string, ApplyParams>;
-    revisions: Map<string, number>;
+    applyCalls: Map<string, ApplyParams>;
+    applyRevisions: Map<string, number>;
     last: ApplyParams;
 }
 
+Before(function(this: ApplyWorld) {
+    this.applyCalls = new Map();
+    this.applyRevisions = new Map();
+});
+
 Given("the store loses the answer of the next write", function(this: ApplyWorld) {
-    this.fleet.store.setFaults({ loseAnswers: 1 });
+    this.nodeFleet.store.setFaults({ loseAnswers: 1 });
 });
 
 Given("a worker of {int} cores in {string}", function(this: ApplyWorld, cores: number, dataCentre: string) {
-    this.fleet.instanceList.put({
+    this.nodeFleet.instanceList.put({
         kind: "worker",
         name: "worker-1",
         dataCentre,
@@ -61,7 +66,7 @@
 );
 
 When("the same apply is made through instance {int}", async function(this: ApplyWorld, instance: number) {
-    this.previous = this.answer;
+    this.previous = this.applyAnswer;
     await applyThrough(this, this.last, instance);
 });
 
@@ -70,9 +75,9 @@
     applyId: string,
     instance: number,
 ) {
-    const call = this.calls.get(applyId);
+    const call = this.applyCalls.get(applyId);
     assert.ok(call !== undefined);
-    this.answer = await this.fleet.rpc.call(operatorsOf(gatewayOf(this, instance)), applyRules, call);
+    this.applyAnswer = await this.nodeFleet.rpc.call(operatorsOf(gatewayOf(this, instance)), applyRules, call);
 });
 
 When(
@@ -86,8 +91,8 @@
             by,
         });
         this.both = await Promise.all([
-            this.fleet.rpc.call(operatorsOf(gatewayOf(this, 1)), applyRules, callBy(first)),
-            this.fleet.rpc.call(operatorsOf(gatewayOf(this, 2)), applyRules, callBy(second)),
+            this.nodeFleet.rpc.call(operatorsOf(gatewayOf(this, 1)), applyRules, callBy(first)),
+            this.nodeFleet.rpc.call(operatorsOf(gatewayOf(this, 2)), applyRules, callBy(second)),
         ]);
     },
 );
@@ -100,7 +105,7 @@
     instance: number,
 ) {
     const baseRevision = await readRevision(this, team);
-    this.answer = await this.fleet.rpc.call(operatorsOf(gatewayOf(this, instance)), revertRules, {
+    this.applyAnswer = await this.nodeFleet.rpc.call(operatorsOf(gatewayOf(this, instance)), revertRules, {
         team,
         sequence,
         baseRevision,
@@ -110,29 +115,29 @@
 });
 
 Then(/^the apply is rejected with errors on lines (.*)$/, function(this: ApplyWorld, lines: string) {
-    const answer = answerOf(this.answer);
+    const answer = answerOf(this.applyAnswer);
     assert.equal(answer.outcome, "rejected");
     assert.deepEqual(answer.failures.map(failure => failure.path?.[1]), lines.split(", ").map(Number));
 });
 
 Then("the apply is accepted as a change", function(this: ApplyWorld) {
-    const answer = answerOf(this.answer);
+    const answer = answerOf(this.applyAnswer);
     assert.equal(answer.outcome, "accepted");
     assert.equal(answer.changed, true);
 });
 
 Then("the apply is accepted at the same revision without a change", function(this: ApplyWorld) {
     const previous = answerOf(this.previous);
-    const answer = answerOf(this.answer);
+    const answer = answerOf(this.applyAnswer);
     assert.ok(previous.outcome === "accepted" && answer.outcome === "accepted");
     assert.equal(answer.revision, previous.revision);
     assert.equal(answer.changed, false);
 });
 
 Then("the apply is accepted at the revision of {string}", function(this: ApplyWorld, applyId: string) {
-    const answer = answerOf(this.answer);
+    const answer = answerOf(this.applyAnswer);
     assert.equal(answer.outcome, "accepted");
-    assert.equal(answer.revision, this.revisions.get(applyId));
+    assert.equal(answer.revision, this.applyRevisions.get(applyId));
 });
 
 Then("one apply is accepted and the other is a conflict that shows the accepted line", function(this: ApplyWorld) {
@@ -146,7 +151,7 @@
 });
 
 Then("the store has lost {int} answers", function(this: ApplyWorld, count: number) {
-    assert.equal(this.fleet.store.counts().lostAnswers, count);
+    assert.equal(this.nodeFleet.store.counts().lostAnswers, count);
 });
 
 Then("{string} has {int} versions", async function(this: ApplyWorld, team: string, count: number) {
@@ -169,9 +174,9 @@
     team: string,
     applyId: string,
 ) {
-    const shown = await this.fleet.rpc.call(operatorsOf(gatewayOf(this, 1)), showRules, { team });
+    const shown = await this.nodeFleet.rpc.call(operatorsOf(gatewayOf(this, 1)), showRules, { team });
     assert.ok(shown.isOk);
-    assert.equal(shown.value.versions[0]?.text, this.calls.get(applyId)?.text);
+    assert.equal(shown.value.versions[0]?.text, this.applyCalls.get(applyId)?.text);
 });
 
 Then("{int} arbitrary bodies to the operators' port and the peers' port of instance {int} are answered", async function(
@@ -207,23 +212,21 @@
 });
 
 Then("instance {int} still knows the rules", async function(this: ApplyWorld, instance: number) {
-    const report = await this.fleet.read(gatewayOf(this, instance));
+    const report = await this.nodeFleet.read(gatewayOf(this, instance));
     assert.ok(report.revision >= 0);
 });
 
 async function applyThrough(world: ApplyWorld, call: ApplyParams, instance: number): Promise<void> {
-    world.answer = await world.fleet.rpc.call(operatorsOf(gatewayOf(world, instance)), applyRules, call);
+    world.applyAnswer = await world.nodeFleet.rpc.call(operatorsOf(gatewayOf(world, instance)), applyRules, call);
     world.last = call;
-    world.calls = (world.calls as typeof world.calls | undefined) ?? new Map();
-    world.revisions = (world.revisions as typeof world.revisions | undefined) ?? new Map();
-    world.calls.set(call.applyId, call);
-    if (world.answer.isOk && world.answer.value.outcome === "accepted") {
-        world.revisions.set(call.applyId, world.answer.value.revision);
+    world.applyCalls.set(call.applyId, call);
+    if (world.applyAnswer.isOk && world.applyAnswer.value.outcome === "accepted") {
+        world.applyRevisions.set(call.applyId, world.applyAnswer.value.revision);
     }
 }
 
 function gatewayOf(world: FleetWorld, instance: number): FleetNode {
-    const node = world.fleet.nodes.find(candidate => candidate.name === `entry-${instance}/gateway`);
+    const node = world.nodeFleet.nodes.find(candidate => candidate.name === `entry-${instance}/gateway`);
     assert.ok(node !== undefined);
     return node;
 }
@@ -234,7 +237,7 @@
 }
 
 async function readRevision(world: FleetWorld, team: string): Promise<number> {
-    const shown = await world.fleet.rpc.call(operatorsOf(gatewayOf(world, 1)), showRules, { team });
+    const shown = await world.nodeFleet.rpc.call(operatorsOf(gatewayOf(world, 1)), showRules, { team });
     assert.ok(shown.isOk);
     return shown.value.versions[0]?.revision ?? 0;
 }
@@ -243,7 +246,7 @@
     world: FleetWorld,
     team: string,
 ): Promise<z.output<typeof listHistory.answer>["entries"]> {
-    const history = await world.fleet.rpc.call(operatorsOf(gatewayOf(world, 1)), listHistory, { team });
+    const history = await world.nodeFleet.rpc.call(operatorsOf(gatewayOf(world, 1)), listHistory, { team });
     assert.ok(history.isOk);
     return history.value.entries;
 }
--- a/features/rules/fleet.steps.ts
+++ b/features/rules/fleet.steps.ts
@@ -24,19 +24,19 @@
 
 /** World of scenarios with a fleet. */
 export interface FleetWorld {
-    fleet: Fleet;
+    nodeFleet: Fleet;
 }
 
 Given(
     "a fleet of {int} entry instances that know the rules",
     { timeout: STEP_LIMIT_MILLISECONDS },
     async function(this: FleetWorld, instances: number) {
-        this.fleet = await startFleet({ instances, seed: SEED, parts });
+        this.nodeFleet = await startFleet({ instances, seed: SEED, parts });
         await waitFor("every process knows the rules and all peers", async () => {
-            const reports = await Promise.all(this.fleet.nodes.map(node => this.fleet.read(node)));
+            const reports = await Promise.all(this.nodeFleet.nodes.map(node => this.nodeFleet.read(node)));
             return reports.every(report =>
                 report.revision >= 0
-                && report.members.filter(member => member.incarnation > 0).length === this.fleet.nodes.length - 1
+                && report.members.filter(member => member.incarnation > 0).length === this.nodeFleet.nodes.length - 1
             );
         });
     },
@@ -46,10 +46,10 @@
     "a fleet of {int} entry instances whose store is down",
     { timeout: STEP_LIMIT_MILLISECONDS },
     async function(this: FleetWorld, instances: number) {
-        this.fleet = await startFleet({ instances, seed: SEED, parts, storeDown: true });
+        this.nodeFleet = await startFleet({ instances, seed: SEED, parts, storeDown: true });
     },
 );
 
 After(async function(this: Partial<FleetWorld>) {
-    await this.fleet?.stop();
+    await this.nodeFleet?.stop();
 });
--- a/features/rules/spread.steps.ts
+++ b/features/rules/spread.steps.ts
@@ -28,7 +28,7 @@
 
 When("rules are accepted and the store goes down at once", limit, async function(this: SpreadWorld) {
     await accept(this);
-    this.fleet.store.setFaults({ down: "reset" });
+    this.nodeFleet.store.setFaults({ down: "reset" });
 });
 
 When(/^rules are accepted(?: through a process)?$/, limit, async function(this: SpreadWorld) {
@@ -44,23 +44,23 @@
 });
 
 When("reads of the store become stale", function(this: SpreadWorld) {
-    this.fleet.store.setFaults({ staleReads: true });
+    this.nodeFleet.store.setFaults({ staleReads: true });
 });
 
 When("watches of the store fall silent", function(this: SpreadWorld) {
-    this.fleet.store.setFaults({ silentWatches: true });
+    this.nodeFleet.store.setFaults({ silentWatches: true });
 });
 
 When("watches of the store break", function(this: SpreadWorld) {
-    this.fleet.store.setFaults({ breakWatches: true });
+    this.nodeFleet.store.setFaults({ breakWatches: true });
 });
 
 When("the store is back", function(this: SpreadWorld) {
-    this.fleet.store.setFaults({ down: "no" });
+    this.nodeFleet.store.setFaults({ down: "no" });
 });
 
 When("rules are written to the store by none of the processes", async function(this: SpreadWorld) {
-    const store = createStore({ origins: [this.fleet.store.origin], timeoutMilliseconds: 1_000 });
+    const store = createStore({ origins: [this.nodeFleet.store.origin], timeoutMilliseconds: 1_000 });
     const written = await commitRecord(store, {
         key: rulesKey(TEAM),
         body: createRecord(TEAM, 0).record,
@@ -75,46 +75,46 @@
     this: SpreadWorld,
     instance: number,
 ) {
-    const gateway = this.fleet.nodes.find(node => node.name === `entry-${instance}/gateway`);
+    const gateway = this.nodeFleet.nodes.find(node => node.name === `entry-${instance}/gateway`);
     assert.ok(gateway !== undefined);
-    await this.fleet.kill(gateway);
-    await this.fleet.restart(gateway);
+    await this.nodeFleet.kill(gateway);
+    await this.nodeFleet.restart(gateway);
 });
 
 Then("every process has them in force", limit, async function(this: SpreadWorld) {
-    await waitForRevision(this, this.fleet.nodes);
+    await waitForRevision(this, this.nodeFleet.nodes);
 });
 
 Then("every process but those of instance {int} has them in force", limit, async function(
     this: SpreadWorld,
     instance: number,
 ) {
-    await waitForRevision(this, this.fleet.nodes.filter(node => node.instance !== `entry-${instance}`));
+    await waitForRevision(this, this.nodeFleet.nodes.filter(node => node.instance !== `entry-${instance}`));
 });
 
 Then("the processes of instance {int} have them not", async function(this: SpreadWorld, instance: number) {
-    for (const node of this.fleet.nodes.filter(candidate => candidate.instance === `entry-${instance}`)) {
-        const report = await this.fleet.read(node);
+    for (const node of this.nodeFleet.nodes.filter(candidate => candidate.instance === `entry-${instance}`)) {
+        const report = await this.nodeFleet.read(node);
         assert.ok(report.revision < this.revision, `${node.name} is at ${report.revision}`);
     }
 });
 
 Then("every process has asked its peers and knows no rules", limit, async function(this: SpreadWorld) {
-    for (const node of this.fleet.nodes) {
-        await waitFor(`${node.name} has asked its peers`, async () => (await this.fleet.read(node)).messages >= 20);
-        assert.equal((await this.fleet.read(node)).revision, -1);
+    for (const node of this.nodeFleet.nodes) {
+        await waitFor(`${node.name} has asked its peers`, async () => (await this.nodeFleet.read(node)).messages >= 20);
+        assert.equal((await this.nodeFleet.read(node)).revision, -1);
     }
 });
 
 Then("every process knows the rules", limit, async function(this: SpreadWorld) {
-    for (const node of this.fleet.nodes) {
-        await waitFor(`${node.name} knows the rules`, async () => (await this.fleet.read(node)).revision >= 0);
+    for (const node of this.nodeFleet.nodes) {
+        await waitFor(`${node.name} knows the rules`, async () => (await this.nodeFleet.read(node)).revision >= 0);
     }
 });
 
 Then("no process has seen a revision fall", async function(this: SpreadWorld) {
-    for (const node of this.fleet.nodes) {
-        const { revisions } = await this.fleet.read(node);
+    for (const node of this.nodeFleet.nodes) {
+        const { revisions } = await this.nodeFleet.read(node);
         assert.ok(revisions.length > 0, `${node.name} has seen no revision`);
         const numbers = revisions.map(seen => seen.revision);
         assert.deepEqual(numbers, numbers.toSorted((left, right) => left - right), node.name);
@@ -187,7 +187,7 @@
 );
 
 async function accept(world: SpreadWorld): Promise<void> {
-    const answer = await world.fleet.rpc.call(operatorsOf(world.fleet.nodes[0]), applyRules, {
+    const answer = await world.nodeFleet.rpc.call(operatorsOf(world.nodeFleet.nodes[0]), applyRules, {
         team: TEAM,
         text: TEXT,
         baseRevision: 0,
@@ -199,15 +199,15 @@
 }
 
 async function setLinks(world: SpreadWorld, instance: number, cut: boolean): Promise<void> {
-    const nodes = world.fleet.nodes.filter(node => node.instance === `entry-${instance}`);
-    await Promise.all(nodes.map(node => world.fleet.setLinks(node, { cut })));
+    const nodes = world.nodeFleet.nodes.filter(node => node.instance === `entry-${instance}`);
+    await Promise.all(nodes.map(node => world.nodeFleet.setLinks(node, { cut })));
 }
 
 async function waitForRevision(world: SpreadWorld, nodes: readonly FleetNode[]): Promise<void> {
     for (const node of nodes) {
         await waitFor(
             `${node.name} has revision ${world.revision} in force`,
-            async () => (await world.fleet.read(node)).revision === world.revision,
+            async () => (await world.nodeFleet.read(node)).revision === world.revision,
         );
     }
 }
