Checker knows repeats of an idempotency key, paused processes and races of operators

Cause: a repeat under an idempotency key is the same request, so its id has to travel unchanged; a paused process cannot hear of a configuration. Change: callers' records carry the id on the wire; pauses excuse a process for the limit after its return; accepted edits of one version are compared.

--- a/bench/support/checker/evidence.ts
+++ b/bench/support/checker/evidence.ts
@@ -7,7 +7,16 @@
 /** What an operator, or the bench in its place, did and saw. Times are milliseconds since the Unix epoch. */
 export type OperatorRecord =
     /** A rules file was accepted. */
-    | { readonly event: "applied"; readonly at: number; readonly team: string; readonly revision: number; }
+    | {
+        readonly event: "applied";
+        readonly at: number;
+        readonly team: string;
+        readonly revision: number;
+        /** Revision that the operator had edited. */
+        readonly base: number;
+    }
+    /** Two operators edited one version at the same time. */
+    | { readonly event: "edit-race"; readonly at: number; readonly team: string; }
     /** A rule is in no file any more since this time, or its feature is retired. */
     | { readonly event: "rule-ended"; readonly at: number; readonly rule: string; }
     /** A daemon told the revision that it has in force. */
@@ -29,7 +38,10 @@
         readonly origin: string;
         readonly exitCode: number;
     }
-    /** The bench brought about a fault. */
+    /**
+     * The bench brought about a fault. `pause` (of a process) and `isolate` (of all its links) excuse that process from
+     * hearing of anything.
+     */
     | {
         readonly event: "fault";
         readonly at: number;
--- a/bench/support/checker/exclusive.ts
+++ b/bench/support/checker/exclusive.ts
@@ -9,7 +9,7 @@
 /** Judges overlaps on workers; an opportunity is a call that was made while another with its key was open. */
 export function judgeExclusive(evidence: Evidence): Verdict {
     const { calls, exclusiveServices } = evidence;
-    const keys = new Map(calls.map(call => [call.call, `${call.service} ${call.key}`]));
+    const keys = new Map(calls.map(call => [call.wire, `${call.service} ${call.key}`]));
     const runs = findRequestRuns(evidence).filter(run => exclusiveServices.includes(run.service));
     const violations = [...groupBy(runs, run => keys.get(run.call) ?? `unknown call ${run.call}`)]
         .flatMap(([key, its]) => findOverlaps(key, its));
--- a/bench/support/checker/judges.ts
+++ b/bench/support/checker/judges.ts
@@ -7,7 +7,7 @@
 import { judgeExclusive } from "./exclusive.js";
 import { judgeLeaving, judgePlannedStops } from "./leaving.js";
 import { judgeAnswers, judgeAtMostOnce, judgeNotRun } from "./requests.js";
-import { judgeConfiguration, judgeForgottenJobs } from "./rules.js";
+import { judgeConfiguration, judgeEdits, judgeForgottenJobs } from "./rules.js";
 
 const judges: readonly Judge[] = [
     judgeCapacity,
@@ -20,6 +20,7 @@
     judgeLeaving,
     judgePlannedStops,
     judgeConfiguration,
+    judgeEdits,
     judgeForgottenJobs,
 ];
 
--- a/bench/support/checker/rules.ts
+++ b/bench/support/checker/rules.ts
@@ -14,6 +14,7 @@
 export function judgeConfiguration(evidence: Evidence): Verdict {
     const applied = pickOperators(evidence.operators, "applied");
     const statuses = pickOperators(evidence.operators, "status").filter(status => status.ready);
+    const excuses = pickOperators(evidence.operators, "fault").filter(isExcuse);
     const violations: string[] = [];
     for (const [process, seen] of groupBy(statuses, status => status.process)) {
         let highest = 0;
@@ -22,7 +23,8 @@
                 violations.push(`${process} went back from revision ${highest} to ${status.revision}`);
             }
             highest = Math.max(highest, status.revision);
-            const due = applied.filter(apply => apply.at + SPREAD_LIMIT_MILLISECONDS < status.at);
+            const excused = excuses.filter(excuse => excuse.target === process);
+            const due = applied.filter(apply => isDue(apply.at, status.at, excused));
             const wanted = Math.max(0, ...due.map(apply => apply.revision));
             if (status.revision < wanted) {
                 violations.push(`${process} had revision ${status.revision} when ${wanted} had been due`);
@@ -36,6 +38,36 @@
     };
 }
 
+function isExcuse({ kind }: { readonly kind: string; }): boolean {
+    return kind === "pause" || kind === "isolate";
+}
+
+/** A process that could not hear has the whole limit from the moment when it could again. */
+function isDue(appliedAt: number, now: number, excuses: readonly { at: number; until: number; }[]): boolean {
+    let heardAt = appliedAt;
+    for (const excuse of excuses) {
+        if (excuse.at < heardAt + SPREAD_LIMIT_MILLISECONDS && excuse.until > heardAt) {
+            heardAt = excuse.until;
+        }
+    }
+    return heardAt + SPREAD_LIMIT_MILLISECONDS < now;
+}
+
+/** Judges races of operators: of two edits of one version, one at most is accepted. */
+export function judgeEdits(evidence: Evidence): Verdict {
+    const byBase = groupBy(
+        pickOperators(evidence.operators, "applied"),
+        apply => `${apply.team} at revision ${apply.base}`,
+    );
+    return {
+        promise: "no operator's edit is lost",
+        opportunities: pickOperators(evidence.operators, "edit-race").length,
+        violations: [...byBase].filter(([, edits]) => edits.length > 1).map(([base, edits]) =>
+            `${edits.length} edits of ${base} were accepted`
+        ),
+    };
+}
+
 /** Judges tasks of rules that have ended. */
 export function judgeForgottenJobs(evidence: Evidence): Verdict {
     const ended = pickOperators(evidence.operators, "rule-ended");
--- a/bench/support/load.ts
+++ b/bench/support/load.ts
@@ -34,6 +34,8 @@
 export interface CallRecord extends Call {
     /** The caller's own id of the call. */
     readonly call: string;
+    /** Id that travels in the request and comes back in its answer; repeats of an idempotency key share it. */
+    readonly wire: string;
     readonly gateway: string;
     /** Milliseconds since the Unix epoch: when it was due, was sent, and ended. */
     readonly dueAt: number;
@@ -138,25 +140,43 @@
     if (ended.outcome === "answered") {
         result.latency.recordValue(Math.max(1, Math.round(endedAt - dueAt)));
     }
-    options.onRecord?.({ ...call, call: id, gateway: origin, dueAt, sentAt, endedAt, ...ended });
+    options.onRecord?.({
+        ...call,
+        call: id,
+        wire: nameWire(call, id),
+        gateway: origin,
+        dueAt,
+        sentAt,
+        endedAt,
+        ...ended,
+    });
+}
+
+/** A repeat under an idempotency key is the same request, byte for byte. */
+function nameWire(call: Call, id: string): string {
+    return call.idempotencyKey ?? id;
 }
 
 type Ended = Pick<CallRecord, "outcome" | "status" | "detail">;
 
 async function send(load: Load, call: Call, id: string, origin: string): Promise<Ended> {
-    const body = call.method === "POST" ? JSON.stringify({ call: id, content: `${call.service} ${call.key}` }) : "";
+    const wire = nameWire(call, id);
+    const body = call.method === "POST" ? JSON.stringify({ call: wire, content: `${call.service} ${call.key}` }) : "";
     let status = 0;
     try {
-        const answer = await request(`${origin}/${call.service}/${encodeURIComponent(call.key)}?call=${id}`, {
-            method: call.method,
-            headers: createHeaders(call),
-            ...(body === "" ? {} : { body }),
-            signal: AbortSignal.timeout(load.options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS),
-            dispatcher: load.dispatcher,
-        });
+        const answer = await request(
+            `${origin}/${call.service}/${encodeURIComponent(call.key)}?call=${encodeURIComponent(wire)}`,
+            {
+                method: call.method,
+                headers: createHeaders(call),
+                ...(body === "" ? {} : { body }),
+                signal: AbortSignal.timeout(load.options.timeoutMilliseconds ?? DEFAULT_TIMEOUT_MILLISECONDS),
+                dispatcher: load.dispatcher,
+            },
+        );
         status = answer.statusCode;
         const text = await answer.body.text();
-        return judge(status, answer.headers, text, id, body);
+        return judge(status, answer.headers, text, wire, body);
     }
     catch (thrown) {
         const code = (thrown as { code?: string; }).code ?? "";
@@ -181,7 +201,7 @@
     status: number,
     answerHeaders: Record<string, string | string[] | undefined>,
     text: string,
-    id: string,
+    wire: string,
     body: string,
 ): Ended {
     const outcome = answerHeaders[headers.outcome];
@@ -192,7 +212,7 @@
     if (status !== 200) {
         return { outcome: "error", status, detail: text.slice(0, 200) };
     }
-    const fault = findFault(text, id, body);
+    const fault = findFault(text, wire, body);
     if (fault === undefined) {
         return { outcome: "answered", status, detail: "" };
     }
--- a/features/faults/checker.feature
+++ b/features/faults/checker.feature
@@ -114,14 +114,15 @@
             | request-started | 1  | w-1    | 1   | c-2  |
         Then "not-run did not run" has 2 opportunities and 1 violation naming "c-2"
 
-    Scenario: A refusal as not-run that ran under its idempotency key is caught
+    Scenario: A refused repeat of a call that ran passes
         Given the callers wrote
-            | call | outcome | idempotencyKey |
-            | c-1  | not-run | i-1            |
+            | call | outcome | wire |
+            | c-1  | unknown | i-1  |
+            | c-2  | not-run | i-1  |
         And the workers wrote
-            | event           | at | worker | run | call | idempotencyKey |
-            | request-started | 1  | w-1    | 1   |      | i-1            |
-        Then "not-run did not run" has 1 opportunity and 1 violation naming "c-1"
+            | event           | at | worker | run | call |
+            | request-started | 1  | w-1    | 1   | i-1  |
+        Then "not-run did not run" has 0 opportunities and 0 violations
 
     Scenario: One run of a call passes, a second is caught
         Given the callers wrote
@@ -138,17 +139,17 @@
 
     Scenario: A repeat that runs again under its idempotency key is caught
         Given the callers wrote
-            | call | method | outcome  | idempotencyKey |
-            | c-1  | POST   | answered | i-1            |
-            | c-2  | POST   | answered | i-1            |
+            | call | wire | method | outcome  |
+            | c-1  | i-1  | POST   | answered |
+            | c-2  | i-1  | POST   | answered |
         And the workers wrote
             | event           | at | worker | run | call | idempotencyKey |
-            | request-started | 1  | w-1    | 1   | c-1  | i-1            |
+            | request-started | 1  | w-1    | 1   | i-1  | i-1            |
         Then "non-idempotent requests run at most once" has 1 opportunity and 0 violations
         And "answers are whole and the caller's own" has 2 opportunities and 0 violations
         Given the workers wrote
             | event           | at | worker | run | call | idempotencyKey |
-            | request-started | 3  | w-2    | 1   | c-2  | i-1            |
+            | request-started | 3  | w-2    | 1   | i-1  | i-1            |
         Then "non-idempotent requests run at most once" has 1 opportunity and 1 violation naming "i-1 ran 2 times"
 
     Scenario: Wrong, partial and invented answers are caught
@@ -240,3 +241,27 @@
             | event           | at   | worker | taskId | rule |
             | attempt-started | 500  | w-1    | b      | prep |
         Then "no forgotten job keeps running" has 2 opportunities and 1 violation naming "b#1"
+
+    Scenario: A paused process has the whole limit from its return, and no more
+        Given the operators wrote
+            | event   | at    | until | revision | process | ready | kind  | target |
+            | applied | 1000  |       | 7        |         |       |       |        |
+            | fault   | 2000  | 20000 |          |         |       | pause | g-1    |
+            | status  | 30000 |       | 3        | g-1     | true  |       |        |
+        Then "configuration in force in time, never reverted" has 1 opportunity and 0 violations
+        Given the operators wrote
+            | event   | at    | revision | process | ready |
+            | status  | 31001 | 3        | g-1     | true  |
+        Then "configuration in force in time, never reverted" has 1 opportunity and 1 violation naming "g-1 had revision 3"
+
+    Scenario: Two accepted edits of one version are caught
+        Given the operators wrote
+            | event     | at   | team | revision | base |
+            | edit-race | 900  | t    |          |      |
+            | applied   | 1000 | t    | 7        | 5    |
+            | applied   | 1100 | t    | 9        | 7    |
+        Then "no operator's edit is lost" has 1 opportunity and 0 violations
+        Given the operators wrote
+            | event   | at   | team | revision | base |
+            | applied | 1200 | t    | 10       | 7    |
+        Then "no operator's edit is lost" has 1 opportunity and 1 violation naming "t at revision 7"
--- a/features/faults/checker.steps.ts
+++ b/features/faults/checker.steps.ts
@@ -73,7 +73,7 @@
 });
 
 Given("the callers wrote", function(this: CheckerWorld, table: DataTable) {
-    this.calls.push(...readRows(table).map(row => ({ ...CALL_DEFAULTS, ...row })));
+    this.calls.push(...readRows(table).map(row => ({ ...CALL_DEFAULTS, wire: String(row["call"]), ...row })));
 });
 
 Given("the workers wrote", function(this: CheckerWorld, table: DataTable) {
--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -37,6 +37,8 @@
     checkpointMilliseconds: z.int().min(0).default(200),
     reportEveryMilliseconds: z.int().min(1).default(1_000),
     reportLagMilliseconds: z.int().min(0).default(2_000),
+    /** Idle connections of callers are closed after this. */
+    idleMilliseconds: z.int().min(1).default(10_000),
     profiles: z.record(Name, RuleProfile).default({}),
     effects: z.array(PairEffect).default([]),
     /** Pairs without an entry in `effects` get one from the seed, between 0 and this. */
