Worker stand-in: request ids on answers, crossed answers, idle limit

Cause: the gateway tells crossed answers by the request's id. Change: every answer of the serving port carries the id of its request; the fault crossAnswers gives the answer of the request before. Conclusion: features/platform passes, with a scenario that finds crossed answers.

--- a/bench/support/checker/requests.ts
+++ b/bench/support/checker/requests.ts
@@ -55,6 +55,6 @@
 /** Counts the answers that workers spoilt on purpose; callers must not have taken them for whole. */
 export function countSpoiltAnswers(evidence: Evidence): number {
     return pick(evidence.workers, "request-ended")
-        .filter(end => end.outcome === "truncated" || end.outcome === "dropped")
+        .filter(({ outcome }) => outcome === "truncated" || outcome === "dropped" || outcome === "crossed")
         .length;
 }
--- a/features/platform/load.feature
+++ b/features/platform/load.feature
@@ -17,6 +17,12 @@
         When 20 calls are made through the proxy
         Then 20 calls are "cut"
 
+    Scenario: Answers that are another request's are found
+        Given 1 calls have been made through the proxy
+        And the worker has the faults '{"crossAnswers": true}'
+        When 20 calls are made through the proxy
+        Then 20 calls are "wrong"
+
     Scenario: Answers that end half-way on the network are found
         Given the proxy has the rules '{"truncateAfterBytes": 100}'
         When 20 calls are made through the proxy
--- a/stand-ins/worker/record.ts
+++ b/stand-ins/worker/record.ts
@@ -72,7 +72,7 @@
         event: z.literal("request-ended"),
         ...common,
         ...request,
-        outcome: z.enum(["answered", "deadline", "truncated", "dropped", "silent", "lost"]),
+        outcome: z.enum(["answered", "deadline", "truncated", "dropped", "crossed", "silent", "lost"]),
     }),
     z.object({
         event: z.literal("request-refused"),
--- a/stand-ins/worker/server.ts
+++ b/stand-ins/worker/server.ts
@@ -123,6 +123,7 @@
     begin();
     const control = await listen(application, { host: options.host, port: 0 });
     const serve = await listen(serving, { host: options.host, port: 0 });
+    serve.server.keepAliveTimeout = behaviour.idleMilliseconds;
     limitConnections(
         serve,
         shape.connections,
@@ -160,7 +161,6 @@
     onRefused: () => void,
 ): void {
     server.maxConnections = most;
-    server.keepAliveTimeout = 0;
     server.on("drop", onRefused);
     server.on("connection", socket => {
         connections.set(socket, "");
--- a/stand-ins/worker/serving.ts
+++ b/stand-ins/worker/serving.ts
@@ -48,16 +48,24 @@
 /** Creates the handler of a worker's serving port. */
 export function createServing(options: ServingOptions): RequestListener {
     const random = createRandom(options.seed);
+    const last: LastAnswer = { requestId: "", text: "" };
     let runs = 0;
     return (request, response) => {
         runs += 1;
-        serve(request, response, { ...options, random, run: runs }).catch(() => response.destroy());
+        serve(request, response, { ...options, random, run: runs, last }).catch(() => response.destroy());
     };
 }
 
 interface Serving extends ServingOptions {
     readonly random: Random;
     readonly run: number;
+    readonly last: LastAnswer;
+}
+
+/** The answer before, which a crossed answer repeats. */
+interface LastAnswer {
+    requestId: string;
+    text: string;
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, serving: Serving): Promise<void> {
@@ -123,11 +131,20 @@
     if (isLate) {
         return "deadline";
     }
-    const drawn = random();
-    if (drawn < faults.dropAnswers) {
-        return "dropped";
+    let drawn = random();
+    for (
+        const [outcome, share] of [
+            ["dropped", faults.dropAnswers],
+            ["truncated", faults.truncateAnswers],
+            ["crossed", faults.crossAnswers],
+        ] as const
+    ) {
+        if (drawn < share) {
+            return outcome;
+        }
+        drawn -= share;
     }
-    return drawn < faults.dropAnswers + faults.truncateAnswers ? "truncated" : "answered";
+    return "answered";
 }
 
 async function answer(response: ServerResponse, body: Buffer, outcome: Outcome, run: Run): Promise<void> {
@@ -139,17 +156,18 @@
             response.destroy();
             return;
         case "deadline":
-            writeOutcome(response, DEADLINE_STATUS, "unknown", "deadline");
+            writeOutcome(response, run.facts.requestId, DEADLINE_STATUS, "unknown", "deadline");
             return;
         case "truncated":
+        case "crossed":
         case "answered":
-            await writeAnswer(response, body, outcome === "truncated", run);
+            await writeAnswer(response, body, outcome, run);
     }
 }
 
-async function writeAnswer(response: ServerResponse, body: Buffer, truncated: boolean, run: Run): Promise<void> {
-    const { attempt, facts, interference } = run;
-    const text = JSON.stringify(sealAnswer({
+async function writeAnswer(response: ServerResponse, body: Buffer, outcome: Outcome, run: Run): Promise<void> {
+    const { attempt, facts, interference, last } = run;
+    const own = JSON.stringify(sealAnswer({
         call: facts.call,
         service: facts.service,
         path: facts.path,
@@ -160,8 +178,14 @@
         run: run.run,
         padding: "x".repeat(interference.profile(facts.service).answerBytes),
     }));
-    response.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
-    if (!truncated) {
+    const { requestId, text } = outcome === "crossed" ? { ...last } : { requestId: facts.requestId, text: own };
+    Object.assign(last, { requestId: facts.requestId, text: own });
+    response.writeHead(200, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        [headers.requestId]: requestId,
+    });
+    if (outcome !== "truncated") {
         response.end(text);
         return;
     }
@@ -203,12 +227,19 @@
         requestId: facts.requestId,
         reason,
     });
-    writeOutcome(response, REFUSED_STATUS, "not-run", reason);
+    writeOutcome(response, facts.requestId, REFUSED_STATUS, "not-run", reason);
 }
 
-function writeOutcome(response: ServerResponse, status: number, outcome: string, reason: string): void {
+function writeOutcome(
+    response: ServerResponse,
+    requestId: string,
+    status: number,
+    outcome: string,
+    reason: string,
+): void {
     response.writeHead(status, {
         "content-type": "application/json",
+        [headers.requestId]: requestId,
         [headers.outcome]: outcome,
         [headers.reason]: reason,
     });
--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -58,6 +58,8 @@
     truncateAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
     /** The share of answers to callers that are lost after the work was done. */
     dropAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
+    /** The share of answers to callers that are those of the request before. */
+    crossAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
     /** Added to the processing time of each request. */
     slowMilliseconds: z.int().min(0).optional(),
     /** Added to each order. */
@@ -78,6 +80,7 @@
     controlDown: boolean;
     truncateAnswers: number;
     dropAnswers: number;
+    crossAnswers: number;
     slowMilliseconds: number;
     slowOrdersMilliseconds: number;
     refuse: boolean;
@@ -92,6 +95,7 @@
         controlDown: false,
         truncateAnswers: 0,
         dropAnswers: 0,
+        crossAnswers: 0,
         slowMilliseconds: 0,
         slowOrdersMilliseconds: 0,
         refuse: false,
