--- /dev/null
+++ b/bench/experiments/faults.ts
@@ -0,0 +1,186 @@
+/**
+ * Random faults on a whole deployment, judged by an independent checker.
+ */
+import { writeFile } from "node:fs/promises";
+import { createRandom } from "../../src/core/random.js";
+import { pause } from "../../src/core/time.js";
+import { countSpoiltAnswers, judgeAll } from "../support/checker/index.js";
+import type { Evidence, Verdict } from "../support/checker/index.js";
+import { checkAtLeast, checkAtMost } from "../support/experiment.js";
+import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
+import { createInjector } from "../support/faults/inject.js";
+import { createOperators } from "../support/faults/operators.js";
+import { planFaults } from "../support/faults/plan.js";
+import type { PlannedFault } from "../support/faults/plan.js";
+import { lastingBatch, services } from "../support/faults/rules.js";
+import { runTraffic } from "../support/faults/traffic.js";
+import { startWorld, waitUntil } from "../support/faults/world.js";
+import type { World } from "../support/faults/world.js";
+import type { LoadResult } from "../support/load.js";
+
+const DEFAULT_SECONDS = "60";
+const DEFAULT_INSTANCES = "9";
+const DEFAULT_RATE = "60";
+const READY_LIMIT_MILLISECONDS = 30_000;
+/** Time after the last fault within which batch work has to finish and services to answer. */
+const SETTLE_LIMIT_MILLISECONDS = 60_000;
+const CLOSING_SECONDS = 3;
+const LEAST_ANSWERED_SHARE = 0.99;
+/** Under faults, at least half of the calls must be answered, or the run shows little. */
+const LEAST_ANSWERED_UNDER_FAULTS = 0.5;
+const VIOLATIONS_PRINTED = 5;
+
+export const experiment: Experiment = {
+    name: "faults",
+    summary: "random faults on a whole deployment; a checker judges the logs of callers, workers and operators",
+    options: {
+        seconds: { type: "string", default: DEFAULT_SECONDS },
+        instances: { type: "string", default: DEFAULT_INSTANCES },
+        rate: { type: "string", default: DEFAULT_RATE },
+        deployment: { type: "string", default: "tunturivalo" },
+        workers: { type: "string" },
+        evidence: { type: "string" },
+    },
+    run,
+};
+
+interface Closing {
+    readonly batchFinished: number;
+    readonly batchExpected: number;
+    readonly result: LoadResult;
+}
+
+async function run(context: ExperimentContext): Promise<Check[]> {
+    const world = await startWorld({
+        seed: context.seed,
+        deployment: context.values["deployment"] === "sumber-padi" ? "sumber-padi" : "tunturivalo",
+        instances: Number(context.values["instances"]),
+        ...(typeof context.values["workers"] === "string"
+            ? { workersPerDataCentre: Number(context.values["workers"]) }
+            : {}),
+        workers: {
+            profiles: { [services.exclusive]: { requestMilliseconds: 25 } },
+            unlistedEffectAtMost: 0.5,
+        },
+    });
+    context.progress(`${world.proxies.size} links behind proxies, logs in ${world.deployment.directory}`);
+    try {
+        return await runWorld(world, context);
+    }
+    finally {
+        await world.close();
+    }
+}
+
+async function runWorld(world: World, context: ExperimentContext): Promise<Check[]> {
+    const random = createRandom(context.seed);
+    const operators = createOperators(world, createRandom(context.seed + 1));
+    await operators.begin();
+    const isReady = await waitUntil(READY_LIMIT_MILLISECONDS, () => isAnswering(world, context.seed));
+    if (!isReady) {
+        throw new Error("the deployment does not answer before any fault");
+    }
+    world.calls.length = 0;
+    const milliseconds = Number(context.values["seconds"]) * 1_000;
+    const stop = new AbortController();
+    const work = Promise.all([operators.edit(stop.signal), operators.look(stop.signal)]);
+    const faults = carryOut(world, planFaults(random, milliseconds), context);
+    const underFaults = await runTraffic(world, {
+        name: "call",
+        seed: context.seed,
+        callsPerSecond: Number(context.values["rate"]),
+        durationMilliseconds: milliseconds,
+    });
+    await faults;
+    world.healLinks();
+    context.progress(`healed; ${JSON.stringify(underFaults.outcomes)}`);
+    const closing = await close(world, context);
+    stop.abort();
+    await work;
+    const evidence: Evidence = {
+        calls: world.calls,
+        workers: await world.readWorkerRecords(),
+        operators: world.operators,
+        exclusiveServices: [services.exclusive],
+        endedAt: world.clock(),
+    };
+    if (typeof context.values["evidence"] === "string") {
+        await writeFile(context.values["evidence"], JSON.stringify(evidence));
+    }
+    return judge(evidence, underFaults, closing, context);
+}
+
+async function isAnswering(world: World, seed: number): Promise<boolean> {
+    const { outcomes, sent } = await runTraffic(world, {
+        name: `probe-${Math.round(world.clock())}`,
+        seed,
+        callsPerSecond: 60,
+        durationMilliseconds: 500,
+    });
+    return sent > 0 && outcomes.answered === sent;
+}
+
+async function carryOut(world: World, faults: readonly PlannedFault[], context: ExperimentContext): Promise<void> {
+    const injector = createInjector(world);
+    const startedAt = world.clock();
+    await Promise.all(faults.map(async fault => {
+        await pause(Math.max(0, startedAt + fault.atMilliseconds - world.clock()));
+        const at = ((world.clock() - startedAt) / 1_000).toFixed(1);
+        context.progress(`${at} s ${fault.kind} for ${(fault.durationMilliseconds / 1_000).toFixed(1)} s`);
+        await injector.inject(fault);
+    }));
+}
+
+/** After the last fault: batch work finishes, and every call is answered again. */
+async function close(world: World, context: ExperimentContext): Promise<Closing> {
+    const batchExpected = lastingBatch.reduce((sum, rule) => sum + rule.tasks, 0);
+    let batchFinished = 0;
+    await waitUntil(SETTLE_LIMIT_MILLISECONDS, async () => {
+        batchFinished = await countFinished(world);
+        return batchFinished >= batchExpected;
+    });
+    await waitUntil(SETTLE_LIMIT_MILLISECONDS, () => isAnswering(world, context.seed));
+    const result = await runTraffic(world, {
+        name: "closing",
+        seed: context.seed,
+        callsPerSecond: Number(context.values["rate"]),
+        durationMilliseconds: CLOSING_SECONDS * 1_000,
+    });
+    return { batchFinished, batchExpected, result };
+}
+
+async function countFinished(world: World): Promise<number> {
+    const names: readonly string[] = lastingBatch.map(rule => rule.name);
+    const finished = (await world.readWorkerRecords()).flatMap(record =>
+        record.event === "attempt-ended" && record.state === "finished" && names.includes(record.rule)
+            ? [record.taskId]
+            : []
+    );
+    return new Set(finished).size;
+}
+
+function judge(evidence: Evidence, underFaults: LoadResult, closing: Closing, context: ExperimentContext): Check[] {
+    const verdicts = judgeAll(evidence);
+    verdicts.forEach(verdict => printVerdict(verdict, context));
+    context.progress(`${countSpoiltAnswers(evidence)} answers were spoilt by workers on purpose`);
+    return [
+        ...verdicts.flatMap(({ promise, violations, opportunities }) => [
+            checkAtMost(promise, violations.length, "violations", 0),
+            checkAtLeast(`${promise}: occasions`, opportunities, "occasions", 1),
+        ]),
+        checkAtLeast("answered under faults", shareAnswered(underFaults), "share", LEAST_ANSWERED_UNDER_FAULTS),
+        checkAtLeast("answered after the faults", shareAnswered(closing.result), "share", LEAST_ANSWERED_SHARE),
+        checkAtLeast("batch tasks finished", closing.batchFinished, "tasks", closing.batchExpected),
+    ];
+}
+
+function shareAnswered({ outcomes, sent }: LoadResult): number {
+    return Number((outcomes.answered / Math.max(1, sent)).toFixed(4));
+}
+
+function printVerdict({ promise, opportunities, violations }: Verdict, context: ExperimentContext): void {
+    context.progress(`${promise}: ${violations.length} violations on ${opportunities} occasions`);
+    for (const violation of violations.slice(0, VIOLATIONS_PRINTED)) {
+        context.progress(`    ${violation}`);
+    }
+}
--- a/bench/support/checker/index.ts
+++ b/bench/support/checker/index.ts
@@ -1,2 +1,3 @@
 export * from "./evidence.js";
 export * from "./judges.js";
+export { countSpoiltAnswers } from "./requests.js";
--- /dev/null
+++ b/bench/support/faults/inject.ts
@@ -0,0 +1,227 @@
+/**
+ * Brings faults about in a world, and ends them.
+ */
+import { pause } from "../../../src/core/time.js";
+import type { DaemonRole, DeployedInstance } from "../../../stand-ins/deployment.js";
+import type { ProxyRuleChange } from "../../../stand-ins/proxy/index.js";
+import type { FaultKind, PlannedFault } from "./plan.js";
+import type { World } from "./world.js";
+
+const RESTART_AFTER_MILLISECONDS = 1_000;
+const LINKS_SHARE = 0.15;
+const SPOILT_SHARE = 0.4;
+const SPOILING_STEP = 3;
+const SLOW_STORE_MILLISECONDS = 400;
+const SLOW_WORKER_MILLISECONDS = 300;
+const LAG_MILLISECONDS = 1_500;
+
+/** Faults that act on one daemon at a time; a daemon that is already in trouble is left alone. */
+export interface Injector {
+    /** Resolves when the fault is over. */
+    inject(fault: PlannedFault): Promise<void>;
+}
+
+/** What a fault does between its start and its end. */
+interface Action {
+    readonly target: string;
+    run(): Promise<void>;
+}
+
+/** Creates the injector of a world. */
+export function createInjector(world: World): Injector {
+    const busy = new Set<string>();
+    return {
+        async inject(fault) {
+            const action = createAction(world, fault);
+            if (busy.has(action.target)) {
+                return;
+            }
+            busy.add(action.target);
+            const at = world.clock();
+            await action.run();
+            busy.delete(action.target);
+            const kind = fault.kind.endsWith("-paused") ? "pause" : fault.kind;
+            world.operators.push({ event: "fault", at, until: world.clock(), kind, target: action.target });
+        },
+    };
+}
+
+function createAction(world: World, fault: PlannedFault): Action {
+    const { kind } = fault;
+    if (kind.startsWith("store-")) {
+        return switchFaults(world, fault, "store", world.deployment.storeOrigin, storeFaults[kind]);
+    }
+    if (kind.startsWith("list-")) {
+        return switchFaults(world, fault, "instances", world.deployment.instancesOrigin, listFaults[kind]);
+    }
+    if (kind.startsWith("gateway-") || kind.startsWith("scheduler-")) {
+        return createDaemonAction(world, fault);
+    }
+    if (kind.startsWith("links-")) {
+        return createLinksAction(world, fault);
+    }
+    return createWorkerAction(world, fault);
+}
+
+type Faults = Partial<Record<FaultKind, { readonly begin: object; readonly end: object; }>>;
+
+const storeFaults: Faults = {
+    "store-down": { begin: { down: "reset" }, end: { down: "no" } },
+    "store-hangs": { begin: { down: "hang" }, end: { down: "no", breakWatches: true } },
+    "store-slow": { begin: { slowMilliseconds: SLOW_STORE_MILLISECONDS }, end: { slowMilliseconds: 0 } },
+    "store-loses-answers": { begin: { loseAnswers: 5 }, end: { loseAnswers: 0 } },
+    "store-reads-stale": { begin: { staleReads: true }, end: { staleReads: false } },
+    "store-watches-break": { begin: { breakWatches: true }, end: {} },
+};
+
+const listFaults: Faults = {
+    "list-down": { begin: { down: true }, end: { down: false } },
+    "list-lags": { begin: { lagMilliseconds: LAG_MILLISECONDS }, end: { lagMilliseconds: 0 } },
+};
+
+const workerFaults: Faults = {
+    "worker-restarts": { begin: { restart: true }, end: {} },
+    "worker-silent": { begin: { silent: true }, end: { silent: false } },
+    "worker-orders-cut": { begin: { controlDown: true }, end: { controlDown: false } },
+    "worker-loses-order-answers": { begin: { loseOrderAnswers: 4 }, end: { loseOrderAnswers: 0 } },
+    "worker-fails-starts": { begin: { failStarts: true }, end: { failStarts: false } },
+    "worker-slow": { begin: { slowMilliseconds: SLOW_WORKER_MILLISECONDS }, end: { slowMilliseconds: 0 } },
+    "answers-truncated": { begin: { truncateAnswers: SPOILT_SHARE }, end: { truncateAnswers: 0 } },
+    "answers-dropped": { begin: { dropAnswers: SPOILT_SHARE }, end: { dropAnswers: 0 } },
+    "answers-crossed": { begin: { crossAnswers: SPOILT_SHARE }, end: { crossAnswers: 0 } },
+};
+
+function switchFaults(
+    world: World,
+    fault: PlannedFault,
+    target: string,
+    origin: string,
+    faults: Faults[FaultKind],
+): Action {
+    return {
+        target,
+        run: async () => {
+            await world.deployment.setFaults(origin, faults?.begin ?? {});
+            await pause(fault.durationMilliseconds);
+            await world.deployment.setFaults(origin, faults?.end ?? {});
+        },
+    };
+}
+
+function createDaemonAction(world: World, fault: PlannedFault): Action {
+    const role: DaemonRole = fault.kind.startsWith("gateway-") ? "gateway" : "scheduler";
+    const instance = choose(world.deployment.instances, fault.choice);
+    const runs: Record<string, () => Promise<void>> = {
+        killed: () => killDaemon(world, instance, role),
+        paused: () => pauseDaemon(instance, role, fault.durationMilliseconds),
+        stopped: () => stopDaemon(world, instance, role),
+    };
+    const [, how = ""] = fault.kind.split("-");
+    return { target: `${instance.name}/${role}`, run: runs[how] ?? (async () => undefined) };
+}
+
+async function killDaemon(world: World, instance: DeployedInstance, role: DaemonRole): Promise<void> {
+    await instance[role].kill();
+    await pause(RESTART_AFTER_MILLISECONDS);
+    await world.deployment.restart(instance, role);
+}
+
+async function pauseDaemon(instance: DeployedInstance, role: DaemonRole, milliseconds: number): Promise<void> {
+    const daemon = instance[role];
+    daemon.pause();
+    await pause(milliseconds);
+    daemon.resume();
+}
+
+async function stopDaemon(world: World, instance: DeployedInstance, role: DaemonRole): Promise<void> {
+    const daemon = instance[role];
+    const at = world.clock();
+    const exit = await daemon.stop();
+    world.operators.push({
+        event: "planned-stop",
+        at,
+        until: world.clock(),
+        process: `${instance.name}/${role}`,
+        origin: daemon.announcement["callers"] ?? "",
+        exitCode: typeof exit === "number" ? exit : 1,
+    });
+    await pause(RESTART_AFTER_MILLISECONDS);
+    await world.deployment.restart(instance, role);
+}
+
+function createWorkerAction(world: World, fault: PlannedFault): Action {
+    if (fault.kind.startsWith("answers-")) {
+        return createAnswersAction(world, fault);
+    }
+    const worker = choose(world.workers, fault.choice);
+    const control = worker.controlOrigin;
+    if (fault.kind !== "worker-leaving" && fault.kind !== "worker-refuses-and-leaves") {
+        return switchFaults(world, fault, worker.name, control, workerFaults[fault.kind]);
+    }
+    const refuse = fault.kind === "worker-refuses-and-leaves";
+    return {
+        target: worker.name,
+        run: async () => {
+            await world.deployment.setFaults(control, { refuse });
+            await world.list({ ...worker, state: "leaving" });
+            const at = world.clock();
+            await pause(fault.durationMilliseconds);
+            world.operators.push({ event: "worker-leaving", at, until: world.clock(), worker: worker.name });
+            await world.list(worker);
+            await world.deployment.setFaults(control, { refuse: false });
+        },
+    };
+}
+
+/** Spoils answers on every third worker, so that some of them serve callers. */
+function createAnswersAction(world: World, fault: PlannedFault): Action {
+    const first = Math.floor(fault.choice * SPOILING_STEP);
+    const workers = world.workers.filter((worker, index) => index % SPOILING_STEP === first);
+    const actions = workers.map(worker =>
+        switchFaults(world, fault, worker.name, worker.controlOrigin, workerFaults[fault.kind])
+    );
+    return {
+        target: fault.kind,
+        run: async () => {
+            await Promise.all(actions.map(action => action.run()));
+        },
+    };
+}
+
+const linkRules: Partial<Record<FaultKind, readonly [begin: ProxyRuleChange, end: ProxyRuleChange]>> = {
+    "links-cut": [{ cut: true }, {}],
+    "links-silent": [{ silenceOpen: "both" }, {}],
+    "links-one-way": [{ silence: "to-client" }, { silence: "none" }],
+    "links-delayed": [{ delayMilliseconds: 20, spreadMilliseconds: 200 }, {
+        delayMilliseconds: 0,
+        spreadMilliseconds: 0,
+    }],
+    "links-drop-answers": [{ dropAnswers: 3 }, { dropAnswers: 0 }],
+};
+
+/** Acts on a share of the links: those whose place in the list follows the choice. */
+function createLinksAction(world: World, fault: PlannedFault): Action {
+    const names = [...world.proxies.keys()];
+    const count = Math.max(1, Math.floor(names.length * LINKS_SHARE));
+    const first = Math.floor(fault.choice * names.length);
+    const step = Math.max(1, Math.floor(names.length / count));
+    const chosen = Array.from({ length: count }, (unused, index) => names[(first + index * step) % names.length] ?? "");
+    const [begin, end] = linkRules[fault.kind] ?? [{}, {}];
+    const change = (rules: ProxyRuleChange) => chosen.forEach(name => world.proxies.get(name)?.setRules(rules));
+    return {
+        target: `links ${fault.kind}`,
+        run: async () => {
+            change(begin);
+            await pause(fault.durationMilliseconds);
+            change(end);
+        },
+    };
+}
+
+function choose<Value>(values: readonly Value[], choice: number): Value {
+    const value = values[Math.floor(choice * values.length)];
+    if (value === undefined) {
+        throw new Error("there is nothing to choose from");
+    }
+    return value;
+}
