--- a/stand-ins/worker/orders.ts
+++ b/stand-ins/worker/orders.ts
@@ -22,6 +22,7 @@
 export interface OrderCounts {
     orders: number;
     fenced: number;
+    started: number;
     bytesIn: number;
     bytesOut: number;
 }
@@ -66,12 +67,14 @@
     });
 
     application.use(express.json({ limit: BODY_LIMIT, type: () => true }));
-    serve(workerPaths.start, StartRequest, (order, now) =>
-        order.starts.map(start => ({
+    serve(workerPaths.start, StartRequest, (order, now) => {
+        options.counts.started += order.starts.length;
+        return order.starts.map(start => ({
             taskId: start.taskId,
             attempt: start.attempt,
             ...attempts.start(order, start, now),
-        })));
+        }));
+    });
     serve(workerPaths.stop, StopRequest, (order, now) => order.stops.map(stop => attempts.stop(order, stop, now)));
     serve(workerPaths.throttle, ThrottleRequest, (order, now) => {
         for (const { share, ...attempt } of order.throttles) {
--- a/stand-ins/worker/server.ts
+++ b/stand-ins/worker/server.ts
@@ -50,7 +50,7 @@
     const attempts = createAttempts({ worker: name, cores: shape.cores, behaviour, interference, faults, record });
     const epochs = new Map<string, number>();
     const connections = new Map<Socket, string>();
-    const counts = { orders: 0, fenced: 0, bytesIn: 0, bytesOut: 0 };
+    const counts = { orders: 0, fenced: 0, started: 0, bytesIn: 0, bytesOut: 0 };
     let incarnation = "";
 
     function begin(): void {
