--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -37,6 +37,8 @@
     checkpointMilliseconds: z.int().min(0).default(200),
     reportEveryMilliseconds: z.int().min(1).default(1_000),
     reportLagMilliseconds: z.int().min(0).default(2_000),
+    /** Idle connections of callers are closed after this. */
+    idleMilliseconds: z.int().min(1).default(10_000),
     profiles: z.record(Name, RuleProfile).default({}),
     effects: z.array(PairEffect).default([]),
     /** Pairs without an entry in `effects` get one from the seed, between 0 and this. */
@@ -56,6 +58,8 @@
     truncateAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
     /** The share of answers to callers that are lost after the work was done. */
     dropAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
+    /** The share of answers to callers that are those of the request before. */
+    crossAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
     /** Added to the processing time of each request. */
     slowMilliseconds: z.int().min(0).optional(),
     /** Added to each order. */
@@ -76,6 +80,7 @@
     controlDown: boolean;
     truncateAnswers: number;
     dropAnswers: number;
+    crossAnswers: number;
     slowMilliseconds: number;
     slowOrdersMilliseconds: number;
     refuse: boolean;
@@ -90,6 +95,7 @@
         controlDown: false,
         truncateAnswers: 0,
         dropAnswers: 0,
+        crossAnswers: 0,
         slowMilliseconds: 0,
         slowOrdersMilliseconds: 0,
         refuse: false,
