--- a/features/gateway/support/gateway.ts
+++ b/features/gateway/support/gateway.ts
@@ -3,6 +3,7 @@
  */
 import express from "express";
 import { Result } from "true-myth/result";
+import { createFixedConfiguration, createFixedMembership } from "../../../bench/request/sources.js";
 import type { Failure } from "../../../src/core/errors.js";
 import { listen } from "../../../src/core/http.js";
 import type { RunningServer } from "../../../src/core/http.js";
@@ -18,13 +19,13 @@
 import type { Gateway } from "../../../src/gateway/gateway.js";
 import type { Guard } from "../../../src/gateway/guard.js";
 import { RequestSettings } from "../../../src/gateway/settings.js";
-import type { Member, MembershipSource } from "../../../src/membership/member.js";
-import type { Configuration, ConfigurationSource, ServiceRule } from "../../../src/rules/rule.js";
+import type { ServiceRule } from "../../../src/rules/rule.js";
 import { createCreditBank } from "../../../src/scheduler/credits/bank.js";
 import type { CreditBank, CreditBankOptions } from "../../../src/scheduler/credits/bank.js";
 
 export const PEER_TOKEN = "peer-token";
 const HOST = "127.0.0.1";
+const FAST_SETTINGS: Partial<RequestSettings> = { routesWaitMilliseconds: 500 };
 const CHANGE_STEP_MILLISECONDS = 10;
 
 const WORKER_CONNECTIONS = 64;
@@ -127,9 +128,9 @@
     const metrics = createMetrics({});
     const gateway = createGateway({
         identity: { instance, dataCentre: options.dataCentre ?? "levi", incarnation: `${instance}-${systemClock()}` },
-        settings: RequestSettings.parse(options.settings ?? {}),
-        configuration: createConfigurationSource(options.rule ?? {}),
-        membership: createMembershipSource(instance, options.schedulers),
+        settings: RequestSettings.parse({ ...FAST_SETTINGS, ...options.settings }),
+        configuration: createFixedConfiguration(options.rule),
+        membership: createFixedMembership(instance, options.schedulers),
         rpc: createRpcClient({ token: PEER_TOKEN, timeoutMilliseconds: 2_000 }),
         guards: options.guards ?? [],
         peerToken: PEER_TOKEN,
@@ -138,10 +139,10 @@
         metrics,
         logger: createLogger("gateway-test"),
     });
-    const server = await listen(gateway.listener, { host: HOST, port: 0 });
+    const server = await gateway.listenForCallers({ host: HOST, port: 0 });
     const peers = await listen(express().use(gateway.peerListener), { host: HOST, port: 0 });
     const controller = new AbortController();
-    const running = gateway.run(controller.signal);
+    const running = Promise.all([gateway.run(controller.signal), server.run(controller.signal)]);
     return {
         origin: server.origin,
         peerOrigin: peers.origin,
@@ -164,47 +165,3 @@
         },
     };
 }
-
-function createConfigurationSource(rule: Partial<ServiceRule>): ConfigurationSource {
-    const configuration: Configuration = {
-        revision: 1,
-        documents: [{
-            team: "rental",
-            revision: 1,
-            text: "",
-            appliedBy: "test",
-            appliedAtMilliseconds: 0,
-            rules: [{
-                kind: "service",
-                name: "beacon-check",
-                requester: "Aino",
-                line: 1,
-                end: {},
-                resources: { cores: 1, memoryBytes: 1, accelerators: 0 },
-                dataCentres: [],
-                priority: 3,
-                replicas: 1,
-                deadlineMilliseconds: 5_000,
-                ...rule,
-            }],
-        }],
-    };
-    return { current: () => configuration, onChange: () => () => undefined };
-}
-
-function createMembershipSource(instance: string, schedulers: readonly string[]): MembershipSource {
-    const member = (name: string, role: "gateway" | "scheduler", origin: string): Member => ({
-        instance: name,
-        role,
-        dataCentre: "levi",
-        origin,
-        incarnation: 1,
-        state: "alive",
-        configurationRevision: 1,
-    });
-    return {
-        members: () => schedulers.map((origin, index) => member(`entry-${index + 1}`, "scheduler", origin)),
-        self: () => member(instance, "gateway", "http://127.0.0.1:1"),
-        onChange: () => () => undefined,
-    };
-}
--- a/features/gateway/support/world.ts
+++ b/features/gateway/support/world.ts
@@ -5,7 +5,9 @@
 import assert from "node:assert/strict";
 import { request } from "undici";
 import { headers } from "../../../src/platform/worker.js";
-import type { TestGateway, TestScheduler } from "./gateway.js";
+import { startGateway, startScheduler } from "./gateway.js";
+import type { TestGateway, TestGatewayOptions, TestScheduler } from "./gateway.js";
+import { startUpstream } from "./upstream.js";
 import type { TestUpstream } from "./upstream.js";
 
 const CONDITION_STEP_MILLISECONDS = 10;
@@ -28,6 +30,40 @@
     answers: SeenAnswer[];
 }
 
+/** A service that a scenario needs. */
+export interface ServiceOptions extends Omit<TestGatewayOptions, "schedulers"> {
+    readonly replicas: number;
+}
+
+/** Starts upstreams, a scheduler and a gateway, and waits until the gateway reaches the upstreams. */
+export async function startService(world: RequestWorld, options: ServiceOptions): Promise<void> {
+    world.answers = [];
+    world.upstreams = await Promise.all(Array.from({ length: options.replicas }, startUpstream));
+    const scheduler = await startScheduler();
+    world.schedulers = [scheduler];
+    scheduler.offer({}, world.upstreams.map(({ origin }) => ({ origin })));
+    const gateway = await startGateway({ ...options, schedulers: [scheduler.origin] });
+    world.gateways = [gateway];
+    if (options.replicas > 0) {
+        await waitUntil("routes known", async () => (await call(`${gateway.origin}/beacon-check/`)).status === 200);
+        world.upstreams.forEach(({ requests }) => requests.splice(0));
+    }
+}
+
+/** Gives the scenario's gateway. */
+export function firstGateway(world: RequestWorld): TestGateway {
+    const [gateway] = world.gateways;
+    assert.ok(gateway !== undefined);
+    return gateway;
+}
+
+/** Gives the scenario's scheduler. */
+export function firstScheduler(world: RequestWorld): TestScheduler {
+    const [scheduler] = world.schedulers;
+    assert.ok(scheduler !== undefined);
+    return scheduler;
+}
+
 /** What a caller sends. */
 export interface CallOptions {
     readonly method?: string;
--- a/src/gateway/admission/selector.ts
+++ b/src/gateway/admission/selector.ts
@@ -13,7 +13,7 @@
 import type { RequestSettings } from "../settings.js";
 import { chooseReplica } from "../upstream/choose.js";
 import type { Connection } from "../upstream/connections.js";
-import { createReplicaHealth, findOutliers, mayTry, observeVerdict } from "../upstream/health.js";
+import { createReplicaHealth, fadeHealth, findOutliers, mayTry, observeVerdict } from "../upstream/health.js";
 import type { ReplicaHealth, Verdict } from "../upstream/health.js";
 import type { UpstreamPool } from "../upstream/pool.js";
 import { createConcurrencyLimit } from "./limit.js";
@@ -40,6 +40,8 @@
 /** Hands out leases. */
 export interface UpstreamSelector {
     acquire(wanted: Wanted, now: number): Promise<Result<Lease, Refusal>>;
+    /** Tells whether a replica is left that the request has not been refused by. */
+    hasUntried(wanted: Wanted, now: number): boolean;
     /** Ends a lease; the connection is kept only after an answer that arrived whole. */
     finish(lease: Lease, verdict: Verdict, now: number): void;
     /** Health of a replica. */
@@ -75,6 +77,8 @@
 }
 
 const SMALLEST_LATENCY_MILLISECONDS = 0.1;
+/** Cost of a replica that fails always, as a multiple of one that never does. */
+const FAILURE_PENALTY = 30;
 
 type Attempted = Lease | "no-replica" | "breakers-open" | "no-place";
 
@@ -109,6 +113,13 @@
         return this.wait(wanted, state);
     }
 
+    hasUntried({ service, tried }: Wanted, now: number): boolean {
+        const routes = this.options.table.find(service);
+        return [...routes?.near ?? [], ...routes?.far ?? []].some(route =>
+            !tried.has(route) && mayTry(this.healthOf(route), this.options.settings, now)
+        );
+    }
+
     finish(lease: Lease, verdict: Verdict, now: number): void {
         const { route, connection } = lease;
         const state = this.findService(route.service);
@@ -163,6 +174,8 @@
         for (const [service, state] of this.services) {
             state.queue.expire(now);
             const own = routes.filter(route => route.service === service && route.state === "serving");
+            const mean = state.limit.meanLatencyMilliseconds();
+            own.forEach(route => fadeHealth(this.healthOf(route), mean));
             state.outliers = new Set(
                 findOutliers(own, route => this.healthOf(route), this.options.settings.ejectedShare),
             );
@@ -221,7 +234,7 @@
                 isFree: replica =>
                     mayUse(replica) && !state.outliers.has(replica)
                     && pool.find(replica.worker)?.available(now) === true,
-                cost: replica => this.costOf(replica),
+                cost: replica => this.costOf(replica, state),
             },
             settings.spillFactor,
             random,
@@ -239,9 +252,12 @@
         return { route, connection, startedAtMilliseconds: now };
     }
 
-    private costOf(route: Route): number {
-        const { inFlight, latencyMilliseconds } = this.healthOf(route);
-        return (inFlight + 1) * Math.max(latencyMilliseconds, SMALLEST_LATENCY_MILLISECONDS);
+    private costOf(route: Route, state: ServiceState): number {
+        const { inFlight, latencyMilliseconds, failureShare } = this.healthOf(route);
+        // A replica that refuses everything answers fast; without the penalty it would draw the load.
+        const penalty = 1 + FAILURE_PENALTY * failureShare;
+        const latency = latencyMilliseconds === 0 ? state.limit.meanLatencyMilliseconds() : latencyMilliseconds;
+        return (inFlight + 1) * Math.max(latency, SMALLEST_LATENCY_MILLISECONDS) * penalty;
     }
 
     /** Expects the wait from the requests ahead, the places, and the mean time that one is taken. */
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -23,6 +23,12 @@
 
 /** Reason by which an upstream says that it takes no new work, or that the attempt is not its own. */
 const LEAVING_REASONS = new Set(["leaving", "attempt"]);
+/** What a failure says about the replica; all others count against it. */
+const VERDICTS = new Map<string, Verdict>([
+    [reasons.permitLapsed, "unused"],
+    [reasons.callerTooSlow, "unused"],
+    [reasons.upstreamTimeout, "timed-out"],
+]);
 const FIRST_SERVER_ERROR = 500;
 const RETRY_SPREAD = 0.5;
 
@@ -66,15 +72,16 @@
     const budget = options.budgetOf(request.service);
     let last: Refusal | undefined;
     for (let attempt = 1; attempt <= settings.attempts; attempt += 1) {
+        const { service, priority, deadlineMilliseconds } = request;
+        const needed = { service, priority, deadlineMilliseconds, tried };
         if (last !== undefined) {
-            if (!budget.take()) {
+            if (!selector.hasUntried(needed, clock()) || !budget.take()) {
                 return { kind: "refused", refusal: last };
             }
             options.counters.countRetry(last.reason);
             await pause(jitter(settings.retryDelayMilliseconds, RETRY_SPREAD, options.random));
         }
-        const { service, priority, deadlineMilliseconds } = request;
-        const acquired = await selector.acquire({ service, priority, deadlineMilliseconds, tried }, clock());
+        const acquired = await selector.acquire(needed, clock());
         if (acquired.isErr) {
             return { kind: "refused", refusal: last ?? acquired.error };
         }
@@ -128,11 +135,7 @@
 
 function judge(result: ExchangeResult): Verdict {
     if (result.kind === "failed") {
-        return result.reason === reasons.permitLapsed
-            ? "unused"
-            : result.reason === reasons.upstreamTimeout
-            ? "timed-out"
-            : "failed";
+        return VERDICTS.get(result.reason) ?? "failed";
     }
     if (result.kind === "whole" && result.headers[headers.outcome] === "not-run") {
         return LEAVING_REASONS.has(String(result.headers[headers.reason])) ? "left" : "refused";
--- a/src/gateway/callers/answer.ts
+++ b/src/gateway/callers/answer.ts
@@ -41,21 +41,26 @@
 
 /** Creates the sink that streams a large answer to the caller. */
 export function createAnswerSink(response: ServerResponse, requestId: string): AnswerSink {
+    let resume: (() => void) | undefined;
+    const goOn = () => {
+        // Going on may bring the next part, and with it the next wait.
+        const current = resume;
+        resume = undefined;
+        current?.();
+    };
     return {
         begin: (status, answerHeaders) => {
+            response.on("drain", goOn);
+            // A caller that goes away never drains; what is left is read and dropped.
+            response.on("close", goOn);
             response.writeHead(status, { ...keepHeaders(answerHeaders), [headers.requestId]: requestId });
         },
         write: (chunk, onDrain) => {
-            if (response.destroyed) {
+            if (response.destroyed || response.write(chunk)) {
                 return true;
             }
-            const room = response.write(chunk);
-            if (!room) {
-                response.once("drain", onDrain);
-                // A caller that goes away never drains; what is left is read and dropped.
-                response.once("close", onDrain);
-            }
-            return room;
+            resume = onDrain;
+            return false;
         },
         end: () => {
             response.end();
--- /dev/null
+++ b/src/gateway/callers/server.ts
@@ -0,0 +1,151 @@
+/**
+ * The callers' port: limits on heads, slow callers and connections; TLS with certificates that are read again.
+ */
+import { once } from "node:events";
+import { readFile } from "node:fs/promises";
+import { createServer } from "node:http";
+import type { RequestListener, Server, ServerOptions } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { Server as TlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import type { Duplex } from "node:stream";
+import { createSecureContext } from "node:tls";
+import { describeThrown } from "../../core/errors.js";
+import type { ListenAddress, RunningServer } from "../../core/http.js";
+import type { Logger } from "../../core/log.js";
+import { pause } from "../../core/time.js";
+import { headers } from "../../platform/worker.js";
+import { reasons } from "../counters.js";
+import type { RequestSettings } from "../settings.js";
+
+/** Connections that the operating system keeps for a process that is busy. */
+const BACKLOG_CONNECTIONS = 4_096;
+const CHECK_INTERVAL_MILLISECONDS = 1_000;
+/** Time beyond the longest deadline after which a caller's connection without any traffic is closed. */
+const SILENCE_MARGIN_MILLISECONDS = 10_000;
+
+/** Options of the callers' port. */
+export interface CallersOptions {
+    readonly listener: RequestListener;
+    readonly address: ListenAddress;
+    readonly settings: RequestSettings;
+    readonly logger: Logger;
+    /** Counts a request that ended before it could be read. */
+    onMalformed(reason: string): void;
+}
+
+/** The callers' port while it is open. */
+export interface CallersServer extends RunningServer {
+    /** Reads certificates again when they change, until the signal is aborted; returns at once without TLS. */
+    run(signal: AbortSignal): Promise<void>;
+}
+
+interface Certificate {
+    readonly cert: string;
+    readonly key: string;
+}
+
+/** Opens the callers' port; rejects when it cannot be bound or the certificate cannot be read. */
+export async function listenForCallers(options: CallersOptions): Promise<CallersServer> {
+    const { listener, address, settings } = options;
+    const certificate = await readCertificate(settings);
+    const serverOptions: ServerOptions = {
+        maxHeaderSize: settings.headerLimitBytes,
+        headersTimeout: settings.headerTimeoutMilliseconds,
+        requestTimeout: settings.headerTimeoutMilliseconds + settings.bodyTimeoutMilliseconds,
+        connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
+        keepAliveTimeout: settings.keepAliveMilliseconds,
+    };
+    const server = certificate === undefined
+        ? createServer(serverOptions, listener)
+        : createTlsServer({ ...serverOptions, ...certificate }, listener);
+    server.maxConnections = settings.callerConnections;
+    server.timeout = settings.longestDeadlineMilliseconds + SILENCE_MARGIN_MILLISECONDS;
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+        refuseMalformed(error, socket, options);
+    });
+    server.listen({ port: address.port, host: address.host, backlog: BACKLOG_CONNECTIONS });
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const scheme = certificate === undefined ? "http" : "https";
+    return {
+        server,
+        host: address.host,
+        port,
+        origin: `${scheme}://${address.host}:${port}`,
+        close: () => close(server),
+        run: async signal => {
+            if (certificate !== undefined) {
+                await followCertificate(server as TlsServer, certificate, options, signal);
+            }
+        },
+    };
+}
+
+async function close(server: Server): Promise<void> {
+    const closed = once(server, "close");
+    server.close();
+    server.closeIdleConnections();
+    await closed;
+}
+
+/** A request whose head or body cannot be read was not run: nothing has been sent to an upstream. */
+function refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex, options: CallersOptions): void {
+    // An earlier answer on the connection, or a part of one, must not be followed by one that belongs to no request.
+    const isFresh = "bytesWritten" in socket && socket.bytesWritten === 0;
+    if (!socket.writable || error.code === "ECONNRESET" || !isFresh) {
+        socket.destroy();
+        return;
+    }
+    const { line, reason } = describeMalformed(error);
+    options.onMalformed(reason);
+    const body = `${JSON.stringify({ error: reason })}\n`;
+    socket.end(
+        `HTTP/1.1 ${line}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${body.length}\r\n`
+            + `${headers.outcome}: not-run\r\n${headers.reason}: ${reason}\r\n\r\n${body}`,
+    );
+}
+
+function describeMalformed(error: NodeJS.ErrnoException): { line: string; reason: string; } {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return { line: "431 Request Header Fields Too Large", reason: reasons.headTooLarge };
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return { line: "408 Request Timeout", reason: reasons.headTimeout };
+        default:
+            return { line: "400 Bad Request", reason: reasons.invalidRequest };
+    }
+}
+
+async function readCertificate({ tls }: RequestSettings): Promise<Certificate | undefined> {
+    if (tls === undefined) {
+        return undefined;
+    }
+    const [cert, key] = await Promise.all([readFile(tls.certificateFile, "utf8"), readFile(tls.keyFile, "utf8")]);
+    return { cert, key };
+}
+
+/** A pair that does not fit, for instance while only one of the files has been replaced, leaves the old one in use. */
+async function followCertificate(
+    server: TlsServer,
+    first: Certificate,
+    { settings, logger }: CallersOptions,
+    signal: AbortSignal,
+): Promise<void> {
+    let current = first;
+    while (!signal.aborted) {
+        await pause(settings.certificateCheckMilliseconds, signal);
+        try {
+            const found = await readCertificate(settings);
+            if (found !== undefined && (found.cert !== current.cert || found.key !== current.key)) {
+                createSecureContext(found);
+                server.setSecureContext(found);
+                current = found;
+                logger.info("certificate-replaced", { file: settings.tls?.certificateFile });
+            }
+        }
+        catch (thrown) {
+            logger.warn("certificate-not-read", { step: "certificate", message: describeThrown(thrown) });
+        }
+    }
+}
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import express from "express";
 import type { Router } from "express";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import type { ListenAddress } from "../core/http.js";
 import type { Logger } from "../core/log.js";
 import { nameHolder } from "../core/messages/credits.js";
 import type { Metrics } from "../core/metrics.js";
@@ -18,6 +19,8 @@
 import { createRetryBudget } from "./admission/budget.js";
 import type { RetryBudget } from "./admission/budget.js";
 import { createUpstreamSelector } from "./admission/selector.js";
+import { listenForCallers } from "./callers/server.js";
+import type { CallersServer } from "./callers/server.js";
 import { createRequestCounters } from "./counters.js";
 import { createCreditClient } from "./credits/client.js";
 import { createCellOwners } from "./credits/owners.js";
@@ -28,7 +31,9 @@
 import { serve } from "./serve.js";
 import type { ServeOptions } from "./serve.js";
 import type { RequestSettings } from "./settings.js";
+import { openBreaker } from "./upstream/health.js";
 import { createUpstreamPool } from "./upstream/pool.js";
+import { createProber } from "./upstream/probe.js";
 
 const SWEEP_MILLISECONDS = 100;
 const DRAIN_STEP_MILLISECONDS = 20;
@@ -62,6 +67,8 @@
     readonly listener: RequestListener;
     /** Serves requests that other gateways pass on; belongs on the peers' port. */
     readonly peerListener: Router;
+    /** Opens the callers' port with the limits of the settings. */
+    listenForCallers(address: ListenAddress): Promise<CallersServer>;
     /** The gateway knows a configuration, and is not stopping. */
     ready(): boolean;
     /** Stops gracefully: closes callers' connections after their answers, waits for requests under way. */
@@ -100,6 +107,19 @@
         demandOn: worker => selector.demand(worker),
         onChange: () => selector.wake(clock()),
     });
+    const holder = nameHolder(identity.instance, identity.incarnation);
+    const prober = createProber({
+        holder,
+        pool,
+        clock,
+        logger,
+        probeTimeoutMilliseconds: settings.probeTimeoutMilliseconds,
+        onDead: worker => {
+            for (const route of table.all().filter(one => one.worker === worker)) {
+                openBreaker(selector.healthOf(route), settings, clock());
+            }
+        },
+    });
     const forwarder = createPeerForwarder({ peerToken: options.peerToken, settings, clock });
     const budgetOf = (service: string): RetryBudget => {
         let budget = budgets.get(service);
@@ -113,14 +133,14 @@
         settings,
         guards: options.guards,
         attempts: {
-            holder: nameHolder(identity.instance, identity.incarnation),
+            holder,
             settings,
             selector,
             counters,
             clock,
             random,
             budgetOf,
-            onTimeout: () => undefined,
+            onTimeout: (route, startedAt) => prober.suspect(route.worker, startedAt),
         },
         forwarder,
         counters,
@@ -144,9 +164,19 @@
         restoreForwarded(incoming);
         return handle(incoming, response, incoming.url, true);
     });
+    const listener: RequestListener = (incoming, response) =>
+        void handle(incoming, response, incoming.url ?? "/", false);
     return {
         handlers: [],
-        listener: (incoming, response) => void handle(incoming, response, incoming.url ?? "/", false),
+        listener,
+        listenForCallers: address =>
+            listenForCallers({
+                listener,
+                address,
+                settings,
+                logger,
+                onMalformed: reason => counters.countRefusal(reason),
+            }),
         peerListener,
         ready: () => !stopping && configuration.current() !== undefined,
         async run(signal) {
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -8,6 +8,8 @@
 const DEFAULT_BODY_TIMEOUT_MILLISECONDS = 10_000;
 const DEFAULT_HEADER_LIMIT_BYTES = 16_384;
 const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 10_000;
+const DEFAULT_CALLER_CONNECTIONS = 10_000;
+const DEFAULT_CERTIFICATE_CHECK_MILLISECONDS = 5_000;
 const DEFAULT_KEEP_ALIVE_MILLISECONDS = 65_000;
 const DEFAULT_ANSWER_BUFFER_BYTES = 65_536;
 const DEFAULT_ANSWER_LIMIT_BYTES = 67_108_864;
@@ -42,6 +44,12 @@
     headerLimitBytes: z.int().min(1_024).default(DEFAULT_HEADER_LIMIT_BYTES),
     /** Time within which a caller has to deliver the head of its request. */
     headerTimeoutMilliseconds: z.int().min(1).default(DEFAULT_HEADER_TIMEOUT_MILLISECONDS),
+    /** Most connections of callers at once. */
+    callerConnections: z.int().min(1).default(DEFAULT_CALLER_CONNECTIONS),
+    /** Certificate and key in PEM files; without them callers speak plain HTTP. */
+    tls: z.strictObject({ certificateFile: z.string().min(1), keyFile: z.string().min(1) }).optional(),
+    /** Time between two looks at the certificate's files. */
+    certificateCheckMilliseconds: z.int().min(1).default(DEFAULT_CERTIFICATE_CHECK_MILLISECONDS),
     /** Time after which an idle connection of a caller is closed. */
     keepAliveMilliseconds: z.int().min(1).default(DEFAULT_KEEP_ALIVE_MILLISECONDS),
     /** Answers up to this size are collected before the first byte goes to the caller; larger ones are streamed. */
--- a/src/gateway/upstream/choose.ts
+++ b/src/gateway/upstream/choose.ts
@@ -3,6 +3,9 @@
  */
 import type { Random } from "../../core/random.js";
 
+/** A replica at twice the other's cost is taken once in 9 times. */
+const WEIGHT_POWER = 3;
+
 /** What a choice is made by. */
 export interface ChoiceView<Replica> {
     /** The replica can take a request now. */
@@ -33,7 +36,7 @@
     return view.cost(nearest) > spillFactor * view.cost(other) ? other : nearest;
 }
 
-/** Draws two replicas and takes the cheaper; where neither is free, the first free one from a random place on. */
+/** Draws two replicas and takes the cheaper with high probability; where neither is free, the first free one from a random place on. */
 function chooseOfTwo<Replica>(
     replicas: readonly Replica[],
     view: ChoiceView<Replica>,
@@ -48,7 +51,7 @@
     const candidates = [first, second].filter(replica => replica !== undefined).filter(view.isFree);
     const [left, right] = candidates;
     if (left !== undefined) {
-        return right !== undefined && view.cost(right) < view.cost(left) ? right : left;
+        return right === undefined ? left : weigh(left, right, view, random);
     }
     for (let step = 0; step < replicas.length; step += 1) {
         const replica = replicas[(firstIndex + step) % replicas.length];
@@ -58,3 +61,10 @@
     }
     return undefined;
 }
+
+/** The dearer one gets a small share, so that news of it does not grow old. */
+function weigh<Replica>(left: Replica, right: Replica, view: ChoiceView<Replica>, random: Random): Replica {
+    const leftWeight = view.cost(right) ** WEIGHT_POWER;
+    const rightWeight = view.cost(left) ** WEIGHT_POWER;
+    return random() * (leftWeight + rightWeight) < leftWeight ? left : right;
+}
--- a/src/gateway/upstream/exchange.ts
+++ b/src/gateway/upstream/exchange.ts
@@ -79,6 +79,7 @@
     private begun = false;
     private sent = false;
     private done = false;
+    private paused = false;
 
     constructor(
         private readonly request: SentRequest,
@@ -177,15 +178,23 @@
         }
         let room = true;
         for (const chunk of this.chunks) {
-            room = this.sink.write(chunk, () => controller.resume());
+            room = this.sink.write(chunk, () => {
+                this.paused = false;
+                controller.resume();
+            });
         }
         this.chunks = [];
         if (!room) {
+            this.paused = true;
             controller.pause();
         }
     }
 
     private timeOut(): void {
+        if (this.paused) {
+            this.reject(reasons.callerTooSlow, "the caller did not take the answer before the deadline");
+            return;
+        }
         this.reject(reasons.upstreamTimeout, "no whole answer before the deadline");
     }
 
--- a/src/gateway/upstream/health.ts
+++ b/src/gateway/upstream/health.ts
@@ -46,6 +46,8 @@
 /** A replica is ejected only where its failure share is this many times the mean of the others. */
 const EJECTION_RATIO = 3;
 const EJECTION_ATTEMPTS = 10;
+const FORGIVENESS_PER_SWEEP = 0.99;
+const FADE_PER_SWEEP = 0.05;
 
 /** Creates the state of a replica of which nothing is known. */
 export function createReplicaHealth(limits: BreakerLimits): ReplicaHealth {
@@ -72,12 +74,15 @@
     if (verdict === "left") {
         health.left = true;
     }
-    if (verdict === "unused" || verdict === "refused" || verdict === "left") {
+    if (verdict === "unused" || verdict === "left") {
         return false;
     }
     const failed = verdict !== "answered";
     health.attempts += 1;
     health.failureShare += DECAY * ((failed ? 1 : 0) - health.failureShare);
+    if (verdict === "refused") {
+        return false;
+    }
     if (verdict === "answered" || verdict === "erred") {
         health.latencyMilliseconds = health.latencyMilliseconds === 0
             ? latencyMilliseconds
@@ -95,11 +100,21 @@
     return true;
 }
 
+/**
+ * Lets news fade with time, called at each sweep: failures are forgiven, and latency moves to the service's mean, so
+ * that a replica that is left out gets another chance.
+ */
+export function fadeHealth(health: ReplicaHealth, meanLatencyMilliseconds: number): void {
+    health.failureShare *= FORGIVENESS_PER_SWEEP;
+    health.latencyMilliseconds += FADE_PER_SWEEP * (meanLatencyMilliseconds - health.latencyMilliseconds);
+}
+
 /** Opens the circuit breaker, for twice as long as the last time. */
 export function openBreaker(health: ReplicaHealth, limits: BreakerLimits, now: number): void {
     if (health.openUntilMilliseconds > now) {
         return;
     }
+    health.failuresInARow = Math.max(health.failuresInARow, limits.breakerFailures);
     health.openUntilMilliseconds = now + health.nextOpenMilliseconds;
     health.nextOpenMilliseconds = Math.min(health.nextOpenMilliseconds * 2, limits.breakerLongestMilliseconds);
 }
--- /dev/null
+++ b/src/gateway/upstream/probe.ts
@@ -0,0 +1,76 @@
+/**
+ * Probes after a time-out: an answer on a new connection tells a dead connection from a dead upstream.
+ */
+import { randomUUID } from "node:crypto";
+import type { Logger } from "../../core/log.js";
+import type { Clock } from "../../core/time.js";
+import { headers } from "../../platform/worker.js";
+import { exchange } from "./exchange.js";
+import type { AnswerSink } from "./exchange.js";
+import type { UpstreamPool } from "./pool.js";
+
+const PROBE_PATH = "/";
+const PROBE_LIMIT_BYTES = 65_536;
+
+/** Options of the prober. */
+export interface ProberOptions {
+    /** Name under which workers report this gateway's connections. */
+    readonly holder: string;
+    readonly pool: UpstreamPool;
+    readonly clock: Clock;
+    readonly logger: Logger;
+    readonly probeTimeoutMilliseconds: number;
+    /** Called where the upstream does not answer on a new connection either. */
+    onDead(worker: string): void;
+}
+
+/** Probes workers. */
+export interface Prober {
+    /** Looks into a request that was sent at a time and not answered by its deadline. */
+    suspect(worker: string, sentAtMilliseconds: number): void;
+}
+
+const nowhere: AnswerSink = { begin: () => undefined, write: () => true, end: () => undefined, cut: () => undefined };
+
+/** Creates a prober; one probe at a time goes to a worker. */
+export function createProber(options: ProberOptions): Prober {
+    const probing = new Set<string>();
+    const probe = async (worker: string) => {
+        const connections = options.pool.find(worker);
+        const connection = connections?.acquire(options.clock());
+        if (connections === undefined || connection === undefined) {
+            return;
+        }
+        const result = await exchange(connection.client, {
+            // Every server answers OPTIONS in some way, and it runs nothing.
+            method: "OPTIONS",
+            path: PROBE_PATH,
+            headers: { [headers.gateway]: options.holder },
+            body: Buffer.alloc(0),
+            requestId: randomUUID(),
+            bufferBytes: PROBE_LIMIT_BYTES,
+            limitBytes: PROBE_LIMIT_BYTES,
+            timeoutMilliseconds: options.probeTimeoutMilliseconds,
+            maySend: () => true,
+        }, nowhere);
+        if (result.kind === "failed") {
+            connections.discard(connection);
+            options.logger.warn("upstream-dead", { step: "probe", peer: worker, reason: result.reason });
+            options.onDead(worker);
+            return;
+        }
+        connections.release(connection, options.clock());
+        options.logger.info("connection-dead", { step: "probe", peer: worker });
+    };
+    return {
+        suspect(worker, sentAtMilliseconds) {
+            // What has been idle since before may have died the same way; what has answered since has not.
+            options.pool.find(worker)?.dropIdle(sentAtMilliseconds);
+            if (probing.has(worker)) {
+                return;
+            }
+            probing.add(worker);
+            void probe(worker).finally(() => probing.delete(worker));
+        },
+    };
+}
