Wire callers' port, ownership of credits and a shared instance list

Cause: the callers' port needs limits and certificates of its own, the credit bank asks whether a claim may have passed on, and each process read the instance list twice. Change: the gateway opens its callers' port; ownsCell guards grants; parts of a process share a list that was read a moment ago; a stopping gateway refuses at once while it tells its peers.

--- a/src/core/http.ts
+++ b/src/core/http.ts
@@ -9,7 +9,9 @@
 
 /** Where a server listens. Port 0 lets the operating system choose. */
 export const ListenAddress = z.strictObject({
+    /** IP number of the address. */
     host: z.string().min(1),
+    /** Port; 0 for any that is free. */
     port: z.int().min(0).max(65_535),
 });
 export type ListenAddress = z.infer<typeof ListenAddress>;
--- a/src/settings/common.ts
+++ b/src/settings/common.ts
@@ -9,6 +9,7 @@
 
 const DEFAULT_STORE_TIMEOUT_MILLISECONDS = 2_000;
 const DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS = 2_000;
+const DEFAULT_INSTANCE_LIST_FRESH_MILLISECONDS = 900;
 const DEFAULT_PEER_TIMEOUT_MILLISECONDS = 2_000;
 const DEFAULT_STOP_LIMIT_MILLISECONDS = 20_000;
 
@@ -16,14 +17,21 @@
 export const commonSettings = {
     /** Name of the entry instance. */
     instance: Name,
+    /** Data centre in which the instance stands. */
     dataCentre: Name,
     store: z.strictObject({
+        /** Origins of the store; a call that certainly had no effect at one is tried at the next. */
         origins: z.array(Origin).min(1),
+        /** Time within which the store has to answer. */
         timeoutMilliseconds: z.int().min(1).default(DEFAULT_STORE_TIMEOUT_MILLISECONDS),
     }),
     instanceList: z.strictObject({
+        /** Origin of the platform's instance list. */
         origin: Origin,
+        /** Time within which the list has to be read. */
         timeoutMilliseconds: z.int().min(1).default(DEFAULT_PLATFORM_TIMEOUT_MILLISECONDS),
+        /** Parts of a process that want the list again within this time get the one that was read last. */
+        freshMilliseconds: z.int().min(0).default(DEFAULT_INSTANCE_LIST_FRESH_MILLISECONDS),
     }),
     /** Port for peers: JSON-RPC under the peer token. */
     peers: ListenAddress,
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -16,6 +16,7 @@
     callers: ListenAddress,
     /** Port for operators: JSON-RPC under the operator token. */
     operators: ListenAddress,
+    /** Shared secret of the operators. */
     operatorToken: z.string().min(8),
     requests: RequestSettings.prefault({}),
     exclusive: ExclusiveSettings.prefault({}),
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -5,7 +5,6 @@
 import { Result } from "true-myth/result";
 import { createConfigurationFeed } from "./configuration/feed.js";
 import type { RunningDaemon } from "./core/daemon.js";
-import { listen } from "./core/http.js";
 import type { Logger } from "./core/log.js";
 import type { Role } from "./core/messages/identity.js";
 import { readStatus } from "./core/messages/operator.js";
@@ -27,6 +26,7 @@
 import { createStore } from "./platform/adapters/store.js";
 import { createWorkerControl } from "./platform/adapters/worker.js";
 import type { WorkerInstance } from "./platform/instances.js";
+import { shareInstanceList } from "./platform/sharing.js";
 import { createPolicy } from "./policy/create.js";
 import type { ConfigurationSource } from "./rules/rule.js";
 import { createCreditBank } from "./scheduler/credits/bank.js";
@@ -86,23 +86,23 @@
         metrics,
         logger,
     });
-    const ready = () => gateway.ready();
     const operators = await openSurface(settings.operators);
     operators.app.use(createRpcRouter({ handlers: operator.handlers, token: settings.operatorToken }));
     operators.app.use(answerErrors);
     foundation.peers.app.use(gateway.peerListener);
-    const running = await foundation.run([gateway, operator, exclusive], {
-        ready,
+    const callers = await gateway.listenForCallers(settings.callers);
+    const callersPart: Part = { handlers: [], run: signal => callers.run(signal) };
+    const running = await foundation.run([gateway, operator, exclusive, callersPart], {
+        ready: () => gateway.ready(),
         ownedCells: () => [],
         storeReachable: () => true,
     });
-    const callers = await listen(gateway.listener, settings.callers);
     return {
         announcement: { ...running.announcement, callers: callers.origin, operators: operators.running.origin },
         stop: async () => {
-            await membership.leave();
-            await Promise.all([gateway.drain(settings.stopLimitMilliseconds), exclusive.handOver()]);
-            await idempotency.settle(settings.stopLimitMilliseconds);
+            const limit = settings.stopLimitMilliseconds;
+            await Promise.all([gateway.drain(limit), membership.leave(), exclusive.handOver()]);
+            await idempotency.settle(limit);
             await callers.close();
             await operators.running.close();
             await running.stop();
@@ -118,7 +118,7 @@
         clock,
         metrics,
         logger,
-        isOwner: cell => scheduler.ownedCells().some(owned => owned.cell === cell),
+        isOwner: (cell, now) => scheduler.ownsCell(cell, now),
     });
     const scheduler = createScheduler({
         identity: { ...foundation.identity, origin: foundation.origin },
@@ -175,7 +175,10 @@
     const origin = settings.advertisedOrigin ?? peers.running.origin;
     const rpc = createRpcClient({ token: settings.peerToken, timeoutMilliseconds: settings.peerTimeoutMilliseconds });
     const store = createStore(settings.store);
-    const instanceList = createInstanceList(settings.instanceList);
+    const instanceList = shareInstanceList(createInstanceList(settings.instanceList), {
+        clock,
+        freshMilliseconds: settings.instanceList.freshMilliseconds,
+    });
     const membership = createMembership({
         self: {
             instance: settings.instance,
