--- a/src/policy/constraints.ts
+++ b/src/policy/constraints.ts
@@ -75,14 +75,11 @@
 }
 
 /** Says why a worker takes no new task, or `undefined` where it does. */
-export function refuseState(view: WorkerView, quarantined: boolean): string | undefined {
+export function refuseState(view: WorkerView): string | undefined {
     if (view.state !== "live") {
         return `worker is ${view.state}`;
     }
-    if (view.instance.state !== "live") {
-        return `worker is ${view.instance.state}`;
-    }
-    return quarantined ? "worker is in quarantine" : undefined;
+    return view.instance.state === "live" ? undefined : `worker is ${view.instance.state}`;
 }
 
 /** Says which neighbour keeps a task off a worker, or `undefined` where none does. */
--- /dev/null
+++ b/src/policy/decisions.ts
@@ -0,0 +1,39 @@
+/**
+ * Counts and logs what the policy decides and what it makes of reports.
+ */
+import type { Logger } from "../core/log.js";
+import type { Metrics } from "../core/metrics.js";
+import type { Decision } from "./policy.js";
+import type { ReportWorth } from "./reports.js";
+
+/** Counters of the policy; without metrics and logger it does nothing. */
+export interface DecisionLog {
+    countReport(worth: ReportWorth): void;
+    countDecisions(cell: string, decisions: readonly Decision[], quarantined: number): void;
+}
+
+/** Creates the counters. */
+export function createDecisionLog(metrics: Metrics | undefined, logger: Logger | undefined): DecisionLog {
+    const reports = metrics?.counter(
+        "flamingowell_policy_reports_total",
+        "Usage reports by what they were worth (news, old, repeated, future).",
+        ["worth"],
+    );
+    const decided = metrics?.counter("flamingowell_policy_decisions_total", "Decisions by kind.", ["kind"]);
+    const inQuarantine = metrics?.gauge(
+        "flamingowell_policy_quarantined_workers",
+        "Workers in quarantine or on probation.",
+    );
+    return {
+        countReport: worth => reports?.inc({ worth }),
+        countDecisions(cell, decisions, quarantined) {
+            for (const decision of decisions) {
+                decided?.inc({ kind: decision.kind });
+                if (decision.kind !== "place") {
+                    logger?.info(decision.kind, { cell, ...decision });
+                }
+            }
+            inQuarantine?.set(quarantined);
+        },
+    };
+}
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -5,6 +5,8 @@
 import type { Resources } from "../rules/rule.js";
 import type { PlacementConstraints } from "./constraints.js";
 import { refuseDataCentre, refuseNeighbours, refuseState } from "./constraints.js";
+import type { HarmView } from "./harm.js";
+import type { HealthModel } from "./health.js";
 import type { PendingTask } from "./policy.js";
 import type { ReplicaSpread } from "./replicas.js";
 import type { ScarceResource, SizeOf, WorkerRoom } from "./room.js";
@@ -16,9 +18,9 @@
     readonly constraints: PlacementConstraints;
     readonly spread: ReplicaSpread;
     readonly sizeOf: SizeOf;
-    isQuarantined(worker: string): boolean;
-    /** Cost of a task on a worker by what the neighbours do to each other; 0 for none. */
-    harmOf(task: PendingTask, room: WorkerRoom): number;
+    readonly harm: HarmView;
+    readonly health: HealthModel;
+    readonly now: number;
     readonly random: Random;
     /** Workers with room that are compared for a batch task. */
     readonly candidates: number;
@@ -41,6 +43,10 @@
 const CROWDING_WEIGHT = 1_000;
 /** Cost of a place on a worker with accelerators for a task that needs none. */
 const ACCELERATOR_WASTE = 0.5;
+/** Cost of a full worker against an empty one, which decides where harm does not. */
+const LOAD_PRICE = 0.01;
+/** Cost of the worker on which the task failed last. */
+const SAME_WORKER_PRICE = 1;
 
 /** Gives what a task counts for on a worker. */
 export function measureSize(context: PlacementContext, task: PendingTask, room: WorkerRoom): Resources {
@@ -54,7 +60,21 @@
 
 /** Says why a worker would not take a task even if it were empty, or `undefined` where it would. */
 export function refuseWorker(context: PlacementContext, task: PendingTask, room: WorkerRoom): string | undefined {
-    return refuseForever(context, task, room) ?? refuseState(room.view, context.isQuarantined(room.name));
+    return refuseForever(context, task, room) ?? refuseState(room.view) ?? refuseTrust(context, task, room);
+}
+
+/** On probation a worker gets one batch task at a time, which may fail without harm to callers. */
+function refuseTrust(context: PlacementContext, task: PendingTask, room: WorkerRoom): string | undefined {
+    const trust = context.health.trust(room.name, context.now);
+    if (trust === "trusted") {
+        return undefined;
+    }
+    if (trust === "quarantine") {
+        return "worker is in quarantine";
+    }
+    const tried = room.occupants.length > room.view.tasks.length
+        || room.view.tasks.some(placed => context.health.isTrial(room.name, placed));
+    return task.kind === "batch" && !tried ? undefined : "worker is on probation";
 }
 
 /** Says why a worker could never take a task, whatever its state, or `undefined` where it could. */
@@ -70,7 +90,7 @@
 function refuseRoom(context: PlacementContext, task: PendingTask, room: WorkerRoom): string | undefined {
     const shortage = findShortage(room, measureSize(context, task, room));
     return shortage === undefined
-        ? refuseNeighbours(context.constraints, task.rule, room)
+        ? refuseNeighbours(context.constraints, task.rule, room) ?? context.harm.refuse(task, room)
         : SHORTAGE_REASONS[shortage];
 }
 
@@ -118,5 +138,6 @@
     const load = Math.max(1 - room.freeCores / shape.cores, 1 - room.freeMemoryBytes / shape.memoryBytes);
     const waste = task.resources.accelerators === 0 && shape.accelerators > 0 ? ACCELERATOR_WASTE : 0;
     const crowding = task.kind === "service" ? context.spread.crowding(task.rule, room.view) : 0;
-    return CROWDING_WEIGHT * crowding + context.harmOf(task, room) + load + waste;
+    const again = context.health.failedOn(task.taskId) === room.name ? SAME_WORKER_PRICE : 0;
+    return CROWDING_WEIGHT * crowding + context.harm.costOf(task, room) + LOAD_PRICE * load + waste + again;
 }
--- /dev/null
+++ b/src/policy/reports.ts
@@ -0,0 +1,48 @@
+/**
+ * Intake of usage reports: which of them are news.
+ */
+import type { WorkerReport } from "../platform/worker.js";
+import type { ReportSettings } from "./settings.js";
+
+/** What a report is worth. Only `news` is learned from. */
+export type ReportWorth = "news" | "old" | "repeated" | "future";
+
+/** Remembers the newest report of each worker. */
+export interface ReportIntake {
+    judge(report: WorkerReport, now: number): ReportWorth;
+}
+
+const REMEMBERED_WORKERS = 4_096;
+
+/** Creates an intake that has seen no report. */
+export function createReportIntake(settings: ReportSettings): ReportIntake {
+    const newest = new Map<string, number>();
+    return {
+        judge(report, now) {
+            const { worker, measuredAtMilliseconds } = report;
+            if (measuredAtMilliseconds > now + settings.clockToleranceMilliseconds) {
+                return "future";
+            }
+            if (measuredAtMilliseconds < now - settings.longestAgeMilliseconds) {
+                return "old";
+            }
+            if (measuredAtMilliseconds <= (newest.get(worker) ?? Number.NEGATIVE_INFINITY)) {
+                return "repeated";
+            }
+            remember(newest, worker, measuredAtMilliseconds, REMEMBERED_WORKERS);
+            return "news";
+        },
+    };
+}
+
+/** Sets an entry of a bounded map; the entry that was set longest ago makes room. */
+export function remember<Value>(map: Map<string, Value>, key: string, value: Value, limit: number): void {
+    map.delete(key);
+    map.set(key, value);
+    if (map.size > limit) {
+        const [oldest] = map.keys();
+        if (oldest !== undefined) {
+            map.delete(oldest);
+        }
+    }
+}
--- a/src/policy/start.ts
+++ b/src/policy/start.ts
@@ -15,19 +15,13 @@
     readonly quotas: Quotas;
     readonly shares: TeamShares;
     readonly placementsPerDecision: number;
-}
-
-/** What the starts of one decision came to. */
-export interface Starts {
-    readonly decisions: readonly Decision[];
-    /** Tasks that could start now but for want of room, the most urgent first. */
-    readonly waiting: readonly PendingTask[];
+    /** Evicts others for a task that found no room, where it is urgent enough. */
+    makeRoom(task: PendingTask): Decision[];
 }
 
 /** Decides on the starts. Each placement counts for those that follow. */
-export function decideStarts(context: StartContext, view: CellView, now: number): Starts {
+export function decideStarts(context: StartContext, view: CellView, now: number): Decision[] {
     const decisions: Decision[] = [];
-    const waiting: PendingTask[] = [];
     // Room only shrinks within a decision: what found no place for one task has none for its like.
     const hopeless = new Set<string>();
     let placed = 0;
@@ -45,12 +39,12 @@
         }
         if (hopeless.has(kindOf(task)) || !tryPlace(context, task, decisions)) {
             hopeless.add(kindOf(task));
-            waiting.push(task);
+            decisions.push(...context.makeRoom(task));
             continue;
         }
         placed += 1;
     }
-    return { decisions, waiting };
+    return decisions;
 }
 
 function tryPlace(context: StartContext, task: PendingTask, decisions: Decision[]): boolean {
