--- a/src/policy/create.ts
+++ b/src/policy/create.ts
@@ -34,6 +34,8 @@
     readonly random: Random;
     readonly metrics?: Metrics;
     readonly logger?: Logger;
+    /** Knowledge of interference from elsewhere in place of what reports teach. */
+    readonly interference?: InterferenceModel;
 }
 
 /** All that the policy keeps between decisions. */
@@ -48,6 +50,8 @@
     readonly claims: Map<string, Claim>;
     /** Time of the decision to evict, by attempt, until the owner shows the task as moving. */
     readonly evictedAt: Map<string, number>;
+    /** Time of the last eviction of a task. */
+    readonly evictedTasks: Map<string, number>;
 }
 
 const REMEMBERED_EVICTIONS = 4_096;
@@ -57,7 +61,7 @@
 /** Creates a policy that has learned nothing yet. */
 export function createPolicy(options: PolicyOptions): Policy {
     const { settings } = options;
-    const memory = createMemory(settings);
+    const memory = createMemory(options);
     const intake = createReportIntake(settings.reports);
     const log = createDecisionLog(options.metrics, options.logger);
     return {
@@ -90,9 +94,9 @@
     };
 }
 
-function createMemory(settings: PolicySettings): Memory {
+function createMemory({ settings, interference }: PolicyOptions): Memory {
     return {
-        interference: createInterferenceModel(settings.reports),
+        interference: interference ?? createInterferenceModel(settings.reports),
         sizes: createSizeModel(settings.sizes),
         health: createHealthModel(settings.quarantine),
         harmEvictions: createHourlyCap(settings.mitigation.evictionsPerHour),
@@ -101,6 +105,7 @@
         lastActions: new Map(),
         claims: new Map(),
         evictedAt: new Map(),
+        evictedTasks: new Map(),
     };
 }
 
@@ -187,6 +192,7 @@
         for (const task of worker.tasks) {
             if (ending.has(task.taskId)) {
                 remember(memory.evictedAt, nameAttempt(task), now, REMEMBERED_EVICTIONS);
+                remember(memory.evictedTasks, task.taskId, now, REMEMBERED_EVICTIONS);
             }
         }
     }
@@ -216,6 +222,8 @@
             settings,
             random,
             rooms,
+            pending: view.pending,
+            evictedAt: taskId => memory.evictedTasks.get(taskId),
             now,
         }),
         health: memory.health,
--- a/src/policy/harm.ts
+++ b/src/policy/harm.ts
@@ -5,6 +5,7 @@
 import type { Estimate, InterferenceModel } from "./interference.js";
 import { REFERENCE_CORES, scaleByLoad } from "./interference.js";
 import type { PendingTask } from "./policy.js";
+import { priceCleanRoom } from "./pricing.js";
 import type { Occupant, WorkerRoom } from "./room.js";
 import type { PolicySettings } from "./settings.js";
 import type { SizeModel } from "./sizes.js";
@@ -30,6 +31,9 @@
     readonly settings: PolicySettings;
     readonly random: Random;
     readonly rooms: readonly WorkerRoom[];
+    readonly pending: readonly PendingTask[];
+    /** Time at which the policy last evicted a task. */
+    evictedAt(taskId: string): number | undefined;
     readonly now: number;
 }
 
@@ -40,26 +44,25 @@
     readonly exposures: ReadonlyMap<string, number>;
 }
 
-/** Cost of the last room on workers without services, where batch does no harm. */
-const CLEAN_ROOM_PRICE = 0.5;
 /** Cost of a replica on a worker that has no service yet: it takes a clean worker from batch. */
 const FIRST_SERVICE_PRICE = 0.5;
 /** Share of a worker's cores that services may take together before another worker is preferred. */
 const SERVICE_SHARE = 0.6;
 const CROWDED_SERVICES_PRICE = 1;
+/** Slope of the cost at no rise: the cost is the square of the tail's factor. */
+const COST_PER_RISE = 2;
 /** Deviations by which uncertainty counts as harm, at equal weights. */
 const CAUTION = 0.3;
 const LARGEST_CAUTION = 1;
 
 /** Creates the view of one decision. */
 export function createHarmView(options: HarmOptions): HarmView {
-    const { interference, sizes, settings, random, rooms, now } = options;
+    const { interference, sizes, settings, random, rooms, pending, now } = options;
     const { weights, placement, mitigation } = settings;
     const tailToThroughput = weights.tail / weights.throughput;
     const caution = Math.min(LARGEST_CAUTION, CAUTION * Math.sqrt(tailToThroughput));
     const throttleRise = mitigation.throttleRise / Math.sqrt(tailToThroughput);
     const exploring = random() < placement.exploration / Math.max(1, tailToThroughput);
-    const cleanRoomPrice = priceCleanRoom(rooms);
     const estimates = new Map<string, Estimate>();
     const neighbourhoods = new Map<WorkerRoom, Neighbourhood>();
 
@@ -76,6 +79,12 @@
         return Math.max(0, exploring ? mean - deviation : mean + caution * deviation);
     }
 
+    /** Effect as counted against running tasks: what is not known yet is no reason to disturb them. */
+    function provenEffect(service: string, batchRule: string): number {
+        const { mean, deviation } = estimate(service, batchRule);
+        return Math.max(0, mean - deviation);
+    }
+
     function exposureOf(task: Pick<Occupant, "rule" | "resources">): number {
         return sizes.expectCores(task.rule, task.resources) / REFERENCE_CORES;
     }
@@ -97,6 +106,15 @@
         return neighbourhood;
     }
 
+    /** Cost by which one core of a batch rule raises the tails of the services, on average over their workers. */
+    function costPerCore(batchRule: string): number {
+        const hosts = rooms.map(room => readNeighbourhood(room).services).filter(services => services.length > 0);
+        const effects = hosts.map(services =>
+            services.reduce((total, service) => total + cautiousEffect(service, batchRule), 0)
+        );
+        return COST_PER_RISE * effects.reduce((total, effect) => total + effect, 0) / hosts.length / REFERENCE_CORES;
+    }
+
     function sumRise(service: string, room: WorkerRoom): number {
         let rise = 0;
         for (const [rule, exposure] of readNeighbourhood(room).exposures) {
@@ -108,7 +126,7 @@
     function costBatch(task: PendingTask, room: WorkerRoom): number {
         const { services } = readNeighbourhood(room);
         if (services.length === 0) {
-            return cleanRoomPrice;
+            return cleanPricePerCore * task.resources.cores;
         }
         const exposure = exposureOf(task);
         return services.reduce((cost, service) => {
@@ -129,6 +147,7 @@
         return after * after - 1 + first + crowded;
     }
 
+    const cleanPricePerCore = priceCleanRoom(rooms, pending, costPerCore);
     return {
         throttleRise,
         costOf: (task, room) =>
@@ -137,7 +156,8 @@
             if (task.kind === "service" || task.priority <= placement.urgentPriority) {
                 return undefined;
             }
-            const waited = Math.max(0, now - Math.max(task.submittedAtMilliseconds, task.notBeforeMilliseconds));
+            const since = options.evictedAt(task.taskId) ?? task.submittedAtMilliseconds;
+            const waited = Math.max(0, now - Math.max(since, task.notBeforeMilliseconds));
             const limit = throttleRise * (1 + waited / placement.patienceMilliseconds);
             const exposure = exposureOf(task);
             const harmed = readNeighbourhood(room).services.find(service =>
@@ -151,25 +171,11 @@
                 .filter(occupant => occupant.kind === "batch")
                 .reduce((rise, occupant) => {
                     const share = shares.get(occupant.taskId) ?? occupant.throttleShare;
-                    return rise + estimate(service, occupant.rule).mean * exposureOf(occupant) * share * load;
+                    return rise + provenEffect(service, occupant.rule) * exposureOf(occupant) * share * load;
                 }, 0);
         },
         expectPart: (service, room, occupant) =>
-            estimate(service, occupant.rule).mean * exposureOf(occupant)
+            provenEffect(service, occupant.rule) * exposureOf(occupant)
             * scaleByLoad(interference.load(service, room.name, now)),
     };
 }
-
-/** The fuller the workers without services, the more their room is worth to batch that would do harm elsewhere. */
-function priceCleanRoom(rooms: readonly WorkerRoom[]): number {
-    let cores = 0;
-    let free = 0;
-    for (const room of rooms) {
-        if (room.view.state === "live" && !room.occupants.some(occupant => occupant.kind === "service")) {
-            cores += room.view.instance.shape.cores;
-            free += Math.max(0, room.freeCores);
-        }
-    }
-    const used = cores === 0 ? 1 : 1 - free / cores;
-    return CLEAN_ROOM_PRICE * used ** 4;
-}
--- a/src/policy/mitigation.ts
+++ b/src/policy/mitigation.ts
@@ -47,6 +47,12 @@
 const LOST_WORK_PRICE = 5;
 /** Rise, in limits, left after throttling that an eviction is worth at equal weights. */
 const EVICTION_RISE = 1;
+/** Reaction times for which a task is throttled before it is moved. */
+const RELOCATION_REACTIONS = 3;
+/** Tasks nearer to their end than this stay throttled. */
+const RELOCATION_PROGRESS = 0.75;
+/** Weight of evictions, in weights of throughput, above which throttled tasks are not moved. */
+const RELOCATION_WEIGHT = 2;
 /** Observed rise, in limits, from which on a replica is stopped when nothing else helps. */
 const STOP_RISE = 4;
 
@@ -71,7 +77,8 @@
         return settled ? note(context, room, now, release(context, room, neighbours)) : [];
     }
     if (worst.rise <= context.harm.throttleRise) {
-        return [];
+        const patient = now - acted >= RELOCATION_REACTIONS * context.settings.mitigation.reactionMilliseconds;
+        return patient ? note(context, room, now, relocate(context, view, neighbours, room, now)) : [];
     }
     const throttles = throttle(context, room, worst, neighbours);
     if (throttles.length > 0) {
@@ -181,6 +188,29 @@
     return [{ kind: "evict", taskId: best.task.taskId, reason }];
 }
 
+/** Evicts a throttled neighbour that has much left to do, so that it goes on elsewhere at full speed. */
+function relocate(
+    context: MitigationContext,
+    view: CellView,
+    neighbours: readonly PlacedTask[],
+    room: WorkerRoom,
+    now: number,
+): Decision[] {
+    const { settings: { mitigation, weights }, state } = context;
+    if (weights.evictions > RELOCATION_WEIGHT * weights.throughput || state.evictions.left(view.cell, now) <= 0) {
+        return [];
+    }
+    const [task] = neighbours
+        .filter(candidate => candidate.throttleShare < 1 && candidate.progress < RELOCATION_PROGRESS)
+        .filter(candidate => candidate.evictions < mitigation.evictionsPerTask)
+        .sort((left, right) => left.throttleShare - right.throttleShare || left.progress - right.progress);
+    if (task === undefined) {
+        return [];
+    }
+    state.evictions.use(view.cell, now);
+    return [{ kind: "evict", taskId: task.taskId, reason: `stays throttled on ${room.name}; may go on elsewhere` }];
+}
+
 /** Price of an eviction: work since the last checkpoint may be lost. */
 export function priceOf(task: PlacedTask): number {
     return 1 + LOST_WORK_PRICE * Math.max(0, task.progress - task.checkpointProgress);
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -2,14 +2,13 @@
  * Placement of one task: the workers that can take it, and the one that suits it best.
  */
 import type { Random } from "../core/random.js";
-import type { Resources } from "../rules/rule.js";
 import type { PlacementConstraints } from "./constraints.js";
 import { refuseDataCentre, refuseNeighbours, refuseState } from "./constraints.js";
 import type { HarmView } from "./harm.js";
 import type { HealthModel } from "./health.js";
 import type { PendingTask } from "./policy.js";
 import type { ReplicaSpread } from "./replicas.js";
-import type { ScarceResource, SizeOf, WorkerRoom } from "./room.js";
+import type { ScarceResource, SizeOf, TaskSize, WorkerRoom } from "./room.js";
 import { findShortage, holds, limitToShape } from "./room.js";
 
 /** What places are judged by within one decision. */
@@ -29,7 +28,7 @@
 /** A worker for a task, and what the task counts for there. */
 export interface Place {
     readonly room: WorkerRoom;
-    readonly size: Resources;
+    readonly size: TaskSize;
 }
 
 const SHORTAGE_REASONS: Record<ScarceResource, string> = {
@@ -43,14 +42,14 @@
 const CROWDING_WEIGHT = 1_000;
 /** Cost of a place on a worker with accelerators for a task that needs none. */
 const ACCELERATOR_WASTE = 0.5;
-/** Cost of a full worker against an empty one, which decides where harm does not. */
-const LOAD_PRICE = 0.01;
+/** Weight of how well a task fits what is left of a worker, which decides where harm does not. */
+const FILL_PRICE = 0.01;
 /** Cost of the worker on which the task failed last. */
 const SAME_WORKER_PRICE = 1;
 
 /** Gives what a task counts for on a worker. */
-export function measureSize(context: PlacementContext, task: PendingTask, room: WorkerRoom): Resources {
-    return limitToShape(context.sizeOf(task), task.resources, room.view.instance.shape);
+export function measureSize(context: PlacementContext, task: PendingTask, room: WorkerRoom): TaskSize {
+    return limitToShape(context.sizeOf(task), room.view.instance.shape);
 }
 
 /** Says why a worker cannot take a task now, or `undefined` where it can. */
@@ -135,9 +134,19 @@
 
 function costOf(context: PlacementContext, task: PendingTask, room: WorkerRoom): number {
     const { shape } = room.view.instance;
-    const load = Math.max(1 - room.freeCores / shape.cores, 1 - room.freeMemoryBytes / shape.memoryBytes);
     const waste = task.resources.accelerators === 0 && shape.accelerators > 0 ? ACCELERATOR_WASTE : 0;
     const crowding = task.kind === "service" ? context.spread.crowding(task.rule, room.view) : 0;
     const again = context.health.failedOn(task.taskId) === room.name ? SAME_WORKER_PRICE : 0;
-    return CROWDING_WEIGHT * crowding + context.harm.costOf(task, room) + LOAD_PRICE * load + waste + again;
+    return CROWDING_WEIGHT * crowding + context.harm.costOf(task, room) + FILL_PRICE * measureFill(task, room) + waste
+        + again;
+}
+
+/** Replicas prefer empty workers. Batch prefers workers whose free cores and slots it uses up alike. */
+function measureFill(task: PendingTask, room: WorkerRoom): number {
+    const { shape } = room.view.instance;
+    if (task.kind === "service") {
+        return 1 - room.freeCores / shape.cores;
+    }
+    return Math.abs(task.resources.cores - room.freeCores / room.freeSlots) / shape.cores
+        + room.freeCores / shape.cores;
 }
--- a/src/policy/preemption.ts
+++ b/src/policy/preemption.ts
@@ -7,8 +7,8 @@
 import type { PlacementContext } from "./placement.js";
 import { measureSize, refuseWorker } from "./placement.js";
 import type { CellView, Decision, PendingTask, PlacedTask } from "./policy.js";
-import type { SizeOf, WorkerRoom } from "./room.js";
-import { findShortage, takeRoom } from "./room.js";
+import type { SizeOf, TaskSize, WorkerRoom } from "./room.js";
+import { addRoom, findShortage, takeRoom } from "./room.js";
 import type { PolicySettings } from "./settings.js";
 
 /** Worker on which room is being made for a task. */
@@ -137,7 +137,7 @@
     context: PreemptionContext,
     task: PendingTask,
     room: WorkerRoom,
-    size: ReturnType<typeof measureSize>,
+    size: TaskSize,
 ): boolean {
     return findShortage(room, size) === undefined
         && refuseNeighbours(context.placement.constraints, task.rule, room) === undefined;
@@ -168,11 +168,7 @@
     const gone = new Set(tasks.map(task => task.taskId));
     const later = { ...room, occupants: room.occupants.filter(occupant => !gone.has(occupant.taskId)) };
     for (const task of tasks) {
-        const size = sizeOf(task);
-        later.freeSlots += 1;
-        later.freeCores += size.cores;
-        later.freeMemoryBytes += size.memoryBytes;
-        later.freeAccelerators += size.accelerators;
+        addRoom(later, sizeOf(task), 1);
     }
     return later;
 }
--- /dev/null
+++ b/src/policy/pricing.ts
@@ -0,0 +1,50 @@
+/**
+ * Price of room on workers without services, where batch does no harm.
+ *
+ * Where batch fits on those workers their room has no price. Where it does not, the least harmful rules should fill
+ * the workers of services first; the price is the harm of the rule that just has to go there, so that rules below it
+ * prefer workers of services and rules above it the clean ones.
+ */
+import type { PendingTask } from "./policy.js";
+import type { WorkerRoom } from "./room.js";
+
+/** Share of the clean workers' cores that batch can fill, for want of tasks of fitting sizes. */
+const FILLABLE_SHARE = 0.85;
+
+/** Gives the price of one core on a worker without services. */
+export function priceCleanRoom(
+    rooms: readonly WorkerRoom[],
+    pending: readonly PendingTask[],
+    costPerCore: (batchRule: string) => number,
+): number {
+    const demand = sumDemand(rooms, pending);
+    let excess = [...demand.values()].reduce((total, cores) => total + cores, 0) - FILLABLE_SHARE * countClean(rooms);
+    if (excess <= 0) {
+        return 0;
+    }
+    const ranked = [...demand.entries()]
+        .map(([rule, cores]) => ({ cost: costPerCore(rule), cores }))
+        .sort((left, right) => left.cost - right.cost);
+    for (const { cost, cores } of ranked) {
+        excess -= cores;
+        if (excess <= 0) {
+            return cost;
+        }
+    }
+    return ranked.at(-1)?.cost ?? 0;
+}
+
+function sumDemand(rooms: readonly WorkerRoom[], pending: readonly PendingTask[]): Map<string, number> {
+    const demand = new Map<string, number>();
+    const tasks = [...rooms.flatMap(room => room.occupants), ...pending].filter(task => task.kind === "batch");
+    for (const { rule, resources } of tasks) {
+        demand.set(rule, (demand.get(rule) ?? 0) + resources.cores);
+    }
+    return demand;
+}
+
+function countClean(rooms: readonly WorkerRoom[]): number {
+    return rooms
+        .filter(room => room.view.state === "live" && !room.occupants.some(occupant => occupant.kind === "service"))
+        .reduce((total, room) => total + room.view.instance.shape.cores, 0);
+}
--- a/src/policy/room.ts
+++ b/src/policy/room.ts
@@ -21,6 +21,15 @@
     readonly throttleShare: number;
 }
 
+/**
+ * What a task counts for. Tasks must fit by both measures: what was declared, and what reports have shown to be used.
+ * So a rule that uses more than it declared takes room from others, and one that uses less does not give any away.
+ */
+export interface TaskSize extends Resources {
+    readonly usedCores: number;
+    readonly usedMemoryBytes: number;
+}
+
 /** A worker's free room. Taking room changes it in place. */
 export interface WorkerRoom {
     readonly view: WorkerView;
@@ -30,10 +39,13 @@
     freeCores: number;
     freeMemoryBytes: number;
     freeAccelerators: number;
+    /** Room by what reports have shown to be used; below 0 where tasks use more than the worker has. */
+    unusedCores: number;
+    unusedMemoryBytes: number;
 }
 
-/** Gives what a task counts for: its declared size, or more where reports have shown more. */
-export type SizeOf = (task: { readonly rule: string; readonly resources: Resources; }) => Resources;
+/** Gives what a task counts for. */
+export type SizeOf = (task: { readonly rule: string; readonly resources: Resources; }) => TaskSize;
 
 /** Creates the rooms of all workers; every placed task counts in full, whatever its state. */
 export function createRooms(workers: readonly WorkerView[], sizeOf: SizeOf): WorkerRoom[] {
@@ -50,6 +62,8 @@
         freeCores: shape.cores,
         freeMemoryBytes: shape.memoryBytes,
         freeAccelerators: shape.accelerators,
+        unusedCores: shape.cores,
+        unusedMemoryBytes: shape.memoryBytes,
     };
     for (const task of view.tasks) {
         takeRoom(room, task, sizeOf(task));
@@ -58,23 +72,30 @@
 }
 
 /** Takes room for a task. */
-export function takeRoom(room: WorkerRoom, task: Omit<Occupant, "throttleShare"> | PlacedTask, size: Resources): void {
-    room.freeSlots -= 1;
-    room.freeCores -= size.cores;
-    room.freeMemoryBytes -= size.memoryBytes;
-    room.freeAccelerators -= size.accelerators;
+export function takeRoom(room: WorkerRoom, task: Omit<Occupant, "throttleShare"> | PlacedTask, size: TaskSize): void {
+    addRoom(room, size, -1);
     room.occupants.push("throttleShare" in task ? task : { ...task, throttleShare: 1 });
 }
 
+/** Adds the room of a number of tasks of a size. */
+export function addRoom(room: WorkerRoom, size: TaskSize, tasks: number): void {
+    room.freeSlots += tasks;
+    room.freeCores += tasks * size.cores;
+    room.freeMemoryBytes += tasks * size.memoryBytes;
+    room.freeAccelerators += tasks * size.accelerators;
+    room.unusedCores += tasks * size.usedCores;
+    room.unusedMemoryBytes += tasks * size.usedMemoryBytes;
+}
+
 /** Names the first resource that runs short, or `undefined` where the size fits. */
-export function findShortage(room: WorkerRoom, size: Resources): ScarceResource | undefined {
+export function findShortage(room: WorkerRoom, size: TaskSize): ScarceResource | undefined {
     if (room.freeSlots < 1) {
         return "slots";
     }
-    if (room.freeCores + CORES_TOLERANCE < size.cores) {
+    if (Math.min(room.freeCores - size.cores, room.unusedCores - size.usedCores) < -CORES_TOLERANCE) {
         return "cores";
     }
-    if (room.freeMemoryBytes < size.memoryBytes) {
+    if (room.freeMemoryBytes < size.memoryBytes || room.unusedMemoryBytes < size.usedMemoryBytes) {
         return "memory";
     }
     return room.freeAccelerators < size.accelerators ? "accelerators" : undefined;
@@ -87,11 +108,11 @@
         && shape.accelerators >= size.accelerators;
 }
 
-/** Cuts a corrected size to the shape, so that a task whose declared size fits keeps a place. */
-export function limitToShape(size: Resources, declared: Resources, shape: WorkerShape): Resources {
+/** Cuts what a task uses to the worker's shape, so that a task whose declared size fits keeps a place. */
+export function limitToShape(size: TaskSize, shape: WorkerShape): TaskSize {
     return {
-        cores: Math.max(declared.cores, Math.min(size.cores, shape.cores)),
-        memoryBytes: Math.max(declared.memoryBytes, Math.min(size.memoryBytes, shape.memoryBytes)),
-        accelerators: Math.max(declared.accelerators, Math.min(size.accelerators, shape.accelerators)),
+        ...size,
+        usedCores: Math.min(size.usedCores, shape.cores),
+        usedMemoryBytes: Math.min(size.usedMemoryBytes, shape.memoryBytes),
     };
 }
--- a/src/policy/settings.ts
+++ b/src/policy/settings.ts
@@ -34,7 +34,7 @@
     /** Share of placements that try an uncertain pair of neighbours out, 0 to 1. */
     exploration: z.number().min(0).max(1).default(0.02),
     /** Time after which a waiting batch task accepts twice the harm that it accepts at first. */
-    patienceMilliseconds: z.int().min(1).default(5 * MINUTE_MILLISECONDS),
+    patienceMilliseconds: z.int().min(1).default(2 * MINUTE_MILLISECONDS),
 });
 export type PlacementSettings = z.infer<typeof PlacementSettings>;
 
@@ -61,7 +61,7 @@
 /** How harm to services is held down. */
 export const MitigationSettings = z.strictObject({
     /** Rise of a service's tail latency (0.5 is 50 %) from which on neighbours are throttled, at equal weights. */
-    throttleRise: z.number().positive().default(0.3),
+    throttleRise: z.number().positive().default(0.5),
     /** Rise below which a throttled neighbour is let go again, as a share of the limit for throttling. */
     releaseShare: z.number().min(0).max(1).default(0.5),
     /** Smallest share of its cores that a throttled task keeps. */
