--- a/bench/experiments/policy.ts
+++ b/bench/experiments/policy.ts
@@ -10,7 +10,8 @@
 import { createEnvironment, deployments } from "../policy/environment.js";
 import type { Deployment } from "../policy/environment.js";
 import { createLatencyMixture } from "../policy/latency.js";
-import { runContestant, toMilliseconds } from "../policy/world.js";
+import { toMilliseconds } from "../policy/tasks.js";
+import { runContestant } from "../policy/world.js";
 import type { Outcome } from "../policy/world.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
 import { checkAtLeast, checkAtMost } from "../support/experiment.js";
--- a/bench/policy/world.ts
+++ b/bench/policy/world.ts
@@ -4,14 +4,16 @@
 import { createRandom } from "../../src/core/random.js";
 import type { Random } from "../../src/core/random.js";
 import type { WorkerInstance } from "../../src/platform/instances.js";
-import type { AttemptUsage, WorkerReport } from "../../src/platform/worker.js";
-import type { CellView, Decision, PendingTask, PlacedTask } from "../../src/policy/policy.js";
-import { BASE_TAIL_MILLISECONDS } from "./contestants.js";
+import type { WorkerReport } from "../../src/platform/worker.js";
+import type { CellView, Decision } from "../../src/policy/policy.js";
 import type { Contestant, ContestantFactory } from "./contestants.js";
 import type { Environment } from "./environment.js";
-import { drawNormal, GIBIBYTE, SERVICE_CORES, SERVICE_GIBIBYTES } from "./environment.js";
+import { GIBIBYTE } from "./environment.js";
 import { createLatencyMixture } from "./latency.js";
 import type { BinnedMixture } from "./latency.js";
+import { createReport, latencyOf, REQUESTS_AT_PEAK, useCores } from "./physics.js";
+import { createReplica, createTask, showPending, showPlaced } from "./tasks.js";
+import type { ModelTask, Totals } from "./tasks.js";
 
 /** What a run came to. */
 export interface Outcome {
@@ -28,26 +30,6 @@
     readonly decisionMicroseconds: number;
 }
 
-/** A task with what only the model knows of it. */
-interface ModelTask {
-    readonly taskId: string;
-    readonly rule: string;
-    /** Index of the service or the batch rule. */
-    readonly index: number;
-    readonly kind: "service" | "batch";
-    readonly cores: number;
-    readonly memoryBytes: number;
-    readonly workSeconds: number;
-    readonly submittedSecond: number;
-    doneSeconds: number;
-    attempt: number;
-    startedSecond: number;
-    evictions: number;
-    share: number;
-    /** Second at which an eviction or a stop is complete. */
-    goneSecond: number | undefined;
-}
-
 interface Cell {
     readonly instances: readonly WorkerInstance[];
     readonly contestant: Contestant;
@@ -56,31 +38,10 @@
     readonly reports: { readonly dueSecond: number; readonly report: WorkerReport; }[];
 }
 
-interface Totals {
-    workDone: number;
-    tasksFinished: number;
-    evictions: number;
-    throttles: number;
-    stops: number;
-    placements: number;
-    capacityViolations: number;
-    decisionMicroseconds: number;
-    decisions: number;
-    started: number;
-}
-
-const START_MILLISECONDS = 1_800_000_000_000;
 const REPORT_INTERVAL_SECONDS = 5;
 const REPORT_LAG_SECONDS = 10;
-const MISSING_REPORTS = 0.05;
-const WRONG_REPORTS = 0.01;
-const REPORT_NOISE = 0.1;
 const EVICTION_SECONDS = 5;
 const EVICTION_LOST_SECONDS = 10;
-const SERVICE_NEIGHBOUR_EFFECT = 0.01;
-const REQUESTS_AT_PEAK = 100;
-const REFERENCE_CORES = 4;
-const TAIL_FACTOR = Math.exp(2.326 * 0.5);
 
 /** Runs one contestant; all randomness besides the environment's comes from the seed. */
 export function runContestant(environment: Environment, factory: ContestantFactory, seed: number): Outcome {
@@ -99,25 +60,9 @@
         started: 0,
     };
     const cells = environment.cells.map(instances => createCell(environment, instances, factory, random, totals));
-    let nextArrival = 0;
+    let arrived = 0;
     for (let second = 0; second < environment.seconds; second += 1) {
-        for (let arrival = environment.arrivals[nextArrival]; arrival !== undefined && arrival.atSecond <= second;) {
-            const model = environment.batches[arrival.batch];
-            const cell = cells[arrival.cell];
-            if (model !== undefined && cell !== undefined) {
-                cell.pending.push(createTask(totals, {
-                    rule: model.rule,
-                    index: arrival.batch,
-                    kind: "batch",
-                    cores: model.declaredCores,
-                    memoryBytes: model.declaredGibibytes * GIBIBYTE,
-                    workSeconds: arrival.workSeconds,
-                    submittedSecond: second,
-                }));
-            }
-            nextArrival += 1;
-            arrival = environment.arrivals[nextArrival];
-        }
+        arrived = acceptArrivals(environment, cells, second, arrived, totals);
         for (const cell of cells) {
             deliverReports(cell, second);
             applyDecisions(cell, decide(cell, second, totals), second, totals);
@@ -127,6 +72,34 @@
     return { latency, ...totals, decisionMicroseconds: totals.decisionMicroseconds / totals.decisions };
 }
 
+/** Puts the arrivals of a second into their cells' queues; returns how many have arrived in all. */
+function acceptArrivals(
+    environment: Environment,
+    cells: readonly Cell[],
+    second: number,
+    arrivedBefore: number,
+    totals: Totals,
+): number {
+    const rest = environment.arrivals.slice(arrivedBefore);
+    const later = rest.findIndex(arrival => arrival.atSecond > second);
+    const arrivals = later === -1 ? rest : rest.slice(0, later);
+    for (const { cell, batch, workSeconds } of arrivals) {
+        const model = environment.batches[batch];
+        if (model !== undefined) {
+            cells[cell]?.pending.push(createTask(totals, {
+                rule: model.rule,
+                index: batch,
+                kind: "batch",
+                cores: model.declaredCores,
+                memoryBytes: model.declaredGibibytes * GIBIBYTE,
+                workSeconds,
+                submittedSecond: second,
+            }));
+        }
+    }
+    return arrivedBefore + arrivals.length;
+}
+
 function createCell(
     environment: Environment,
     instances: readonly WorkerInstance[],
@@ -146,38 +119,6 @@
     };
 }
 
-function createReplica(totals: Totals, rule: string, index: number, second: number): ModelTask {
-    return createTask(totals, {
-        rule,
-        index,
-        kind: "service",
-        cores: SERVICE_CORES,
-        memoryBytes: SERVICE_GIBIBYTES * GIBIBYTE,
-        workSeconds: Number.POSITIVE_INFINITY,
-        submittedSecond: second,
-    });
-}
-
-function createTask(
-    totals: Totals,
-    given: Pick<
-        ModelTask,
-        "rule" | "index" | "kind" | "cores" | "memoryBytes" | "workSeconds" | "submittedSecond"
-    >,
-): ModelTask {
-    totals.started += 1;
-    return {
-        ...given,
-        taskId: `task-${totals.started}`,
-        doneSeconds: 0,
-        attempt: 0,
-        startedSecond: 0,
-        evictions: 0,
-        share: 1,
-        goneSecond: undefined,
-    };
-}
-
 function deliverReports(cell: Cell, second: number): void {
     while (cell.reports[0] !== undefined && cell.reports[0].dueSecond <= second) {
         cell.contestant.observe(cell.reports[0].report, second);
@@ -194,11 +135,6 @@
     return decisions;
 }
 
-/** Milliseconds since the Unix epoch of a second of the run. */
-export function toMilliseconds(second: number): number {
-    return START_MILLISECONDS + second * 1_000;
-}
-
 function createView(cell: Cell, second: number): CellView {
     return {
         cell: cell.instances[0]?.dataCentre ?? "",
@@ -213,42 +149,6 @@
     };
 }
 
-function showPlaced(task: ModelTask): PlacedTask {
-    const progress = task.kind === "batch" ? task.doneSeconds / task.workSeconds : 0;
-    return {
-        taskId: task.taskId,
-        attempt: task.attempt,
-        rule: task.rule,
-        team: "team",
-        kind: task.kind,
-        resources: { cores: task.cores, memoryBytes: task.memoryBytes, accelerators: 0 },
-        priority: task.kind === "service" ? 0 : 5,
-        state: task.goneSecond === undefined ? "running" : "moving",
-        startedAtMilliseconds: toMilliseconds(task.startedSecond),
-        progress,
-        checkpointProgress: progress,
-        evictions: task.evictions,
-        throttleShare: task.share,
-    };
-}
-
-function showPending(task: ModelTask, second: number): PendingTask {
-    return {
-        taskId: task.taskId,
-        rule: task.rule,
-        team: "team",
-        kind: task.kind,
-        resources: { cores: task.cores, memoryBytes: task.memoryBytes, accelerators: 0 },
-        priority: task.kind === "service" ? 0 : 5,
-        dataCentres: [],
-        submittedAtMilliseconds: toMilliseconds(Math.min(second, task.submittedSecond)),
-        notBeforeMilliseconds: 0,
-        failures: 0,
-        retries: 3,
-        evictions: task.evictions,
-    };
-}
-
 function applyDecisions(cell: Cell, decisions: readonly Decision[], second: number, totals: Totals): void {
     const placed = new Set<ModelTask>();
     for (const decision of decisions) {
@@ -325,47 +225,16 @@
                 totals.workDone += done * task.cores;
             }
         }
-        if ((second + place) % REPORT_INTERVAL_SECONDS === 0) {
-            report(environment, cell, instance.name, tasks, medians, load, second, random);
+        const report = (second + place) % REPORT_INTERVAL_SECONDS === 0
+            ? createReport(environment, instance.name, tasks, medians, second, random)
+            : undefined;
+        if (report !== undefined) {
+            cell.reports.push({ dueSecond: second + REPORT_LAG_SECONDS, report });
         }
         cell.running.set(instance.name, tasks.filter(task => staysOn(cell, task, second, totals)));
     });
 }
 
-/** Real use of cores. */
-function useCores(environment: Environment, task: ModelTask, load: number, second: number): number {
-    if (task.kind === "service") {
-        return SERVICE_CORES * (0.3 + 0.5 * load);
-    }
-    const noisy = environment.isNoisy(task.index, second) ? 1.25 : 1;
-    return task.cores * (environment.batches[task.index]?.useShare ?? 1) * task.share * noisy;
-}
-
-/** Median latency in units of the service's base. */
-function latencyOf(
-    environment: Environment,
-    service: ModelTask,
-    tasks: readonly ModelTask[],
-    load: number,
-    second: number,
-): number {
-    let rise = 0;
-    for (const other of tasks) {
-        if (other === service) {
-            continue;
-        }
-        if (other.kind === "service") {
-            rise += SERVICE_NEIGHBOUR_EFFECT;
-            continue;
-        }
-        const useShare = environment.batches[other.index]?.useShare ?? 1;
-        const noisy = environment.isNoisy(other.index, second) ? 2 : 1;
-        rise += environment.effect(service.index, other.index, second) * other.share * other.cores * useShare
-            / REFERENCE_CORES * noisy;
-    }
-    return (1 + 0.5 * load) * (1 + (0.25 + 0.75 * load ** 2) * rise);
-}
-
 function staysOn(cell: Cell, task: ModelTask, second: number, totals: Totals): boolean {
     if (task.doneSeconds >= task.workSeconds) {
         totals.tasksFinished += 1;
@@ -387,44 +256,3 @@
     }
     return false;
 }
-
-function report(
-    environment: Environment,
-    cell: Cell,
-    worker: string,
-    tasks: readonly ModelTask[],
-    medians: ReadonlyMap<ModelTask, number>,
-    load: number,
-    second: number,
-    random: Random,
-): void {
-    // Drawn in any case, so that a missing report does not shift what follows.
-    const missing = random() < MISSING_REPORTS;
-    const usages: AttemptUsage[] = tasks.map(task => {
-        const median = medians.get(task);
-        const noise = Math.exp(REPORT_NOISE * drawNormal(random));
-        const wrong = random() < WRONG_REPORTS ? 10 ** Math.sign(random() - 0.5) : 1;
-        return {
-            taskId: task.taskId,
-            attempt: task.attempt,
-            rule: task.rule,
-            kind: task.kind,
-            cores: useCores(environment, task, load, second),
-            memoryBytes: 0.8 * task.memoryBytes,
-            progress: task.kind === "batch" ? task.doneSeconds / task.workSeconds : 0,
-            throttleShare: task.share,
-            ...(median === undefined ? {} : {
-                requestsPerSecond: REQUESTS_AT_PEAK * load,
-                latencyMedianMilliseconds: BASE_TAIL_MILLISECONDS / TAIL_FACTOR * median * noise * wrong,
-                latencyTailMilliseconds: BASE_TAIL_MILLISECONDS * median * noise * wrong,
-            }),
-        };
-    });
-    if (!missing) {
-        const measuredAtMilliseconds = toMilliseconds(second);
-        cell.reports.push({
-            dueSecond: second + REPORT_LAG_SECONDS,
-            report: { worker, incarnation: "1", measuredAtMilliseconds, usages, connections: [] },
-        });
-    }
-}
--- a/src/policy/harm.ts
+++ b/src/policy/harm.ts
@@ -109,6 +109,9 @@
     /** Cost by which one core of a batch rule raises the tails of the services, on average over their workers. */
     function costPerCore(batchRule: string): number {
         const hosts = rooms.map(room => readNeighbourhood(room).services).filter(services => services.length > 0);
+        if (hosts.length === 0) {
+            return 0;
+        }
         const effects = hosts.map(services =>
             services.reduce((total, service) => total + cautiousEffect(service, batchRule), 0)
         );
--- a/src/policy/health.ts
+++ b/src/policy/health.ts
@@ -170,17 +170,23 @@
     remember(rules, end.rule, workers, REMEMBERED_RULES);
 }
 
-/** Failure rate of a rule on all other workers, and the ends that it is known from; 0.5 from none. */
+/**
+ * Failure rate of a rule on all other workers, and the ends that it is known from; 0.5 from none. Where several workers
+ * are broken they would make the rule look bad, so that the rate on the worker in the middle counts where it is lower.
+ */
 function rateElsewhere(workers: Map<string, Counts> | undefined, worker: string): { rate: number; ends: number; } {
-    let failed = 0;
-    let finished = 0;
-    for (const [other, counts] of workers ?? []) {
-        if (other !== worker) {
-            failed += counts.failed;
-            finished += counts.finished;
-        }
-    }
-    return { rate: (failed + 1) / (failed + finished + 2), ends: failed + finished };
+    const others = [...workers ?? []].filter(([name]) => name !== worker).map(([, counts]) => counts);
+    const total = others.reduce(
+        (sum, { failed, finished }) => ({ failed: sum.failed + failed, finished: sum.finished + finished }),
+        { failed: 0, finished: 0 },
+    );
+    const rates = others.map(rateOf).sort((left, right) => left - right);
+    const middle = rates[Math.floor(rates.length / 2)] ?? 0.5;
+    return { rate: Math.min(rateOf(total), middle), ends: total.failed + total.finished };
+}
+
+function rateOf({ failed, finished }: Counts): number {
+    return (failed + 1) / (failed + finished + 2);
 }
 
 function weighEvidence(rules: ReadonlyMap<string, Map<string, Counts>>, worker: string): number {
--- a/src/policy/settings.ts
+++ b/src/policy/settings.ts
@@ -21,7 +21,7 @@
 export const TAIL_WEIGHTS: PolicyWeights = { tail: 4, throughput: 1, evictions: 1 };
 
 /** Weights of an operator whose batch work must finish within the day and must not be repeated. */
-export const THROUGHPUT_WEIGHTS: PolicyWeights = { tail: 1, throughput: 2, evictions: 4 };
+export const THROUGHPUT_WEIGHTS: PolicyWeights = { tail: 1, throughput: 8, evictions: 8 };
 
 /** How tasks are placed. */
 export const PlacementSettings = z.strictObject({
@@ -49,7 +49,7 @@
 
 /** How declared sizes are corrected. */
 export const SizeSettings = z.strictObject({
-    /** Share by which a size counts for more than reports have shown. */
+    /** Share by which a size counts for more than reports have shown; for cores it shrinks with their number. */
     allowance: z.number().min(0).max(1).default(0.1),
     /** Time in which what reports have shown counts for half as much above the declared size. */
     halfLifeMilliseconds: z.int().min(1).default(HOUR_MILLISECONDS),
--- a/src/policy/sizes.ts
+++ b/src/policy/sizes.ts
@@ -1,8 +1,8 @@
 /**
  * Sizes of tasks: what was declared, corrected by what usage reports have shown for the rule.
  *
- * Cores count by the mean that reports show, since workers share them out; memory counts by the peak. Both with an
- * allowance. Until there are enough reports the declared size counts. What was declared is kept to as well, unless
+ * Cores count by the mean that reports show, since workers share them out, with an allowance that shrinks as reports
+ * come in; memory counts by the peak with the whole allowance. Until there are enough reports the declared size counts. What was declared is kept to as well, unless
  * `reclaimCores` lets declared cores that are not used be given to others.
  */
 import type { WorkerReport } from "../platform/worker.js";
@@ -88,7 +88,8 @@
 
 function correctSize(usage: RuleUsage, declared: Resources, settings: SizeSettings): TaskSize {
     const known = usage.reports >= REPORTS_TO_KNOW_A_RULE;
-    const shownCores = usage.meanCores * (1 + settings.allowance);
+    const certainty = Math.max(1, Math.sqrt(usage.reports / REPORTS_TO_KNOW_A_RULE));
+    const shownCores = usage.meanCores * (1 + settings.allowance / certainty);
     const shownMemoryBytes = Math.ceil(usage.peakMemoryBytes * (1 + settings.allowance));
     const usedCores = known ? shownCores : Math.max(declared.cores, shownCores);
     return {
