Fault runs: balancer, stalls of the stand-ins, lost ends, mechanisms switched off

Change: callers go through a balancer that follows /ready; workers write down acknowledgements, and a finished task may start again only where its end was lost before it was acknowledged (one more scenario each way); the platform writes down when its own process stood still, and work that waited meanwhile is dated to its beginning.

--- a/bench/experiments/faults.ts
+++ b/bench/experiments/faults.ts
@@ -14,6 +14,8 @@
 import type { PlannedFault } from "../support/faults/plan.js";
 import { lastingBatch, services } from "../support/faults/rules.js";
 import { runTraffic } from "../support/faults/traffic.js";
+import { readWithout } from "../support/faults/without.js";
+import type { Without } from "../support/faults/without.js";
 import { startWorld, waitUntil } from "../support/faults/world.js";
 import type { World } from "../support/faults/world.js";
 import type { LoadResult } from "../support/load.js";
@@ -40,6 +42,7 @@
         deployment: { type: "string", default: "tunturivalo" },
         workers: { type: "string" },
         evidence: { type: "string" },
+        without: { type: "string" },
     },
     run,
 };
@@ -51,6 +54,7 @@
 }
 
 async function run(context: ExperimentContext): Promise<Check[]> {
+    const without = readWithout(context.values["without"]);
     const world = await startWorld({
         seed: context.seed,
         deployment: context.values["deployment"] === "sumber-padi" ? "sumber-padi" : "tunturivalo",
@@ -62,6 +66,7 @@
             profiles: { [services.exclusive]: { requestMilliseconds: 25 } },
             unlistedEffectAtMost: 0.5,
         },
+        ...(without === undefined ? {} : { without }),
     });
     context.progress(`${world.proxies.size} links behind proxies, logs in ${world.deployment.directory}`);
     try {
@@ -81,6 +86,10 @@
         throw new Error("the deployment does not answer before any fault");
     }
     world.calls.length = 0;
+    const { listLagMilliseconds } = world.options.without ?? {};
+    if (listLagMilliseconds !== undefined) {
+        await world.deployment.setFaults(world.deployment.instancesOrigin, { lagMilliseconds: listLagMilliseconds });
+    }
     const milliseconds = Number(context.values["seconds"]) * 1_000;
     const stop = new AbortController();
     const work = Promise.all([operators.edit(stop.signal), operators.look(stop.signal)]);
@@ -94,7 +103,8 @@
     await faults;
     world.healLinks();
     context.progress(`healed; ${JSON.stringify(underFaults.outcomes)}`);
-    const closing = await close(world, context);
+    const { without } = world.options;
+    const closing = without === undefined ? await close(world, context) : undefined;
     stop.abort();
     await work;
     const evidence: Evidence = {
@@ -107,7 +117,10 @@
     if (typeof context.values["evidence"] === "string") {
         await writeFile(context.values["evidence"], JSON.stringify(evidence));
     }
-    return judge(evidence, underFaults, closing, context);
+    if (closing !== undefined) {
+        return judge(evidence, underFaults, closing, context);
+    }
+    return without === undefined ? [] : judgeWithout(evidence, without, context);
 }
 
 async function isAnswering(world: World, seed: number): Promise<boolean> {
@@ -174,6 +187,14 @@
     ];
 }
 
+/** The checker has to find the promise broken that rests on the mechanism. */
+function judgeWithout(evidence: Evidence, { promise }: Without, context: ExperimentContext): Check[] {
+    const verdicts = judgeAll(evidence);
+    verdicts.forEach(verdict => printVerdict(verdict, context));
+    const found = verdicts.find(verdict => verdict.promise === promise);
+    return [checkAtLeast(`found broken: ${promise}`, found?.violations.length ?? 0, "violations", 1)];
+}
+
 function shareAnswered({ outcomes, sent }: LoadResult): number {
     return Number((outcomes.answered / Math.max(1, sent)).toFixed(4));
 }
--- a/bench/support/checker/batch.ts
+++ b/bench/support/checker/batch.ts
@@ -48,7 +48,9 @@
             if (run.startedAt < earlier.endedAt) {
                 return [`${(earlier.endedAt - run.startedAt).toFixed(0)} ms in two places: ${pair}`];
             }
-            return earlier.state === "finished" ? [`started again after it had finished: ${pair}`] : [];
+            return earlier.state === "finished" && !earlier.isEndLost
+                ? [`started again after it had finished: ${pair}`]
+                : [];
         })
     );
 }
--- a/bench/support/checker/leaving.ts
+++ b/bench/support/checker/leaving.ts
@@ -8,15 +8,19 @@
 /** Time that the system has to notice a leaving upstream. */
 export const LEAVING_LIMIT_MILLISECONDS = 5_000;
 
+/** Time in which a process works off what came while it stood still. */
+const STALL_BACKLOG_MILLISECONDS = 200;
+
 /** Judges starts and requests on workers that the list has shown as leaving for 5 s. */
 export function judgeLeaving(evidence: Evidence): Verdict {
     const leaves = pickOperators(evidence.operators, "worker-leaving");
+    const stalls = pick(evidence.workers, "stalled");
     const tasks = pick(evidence.workers, "attempt-started");
     const requests = pick(evidence.workers, "request-started");
     const violations = leaves.flatMap(leave => {
         const from = leave.at + LEAVING_LIMIT_MILLISECONDS;
         const isLate = (record: { worker: string; at: number; }) =>
-            record.worker === leave.worker && record.at > from && record.at < leave.until;
+            record.worker === leave.worker && findArrival(record.at, stalls) > from && record.at < leave.until;
         return [
             ...tasks.filter(isLate).map(start =>
                 `${leave.worker}: ${start.taskId}#${start.attempt} started ${
@@ -32,6 +36,12 @@
     return { promise: "no work for leaving upstreams", opportunities: judged.length, violations };
 }
 
+/** What is dated right after a stall of the workers' process may have arrived since the stall began. */
+function findArrival(at: number, stalls: readonly { at: number; milliseconds: number; }[]): number {
+    const stall = stalls.find(each => at >= each.at - each.milliseconds && at <= each.at + STALL_BACKLOG_MILLISECONDS);
+    return stall === undefined ? at : Math.min(at, stall.at - stall.milliseconds);
+}
+
 /** Judges planned stops: of gateways with calls open, and of replicas with requests under way. */
 export function judgePlannedStops(evidence: Evidence): Verdict {
     const stops = pickOperators(evidence.operators, "planned-stop");
--- a/bench/support/checker/rules.ts
+++ b/bench/support/checker/rules.ts
@@ -80,7 +80,9 @@
             } ms after ${rule} ended`
         );
     });
-    const opportunities = ended.reduce(
+    // A rule that ended too late in the run to be judged is no occasion.
+    const judged = ended.filter(({ at }) => evidence.endedAt > at + CANCEL_LIMIT_MILLISECONDS);
+    const opportunities = judged.reduce(
         (sum, { at, rule }) => sum + runs.filter(run => run.rule === rule && run.endedAt > at).length,
         0,
     );
--- a/bench/support/checker/runs.ts
+++ b/bench/support/checker/runs.ts
@@ -21,6 +21,8 @@
     readonly resumedProgress: number;
     readonly progress: number;
     readonly checkpointed: boolean;
+    /** The worker restarted before the cell's owner had taken note of the end, so nobody can know of it. */
+    readonly isEndLost: boolean;
 }
 
 /** One run of a request on one worker. */
@@ -38,6 +40,14 @@
 
 /** Puts task runs together. */
 export function findTaskRuns({ workers, endedAt }: Evidence): TaskRun[] {
+    const acknowledged = new Map(
+        pick(workers, "attempt-acknowledged").map(note => [`${note.worker} ${note.taskId}#${note.attempt}`, note.at]),
+    );
+    const restarts = pick(workers, "worker");
+    const isEndLost = (worker: string, name: string, at: number) => {
+        const restart = restarts.find(each => each.worker === worker && each.at > at);
+        return restart !== undefined && (acknowledged.get(`${worker} ${name}`) ?? Infinity) > restart.at;
+    };
     const ends = new Map(
         pick(workers, "attempt-ended").map(end => [`${end.worker} ${end.taskId}#${end.attempt}`, end]),
     );
@@ -58,6 +68,7 @@
             resumedProgress: start.resumedProgress,
             progress: end?.progress ?? start.resumedProgress,
             checkpointed: end?.checkpointed ?? false,
+            isEndLost: end !== undefined && isEndLost(start.worker, `${start.taskId}#${start.attempt}`, end.at),
         };
     });
 }
--- a/bench/support/faults/traffic.ts
+++ b/bench/support/faults/traffic.ts
@@ -23,9 +23,10 @@
 export function runTraffic(world: World, options: TrafficOptions): Promise<LoadResult> {
     return runLoad({
         ...options,
-        origins: world.deployment.instances.flatMap(({ gateway }) => gateway.announcement["callers"] ?? []),
+        origins: world.balancer.ready,
         clock: world.clock,
         drawCall: (random, index) => drawCall(random, index, options.name),
+        idempotencyHeader: world.options.without?.idempotencyKey ?? true,
         onRecord: record => world.calls.push(record),
     });
 }
--- a/features/faults/checker.feature
+++ b/features/faults/checker.feature
@@ -82,6 +82,25 @@
         Then "tasks run in one place" has 2 opportunities and 2 violations naming "finished"
         And "tasks run in one place" has 2 opportunities and 2 violations naming "started twice"
 
+    Scenario: A task whose end was lost with its worker may start again, one whose end was noted may not
+        Given the workers wrote
+            | event                | at | worker | taskId | attempt | state    |
+            | worker               | 0  | w-1    |        |         |          |
+            | attempt-started      | 1  | w-1    | a      | 1       |          |
+            | attempt-ended        | 2  | w-1    | a      | 1       | finished |
+            | worker               | 3  | w-1    |        |         |          |
+            | attempt-started      | 4  | w-2    | a      | 2       |          |
+        Then "tasks run in one place" has 1 opportunity and 0 violations
+        Given the workers wrote
+            | event                | at | worker | taskId | attempt | state    |
+            | worker               | 0  | w-3    |        |         |          |
+            | attempt-started      | 1  | w-3    | b      | 1       |          |
+            | attempt-ended        | 2  | w-3    | b      | 1       | finished |
+            | attempt-acknowledged | 3  | w-3    | b      | 1       |          |
+            | worker               | 4  | w-3    |        |         |          |
+            | attempt-started      | 5  | w-2    | b      | 2       |          |
+        Then "tasks run in one place" has 2 opportunities and 1 violation naming "b#2"
+
     Scenario: An evicted task that goes on from its checkpoint passes, a lost resume is caught
         Given the workers wrote
             | event           | at | worker | taskId | attempt | state   | progress | checkpointed | resumedProgress |
@@ -177,6 +196,21 @@
         Then "no work for leaving upstreams" has 1 opportunity and 2 violations naming "late"
         And "no work for leaving upstreams" has 1 opportunity and 2 violations naming "c-3"
 
+    Scenario: Work that waited while the workers' process stood still is dated to its beginning
+        Given the operators wrote
+            | event          | at   | until  | worker |
+            | worker-leaving | 1000 | 100000 | w-1    |
+        And the workers wrote
+            | event           | at   | worker   | run | call | milliseconds |
+            | stalled         | 6500 | platform |     |      | 800          |
+            | request-started | 6510 | w-1      | 1   | c-1  |              |
+        Then "no work for leaving upstreams" has 1 opportunity and 0 violations
+        Given the workers wrote
+            | event           | at   | worker   | run | call | milliseconds |
+            | stalled         | 8000 | platform |     |      | 800          |
+            | request-started | 8010 | w-1      | 2   | c-2  |              |
+        Then "no work for leaving upstreams" has 1 opportunity and 1 violation naming "c-2"
+
     Scenario: A call that a planned stop cuts is caught, one that is refused before it is sent is not
         Given the operators wrote
             | event        | at  | until | process | origin | exitCode |
--- a/stand-ins/platform.ts
+++ b/stand-ins/platform.ts
@@ -6,12 +6,15 @@
 import { describeThrown, formatFailure } from "../src/core/errors.js";
 import { Name } from "../src/core/messages/identity.js";
 import { loadSettings } from "../src/core/settings.js";
+import { systemClock } from "../src/core/time.js";
 import { WorkerShape } from "../src/platform/instances.js";
 import { createInstancesStandIn, InstancesStandInSettings } from "./instances/index.js";
 import { createStoreStandIn, StoreStandInSettings } from "./store/index.js";
 import { createWorkerStandIn, openRecordFile, WorkerBehaviour } from "./worker/index.js";
-import type { WorkerStandIn } from "./worker/index.js";
+import type { Recorder, WorkerStandIn } from "./worker/index.js";
 
+const STALL_CHECK_MILLISECONDS = 50;
+const LEAST_STALL_MILLISECONDS = 200;
 const DEFAULT_SHAPE = { slots: 8, cores: 32, memoryBytes: 125_000_000_000, accelerators: 0, connections: 64 };
 
 /** Settings of the development platform. */
@@ -87,10 +90,25 @@
             serve: instance.serveOrigin,
         })),
     }));
+    const watching = watchStalls(records?.record ?? (() => undefined));
     const stop = async () => {
+        clearInterval(watching);
         await Promise.all([store, instances, ...workers].map(part => part.close()));
         records?.close();
     };
     process.once("SIGTERM", () => void stop());
     process.once("SIGINT", () => void stop());
 }
+
+/** Writes down when this process has stood still, so that checkers do not blame the system for it. */
+function watchStalls(record: Recorder): NodeJS.Timeout {
+    let last = systemClock();
+    return setInterval(() => {
+        const at = systemClock();
+        const milliseconds = at - last - STALL_CHECK_MILLISECONDS;
+        if (milliseconds > LEAST_STALL_MILLISECONDS) {
+            record({ event: "stalled", worker: "platform", at, milliseconds });
+        }
+        last = at;
+    }, STALL_CHECK_MILLISECONDS);
+}
--- a/stand-ins/worker/attempts.ts
+++ b/stand-ins/worker/attempts.ts
@@ -108,9 +108,10 @@
     }
 
     function advanceOne(attempt: RunningAttempt, now: number): void {
-        progressTo(attempt, Math.min(now, attempt.leaseUntilMilliseconds));
+        const hasLapsed = attempt.leaseUntilMilliseconds <= now && !behaviour.ignore.includes("leases");
+        progressTo(attempt, hasLapsed ? attempt.leaseUntilMilliseconds : now);
         const failsAfter = interference.profile(attempt.rule).failsAfterMilliseconds;
-        if (attempt.leaseUntilMilliseconds <= now) {
+        if (hasLapsed) {
             end(attempt, "lapsed", now, "the lease has lapsed");
         }
         else if (attempt.stopsAtMilliseconds !== undefined) {
@@ -160,6 +161,9 @@
             }
             remember(order.taskId, order.attempt);
             const attempt = createAttempt(header, order, now);
+            if (behaviour.ignore.includes("checkpoints")) {
+                attempt.progress = 0;
+            }
             known.set(nameAttempt(order), attempt);
             updateActive();
             record({
@@ -188,6 +192,9 @@
                 remember(stop.taskId, stop.attempt);
                 return unknownStatus(stop, header.cell);
             }
+            if (behaviour.ignore.includes("stops")) {
+                return { ...toStatus(attempt), state: "stopped" };
+            }
             if (isActive(attempt) && attempt.stopsAtMilliseconds === undefined) {
                 const isService = attempt.order.kind === "service";
                 attempt.state = "checkpointing";
@@ -222,6 +229,7 @@
             const found = known.get(nameAttempt(attempt));
             if (found !== undefined && !isActive(found)) {
                 known.delete(nameAttempt(attempt));
+                record({ event: "attempt-acknowledged", worker, at: now, ...attempt });
             }
         },
         statuses(cell, now) {
--- a/stand-ins/worker/record.ts
+++ b/stand-ins/worker/record.ts
@@ -58,6 +58,8 @@
         progress: z.number(),
         checkpointed: z.boolean(),
     }),
+    /** The cell's owner has taken note of an ended attempt; the worker forgets it. */
+    z.object({ event: z.literal("attempt-acknowledged"), ...common, ...attempt }),
     z.object({
         event: z.literal("request-started"),
         ...common,
@@ -82,6 +84,8 @@
         requestId: z.string(),
         reason: z.string(),
     }),
+    /** The stand-in's own process stood still; what reached it meanwhile is dated too late. */
+    z.object({ event: z.literal("stalled"), ...common, milliseconds: z.number() }),
     z.object({ event: z.literal("connection-refused"), ...common, open: z.int() }),
 ]);
 export type WorkerRecord = z.infer<typeof WorkerRecord>;
--- a/stand-ins/worker/server.ts
+++ b/stand-ins/worker/server.ts
@@ -115,6 +115,7 @@
         attempts,
         interference,
         faults,
+        ignore: behaviour.ignore,
         record,
         onLatency: reports.addLatency,
         onGateway: (socket, gateway) => connections.set(socket, gateway),
--- a/stand-ins/worker/serving.ts
+++ b/stand-ins/worker/serving.ts
@@ -14,7 +14,7 @@
 import type { Attempts, RunningAttempt } from "./attempts.js";
 import type { Interference } from "./interference.js";
 import type { Recorder, WorkerRecord } from "./record.js";
-import type { WorkerFaults } from "./settings.js";
+import type { Negligence, WorkerFaults } from "./settings.js";
 
 /** Options of the serving side. */
 export interface ServingOptions {
@@ -24,6 +24,7 @@
     readonly attempts: Attempts;
     readonly interference: Interference;
     readonly faults: WorkerFaults;
+    readonly ignore: readonly Negligence[];
     readonly record: Recorder;
     /** Called with each processed request's latency. */
     onLatency(attempt: RunningAttempt, milliseconds: number): void;
@@ -43,6 +44,8 @@
 
 const REFUSED_STATUS = 503;
 const DEADLINE_STATUS = 504;
+/** Share of answers that a dishonest worker turns into refusals. */
+const DISHONEST_SHARE = 0.1;
 const NO_DEADLINE = Number.MAX_SAFE_INTEGER;
 
 /** Creates the handler of a worker's serving port. */
@@ -112,6 +115,10 @@
     const outcome = wasActive ? drawOutcome(needed > allowed, run) : "lost";
     recordEnd(outcome, now, run);
     run.attempts.advance(now);
+    if (run.ignore.includes("refusals") && outcome === "dropped") {
+        refuse(response, facts, "attempt", run);
+        return;
+    }
     await answer(response, body, outcome, run);
 }
 
@@ -124,7 +131,7 @@
     return own + faults.slowMilliseconds;
 }
 
-function drawOutcome(isLate: boolean, { faults, random }: Run): Outcome {
+function drawOutcome(isLate: boolean, { faults, ignore, random }: Run): Outcome {
     if (faults.silent) {
         return "silent";
     }
@@ -134,7 +141,7 @@
     let drawn = random();
     for (
         const [outcome, share] of [
-            ["dropped", faults.dropAnswers],
+            ["dropped", ignore.includes("refusals") ? DISHONEST_SHARE : faults.dropAnswers],
             ["truncated", faults.truncateAnswers],
             ["crossed", faults.crossAnswers],
         ] as const
@@ -183,7 +190,7 @@
     response.writeHead(200, {
         "content-type": "application/json",
         "content-length": Buffer.byteLength(text),
-        [headers.requestId]: requestId,
+        ...(run.ignore.includes("request-ids") ? {} : { [headers.requestId]: requestId }),
     });
     if (outcome !== "truncated") {
         response.end(text);
--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -29,6 +29,10 @@
 });
 export type PairEffect = z.infer<typeof PairEffect>;
 
+/** What a worker can be made not to keep to, to show that checkers notice. */
+export const Negligence = z.enum(["leases", "stops", "checkpoints", "request-ids", "refusals"]);
+export type Negligence = z.infer<typeof Negligence>;
+
 /** Behaviour that all workers of a process share. */
 export const WorkerBehaviour = z.strictObject({
     seed: z.int().default(1),
@@ -40,6 +44,7 @@
     /** Idle connections of callers are closed after this. */
     idleMilliseconds: z.int().min(1).default(10_000),
     profiles: z.record(Name, RuleProfile).default({}),
+    ignore: z.array(Negligence).default([]),
     effects: z.array(PairEffect).default([]),
     /** Pairs without an entry in `effects` get one from the seed, between 0 and this. */
     unlistedEffectAtMost: z.number().min(0).default(0),
