--- a/bench/experiments/capacity.ts
+++ b/bench/experiments/capacity.ts
@@ -44,6 +44,7 @@
         await writeFile(PAGE_FILE, writePage(series, `npm run bench -- capacity --seed ${context.seed} --write`));
         context.progress(`wrote ${PAGE_FILE} and ${POINTS_FILE}`);
     }
+    plotSeries(series, context);
     const largest = series.workers.at(-1);
     const startsPerWorker = (largest?.startsPerSecond ?? 0) / (largest?.size.workers ?? 1);
     return [
@@ -63,6 +64,28 @@
     ];
 }
 
+function plotSeries({ workers }: Series, context: ExperimentContext): void {
+    const toPoints = (read: (point: Point) => number) =>
+        workers.map(point => ({ x: point.size.workers, y: Number(read(point).toFixed(4)) }));
+    context.plot?.({
+        name: "store",
+        title: "Calls to the store by size of the fleet",
+        xLabel: "workers",
+        yLabel: "calls a second",
+        series: [
+            { name: "writes", points: toPoints(point => point.store.writes) },
+            { name: "reads", points: toPoints(point => point.store.reads) },
+        ],
+    });
+    context.plot?.({
+        name: "scheduler",
+        title: "Processor time of the scheduler by size of the fleet",
+        xLabel: "workers",
+        yLabel: "share of a core",
+        series: [{ name: "scheduler", points: toPoints(point => point.scheduler.processorShare) }],
+    });
+}
+
 async function measureSeries(context: ExperimentContext): Promise<Series> {
     const seconds = Number(context.values["seconds"]);
     const size = (change: Partial<Size>): Size => ({
--- a/bench/experiments/faults.ts
+++ b/bench/experiments/faults.ts
@@ -12,6 +12,7 @@
 import { createOperators } from "../support/faults/operators.js";
 import { planFaults } from "../support/faults/plan.js";
 import type { PlannedFault } from "../support/faults/plan.js";
+import { plotLatency, plotOutcomes } from "../support/faults/plots.js";
 import { lastingBatch, services } from "../support/faults/rules.js";
 import { runTraffic } from "../support/faults/traffic.js";
 import { readWithout } from "../support/faults/without.js";
@@ -114,6 +115,8 @@
         exclusiveServices: [services.exclusive],
         endedAt: world.clock(),
     };
+    context.plot?.(plotOutcomes(evidence.calls));
+    context.plot?.(plotLatency(evidence.calls));
     if (typeof context.values["evidence"] === "string") {
         await writeFile(context.values["evidence"], JSON.stringify(evidence));
     }
--- a/bench/experiments/soak.ts
+++ b/bench/experiments/soak.ts
@@ -12,6 +12,7 @@
 import { runTraffic } from "../support/faults/traffic.js";
 import { startWorld, waitUntil } from "../support/faults/world.js";
 import type { World } from "../support/faults/world.js";
+import type { PlotSeries } from "../support/report/plot.js";
 
 const DEFAULT_SECONDS = "600";
 const DEFAULT_INSTANCES = "9";
@@ -23,6 +24,7 @@
 /** Growth from the second third of the run to the last that still counts as flat. */
 const MOST_GROWTH_SHARE = 0.05;
 const LEAST_ANSWERED_SHARE = 0.999;
+const PLOTTED_DAEMONS = 6;
 const BYTES_PER_MEGABYTE = 1_048_576;
 
 export const experiment: Experiment = {
@@ -83,6 +85,13 @@
         exclusiveServices: [services.exclusive],
         endedAt: world.clock(),
     });
+    context.plot?.({
+        name: "memory",
+        title: "Resident memory of each daemon",
+        xLabel: "seconds",
+        yLabel: "MB",
+        series: plotMemory(samples),
+    });
     return [
         ...verdicts.map(({ promise, violations }) => checkAtMost(promise, violations.length, "violations", 0)),
         checkAtLeast("answered", result.outcomes.answered / result.sent, "share", LEAST_ANSWERED_SHARE),
@@ -112,6 +121,14 @@
     }
 }
 
+/** The first instance's daemons stand for the others, which the checks look at all. */
+function plotMemory(samples: Samples): PlotSeries[] {
+    return [...samples].slice(0, PLOTTED_DAEMONS).map(([name, values]) => ({
+        name,
+        points: values.map((y, index) => ({ x: index * SAMPLE_EVERY_MILLISECONDS / 1_000, y })),
+    }));
+}
+
 function judgeMemory(samples: Samples): Check[] {
     const schedulers = [...samples].filter(([name]) => name.endsWith("scheduler"));
     const gateways = [...samples].filter(([name]) => name.endsWith("gateway"));
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,15 +1,19 @@
 /**
  * `npm run bench`: lists experiments, runs one by name, or compares two result files.
  *
+ * `--seed N` fixes the run, `--json FILE` keeps the result, `--report FOLDER` writes a Markdown page with SVG plots.
  * The last line of a run is its result as JSON. Exit codes: 0 all checks hold, 1 one does not, 2 bad command line.
  */
 import { existsSync } from "node:fs";
 import { readdir, readFile, writeFile } from "node:fs/promises";
 import { basename } from "node:path";
 import { parseArgs } from "node:util";
+import { quote } from "shell-quote";
 import { describeThrown } from "../src/core/errors.js";
 import { compareResults } from "./support/compare.js";
 import type { BenchResult, Check, Experiment } from "./support/experiment.js";
+import type { Plot } from "./support/report/plot.js";
+import { writeReport } from "./support/report/report.js";
 
 const EXPERIMENTS_FOLDER = new URL("experiments/", import.meta.url);
 const DEFAULT_SEED = "1";
@@ -63,13 +67,24 @@
             ...experiment.options,
             seed: { type: "string", default: DEFAULT_SEED },
             json: { type: "string" },
+            report: { type: "string" },
         },
     }) as { values: Record<string, string | boolean | undefined>; };
     const seed = Number(values["seed"]);
     if (!Number.isSafeInteger(seed)) {
         throw new Error(`--seed takes a whole number, not ${String(values["seed"])}`);
     }
-    const checks = await experiment.run({ seed, values, progress: line => console.log(line) });
+    const plots: Plot[] = [];
+    const lines: string[] = [];
+    const checks = await experiment.run({
+        seed,
+        values,
+        progress(line) {
+            console.log(line);
+            lines.push(line);
+        },
+        plot: plot => plots.push(plot),
+    });
     const result: BenchResult = {
         bench: experiment.name,
         seed,
@@ -80,6 +95,12 @@
     if (typeof values["json"] === "string") {
         await writeFile(values["json"], `${JSON.stringify(result, undefined, 4)}\n`);
     }
+    if (typeof values["report"] === "string") {
+        const command = quote(["npm", "run", "bench", "--", experiment.name, ...commandLine]);
+        const { summary } = experiment;
+        const content = { result, summary, command, plots, lines, takenAt: new Date() };
+        console.log(`wrote ${await writeReport(values["report"], content)}`);
+    }
     console.log(JSON.stringify(result));
     return result.holds ? 0 : 1;
 }
--- a/bench/support/experiment.ts
+++ b/bench/support/experiment.ts
@@ -2,6 +2,7 @@
  * Experiments: what `npm run bench -- NAME` runs, and what they give back.
  */
 import type { ParseArgsConfig } from "node:util";
+import type { Plot } from "./report/plot.js";
 
 /** What an experiment is run with. */
 export interface ExperimentContext {
@@ -10,6 +11,8 @@
     readonly values: Readonly<Record<string, string | boolean | (string | boolean)[] | undefined>>;
     /** Prints a line on how far a long run has come. */
     progress(line: string): void;
+    /** Adds a plot to the report; it is drawn where the run is given `--report`. */
+    plot?(plot: Plot): void;
 }
 
 /** One figure with the bound that it is held to. */
