Workers: run times spread by task; negligence crosses answers

Change: workSpread spreads real work by task; a worker without request ids crosses a tenth of its answers; capacity points use both and a small young generation.

--- a/bench/support/capacity/measure.ts
+++ b/bench/support/capacity/measure.ts
@@ -17,6 +17,11 @@
 const DAYS_IN_FORCE = 90;
 const TEAM = "capacity";
 const SERVICE = "counter";
+const BATCH = "intake";
+/** Ends spread over time, as work of many teams does. */
+const BATCH_SPREAD = 0.8;
+/** A small young generation keeps resident memory near what is live. */
+const NODE_FLAGS = ["--max-semi-space-size=2"];
 const RULE_DEADLINE = "3s";
 const RPC_TIMEOUT_MILLISECONDS = 20_000;
 const BATCH_TASKS_PER_WORKER = 14;
@@ -95,6 +100,8 @@
     const deployment = await startDeployment({
         dataCentres: [{ name: "rovaniemi", workers: size.workers }],
         instances: size.instances,
+        platform: { workers: { profiles: { [BATCH]: { workSpread: BATCH_SPREAD } } } },
+        nodeFlags: NODE_FLAGS,
         scheduler: { cells: { racksPerCell: size.racksPerCell } },
     });
     try {
@@ -118,7 +125,7 @@
         } --cores 1 --memory 2GiB --deadline ${RULE_DEADLINE} --until ${until} # Aino`,
         ...size.batch
             ? [
-                `batch intake --tasks ${
+                `batch ${BATCH} --tasks ${
                     size.workers * BATCH_TASKS_PER_WORKER
                 } --cores 9 --memory 4GiB --seconds 12 --until ${until} # Budi`,
             ]
--- a/stand-ins/worker/attempts.ts
+++ b/stand-ins/worker/attempts.ts
@@ -102,7 +102,7 @@
         if (attempt.order.kind === "service" || attempt.state !== "running") {
             return;
         }
-        const work = attempt.order.workSeconds * interference.profile(attempt.rule).workFactor;
+        const work = attempt.order.workSeconds * interference.workFactor(attempt.rule, attempt.order.taskId);
         const done = elapsedSeconds * behaviour.speed * attempt.throttleShare / attempt.slowdown;
         attempt.progress = work === 0 ? 1 : Math.min(1, attempt.progress + done / work);
     }
--- a/stand-ins/worker/interference.ts
+++ b/stand-ins/worker/interference.ts
@@ -16,6 +16,8 @@
 /** The hidden truth about rules and pairs. */
 export interface Interference {
     profile(rule: string): RuleProfile;
+    /** Real work of a task as a multiple of its declared work; the same for all its attempts. */
+    workFactor(rule: string, taskId: string): number;
     /** Time of a task beside its neighbours, as a multiple of its time alone; at least 1. */
     slowdown(task: Neighbour, all: readonly Neighbour[], cores: number): number;
 }
@@ -40,6 +42,10 @@
     const profile = (rule: string) => behaviour.profiles[rule] ?? DEFAULT_PROFILE;
     return {
         profile,
+        workFactor(rule, taskId) {
+            const { workFactor, workSpread } = profile(rule);
+            return workFactor * (1 + workSpread * (2 * createRandom(hashText(taskId))() - 1));
+        },
         slowdown(task, all, cores) {
             let factor = 1;
             let used = 0;
--- a/stand-ins/worker/serving.ts
+++ b/stand-ins/worker/serving.ts
@@ -44,7 +44,7 @@
 
 const REFUSED_STATUS = 503;
 const DEADLINE_STATUS = 504;
-/** Share of answers that a dishonest worker turns into refusals. */
+/** Share of answers that a negligent worker turns into refusals, or crosses. */
 const DISHONEST_SHARE = 0.1;
 const NO_DEADLINE = Number.MAX_SAFE_INTEGER;
 
@@ -143,7 +143,7 @@
         const [outcome, share] of [
             ["dropped", ignore.includes("refusals") ? DISHONEST_SHARE : faults.dropAnswers],
             ["truncated", faults.truncateAnswers],
-            ["crossed", faults.crossAnswers],
+            ["crossed", ignore.includes("request-ids") ? DISHONEST_SHARE : faults.crossAnswers],
         ] as const
     ) {
         if (drawn < share) {
--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -8,6 +8,8 @@
 export const RuleProfile = z.strictObject({
     /** Real work as a multiple of the declared work. */
     workFactor: z.number().positive().default(1),
+    /** Real work of each task is spread by this share to both sides. */
+    workSpread: z.number().min(0).max(1).default(0),
     /** Real processor use as a multiple of the declared cores. */
     coresFactor: z.number().positive().default(1),
     /** Real memory use as a multiple of the declared memory. */
