Fault runs: workers out of reach for longer than their leases

Cause: without worker leases the checker found nothing, because no worker was silent for as long as a lease.

--- a/bench/support/faults/inject.ts
+++ b/bench/support/faults/inject.ts
@@ -163,14 +163,13 @@
     if (fault.kind.startsWith("answers-")) {
         return createAnswersAction(world, fault);
     }
-    const worker = choose(world.workers, fault.choice);
-    if (fault.kind !== "worker-leaving" && fault.kind !== "worker-refuses-and-leaves") {
-        return switchFaults(world, fault, worker.name, worker.controlOrigin, workerFaults[fault.kind]);
-    }
-    return createLeaveAction(world, fault, await chooseBusyWorker(world, fault));
+    const worker = await chooseBusyWorker(world, fault);
+    return fault.kind === "worker-leaving" || fault.kind === "worker-refuses-and-leaves"
+        ? createLeaveAction(world, fault, worker)
+        : switchFaults(world, fault, worker.name, worker.controlOrigin, workerFaults[fault.kind]);
 }
 
-/** A worker that runs batch work, so that its leave evicts something; any worker where none does. */
+/** A worker that runs batch work, so that its trouble matters; any worker where none does. */
 async function chooseBusyWorker(world: World, fault: PlannedFault): Promise<WorkerInstance> {
     const active = new Map<string, string>();
     for (const record of await world.readWorkerRecords()) {
--- a/bench/support/faults/plan.ts
+++ b/bench/support/faults/plan.ts
@@ -49,6 +49,8 @@
 
 const SHORTEST_MILLISECONDS = 1_000;
 const LONGEST_MILLISECONDS = 7_000;
+/** Workers are out of reach for longer than the leases of what they run. */
+const LEASE_MILLISECONDS = 8_000;
 /** A leave is long enough to be judged. */
 const LEAVE_MILLISECONDS = 9_000;
 /** The list is never away for so long that nobody could know of a leaving worker in time. */
@@ -65,6 +67,7 @@
     "store-down",
     "answers-truncated",
     "links-silent",
+    "worker-silent",
 ];
 
 /** Draws the faults; several may be in force at once, also twice of a kind. */
@@ -92,6 +95,9 @@
         case "worker-leaving":
         case "worker-refuses-and-leaves":
             return LEAVE_MILLISECONDS;
+        case "worker-silent":
+        case "worker-orders-cut":
+            return drawn + LEASE_MILLISECONDS;
         case "list-down":
         case "list-lags":
             return Math.min(drawn, LONGEST_LIST_OUTAGE_MILLISECONDS);
