--- a/features/scheduler/cells.steps.ts
+++ b/features/scheduler/cells.steps.ts
@@ -3,6 +3,8 @@
  */
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { readRoutes } from "../../src/core/messages/routes.js";
+import type { Route } from "../../src/core/messages/routes.js";
 import type { WorkerBehaviour } from "../../stand-ins/worker/index.js";
 import { findOverlaps, listRunning } from "./support/check.js";
 import { createFleet, waitUntil } from "./support/fleet.js";
@@ -10,11 +12,14 @@
 import { createBatch, createService } from "./support/rules.js";
 
 const FAST_WORK_SPEED = 600;
+/** Steps wait for conditions; the limit only ends a step that waits in vain. */
+const LIMIT = { timeout: 60_000 };
 
 interface CellsWorld {
     dataCentres: Record<string, number>;
     behaviour: Partial<WorkerBehaviour>;
     fleet?: Fleet;
+    startsBefore?: number;
 }
 
 Given(
@@ -29,10 +34,14 @@
     this.behaviour = { speed: FAST_WORK_SPEED };
 });
 
-Given("a scheduler {string} in {string}", async function(this: CellsWorld, instance: string, dataCentre: string) {
-    this.fleet ??= await createFleet(this.dataCentres, this.behaviour);
-    this.fleet.startScheduler(instance, dataCentre);
-});
+Given(
+    "a scheduler {string} in {string}",
+    LIMIT,
+    async function(this: CellsWorld, instance: string, dataCentre: string) {
+        this.fleet ??= await createFleet(this.dataCentres, this.behaviour);
+        this.fleet.startScheduler(instance, dataCentre);
+    },
+);
 
 When(
     "the rules are {string} with {int} replicas and {string} with {int} tasks",
@@ -47,6 +56,7 @@
 
 When(
     "the scheduler {string} ends without a word and {string} in {string} starts",
+    LIMIT,
     async function(this: CellsWorld, ending: string, starting: string, dataCentre: string) {
         const fleet = fleetOf(this);
         const scheduler = fleet.schedulers.find(candidate => candidate.instance === ending);
@@ -58,6 +68,7 @@
 
 Then(
     "{int} replicas of {string} and {int} tasks of {string} run",
+    LIMIT,
     async function(this: CellsWorld, replicas: number, service: string, tasks: number, batch: string) {
         const { records } = fleetOf(this);
         await waitUntil("replicas and tasks run", () => {
@@ -78,7 +89,7 @@
     assert.equal(places.size, Object.keys(this.dataCentres).length);
 });
 
-Then("nothing runs", async function(this: CellsWorld) {
+Then("nothing runs", LIMIT, async function(this: CellsWorld) {
     await waitUntil("nothing runs", () => listRunning(fleetOf(this).records).length === 0);
 });
 
@@ -88,7 +99,7 @@
     assert.deepEqual(findOverlaps(records), []);
 });
 
-Then("{int} tasks of {string} have finished", async function(this: CellsWorld, tasks: number, rule: string) {
+Then("{int} tasks of {string} have finished", LIMIT, async function(this: CellsWorld, tasks: number, rule: string) {
     const { records } = fleetOf(this);
     await waitUntil(
         "tasks have finished",
@@ -104,31 +115,81 @@
     );
 });
 
-Then("{string} owns all cells", async function(this: CellsWorld, instance: string) {
+When("the store hangs and the worker {string} is leaving", LIMIT, async function(this: CellsWorld, name: string) {
     const fleet = fleetOf(this);
-    const scheduler = fleet.schedulers.find(candidate => candidate.instance === instance);
+    // Once the routes have it, the ledger has it as running.
     await waitUntil(
-        "all cells are owned",
-        () => scheduler?.scheduler.ownedCells().length === Object.keys(this.dataCentres).length,
+        "replicas are in the routes",
+        async () => (await listRoutes(fleet)).some(({ worker, state }) => worker === name && state === "serving"),
     );
+    const worker = fleet.workers.find(({ instance }) => instance.name === name);
+    assert.ok(worker !== undefined, `no worker ${name}`);
+    fleet.store.setFaults({ down: "hang" });
+    fleet.instances.put({ ...worker.instance, state: "leaving" });
+    this.startsBefore = countStarts(fleet, name);
+});
+
+Then("no route leads to {string} but as leaving", LIMIT, async function(this: CellsWorld, name: string) {
+    await waitUntil("routes say that the worker leaves", async () => {
+        const routes = await listRoutes(fleetOf(this));
+        const there = routes.filter(({ worker }) => worker === name);
+        return there.length > 0 && there.every(({ state }) => state === "leaving");
+    });
 });
 
-Then("{int} attempts of {string} were started in all", async function(this: CellsWorld, count: number, rule: string) {
+When(
+    "the store is back with {int} replicas of {string} asked for meanwhile",
+    function(this: CellsWorld, replicas: number, service: string) {
+        const fleet = fleetOf(this);
+        fleet.configuration.apply([createService(service, { replicas })]);
+        fleet.store.setFaults({ down: "no" });
+    },
+);
+
+Then(
+    "{int} replicas of {string} run, none of them on {string}",
+    LIMIT,
+    async function(this: CellsWorld, replicas: number, service: string, name: string) {
+        await waitUntil("replicas run elsewhere", () => {
+            const running = listRunning(fleetOf(this).records).filter(({ rule }) => rule === service);
+            return running.length === replicas && running.every(({ worker }) => worker !== name);
+        });
+    },
+);
+
+Then("nothing was started on {string} after it began to leave", function(this: CellsWorld, name: string) {
+    assert.equal(countStarts(fleetOf(this), name), this.startsBefore);
+});
+
+Then("{string} owns all cells", LIMIT, async function(this: CellsWorld, instance: string) {
     const fleet = fleetOf(this);
-    // The successor has planned all rules once it has committed replicas of a service that was not there before.
-    fleet.configuration.apply([
-        ...fleet.configuration.current()?.documents.flatMap(({ rules }) => rules) ?? [],
-        createService("proof-of-plan", { replicas: 2, line: 3 }),
-    ]);
+    const scheduler = fleet.schedulers.find(candidate => candidate.instance === instance);
     await waitUntil(
-        "the successor has planned",
-        () => listRunning(fleet.records).filter(running => running.rule === "proof-of-plan").length === 2,
+        "all cells are owned",
+        () => scheduler?.scheduler.ownedCells().length === Object.keys(this.dataCentres).length,
     );
-    const started = fleet.records.filter(record => record.event === "attempt-started" && record.rule === rule);
-    assert.equal(started.length, count);
 });
 
-After(async function(this: CellsWorld) {
+Then(
+    "{int} attempts of {string} were started in all",
+    LIMIT,
+    async function(this: CellsWorld, count: number, rule: string) {
+        const fleet = fleetOf(this);
+        // The successor has planned all rules once it has committed replicas of a service that was not there before.
+        fleet.configuration.apply([
+            ...fleet.configuration.current()?.documents.flatMap(({ rules }) => rules) ?? [],
+            createService("proof-of-plan", { replicas: 2, line: 3 }),
+        ]);
+        await waitUntil(
+            "the successor has planned",
+            () => listRunning(fleet.records).filter(running => running.rule === "proof-of-plan").length === 2,
+        );
+        const started = fleet.records.filter(record => record.event === "attempt-started" && record.rule === rule);
+        assert.equal(started.length, count);
+    },
+);
+
+After(LIMIT, async function(this: CellsWorld) {
     await this.fleet?.close();
 });
 
@@ -138,3 +199,13 @@
     }
     return world.fleet;
 }
+
+function countStarts(fleet: Fleet, worker: string): number {
+    return fleet.records.filter(record => record.event === "attempt-started" && record.worker === worker).length;
+}
+
+async function listRoutes(fleet: Fleet): Promise<Route[]> {
+    const handler = fleet.schedulers[0]?.scheduler.handlers.find(({ name }) => name === readRoutes.name);
+    const answer = readRoutes.answer.parse(await handler?.handle({ known: [], waitMilliseconds: 0 }));
+    return answer.cells.flatMap(({ routes }) => routes);
+}
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -1,7 +1,6 @@
 /**
  * One task per worker: carries out what has been committed, renews leases in one batch, and reads usage reports.
  */
-import type { Failure } from "../../core/errors.js";
 import type { Clock } from "../../core/time.js";
 import type { AttemptStatus, OrderHeader, StartOrder, WorkerControl, WorkerReport } from "../../platform/worker.js";
 import type { Ledger } from "../ledger/ledger.js";
@@ -14,6 +13,9 @@
 // Renewals that are sent to a silent worker for longer than this share of a lease could prolong a lease by more than one.
 const RENEWABLE_SHARE_OF_LEASE = 0.5;
 
+/** Orders that have not been carried out are repeated after this time. */
+const ORDER_RETRY_MILLISECONDS = 400;
+
 const ENDED_STATES: ReadonlySet<AttemptStatus["state"]> = new Set(["finished", "failed", "stopped", "lapsed"]);
 
 /** What the task of one worker needs. */
@@ -57,13 +59,20 @@
             const report = await options.workers.report(link.instance.controlOrigin);
             report.map(measured => options.onReport(measured, clock()));
         }
-        await wake.wait(Math.min(renewAt, reportAt) - clock(), signal);
+        const orderAt = hasOpenOrders(options) ? clock() + ORDER_RETRY_MILLISECONDS : Infinity;
+        await wake.wait(Math.min(renewAt, reportAt, orderAt) - clock(), signal);
     }
 }
 
+function hasOpenOrders({ link, ledger }: WorkerTaskOptions): boolean {
+    return link.incarnation !== undefined
+        && ledger.committedOn(link.instance.name).some(({ state }) => state !== "running");
+}
+
 async function renewLeases(options: WorkerTaskOptions, signal: AbortSignal): Promise<void> {
     const { link, ledger, settings, clock } = options;
     const tasks = ledger.committedOn(link.instance.name);
+    const sentAt = clock();
     const answer = await options.workers.renew(link.instance.controlOrigin, {
         ...options.header,
         leaseMilliseconds: settings.workerLeaseMilliseconds,
@@ -73,21 +82,28 @@
         ),
     });
     if (answer.isErr) {
-        noteFailure(options, answer.error);
+        link.failedAtMilliseconds = sentAt;
+        if (answer.error.code === "fenced") {
+            options.onFenced();
+        }
         return;
     }
     if (signal.aborted) {
         return;
     }
-    const first = link.incarnation === undefined;
+    // What was to be started on an earlier incarnation never is: a successor may have given those tasks to others.
+    const isNew = link.incarnation !== answer.value.incarnation;
     link.incarnation = answer.value.incarnation;
     link.answeredAtMilliseconds = clock();
     link.attempts = answer.value.attempts;
     for (const status of answer.value.attempts) {
         link.progress.set(status.taskId, status.progress);
     }
-    const expected = tasks.filter(task => first || link.started.has(nameAttempt(task))).map(toAttempt);
-    // What the worker does not know after its first answer was never started, and this attempt never will be.
+    const known = isNew ? [...tasks, ...listDrafted(options)] : tasks;
+    const expected = known.filter(task => isNew || link.started.has(nameAttempt(task))).map(toAttempt);
+    if (isNew) {
+        link.open.clear();
+    }
     link.started = new Set([...expected, ...answer.value.attempts].map(nameAttempt));
     options.emit({
         kind: "answer",
@@ -96,6 +112,11 @@
     });
 }
 
+/** Starts that are being committed; whoever noticed a new incarnation before they were leaves them to a later attempt. */
+function listDrafted({ link, ledger }: WorkerTaskOptions): Task[] {
+    return [...ledger.draft.values()].filter(task => task.worker === link.instance.name && task.state === "starting");
+}
+
 function isRenewable(options: WorkerTaskOptions, task: Task): boolean {
     const { link, ledger, settings, clock } = options;
     const now = clock();
@@ -113,20 +134,27 @@
     const { link, ledger } = options;
     const tasks = ledger.committedOn(link.instance.name)
         .filter(task => task.state === "starting" && !link.started.has(nameAttempt(task)));
-    if (tasks.length === 0) {
+    const isTaking = link.listed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
+    // The commit may have taken long; a worker that leaves by now gets nothing new, but what was sent is settled.
+    const sendable = tasks.filter(task => isTaking || link.open.has(nameAttempt(task)));
+    tasks.filter(task => !sendable.includes(task)).forEach(task => giveBack(options, task));
+    if (sendable.length === 0) {
         return;
     }
+    sendable.forEach(task => link.open.add(nameAttempt(task)));
     const answer = await options.workers.start(link.instance.controlOrigin, {
-        ...options.header,
-        starts: tasks.map(task => toStart(options, task)),
+        ...headerFor(options),
+        starts: sendable.map(task => toStart(options, task)),
     });
     if (answer.isErr) {
         // The next round repeats the order; the worker answers a repeated one as before.
-        noteFailure(options, answer.error);
         return;
     }
+    // The leases of what has just started begin here.
+    link.answeredAtMilliseconds = options.clock();
     for (const { taskId, attempt, outcome, reason } of answer.value) {
         link.started.add(nameAttempt({ taskId, attempt }));
+        link.open.delete(nameAttempt({ taskId, attempt }));
         options.emit(
             outcome === "started"
                 ? { kind: "started", worker: link.instance.name, taskId, attempt }
@@ -135,6 +163,13 @@
     }
 }
 
+/** Gives a place back that has not been used: its start has not been sent, and never is. */
+function giveBack(options: WorkerTaskOptions, { taskId, attempt }: Task): void {
+    const { link } = options;
+    link.started.add(nameAttempt({ taskId, attempt }));
+    options.emit({ kind: "refused", worker: link.instance.name, taskId, attempt, reason: "it takes no new work" });
+}
+
 async function sendStops(options: WorkerTaskOptions): Promise<void> {
     const { link, ledger, settings, clock } = options;
     const now = clock();
@@ -144,7 +179,7 @@
         return;
     }
     const answer = await options.workers.stop(link.instance.controlOrigin, {
-        ...options.header,
+        ...headerFor(options),
         stops: [
             ...ending.map(task => ({
                 ...toAttempt(task),
@@ -155,7 +190,6 @@
         ],
     });
     if (answer.isErr) {
-        noteFailure(options, answer.error);
         return;
     }
     const orphaned = new Set(orphans.map(nameAttempt));
@@ -176,11 +210,10 @@
         return;
     }
     const answer = await options.workers.throttle(link.instance.controlOrigin, {
-        ...options.header,
+        ...headerFor(options),
         throttles: tasks.map(task => ({ ...toAttempt(task), share: task.throttleShare })),
     });
     if (answer.isErr) {
-        noteFailure(options, answer.error);
         return;
     }
     tasks.forEach(task => link.throttled.set(nameAttempt(task), task.throttleShare));
@@ -218,8 +251,6 @@
     };
 }
 
-function noteFailure(options: WorkerTaskOptions, failure: Failure): void {
-    if (failure.code === "fenced") {
-        options.onFenced();
-    }
+function headerFor({ header, link }: WorkerTaskOptions): OrderHeader {
+    return { ...header, ...(link.incarnation === undefined ? {} : { workerIncarnation: link.incarnation }) };
 }
