--- /dev/null
+++ b/features/client/client.feature
@@ -0,0 +1,96 @@
+Feature: Operators drive the system through the client
+
+    Scenario: A day of an operator
+        Given a deployment of 2 entry instances and 3 workers
+        And the rules file "rental-desk.rules":
+            """
+            service beacon-check --replicas 2 --cores 2 --memory 4GiB --until 2031-05-31 # Aino, rental desk
+            batch season-prep --cores 2 --memory 4GiB --seconds 3600 --feature guide-bookings # Eero, bookings
+            batch too-much --cores 32 --memory 4GiB --seconds 3600 --runs 1 # Eero, bookings
+            """
+        When the operator runs "rules plan rental-desk.rules"
+        Then the client exits with 0 and prints "+ service beacon-check"
+        When the operator runs "rules apply rental-desk.rules"
+        Then the client exits with 0 and prints "rental-desk: revision"
+        And the client notes "in force on 4 of 4"
+        When the operator runs "rules apply rental-desk.rules"
+        Then the client exits with 0 and prints "is in force already"
+        When the operator runs "jobs --rule beacon-check" until it prints "running"
+        Then the client exits with 0 and prints "Aino, rental desk"
+        When the operator runs "status" until it exits with 0
+        Then the client exits with 0 and prints "entry-2/scheduler"
+        When the operator runs "explain season-prep" until it prints "running"
+        Then the client exits with 0 and prints "asked for by Eero, bookings"
+        When the operator runs "explain" of the task of "too-much" until it prints "refused by"
+        Then the client exits with 0 and prints "workers"
+        When the operator runs "who guide-bookings"
+        Then the client exits with 0 and prints "Eero, bookings"
+        When the operator runs "rules ending --days 3000"
+        Then the client exits with 0 and prints "service beacon-check"
+        When the operator runs "workers"
+        Then the client exits with 0 and prints "levi-03"
+        When the operator runs "drain levi-03"
+        Then the client exits with 0 and prints "is being drained"
+        When the operator runs "workers" until it prints "draining"
+        Then the client exits with 0 and prints "draining"
+        When the operator runs "retire guide-bookings"
+        Then the client exits with 8 and notes "season-prep"
+        When the operator runs "retire guide-bookings --yes"
+        Then the client exits with 0 and prints "+ retire guide-bookings"
+        And the client notes "0 tasks left"
+        When the operator runs "cancel" of the task of "too-much"
+        Then the client exits with 0 and prints "is cancelled"
+        When the operator runs "rules history rental-desk"
+        Then the client exits with 0 and prints "version 2"
+        When the operator runs "rules revert-to rental-desk 1"
+        Then the client exits with 0 and prints "- retire guide-bookings"
+        When the operator runs "rules show rental-desk --json"
+        Then the client exits with 0 and prints JSON
+
+    Scenario: An apply from an old base is a conflict with the changes since
+        Given a fleet of 1 entry instances that know the rules
+        And the rules file "rental-desk.rules":
+            """
+            service beacon-check --replicas 2 --cores 2 --memory 4GiB --until 2031-05-31 # Aino, rental desk
+            """
+        When the operator runs "rules apply rental-desk.rules --by Aino"
+        Then the client exits with 0 and prints "accepted"
+        Given the rules file "rental-desk.rules":
+            """
+            service beacon-check --replicas 3 --cores 2 --memory 4GiB --until 2031-05-31 # Eero, bookings
+            """
+        When the operator runs "rules apply rental-desk.rules --base 0 --by Eero"
+        Then the client exits with 4 and prints "+ service beacon-check --replicas 2"
+        And the client notes "Aino changed the rules of rental-desk"
+
+    Scenario: An apply while the store is down says that nothing was changed
+        Given a fleet of 1 entry instances that know the rules
+        And the rules file "rental-desk.rules":
+            """
+            service beacon-check --replicas 2 --cores 2 --memory 4GiB --until 2031-05-31 # Aino, rental desk
+            """
+        And the store of the fleet is down
+        When the operator runs "rules apply rental-desk.rules"
+        Then the client exits with 1 and notes "unavailable"
+
+    Scenario Outline: Slips on the command line are named with what was meant
+        Given the rules file "rental-desk.rules":
+            """
+            servise beacon-check --cores 2 --memory 4GiB --until 2031-05-31 # Aino
+            """
+        When the operator runs "<command>"
+        Then the client exits with <code> and notes "<note>"
+
+        Examples:
+            | command                         | code | note                                          |
+            | rulse check rental-desk.rules   | 2    | did you mean rules check                      |
+            | jobs --jsn                      | 2    | did you mean --json                           |
+            | rules check                     | 2    | FILE is missing                               |
+            | rules check rental-desk.rules   | 3    | rental-desk.rules:1:1: unknown word "servise" |
+            | rules check nowhere.rules       | 2    | no such file                                  |
+            | jobs --state waiting            | 2    | use one of                                    |
+            | status --gateway http://[::1]:1 | 1    | ECONNREFUSED                                  |
+            | completion tcsh                 | 2    | use bash, zsh or fish                         |
+
+    Scenario: Every command explains itself
+        Then every command prints its usage and all of its options with --help
--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -165,7 +165,7 @@
     operatorsApplication.use(createRpcRouter({ handlers: surface.handlers, token: settings.token }));
     const operators = await listen(operatorsApplication, { host: "127.0.0.1", port: 0 });
     const stopped = new AbortController();
-    const work = Promise.all([membership.run(stopped.signal), feed.run(stopped.signal)]);
+    const work = Promise.all([membership.run(stopped.signal), feed.run(stopped.signal), surface.run(stopped.signal)]);
     process.once("SIGTERM", async () => {
         await membership.leave();
         stopped.abort();
--- a/features/rules/apply.feature
+++ b/features/rules/apply.feature
@@ -86,6 +86,26 @@
             """
         Then the apply is rejected with errors on lines 1, 2
 
+    Scenario: What ends soon is told by metric
+        When "Aino" applies to "rental-desk" at base 0 through instance 1 as "first":
+            """
+            service long --cores 2 --memory 4GiB --until 2999-05-31 # Aino
+            service past --cores 2 --memory 4GiB --until 2020-05-31 # Aino
+            batch retired --cores 2 --memory 4GiB --feature guide-bookings # Aino
+            retire guide-bookings # Aino
+            """
+        Then a process tells within its next look that 2 rules have ended
+
+    Scenario: History is kept for as long as the settings say
+        Given a surface of its own that keeps history for 10 days
+        When rules are applied on days 0, 4, 9, 13 and 30
+        Then after each apply the versions are of days:
+            | 0        |
+            | 0, 4     |
+            | 0, 4, 9  |
+            | 4, 9, 13 |
+            | 13, 30   |
+
     Scenario: Bodies that are not what a method takes are refused and crash nothing
         Then 300 arbitrary bodies to the operators' port and the peers' port of instance 1 are answered
         And instance 1 still knows the rules
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -8,6 +8,7 @@
 import { createRpcClient } from "../core/rpc.js";
 import type { RpcCallOptions } from "../core/rpc.js";
 import { loadSettings } from "../core/settings.js";
+import { pause } from "../core/time.js";
 import type { Clock } from "../core/time.js";
 import { suggestWord } from "../rules/suggest.js";
 import { commands } from "./catalog.js";
@@ -15,9 +16,11 @@
 import type { Command, CommandContext, OptionValues } from "./command.js";
 import { exitCodes } from "./exit.js";
 import type { ExitCode } from "./exit.js";
-import { formatCommandHelp, formatHelp, globalOptions } from "./help.js";
+import { formatCommandHelp, formatHelp, listOptions } from "./help.js";
 import { ClientSettings } from "./settings.js";
 
+const WATCH_INTERVAL_MILLISECONDS = 2_000;
+
 /** What the client gets from the process that it runs in. */
 export interface ClientOptions {
     readonly args: readonly string[];
@@ -42,7 +45,7 @@
     try {
         parsed = parseArgs({
             args: rest,
-            options: toParseOptions({ ...globalOptions, ...command.options }),
+            options: toParseOptions(listOptions(command)),
             allowPositionals: true,
         });
     }
@@ -64,7 +67,22 @@
         settings.error.forEach(failure => options.note(formatFailure(failure)));
         return exitCodes.usage;
     }
-    return command.run(createContext(options, settings.value, parsed));
+    const context = createContext(options, settings.value, parsed);
+    return parsed.values["watch"] === true ? watch(command, context) : command.run(context);
+}
+
+/** Runs a command again and again until it is interrupted; gives the last exit code. */
+async function watch(command: Command, context: CommandContext): Promise<ExitCode> {
+    for (;;) {
+        if (!context.json) {
+            context.print(`${new Date(context.clock()).toISOString()}  flamingowell ${command.name}`);
+        }
+        const code = await command.run(context);
+        await pause(WATCH_INTERVAL_MILLISECONDS, context.signal);
+        if (context.signal.aborted) {
+            return code;
+        }
+    }
 }
 
 function findCommand(args: readonly string[]): Command | undefined {
@@ -84,7 +102,7 @@
 }
 
 function describeOptionError(message: string, args: readonly string[], command: Command): string {
-    const known = Object.keys({ ...globalOptions, ...command.options }).map(name => `--${name}`);
+    const known = Object.keys(listOptions(command)).map(name => `--${name}`);
     const unknown = args.map(word => word.split("=")[0] ?? "")
         .find(word => word.startsWith("--") && !known.includes(word));
     const suggestion = unknown === undefined ? undefined : suggestWord(unknown, known);
--- a/src/client/command.ts
+++ b/src/client/command.ts
@@ -49,6 +49,8 @@
     readonly positionals: readonly string[];
     readonly options: Readonly<Record<string, CommandOption>>;
     readonly summary: string;
+    /** The command takes `--watch`: it runs again and again until it is interrupted. */
+    readonly watchable?: boolean;
     run(context: CommandContext): Promise<ExitCode>;
 }
 
--- a/src/client/help.ts
+++ b/src/client/help.ts
@@ -14,6 +14,17 @@
     help: { type: "boolean", help: "print this help" },
 };
 
+const watchOption: CommandOption = { type: "boolean", help: "run again every 2 s until interrupted" };
+
+/** All options that a command takes. */
+export function listOptions(command: Command): Readonly<Record<string, CommandOption>> {
+    return {
+        ...command.options,
+        ...command.watchable === true ? { watch: watchOption } : {},
+        ...globalOptions,
+    };
+}
+
 const exitCodeHelp: Record<keyof typeof exitCodes, string> = {
     done: "done",
     failed: "no answer, or an answer with a failure; nothing was changed",
@@ -46,7 +57,7 @@
 
 /** Explains one command. */
 export function formatCommandHelp(command: Command): string[] {
-    const own = formatOptions(command.options);
+    const own = formatOptions({ ...command.options, ...command.watchable === true ? { watch: watchOption } : {} });
     return [
         `flamingowell ${formatUsage(command)} [OPTIONS]`,
         command.summary,
--- a/src/client/queries/jobs.ts
+++ b/src/client/queries/jobs.ts
@@ -29,6 +29,7 @@
         team: { type: "string", help: "only tasks of this team" },
         state: { type: "string", help: `only tasks in this state: ${TaskState.options.join(", ")}` },
     },
+    watchable: true,
     summary: "list tasks: what runs or waits, where, and who asked",
     async run(context) {
         const rule = textOption(context, "rule");
--- a/src/client/queries/status.ts
+++ b/src/client/queries/status.ts
@@ -26,6 +26,7 @@
     name: "status",
     positionals: [],
     options: {},
+    watchable: true,
     summary: "list the system's processes: ready, revision in force, cells owned",
     async run(context) {
         const answer = await context.call(listStatus, {});
--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -103,7 +103,7 @@
         applyId: params.applyId,
     };
     const history = { writeId: params.applyId, body: record };
-    const expired = await findExpired(context, params.team, now);
+    const expired = await findExpired(context, params.team, record.sequence - 1, now);
     const committed = await commitRecord(context.store, {
         key: rulesKey(params.team),
         body: record,
--- a/src/operator/history.ts
+++ b/src/operator/history.ts
@@ -39,8 +39,16 @@
     }
 }
 
-/** Keys of versions that are older than the settings keep; the oldest few. */
-export async function findExpired(context: OperatorContext, team: string, now: number): Promise<string[]> {
+/**
+ * Keys of versions that are older than the settings keep; the oldest few. The version in force (`sequence`) stays, so
+ * that the next apply can be reverted, however old it is.
+ */
+export async function findExpired(
+    context: OperatorContext,
+    team: string,
+    sequence: number,
+    now: number,
+): Promise<string[]> {
     const limit = now - context.settings.historyDays * MILLISECONDS_PER_DAY;
     const oldest = await context.store.read({ key: historyPrefix(team), prefix: true, limit: EXPIRED_PER_APPLY });
     if (oldest.isErr) {
@@ -49,7 +57,9 @@
     return oldest.value.entries
         .filter(entry => {
             const decoded = decodeRulesEntry(entry);
-            return decoded.isOk && decoded.value.record.appliedAtMilliseconds < limit;
+            return decoded.isOk
+                && decoded.value.record.sequence < sequence
+                && decoded.value.record.appliedAtMilliseconds < limit;
         })
         .map(entry => entry.key);
 }
--- a/src/operator/operator.ts
+++ b/src/operator/operator.ts
@@ -20,6 +20,7 @@
 import { safeParseRules } from "../rules/parse.js";
 import { apply, readCurrent, readRules, toVersion } from "./apply.js";
 import { checkAgainstOthers } from "./check.js";
+import { runEndingReport } from "./ending.js";
 import { callMembers, createForwardHandlers, listProcesses } from "./forward.js";
 import { readHistory } from "./history.js";
 import { applyRules, listHistory, planRules, readSpread, revertRules, showRules } from "./messages.js";
@@ -50,7 +51,7 @@
     const context: OperatorContext = { ...options, applies };
     return {
         handlers: [...createRulesHandlers(context), ...createForwardHandlers(context)],
-        run: () => Promise.resolve(),
+        run: signal => runEndingReport(context, signal),
     };
 }
 
--- a/src/operator/settings.ts
+++ b/src/operator/settings.ts
@@ -10,6 +10,8 @@
     settleLimitMilliseconds: z.int().min(1).default(15_000),
     /** Earlier versions of a team's rules are kept for this long. */
     historyDays: z.int().min(1).default(400),
+    /** Rules that end within these days are reported by log and metric. */
+    endingDays: z.int().min(0).default(14),
     /** Most earlier versions that one answer lists. */
     historyEntries: z.int().min(1).default(100),
 });
