--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -122,7 +122,8 @@
     });
     feed.source.onChange(configuration => {
         for (const { team, revision } of configuration.documents) {
-            if (!traffic.revisions.some(seen => seen.team === team && seen.revision === revision)) {
+            // A fall back to a revision that was seen before has to show as well.
+            if (traffic.revisions.findLast(seen => seen.team === team)?.revision !== revision) {
                 traffic.revisions.push({ team, revision, at: systemClock() });
             }
         }
