--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -120,10 +120,12 @@
         feed,
         membership: membership.source,
     });
+    const lastSeen = new Map<string, number>();
     feed.source.onChange(configuration => {
         for (const { team, revision } of configuration.documents) {
             // A fall back to a revision that was seen before has to show as well.
-            if (traffic.revisions.findLast(seen => seen.team === team)?.revision !== revision) {
+            if (lastSeen.get(team) !== revision) {
+                lastSeen.set(team, revision);
                 traffic.revisions.push({ team, revision, at: systemClock() });
             }
         }
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -87,6 +87,13 @@
         if (replaces(news, entry.member)) {
             // A new process starts without rules.
             const restarted = news.incarnation > entry.member.incarnation;
+            const firstAnswer = entry.member.incarnation === 0 && news.state === entry.member.state
+                && news.origin === entry.member.origin;
+            if (firstAnswer) {
+                // The list has told everybody of the member; passing its first answer on would flood a new fleet.
+                entry.member = news;
+                return true;
+            }
             set(entry, restarted ? news : { ...news, configurationRevision }, now);
             return true;
         }
