--- a/features/gateway/support/world.ts
+++ b/features/gateway/support/world.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import { request } from "undici";
 import { headers } from "../../../src/platform/worker.js";
+import type { CreditBankOptions } from "../../../src/scheduler/credits/bank.js";
 import { startGateway, startScheduler } from "./gateway.js";
 import type { TestGateway, TestGatewayOptions, TestScheduler } from "./gateway.js";
 import { startUpstream } from "./upstream.js";
@@ -33,13 +34,14 @@
 /** A service that a scenario needs. */
 export interface ServiceOptions extends Omit<TestGatewayOptions, "schedulers"> {
     readonly replicas: number;
+    readonly bank?: Partial<CreditBankOptions>;
 }
 
 /** Starts upstreams, a scheduler and a gateway, and waits until the gateway reaches the upstreams. */
 export async function startService(world: RequestWorld, options: ServiceOptions): Promise<void> {
     world.answers = [];
     world.upstreams = await Promise.all(Array.from({ length: options.replicas }, startUpstream));
-    const scheduler = await startScheduler();
+    const scheduler = await startScheduler(options.bank);
     world.schedulers = [scheduler];
     scheduler.offer({}, world.upstreams.map(({ origin }) => ({ origin })));
     const gateway = await startGateway({ ...options, schedulers: [scheduler.origin] });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -208,9 +208,9 @@
             }
             stopFollowing();
             await reader;
+            await pool.close();
             await credits.giveBack();
             await forwarder.close();
-            await pool.close();
         },
         async drain(limitMilliseconds) {
             stopping = true;
--- a/src/gateway/upstream/connections.ts
+++ b/src/gateway/upstream/connections.ts
@@ -159,6 +159,7 @@
         async close() {
             const all = [...idle.splice(0), ...busy];
             busy.clear();
+            cooling = [];
             await Promise.all(all.map(connection => connection.client.destroy()));
         },
     };
