--- /dev/null
+++ b/features/gateway/limits.feature
@@ -0,0 +1,48 @@
+Feature: Limits on callers and on what services are given
+
+    Scenario Outline: A request with <what> is refused as not run
+        Given a service with tight limits
+        When a caller sends <what>
+        Then the raw answer has status <status>, outcome "not-run" and reason "<reason>"
+        And no request arrived
+
+        Examples:
+            | what                     | status | reason          |
+            | a body that is too large | 413    | body-too-large  |
+            | a long chunked body      | 413    | body-too-large  |
+            | a head that is too large | 431    | head-too-large  |
+            | a head that never ends   | 408    | head-timeout    |
+            | a body that never ends   | 408    | body-timeout    |
+            | something else than HTTP | 400    | invalid-request |
+            | a wrong priority         | 400    | invalid-request |
+
+    Scenario: Callers that never finish do not hold up others
+        Given a service with tight limits
+        When 200 callers send a head that never ends
+        Then another caller is answered meanwhile
+
+    Scenario: The most urgent of those who wait goes first
+        Given a service whose only replica takes one request at a time
+        When callers of priorities 9, 5, 0 and 9 wait behind a request
+        Then they are served in the order of priorities 0, 5, 9 and 9
+
+    Scenario: A request whose deadline passes in the queue is refused as not run
+        Given a service whose only replica takes one request at a time
+        When a caller waits at most 50 ms behind a request
+        Then the waiting caller gets status 503 with outcome "not-run" and reason "deadline-passed"
+        And only the first request arrived
+
+    Scenario: A request that would wait longer than its deadline is refused at once
+        Given a service whose only replica takes one request at a time and needs 50 ms for each
+        When 40 callers call at once and wait at most 500 ms
+        Then some of them are answered, and some are refused as "queue-full"
+        And nothing that was refused as not run had arrived
+
+    Scenario: A certificate is read again when it changes
+        Given a gateway that speaks TLS with the "first" certificate
+        Then callers see the "first" certificate
+        When the files are replaced by the "second" certificate
+        Then callers see the "second" certificate
+        When only the key is replaced by the "first" one
+        And the gateway has looked at it
+        Then callers see the "second" certificate
--- /dev/null
+++ b/features/gateway/limits.steps.ts
@@ -0,0 +1,243 @@
+/**
+ * Steps for limits.
+ */
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { copyFile, mkdtemp } from "node:fs/promises";
+import { connect as connectTcp } from "node:net";
+import type { Socket } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { connect as connectTls } from "node:tls";
+import { pause } from "../../src/core/time.js";
+import { startGateway } from "./support/gateway.js";
+import { answerWhole } from "./support/upstream.js";
+import { call, firstGateway, startService, waitUntil } from "./support/world.js";
+import type { RequestWorld, SeenAnswer } from "./support/world.js";
+
+const BODY_LIMIT_BYTES = 1_000;
+const HEADER_LIMIT_BYTES = 2_048;
+const CALLER_TIMEOUT_MILLISECONDS = 300;
+const CERTIFICATES = new URL("../../../features/gateway/support/certificates/", import.meta.url);
+const CHECK_MILLISECONDS = 20;
+const CHECKS_WAITED = 5;
+const LEARNING_CALLS = 40;
+
+interface LimitsWorld extends RequestWorld {
+    sockets: Socket[];
+    raw: string;
+    directory: string;
+    /** Lets the replica answer the request that it holds. */
+    answerHeld: () => void;
+    waiting: Promise<SeenAnswer>;
+}
+
+const target = "POST /beacon-check/kits/17 HTTP/1.1\r\nhost: gateway\r\n";
+const MESSAGES: Record<string, string> = {
+    "a body that is too large": `${target}content-length: 2000\r\n\r\n`,
+    "a long chunked body": `${target}transfer-encoding: chunked\r\n\r\n7d0\r\n${"a".repeat(2_000)}\r\n`,
+    "a head that is too large": `${target}padding: ${"a".repeat(HEADER_LIMIT_BYTES)}\r\n\r\n`,
+    "a head that never ends": target,
+    "a body that never ends": `${target}content-length: 10\r\n\r\nhalf`,
+    "something else than HTTP": "what is this\r\n\r\n",
+    "a wrong priority": `${target}content-length: 0\r\nflamingowell-priority: 10\r\n\r\n`,
+};
+
+function sendRaw(world: LimitsWorld, what: string): Socket {
+    const { hostname, port } = new URL(firstGateway(world).origin);
+    const socket = connectTcp(Number(port), hostname);
+    world.sockets.push(socket);
+    socket.on("error", () => socket.destroy());
+    const message = MESSAGES[what];
+    assert.ok(message !== undefined, `no message ${what}`);
+    socket.write(message);
+    return socket;
+}
+
+async function startOneAtATime(world: LimitsWorld): Promise<void> {
+    world.sockets = [];
+    await startService(world, { replicas: 1, settings: { firstLimit: 1, largestLimit: 1 } });
+}
+
+/** Makes the replica hold its first request until `answerHeld`; answers with the caller's promise. */
+async function holdFirst(world: LimitsWorld): Promise<Promise<SeenAnswer>[]> {
+    const [upstream] = world.upstreams;
+    assert.ok(upstream !== undefined);
+    const held = new Promise<() => void>(resolve => {
+        upstream.behave((request, socket) => resolve(() => answerWhole(request, socket)));
+    });
+    const first = call(`${firstGateway(world).origin}/beacon-check/first`, { body: "x" });
+    world.answerHeld = await held;
+    upstream.behave(answerWhole);
+    return [first];
+}
+
+After(function(this: Partial<LimitsWorld>) {
+    this.sockets?.forEach(socket => socket.destroy());
+});
+
+Given("a service with tight limits", async function(this: LimitsWorld) {
+    this.sockets = [];
+    await startService(this, {
+        replicas: 1,
+        settings: {
+            bodyLimitBytes: BODY_LIMIT_BYTES,
+            headerLimitBytes: HEADER_LIMIT_BYTES,
+            bodyTimeoutMilliseconds: CALLER_TIMEOUT_MILLISECONDS,
+            headerTimeoutMilliseconds: CALLER_TIMEOUT_MILLISECONDS,
+        },
+    });
+});
+
+Given("a service whose only replica takes one request at a time", async function(this: LimitsWorld) {
+    await startOneAtATime(this);
+});
+
+Given(
+    "a service whose only replica takes one request at a time and needs {int} ms for each",
+    async function(this: LimitsWorld, milliseconds: number) {
+        await startOneAtATime(this);
+        this.upstreams[0]?.behave((request, socket) => {
+            void pause(milliseconds).then(() => answerWhole(request, socket));
+        });
+        // The gateway learns how long a request takes.
+        for (let index = 0; index < LEARNING_CALLS; index += 1) {
+            await call(`${firstGateway(this).origin}/beacon-check/learn`, { body: "x" });
+        }
+        this.upstreams[0]?.requests.splice(0);
+    },
+);
+
+When(/^a caller sends ((?:a|something) .*)$/, async function(this: LimitsWorld, what: string) {
+    const socket = sendRaw(this, what);
+    const chunks: Buffer[] = [];
+    socket.on("data", chunk => chunks.push(chunk));
+    await waitUntil("an answer", () => Buffer.concat(chunks).includes("\r\n\r\n"));
+    this.raw = Buffer.concat(chunks).toString();
+});
+
+Then(
+    "the raw answer has status {int}, outcome {string} and reason {string}",
+    function(this: LimitsWorld, status: number, outcome: string, reason: string) {
+        assert.ok(this.raw.startsWith(`HTTP/1.1 ${status} `), this.raw);
+        assert.match(this.raw, new RegExp(`flamingowell-outcome: ${outcome}\r\n`, "i"));
+        assert.match(this.raw, new RegExp(`flamingowell-reason: ${reason}\r\n`, "i"));
+    },
+);
+
+When("{int} callers send a head that never ends", async function(this: LimitsWorld, count: number) {
+    const sockets = Array.from({ length: count }, () => sendRaw(this, "a head that never ends"));
+    await Promise.all(sockets.map(socket => once(socket, "connect")));
+});
+
+Then("another caller is answered meanwhile", async function(this: LimitsWorld) {
+    const answer = await call(`${firstGateway(this).origin}/beacon-check/kits/17`, { body: "x" });
+    assert.equal(answer.status, 200);
+    assert.ok(this.sockets.some(socket => !socket.destroyed), "the slow callers had gone before");
+});
+
+When("callers of priorities 9, 5, 0 and 9 wait behind a request", async function(this: LimitsWorld) {
+    const { origin, gateway } = firstGateway(this);
+    const calls = await holdFirst(this);
+    for (const [index, priority] of [9, 5, 0, 9].entries()) {
+        const headers = { "flamingowell-priority": String(priority) };
+        calls.push(call(`${origin}/beacon-check/priority-${priority}`, { body: "x", headers }));
+        await waitUntil("the caller waits", () => gateway.waiting() === index + 1);
+    }
+    this.answerHeld();
+    this.answers = await Promise.all(calls);
+});
+
+Then("they are served in the order of priorities 0, 5, 9 and 9", function(this: LimitsWorld) {
+    const paths = this.upstreams[0]?.requests.map(({ path }) => path);
+    assert.deepEqual(paths, ["/first", "/priority-0", "/priority-5", "/priority-9", "/priority-9"]);
+    assert.deepEqual(this.answers.map(({ status }) => status), [200, 200, 200, 200, 200]);
+});
+
+When("a caller waits at most {int} ms behind a request", async function(this: LimitsWorld, deadline: number) {
+    const calls = await holdFirst(this);
+    const headers = { "flamingowell-deadline": String(deadline) };
+    this.answers.push(await call(`${firstGateway(this).origin}/beacon-check/second`, { body: "x", headers }));
+    this.answerHeld();
+    await Promise.all(calls);
+});
+
+Then(
+    "the waiting caller gets status {int} with outcome {string} and reason {string}",
+    function(this: LimitsWorld, status: number, outcome: string, reason: string) {
+        const answer = this.answers.at(-1);
+        assert.deepEqual([answer?.status, answer?.outcome, answer?.reason], [status, outcome, reason]);
+    },
+);
+
+Then("only the first request arrived", function(this: LimitsWorld) {
+    assert.deepEqual(this.upstreams[0]?.requests.map(({ path }) => path), ["/first"]);
+});
+
+When(
+    "{int} callers call at once and wait at most {int} ms",
+    async function(this: LimitsWorld, count: number, deadline: number) {
+        const headers = { "flamingowell-deadline": String(deadline) };
+        const { origin } = firstGateway(this);
+        this.answers = await Promise.all(
+            Array.from(
+                { length: count },
+                (unused, index) => call(`${origin}/beacon-check/kits/${index}`, { body: "x", headers }),
+            ),
+        );
+    },
+);
+
+Then("some of them are answered, and some are refused as {string}", function(this: LimitsWorld, reason: string) {
+    assert.ok(this.answers.some(({ status }) => status === 200));
+    assert.ok(this.answers.some(answer => answer.reason === reason));
+});
+
+Then("nothing that was refused as not run had arrived", function(this: LimitsWorld) {
+    const arrived = new Set(this.upstreams[0]?.requests.map(({ path }) => path));
+    const refused = this.answers.flatMap(({ outcome }, index) => outcome === "not-run" ? [`/kits/${index}`] : []);
+    assert.ok(refused.length > 0);
+    assert.deepEqual(refused.filter(path => arrived.has(path)), []);
+});
+
+async function replaceFile(world: LimitsWorld, certificate: string, part: "key" | "certificate"): Promise<void> {
+    await copyFile(new URL(`${certificate}.${part}.pem`, CERTIFICATES), join(world.directory, `${part}.pem`));
+}
+
+async function readCommonName(origin: string): Promise<string> {
+    const { hostname, port } = new URL(origin);
+    const socket = connectTls({ host: hostname, port: Number(port), rejectUnauthorized: false });
+    await once(socket, "secureConnect");
+    const { subject } = socket.getPeerCertificate();
+    socket.destroy();
+    return String(subject.CN);
+}
+
+Given("a gateway that speaks TLS with the {string} certificate", async function(this: LimitsWorld, name: string) {
+    this.directory = await mkdtemp(join(tmpdir(), "flamingowell-"));
+    await replaceFile(this, name, "key");
+    await replaceFile(this, name, "certificate");
+    const tls = { certificateFile: join(this.directory, "certificate.pem"), keyFile: join(this.directory, "key.pem") };
+    const settings = { tls, certificateCheckMilliseconds: CHECK_MILLISECONDS };
+    this.gateways = [await startGateway({ schedulers: [], settings })];
+});
+
+When("the files are replaced by the {string} certificate", async function(this: LimitsWorld, name: string) {
+    await replaceFile(this, name, "key");
+    await replaceFile(this, name, "certificate");
+});
+
+When("only the key is replaced by the {string} one", async function(this: LimitsWorld, name: string) {
+    await replaceFile(this, name, "key");
+});
+
+When("the gateway has looked at it", async function(this: LimitsWorld) {
+    await pause(CHECKS_WAITED * CHECK_MILLISECONDS);
+});
+
+Then("callers see the {string} certificate", async function(this: LimitsWorld, name: string) {
+    const { origin } = firstGateway(this);
+    const wanted = `${name}.flamingowell.test`;
+    await waitUntil("the certificate", async () => (await readCommonName(origin)) === wanted);
+});
--- a/features/gateway/support/gateway.ts
+++ b/features/gateway/support/gateway.ts
@@ -34,6 +34,8 @@
 export interface TestScheduler {
     readonly origin: string;
     readonly bank: CreditBank;
+    /** Times that routes have been read. */
+    reads(): number;
     offer(cell: Partial<CellRoutes>, routes: readonly Partial<Route>[]): void;
     close(): Promise<void>;
 }
@@ -49,7 +51,9 @@
     });
     let takenEpoch = 0;
     let cell: CellRoutes = { cell: "levi-0", epoch: 1, version: 0, routes: [] };
+    let reads = 0;
     const routes = implement(readRoutes, async ({ known, waitMilliseconds }) => {
+        reads += 1;
         const endsAt = systemClock() + waitMilliseconds;
         const isKnown = () =>
             known.some(one => one.cell === cell.cell && one.epoch === cell.epoch && one.version === cell.version);
@@ -67,6 +71,7 @@
     return {
         origin: server.origin,
         bank,
+        reads: () => reads,
         offer: (changed, offered) => {
             cell = {
                 ...cell,
--- a/features/gateway/support/world.ts
+++ b/features/gateway/support/world.ts
@@ -34,6 +34,8 @@
 /** A service that a scenario needs. */
 export interface ServiceOptions extends Omit<TestGatewayOptions, "schedulers"> {
     readonly replicas: number;
+    /** Data centres of the replicas; the gateway's own by default. */
+    readonly dataCentres?: readonly string[];
     readonly bank?: Partial<CreditBankOptions>;
 }
 
@@ -43,7 +45,10 @@
     world.upstreams = await Promise.all(Array.from({ length: options.replicas }, startUpstream));
     const scheduler = await startScheduler(options.bank);
     world.schedulers = [scheduler];
-    scheduler.offer({}, world.upstreams.map(({ origin }) => ({ origin })));
+    scheduler.offer(
+        {},
+        world.upstreams.map(({ origin }, index) => ({ origin, dataCentre: options.dataCentres?.[index] ?? "levi" })),
+    );
     const gateway = await startGateway({ ...options, schedulers: [scheduler.origin] });
     world.gateways = [gateway];
     if (options.replicas > 0) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -71,6 +71,12 @@
     listenForCallers(address: ListenAddress): Promise<CallersServer>;
     /** The gateway knows a configuration, and is not stopping. */
     ready(): boolean;
+    /** Requests that wait for a place. */
+    waiting(): number;
+    /** Replicas of a service that may get requests, as far as routes tell. */
+    servingReplicas(service: string): number;
+    /** Replicas whose circuit breaker is open. */
+    openBreakers(): number;
     /** Stops gracefully: closes callers' connections after their answers, waits for requests under way. */
     drain(limitMilliseconds: number): Promise<void>;
 }
@@ -178,6 +184,13 @@
                 onMalformed: reason => counters.countRefusal(reason),
             }),
         peerListener,
+        waiting: () => selector.waiting(),
+        servingReplicas: service => {
+            const routes = table.find(service);
+            return (routes?.near.length ?? 0) + (routes?.far.length ?? 0);
+        },
+        openBreakers: () =>
+            table.all().filter(route => selector.healthOf(route).openUntilMilliseconds > clock()).length,
         ready: () => !stopping && configuration.current() !== undefined,
         async run(signal) {
             const stopFollowing = configuration.onChange(current => {
--- a/src/gateway/upstream/connections.ts
+++ b/src/gateway/upstream/connections.ts
@@ -7,6 +7,8 @@
 import { Client } from "undici";
 import type { Clock } from "../../core/time.js";
 
+const KEEP_ALIVE_MILLISECONDS = 600_000;
+
 /** One connection; it belongs to whoever acquired it until it is released or discarded. */
 export interface Connection {
     readonly worker: string;
@@ -79,7 +81,8 @@
             connect: { timeout: options.connectTimeoutMilliseconds },
             headersTimeout: 0,
             bodyTimeout: 0,
-            keepAliveTimeout: options.idleMilliseconds,
+            // Idle connections are closed by sweep, which knows whether another could be opened in their place.
+            keepAliveTimeout: KEEP_ALIVE_MILLISECONDS,
         });
         const connection: Connection = { worker, client, idleSinceMilliseconds: 0 };
         client.on("connect", () => {
@@ -146,6 +149,10 @@
         credits: now => now < lapsesAt ? credits : 0,
         lapsesAt: () => lapsesAt,
         sweep(now) {
+            if (now >= lapsesAt) {
+                // What is closed now could not be opened again.
+                return;
+            }
             const oldest = now - options.idleMilliseconds;
             while ((idle[0]?.idleSinceMilliseconds ?? now) < oldest) {
                 const connection = idle.shift();
