--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -8,6 +8,8 @@
 export const RuleProfile = z.strictObject({
     /** Real work as a multiple of the declared work. */
     workFactor: z.number().positive().default(1),
+    /** Real work of each task is spread by this share to both sides. */
+    workSpread: z.number().min(0).max(1).default(0),
     /** Real processor use as a multiple of the declared cores. */
     coresFactor: z.number().positive().default(1),
     /** Real memory use as a multiple of the declared memory. */
@@ -29,6 +31,10 @@
 });
 export type PairEffect = z.infer<typeof PairEffect>;
 
+/** What a worker can be made not to keep to, to show that checkers notice. */
+export const Negligence = z.enum(["leases", "stops", "checkpoints", "request-ids", "refusals"]);
+export type Negligence = z.infer<typeof Negligence>;
+
 /** Behaviour that all workers of a process share. */
 export const WorkerBehaviour = z.strictObject({
     seed: z.int().default(1),
@@ -40,6 +46,7 @@
     /** Idle connections of callers are closed after this. */
     idleMilliseconds: z.int().min(1).default(10_000),
     profiles: z.record(Name, RuleProfile).default({}),
+    ignore: z.array(Negligence).default([]),
     effects: z.array(PairEffect).default([]),
     /** Pairs without an entry in `effects` get one from the seed, between 0 and this. */
     unlistedEffectAtMost: z.number().min(0).default(0),
