--- a/src/gateway/counters.ts
+++ b/src/gateway/counters.ts
@@ -8,6 +8,8 @@
     noConfiguration: "no-configuration",
     unknownService: "unknown-service",
     invalidRequest: "invalid-request",
+    headTooLarge: "head-too-large",
+    headTimeout: "head-timeout",
     bodyTooLarge: "body-too-large",
     bodyTimeout: "body-timeout",
     noUpstream: "no-upstream",
@@ -19,14 +21,13 @@
     upstreamGaveUp: "upstream-gave-up",
     upstreamTimeout: "upstream-timeout",
     upstreamFailed: "upstream-failed",
+    callerTooSlow: "caller-too-slow",
     answerTruncated: "answer-truncated",
     answerCrossed: "answer-crossed",
     answerOversized: "answer-oversized",
     answerUndelimited: "answer-undelimited",
-    retriesExhausted: "retries-exhausted",
     permitLapsed: "permit-lapsed",
     forwardFailed: "forward-failed",
-    stopping: "stopping",
     internal: "internal",
 } as const;
 
@@ -35,6 +36,7 @@
     countAnswer(service: string, statusClass: string): void;
     countRefusal(reason: string): void;
     countRetry(reason: string): void;
+    countBreaker(service: string): void;
 }
 
 /** Creates the counters; children are kept, since looking up labels costs more than counting. */
@@ -49,6 +51,9 @@
     const retries = metrics.counter("flamingowell_retries_total", "Requests sent again, by the reason for it", [
         "reason",
     ]);
+    const breakers = metrics.counter("flamingowell_breakers_opened_total", "Circuit breakers opened, by service", [
+        "service",
+    ]);
     const answerCounts = new Map<string, { inc(): void; }>();
     return {
         countAnswer: (service, status) => {
@@ -61,6 +66,7 @@
             count.inc();
         },
         countRefusal: reason => refusals.inc({ reason }),
+        countBreaker: service => breakers.inc({ service }),
         countRetry: reason => retries.inc({ reason }),
     };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,8 +4,10 @@
 import express from "express";
 import type { Router } from "express";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import type { ListenAddress } from "../core/http.js";
 import type { Logger } from "../core/log.js";
 import { nameHolder } from "../core/messages/credits.js";
+import type { Route } from "../core/messages/routes.js";
 import type { Metrics } from "../core/metrics.js";
 import type { Part } from "../core/part.js";
 import type { Random } from "../core/random.js";
@@ -18,6 +20,8 @@
 import { createRetryBudget } from "./admission/budget.js";
 import type { RetryBudget } from "./admission/budget.js";
 import { createUpstreamSelector } from "./admission/selector.js";
+import { listenForCallers } from "./callers/server.js";
+import type { CallersServer } from "./callers/server.js";
 import { createRequestCounters } from "./counters.js";
 import { createCreditClient } from "./credits/client.js";
 import { createCellOwners } from "./credits/owners.js";
@@ -28,7 +32,9 @@
 import { serve } from "./serve.js";
 import type { ServeOptions } from "./serve.js";
 import type { RequestSettings } from "./settings.js";
+import { openBreaker } from "./upstream/health.js";
 import { createUpstreamPool } from "./upstream/pool.js";
+import { createProber } from "./upstream/probe.js";
 
 const SWEEP_MILLISECONDS = 100;
 const DRAIN_STEP_MILLISECONDS = 20;
@@ -62,8 +68,16 @@
     readonly listener: RequestListener;
     /** Serves requests that other gateways pass on; belongs on the peers' port. */
     readonly peerListener: Router;
+    /** Opens the callers' port with the limits of the settings. */
+    listenForCallers(address: ListenAddress): Promise<CallersServer>;
     /** The gateway knows a configuration, and is not stopping. */
     ready(): boolean;
+    /** Requests that wait for a place. */
+    waiting(): number;
+    /** Replicas of a service that may get requests, as far as routes tell. */
+    servingReplicas(service: string): number;
+    /** Times that circuit breakers have opened. */
+    breakersOpened(): number;
     /** Stops gracefully: closes callers' connections after their answers, waits for requests under way. */
     drain(limitMilliseconds: number): Promise<void>;
 }
@@ -79,13 +93,19 @@
     let rules = indexRules(configuration.current());
     let stopping = false;
     let underWay = 0;
+    let breakersOpened = 0;
+    const noteBreaker = (route: Route) => {
+        breakersOpened += 1;
+        counters.countBreaker(route.service);
+        logger.warn("breaker-open", { service: route.service, peer: route.worker });
+    };
     const selector = createUpstreamSelector({
         settings,
         table,
         pool,
         clock,
         random,
-        onBreakerOpen: route => logger.warn("breaker-open", { service: route.service, peer: route.worker }),
+        onBreakerOpen: noteBreaker,
         onShortage: () => credits.hurry(),
     });
     const credits = createCreditClient({
@@ -100,6 +120,20 @@
         demandOn: worker => selector.demand(worker),
         onChange: () => selector.wake(clock()),
     });
+    const holder = nameHolder(identity.instance, identity.incarnation);
+    const prober = createProber({
+        holder,
+        pool,
+        clock,
+        logger,
+        probeTimeoutMilliseconds: settings.probeTimeoutMilliseconds,
+        onDead: worker => {
+            for (const route of table.all().filter(one => one.worker === worker)) {
+                openBreaker(selector.healthOf(route), settings, clock());
+                noteBreaker(route);
+            }
+        },
+    });
     const forwarder = createPeerForwarder({ peerToken: options.peerToken, settings, clock });
     const budgetOf = (service: string): RetryBudget => {
         let budget = budgets.get(service);
@@ -113,14 +147,14 @@
         settings,
         guards: options.guards,
         attempts: {
-            holder: nameHolder(identity.instance, identity.incarnation),
+            holder,
             settings,
             selector,
             counters,
             clock,
             random,
             budgetOf,
-            onTimeout: () => undefined,
+            onTimeout: (route, startedAt) => prober.suspect(route.worker, startedAt),
         },
         forwarder,
         counters,
@@ -144,10 +178,26 @@
         restoreForwarded(incoming);
         return handle(incoming, response, incoming.url, true);
     });
+    const listener: RequestListener = (incoming, response) =>
+        void handle(incoming, response, incoming.url ?? "/", false);
     return {
         handlers: [],
-        listener: (incoming, response) => void handle(incoming, response, incoming.url ?? "/", false),
+        listener,
+        listenForCallers: address =>
+            listenForCallers({
+                listener,
+                address,
+                settings,
+                logger,
+                onMalformed: reason => counters.countRefusal(reason),
+            }),
         peerListener,
+        waiting: () => selector.waiting(),
+        servingReplicas: service => {
+            const routes = table.find(service);
+            return (routes?.near.length ?? 0) + (routes?.far.length ?? 0);
+        },
+        breakersOpened: () => breakersOpened,
         ready: () => !stopping && configuration.current() !== undefined,
         async run(signal) {
             const stopFollowing = configuration.onChange(current => {
@@ -178,9 +228,9 @@
             }
             stopFollowing();
             await reader;
+            await pool.close();
             await credits.giveBack();
             await forwarder.close();
-            await pool.close();
         },
         async drain(limitMilliseconds) {
             stopping = true;
--- a/stand-ins/worker/serving.ts
+++ b/stand-ins/worker/serving.ts
@@ -14,7 +14,7 @@
 import type { Attempts, RunningAttempt } from "./attempts.js";
 import type { Interference } from "./interference.js";
 import type { Recorder, WorkerRecord } from "./record.js";
-import type { WorkerFaults } from "./settings.js";
+import type { Negligence, WorkerFaults } from "./settings.js";
 
 /** Options of the serving side. */
 export interface ServingOptions {
@@ -24,6 +24,7 @@
     readonly attempts: Attempts;
     readonly interference: Interference;
     readonly faults: WorkerFaults;
+    readonly ignore: readonly Negligence[];
     readonly record: Recorder;
     /** Called with each processed request's latency. */
     onLatency(attempt: RunningAttempt, milliseconds: number): void;
@@ -43,21 +44,31 @@
 
 const REFUSED_STATUS = 503;
 const DEADLINE_STATUS = 504;
+/** Share of answers that a negligent worker turns into refusals, or crosses. */
+const DISHONEST_SHARE = 0.1;
 const NO_DEADLINE = Number.MAX_SAFE_INTEGER;
 
 /** Creates the handler of a worker's serving port. */
 export function createServing(options: ServingOptions): RequestListener {
     const random = createRandom(options.seed);
+    const last: LastAnswer = { requestId: "", text: "" };
     let runs = 0;
     return (request, response) => {
         runs += 1;
-        serve(request, response, { ...options, random, run: runs }).catch(() => response.destroy());
+        serve(request, response, { ...options, random, run: runs, last }).catch(() => response.destroy());
     };
 }
 
 interface Serving extends ServingOptions {
     readonly random: Random;
     readonly run: number;
+    readonly last: LastAnswer;
+}
+
+/** The answer before, which a crossed answer repeats. */
+interface LastAnswer {
+    requestId: string;
+    text: string;
 }
 
 async function serve(request: IncomingMessage, response: ServerResponse, serving: Serving): Promise<void> {
@@ -104,6 +115,10 @@
     const outcome = wasActive ? drawOutcome(needed > allowed, run) : "lost";
     recordEnd(outcome, now, run);
     run.attempts.advance(now);
+    if (run.ignore.includes("refusals") && outcome === "dropped") {
+        refuse(response, facts, "attempt", run);
+        return;
+    }
     await answer(response, body, outcome, run);
 }
 
@@ -116,18 +131,27 @@
     return own + faults.slowMilliseconds;
 }
 
-function drawOutcome(isLate: boolean, { faults, random }: Run): Outcome {
+function drawOutcome(isLate: boolean, { faults, ignore, random }: Run): Outcome {
     if (faults.silent) {
         return "silent";
     }
     if (isLate) {
         return "deadline";
     }
-    const drawn = random();
-    if (drawn < faults.dropAnswers) {
-        return "dropped";
+    let drawn = random();
+    for (
+        const [outcome, share] of [
+            ["dropped", ignore.includes("refusals") ? DISHONEST_SHARE : faults.dropAnswers],
+            ["truncated", faults.truncateAnswers],
+            ["crossed", ignore.includes("request-ids") ? DISHONEST_SHARE : faults.crossAnswers],
+        ] as const
+    ) {
+        if (drawn < share) {
+            return outcome;
+        }
+        drawn -= share;
     }
-    return drawn < faults.dropAnswers + faults.truncateAnswers ? "truncated" : "answered";
+    return "answered";
 }
 
 async function answer(response: ServerResponse, body: Buffer, outcome: Outcome, run: Run): Promise<void> {
@@ -139,17 +163,18 @@
             response.destroy();
             return;
         case "deadline":
-            writeOutcome(response, DEADLINE_STATUS, "unknown", "deadline");
+            writeOutcome(response, run.facts.requestId, DEADLINE_STATUS, "unknown", "deadline");
             return;
         case "truncated":
+        case "crossed":
         case "answered":
-            await writeAnswer(response, body, outcome === "truncated", run);
+            await writeAnswer(response, body, outcome, run);
     }
 }
 
-async function writeAnswer(response: ServerResponse, body: Buffer, truncated: boolean, run: Run): Promise<void> {
-    const { attempt, facts, interference } = run;
-    const text = JSON.stringify(sealAnswer({
+async function writeAnswer(response: ServerResponse, body: Buffer, outcome: Outcome, run: Run): Promise<void> {
+    const { attempt, facts, interference, last } = run;
+    const own = JSON.stringify(sealAnswer({
         call: facts.call,
         service: facts.service,
         path: facts.path,
@@ -160,8 +185,14 @@
         run: run.run,
         padding: "x".repeat(interference.profile(facts.service).answerBytes),
     }));
-    response.writeHead(200, { "content-type": "application/json", "content-length": Buffer.byteLength(text) });
-    if (!truncated) {
+    const { requestId, text } = outcome === "crossed" ? { ...last } : { requestId: facts.requestId, text: own };
+    Object.assign(last, { requestId: facts.requestId, text: own });
+    response.writeHead(200, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...(run.ignore.includes("request-ids") ? {} : { [headers.requestId]: requestId }),
+    });
+    if (outcome !== "truncated") {
         response.end(text);
         return;
     }
@@ -203,12 +234,19 @@
         requestId: facts.requestId,
         reason,
     });
-    writeOutcome(response, REFUSED_STATUS, "not-run", reason);
+    writeOutcome(response, facts.requestId, REFUSED_STATUS, "not-run", reason);
 }
 
-function writeOutcome(response: ServerResponse, status: number, outcome: string, reason: string): void {
+function writeOutcome(
+    response: ServerResponse,
+    requestId: string,
+    status: number,
+    outcome: string,
+    reason: string,
+): void {
     response.writeHead(status, {
         "content-type": "application/json",
+        [headers.requestId]: requestId,
         [headers.outcome]: outcome,
         [headers.reason]: reason,
     });
