--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -120,9 +120,12 @@
         feed,
         membership: membership.source,
     });
+    const lastSeen = new Map<string, number>();
     feed.source.onChange(configuration => {
         for (const { team, revision } of configuration.documents) {
-            if (!traffic.revisions.some(seen => seen.team === team && seen.revision === revision)) {
+            // A fall back to a revision that was seen before has to show as well.
+            if (lastSeen.get(team) !== revision) {
+                lastSeen.set(team, revision);
                 traffic.revisions.push({ team, revision, at: systemClock() });
             }
         }
@@ -165,7 +168,7 @@
     operatorsApplication.use(createRpcRouter({ handlers: surface.handlers, token: settings.token }));
     const operators = await listen(operatorsApplication, { host: "127.0.0.1", port: 0 });
     const stopped = new AbortController();
-    const work = Promise.all([membership.run(stopped.signal), feed.run(stopped.signal)]);
+    const work = Promise.all([membership.run(stopped.signal), feed.run(stopped.signal), surface.run(stopped.signal)]);
     process.once("SIGTERM", async () => {
         await membership.leave();
         stopped.abort();
