--- a/bench/experiments/faults.ts
+++ b/bench/experiments/faults.ts
@@ -2,6 +2,7 @@
  * Random faults on a whole deployment, judged by an independent checker.
  */
 import { writeFile } from "node:fs/promises";
+import { describeThrown } from "../../src/core/errors.js";
 import { createRandom } from "../../src/core/random.js";
 import { pause } from "../../src/core/time.js";
 import { countSpoiltAnswers, judgeAll } from "../support/checker/index.js";
@@ -102,7 +103,8 @@
         callsPerSecond: Number(context.values["rate"]),
         durationMilliseconds: milliseconds,
     });
-    await faults;
+    const failures = await faults;
+    failures.forEach(failure => context.progress(`    not carried out: ${failure}`));
     world.healLinks();
     context.progress(`healed; ${JSON.stringify(underFaults.outcomes)}`);
     const { without } = world.options;
@@ -124,7 +126,10 @@
         await writeFile(context.values["evidence"], JSON.stringify(evidence));
     }
     if (closing !== undefined) {
-        return judge(evidence, underFaults, closing, context);
+        return [
+            ...judge(evidence, underFaults, closing, context),
+            checkAtMost("daemons that did not come up again", failures.length, "faults", 0),
+        ];
     }
     return without === undefined ? [] : judgeWithout(evidence, without, context);
 }
@@ -139,15 +144,28 @@
     return sent > 0 && outcomes.answered === sent;
 }
 
-async function carryOut(world: World, faults: readonly PlannedFault[], context: ExperimentContext): Promise<void> {
+/** Carries all faults out; gives what went wrong with the bench's own part, such as a daemon that did not start. */
+async function carryOut(
+    world: World,
+    faults: readonly PlannedFault[],
+    context: ExperimentContext,
+): Promise<readonly string[]> {
+    const failures: string[] = [];
     const injector = createInjector(world);
     const startedAt = world.clock();
     await Promise.all(faults.map(async fault => {
         await pause(Math.max(0, startedAt + fault.atMilliseconds - world.clock()));
         const at = ((world.clock() - startedAt) / 1_000).toFixed(1);
         context.progress(`${at} s ${fault.kind} for ${(fault.durationMilliseconds / 1_000).toFixed(1)} s`);
-        await injector.inject(fault);
+        try {
+            await injector.inject(fault);
+        }
+        catch (thrown) {
+            // Most likely a daemon that did not come up again; the verdict must say so.
+            failures.push(`${fault.kind} at ${at} s: ${describeThrown(thrown)}`);
+        }
     }));
+    return failures;
 }
 
 /** After the last fault: batch work finishes, and every call is answered again. */
