--- a/bench/support/capacity/page.ts
+++ b/bench/support/capacity/page.ts
@@ -27,8 +27,10 @@
         } % of a core, 128 MB and 14 KB a second; the store takes ${storeLimits.writesPerSecond} writes and `
         + `${count(storeLimits.readsPerSecond)} reads a second today.`,
         "",
-        "Lines are fitted through three sizes each and drawn out far beyond them, so they show orders of size, not figures to",
-        "rely on. A fit below 0.8 is marked: there the spread of the points is larger than what the size explains.",
+        `Lines go through ${series.workers.length} sizes of the fleet, ${series.instances.length} numbers of entry instances and `
+        + `${series.calls.length} rates of calls, and are drawn out far beyond them, so they show orders of size, not figures to `
+        + "rely on. A fit below 0.8 is marked: there the spread of the points is larger than what the size explains. "
+        + "Fewer than three sizes make no slope to rely on.",
         "",
         "## How many entry instances",
         "",
