Features of the stand-ins: longer time limits of the adapters

Cause: on a machine at load 30, calls of the store and worker adapters ran into their 500 ms limit, so three scenarios failed that are about something else.

--- a/features/platform/store.steps.ts
+++ b/features/platform/store.steps.ts
@@ -13,7 +13,7 @@
 import { createStoreStandIn, StoreFaultChange, StoreStandInSettings } from "../../stand-ins/store/index.js";
 import type { StoreStandIn } from "../../stand-ins/store/index.js";
 
-const STORE_TIMEOUT_MILLISECONDS = 500;
+const STORE_TIMEOUT_MILLISECONDS = 3_000;
 const POLL_MILLISECONDS = 10;
 const PAGE_SIZE = 2;
 
