--- a/bench/experiments/request-path.ts
+++ b/bench/experiments/request-path.ts
@@ -2,14 +2,9 @@
  * Throughput and latency of the gateway against a plain forwarder and the direct path, side by side in one run.
  */
 import type { Histogram } from "hdr-histogram-js";
-import { mkdtemp } from "node:fs/promises";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { RequestSettings } from "../../src/gateway/settings.js";
-import { startProcess } from "../../stand-ins/processes.js";
-import type { RunningProcess } from "../../stand-ins/processes.js";
 import { createHistogram, runClosedLoad } from "../request/closed.js";
-import type { BenchGatewaySettings, ForwarderSettings, UpstreamsSettings } from "../request/settings.js";
+import type { BenchProcesses } from "../request/processes.js";
+import { withProcesses } from "../request/processes.js";
 import { SERVICE } from "../request/sources.js";
 import { checkAtLeast, checkAtMost } from "../support/experiment.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
@@ -43,64 +38,37 @@
         rounds: { type: "string", default: DEFAULT_ROUNDS },
         seconds: { type: "string", default: DEFAULT_ROUND_SECONDS },
     },
-    run: async context => {
-        const directory = await mkdtemp(join(tmpdir(), "flamingowell-bench-"));
-        const processes: RunningProcess[] = [];
-        try {
-            return await measure(await startAll(directory, processes), context, processes);
-        }
-        finally {
-            await Promise.all(processes.map(process => process.kill()));
-        }
-    },
+    run: context =>
+        withProcesses(async processes => {
+            const targets = await startTargets(processes);
+            return measure(targets, context, processes);
+        }),
 };
 
-async function startAll(directory: string, processes: RunningProcess[]): Promise<Target[]> {
-    const start = async (name: string, script: string, settings: object) => {
-        const started = await startProcess({ name, script: `dist/bench/request/${script}.js`, settings, directory });
-        processes.push(started);
-        return started.announcement;
-    };
-    const upstreams = await start(
-        "upstreams",
-        "upstreams",
-        {
-            upstreams: WORKERS,
-            connections: CONNECTIONS,
-            answerBytes: ANSWER_BYTES,
-            parallel: CONNECTIONS,
-            workMilliseconds: 0,
-        } satisfies UpstreamsSettings,
-    );
-    const workers = Object.entries(upstreams).filter(([name]) => name.startsWith("worker-")).map(([, origin]) =>
-        origin
-    );
-    const forwarder = await start("forwarder", "forwarder", { upstreams: workers } satisfies ForwarderSettings);
-    const startGateway = (name: string, surface: BenchGatewaySettings["surface"]) =>
-        start(
-            name,
-            "gateway",
-            {
-                instance: name,
-                schedulers: [upstreams["scheduler"] ?? ""],
-                request: RequestSettings.parse({}),
-                surface,
-            } satisfies BenchGatewaySettings,
-        );
-    const gateway = await startGateway("entry-1", "plain");
-    const underExpress = await startGateway("entry-2", "express");
+async function startTargets(processes: BenchProcesses): Promise<Target[]> {
+    await processes.startUpstreams({
+        upstreams: WORKERS,
+        connections: CONNECTIONS,
+        answerBytes: ANSWER_BYTES,
+        parallel: CONNECTIONS,
+        workMilliseconds: 0,
+    });
+    const forwarder = await processes.startForwarder();
+    const gateway = await processes.startGateway("entry-1");
+    const underExpress = await processes.startGateway("entry-2", { surface: "express" });
+    const path = `/${SERVICE}/kits/17`;
     return [
-        { name: "direct", origin: workers[0] ?? "", path: "/kits/17" },
-        { name: "forwarder", origin: forwarder["callers"] ?? "", path: "/kits/17" },
-        { name: "gateway", origin: gateway["callers"] ?? "", path: `/${SERVICE}/kits/17` },
-        { name: "gateway under express", origin: underExpress["callers"] ?? "", path: `/${SERVICE}/kits/17` },
+        { name: "direct", origin: processes.workers()[0] ?? "", path: "/kits/17" },
+        { name: "forwarder", origin: forwarder.announcement["callers"] ?? "", path: "/kits/17" },
+        { name: "gateway", origin: gateway.announcement["callers"] ?? "", path },
+        { name: "gateway under express", origin: underExpress.announcement["callers"] ?? "", path },
     ];
 }
 
 async function measure(
     targets: readonly Target[],
     context: ExperimentContext,
-    processes: readonly RunningProcess[],
+    processes: BenchProcesses,
 ): Promise<Check[]> {
     const checks: Check[] = [];
     for (const callers of CALLERS) {
@@ -110,9 +78,8 @@
         }
         checks.push(...compare(callers, find(results, "gateway"), find(results, "forwarder")));
     }
-    const scheduler = processes[0]?.announcement["scheduler"] ?? "";
-    const facts = await (await fetch(`${scheduler}/facts`)).json() as { peakConnections: number; };
-    checks.push(checkAtMost("most connections on one worker", facts.peakConnections, "connections", CONNECTIONS));
+    const { peakConnections } = await processes.readFacts();
+    checks.push(checkAtMost("most connections on one worker", peakConnections, "connections", CONNECTIONS));
     return checks;
 }
 
--- a/bench/request/gateway.ts
+++ b/bench/request/gateway.ts
@@ -10,7 +10,7 @@
 import { createRpcClient } from "../../src/core/rpc.js";
 import { systemClock } from "../../src/core/time.js";
 import { createGateway } from "../../src/gateway/gateway.js";
-import { BENCH_PEER_TOKEN, BenchGatewaySettings } from "./settings.js";
+import { BENCH_PEER_TOKEN, BenchGatewaySettings, READY_PATH } from "./settings.js";
 import { createFixedConfiguration, createFixedMembership } from "./sources.js";
 import { announce, BENCH_ADDRESS, readSettings } from "./support.js";
 
@@ -38,6 +38,11 @@
     ? await listen(express().use(gateway.listener), BENCH_ADDRESS)
     : await gateway.listenForCallers(BENCH_ADDRESS);
 const facts = await listen((incoming, outgoing) => {
+    if (incoming.url === READY_PATH) {
+        outgoing.statusCode = gateway.ready() ? 200 : 503;
+        outgoing.end();
+        return;
+    }
     void metrics.registry.metrics().then(text => outgoing.end(text));
 }, BENCH_ADDRESS);
 process.once("SIGTERM", () => {
--- a/bench/request/settings.ts
+++ b/bench/request/settings.ts
@@ -32,3 +32,6 @@
 
 /** Token of the bench's processes. */
 export const BENCH_PEER_TOKEN = "bench-peer-token";
+
+/** Path at which the bench's gateways tell whether they take callers. */
+export const READY_PATH = "/ready";
--- a/features/gateway/support/gateway.ts
+++ b/features/gateway/support/gateway.ts
@@ -25,7 +25,7 @@
 
 export const PEER_TOKEN = "peer-token";
 const HOST = "127.0.0.1";
-const FAST_SETTINGS: Partial<RequestSettings> = { routesWaitMilliseconds: 500 };
+const FAST_SETTINGS: Partial<RequestSettings> = { routesWaitMilliseconds: 500, drainDelayMilliseconds: 0 };
 const CHANGE_STEP_MILLISECONDS = 10;
 
 const WORKER_CONNECTIONS = 64;
--- a/src/gateway/admission/limit.ts
+++ b/src/gateway/admission/limit.ts
@@ -27,7 +27,7 @@
 const TOLERANCE = 2;
 const SHORT_DECAY = 0.05;
 /** The best latency creeps up, so that an upstream that has become slower for good is believed in the end. */
-const BEST_RISE_PER_ANSWER = 0.0005;
+const BEST_RISE_PER_ANSWER = 0.000_02;
 const STEEPEST_FALL = 0.5;
 const SMOOTHING = 0.02;
 const TIMEOUT_FACTOR = 0.98;
--- a/src/gateway/admission/queue.ts
+++ b/src/gateway/admission/queue.ts
@@ -9,7 +9,7 @@
     readonly deadlineMilliseconds: number;
     /** Tries to go ahead; answers false where there is still no place, and the queue stops there. */
     tryStart(now: number): boolean;
-    /** Called once the deadline has passed in the queue. */
+    /** Called once too little time is left in the queue. */
     expire(): void;
 }
 
@@ -19,10 +19,10 @@
     /** Requests that go before a newcomer of this priority. */
     lengthBefore(priority: number): number;
     length(): number;
-    /** Lets requests go ahead as long as they find a place; those whose time is up expire. */
-    advance(now: number): void;
-    /** Takes out requests whose deadline has passed. */
-    expire(now: number): void;
+    /** Lets requests go ahead as long as they find a place; those that have less time left than needed expire. */
+    advance(now: number, neededMilliseconds: number): void;
+    /** Takes out requests that have less time left than needed. */
+    expire(now: number, neededMilliseconds: number): void;
 }
 
 const PRIORITIES = 10;
@@ -31,12 +31,12 @@
 export function createWaitQueue(): WaitQueue {
     const lanes: Waiter[][] = Array.from({ length: PRIORITIES }, () => []);
     let length = 0;
-    const takeExpired = (lane: Waiter[], now: number) => {
-        const kept = lane.filter(waiter => waiter.deadlineMilliseconds > now);
+    const takeExpired = (lane: Waiter[], latest: number) => {
+        const kept = lane.filter(waiter => waiter.deadlineMilliseconds > latest);
         if (kept.length === lane.length) {
             return;
         }
-        const expired = lane.filter(waiter => waiter.deadlineMilliseconds <= now);
+        const expired = lane.filter(waiter => waiter.deadlineMilliseconds <= latest);
         lane.splice(0, lane.length, ...kept);
         length -= expired.length;
         expired.forEach(waiter => waiter.expire());
@@ -48,14 +48,14 @@
             lanes[waiter.priority]?.push(waiter);
             length += 1;
         },
-        advance(now) {
+        advance(now, needed) {
             for (const lane of lanes) {
                 while (lane.length > 0) {
                     const [waiter] = lane;
                     if (waiter === undefined) {
                         break;
                     }
-                    if (waiter.deadlineMilliseconds <= now) {
+                    if (waiter.deadlineMilliseconds <= now + needed) {
                         lane.shift();
                         length -= 1;
                         waiter.expire();
@@ -69,8 +69,8 @@
                 }
             }
         },
-        expire(now) {
-            lanes.forEach(lane => takeExpired(lane, now));
+        expire(now, needed) {
+            lanes.forEach(lane => takeExpired(lane, now + needed));
         },
     };
 }
--- a/src/gateway/admission/selector.ts
+++ b/src/gateway/admission/selector.ts
@@ -77,6 +77,8 @@
 }
 
 const SMALLEST_LATENCY_MILLISECONDS = 0.1;
+/** Time that a request needs to be worth sending, as a multiple of the mean latency. */
+const NEEDED_LATENCIES = 2;
 /** Cost of a replica that fails always, as a multiple of one that never does. */
 const FAILURE_PENALTY = 30;
 
@@ -162,7 +164,7 @@
     wake(now: number): void {
         for (const state of this.services.values()) {
             if (state.queue.length() > 0) {
-                state.queue.advance(now);
+                state.queue.advance(now, this.neededTime(state));
             }
         }
     }
@@ -172,7 +174,7 @@
         const names = new Set(routes.map(nameAttempt));
         this.health = new Map([...this.health].filter(([name, { inFlight }]) => names.has(name) || inFlight > 0));
         for (const [service, state] of this.services) {
-            state.queue.expire(now);
+            state.queue.expire(now, this.neededTime(state));
             const own = routes.filter(route => route.service === service && route.state === "serving");
             const mean = state.limit.meanLatencyMilliseconds();
             own.forEach(route => fadeHealth(this.healthOf(route), mean));
@@ -263,9 +265,14 @@
     /** Expects the wait from the requests ahead, the places, and the mean time that one is taken. */
     private isHopeless(wanted: Wanted, state: ServiceState, now: number): boolean {
         const places = Math.max(1, Math.min(state.limit.current(), state.inFlight));
-        const rounds = state.queue.lengthBefore(wanted.priority) / places + 1;
-        const expected = (rounds + 1) * state.limit.meanLatencyMilliseconds();
-        return now + expected > wanted.deadlineMilliseconds;
+        const rounds = state.queue.lengthBefore(wanted.priority) / places;
+        const expected = rounds * state.limit.meanLatencyMilliseconds();
+        return now + expected + this.neededTime(state) > wanted.deadlineMilliseconds;
+    }
+
+    /** A request that is sent with less time left would mostly be worked on in vain. */
+    private neededTime(state: ServiceState): number {
+        return this.options.settings.shedding ? NEEDED_LATENCIES * state.limit.meanLatencyMilliseconds() : 0;
     }
 
     private wait(wanted: Wanted, state: ServiceState): Promise<Result<Lease, Refusal>> {
@@ -285,7 +292,7 @@
                     return true;
                 },
                 expire: () =>
-                    resolve(Result.err(notRun(503, reasons.deadlinePassed, "the deadline passed in the queue"))),
+                    resolve(Result.err(notRun(503, reasons.deadlinePassed, "too little time was left in the queue"))),
             });
         });
     }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -70,7 +70,7 @@
     readonly peerListener: Router;
     /** Opens the callers' port with the limits of the settings. */
     listenForCallers(address: ListenAddress): Promise<CallersServer>;
-    /** The gateway knows a configuration, and is not stopping. */
+    /** The gateway knows a configuration, has read routes, and is not stopping. */
     ready(): boolean;
     /** Requests that wait for a place. */
     waiting(): number;
@@ -198,7 +198,7 @@
             return (routes?.near.length ?? 0) + (routes?.far.length ?? 0);
         },
         breakersOpened: () => breakersOpened,
-        ready: () => !stopping && configuration.current() !== undefined,
+        ready: () => !stopping && configuration.current() !== undefined && table.isRead(),
         async run(signal) {
             const stopFollowing = configuration.onChange(current => {
                 rules = indexRules(current);
@@ -235,7 +235,8 @@
         async drain(limitMilliseconds) {
             stopping = true;
             const endsAt = clock() + limitMilliseconds;
-            while (underWay > 0 && clock() < endsAt) {
+            const acceptsUntil = Math.min(endsAt, clock() + settings.drainDelayMilliseconds);
+            while (clock() < acceptsUntil || underWay > 0 && clock() < endsAt) {
                 await pause(DRAIN_STEP_MILLISECONDS);
             }
         },
--- a/src/gateway/routes/reader.ts
+++ b/src/gateway/routes/reader.ts
@@ -87,6 +87,7 @@
         }
         options.owners.observeOwned(origin, answer.value.owned);
         const changed = answer.value.cells.map(cell => table.update(cell)).includes(true);
+        table.noteRead();
         if (changed) {
             options.onChange();
         }
--- a/src/gateway/routes/table.ts
+++ b/src/gateway/routes/table.ts
@@ -23,6 +23,10 @@
 export interface RouteTable {
     /** Takes in a cell's routes; older ones than those known are left aside. Tells whether anything changed. */
     update(cell: CellRoutes): boolean;
+    /** Notes that a scheduler has answered. */
+    noteRead(): void;
+    /** A scheduler has answered since the start. */
+    isRead(): boolean;
     known(): KnownCell[];
     /** Routes of a service; `undefined` where no replica is known. */
     find(service: string): ServiceRoutes | undefined;
@@ -40,6 +44,7 @@
     const cells = new Map<string, CellRoutes>();
     let services = new Map<string, ServiceRoutes>();
     let routes: Route[] = [];
+    let read = false;
     return {
         update(cell) {
             const current = cells.get(cell.cell);
@@ -51,6 +56,10 @@
             services = indexByService(routes, options);
             return true;
         },
+        noteRead() {
+            read = true;
+        },
+        isRead: () => read,
         known: () => [...cells.values()].map(({ cell, epoch, version }) => ({ cell, epoch, version })),
         find: service => services.get(service),
         all: () => routes,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -10,6 +10,7 @@
 const DEFAULT_HEADER_TIMEOUT_MILLISECONDS = 10_000;
 const DEFAULT_CALLER_CONNECTIONS = 10_000;
 const DEFAULT_CERTIFICATE_CHECK_MILLISECONDS = 5_000;
+const DEFAULT_DRAIN_DELAY_MILLISECONDS = 1_500;
 const DEFAULT_KEEP_ALIVE_MILLISECONDS = 65_000;
 const DEFAULT_ANSWER_BUFFER_BYTES = 65_536;
 const DEFAULT_ANSWER_LIMIT_BYTES = 67_108_864;
@@ -50,6 +51,8 @@
     tls: z.strictObject({ certificateFile: z.string().min(1), keyFile: z.string().min(1) }).optional(),
     /** Time between two looks at the certificate's files. */
     certificateCheckMilliseconds: z.int().min(1).default(DEFAULT_CERTIFICATE_CHECK_MILLISECONDS),
+    /** Time for which a gateway that stops goes on accepting, so that the balancer sees that it is not ready. */
+    drainDelayMilliseconds: z.int().min(0).default(DEFAULT_DRAIN_DELAY_MILLISECONDS),
     /** Time after which an idle connection of a caller is closed. */
     keepAliveMilliseconds: z.int().min(1).default(DEFAULT_KEEP_ALIVE_MILLISECONDS),
     /** Answers up to this size are collected before the first byte goes to the caller; larger ones are streamed. */
