--- a/src/scheduler/cell/link.ts
+++ b/src/scheduler/cell/link.ts
@@ -13,6 +13,8 @@
     incarnation?: string;
     /** When the last answer to a renewal came; the time of the takeover before the first. */
     answeredAtMilliseconds: number;
+    /** When the last renewal was sent that got no answer. */
+    failedAtMilliseconds: number;
     /** Attempts that the worker told of in its last answer. */
     attempts: readonly AttemptStatus[];
     /** Progress of running attempts by task, newer than the ledger's. */
@@ -21,6 +23,8 @@
     readonly throttled: Map<string, number>;
     /** Starts that the worker has answered, by task and attempt. */
     started: Set<string>;
+    /** Starts that have been sent and not answered: the worker may carry them out at any later time. */
+    readonly open: Set<string>;
 }
 
 /** Creates the link to a worker. */
@@ -29,10 +33,12 @@
         instance,
         listed: true,
         answeredAtMilliseconds: now,
+        failedAtMilliseconds: 0,
         attempts: [],
         progress: new Map(),
         throttled: new Map(),
         started: new Set(),
+        open: new Set(),
     };
 }
 
@@ -52,8 +58,7 @@
         readonly reason: string;
     }
     | { readonly kind: "started"; readonly worker: string; readonly taskId: string; readonly attempt: number; }
-    | { readonly kind: "ended"; readonly worker: string; readonly status: AttemptStatus; }
-    | { readonly kind: "lost"; readonly worker: string; readonly reason: string; };
+    | { readonly kind: "ended"; readonly worker: string; readonly status: AttemptStatus; };
 
 /** Answer to a renewal. */
 export interface AnswerEvent {
--- a/src/scheduler/cell/observe.ts
+++ b/src/scheduler/cell/observe.ts
@@ -45,10 +45,6 @@
             observeStatus(input, event.worker, event.status, now);
             return;
         }
-        case "lost": {
-            observeSilence(input, event.worker, event.reason, now);
-            return;
-        }
     }
 }
 
@@ -83,12 +79,40 @@
     }
 }
 
-function observeSilence(input: ObserveInput, worker: string, reason: string, now: number): void {
-    for (const task of [...input.ledger.draft.values()]) {
-        if (task.worker === worker && HOLDING_STATES.has(task.state)) {
-            lose(input, task, reason, now);
+/**
+ * Tells whether a worker was asked in vain after a lease should have lapsed. An owner that stood still itself has to ask
+ * first: the worker may have finished its tasks meanwhile.
+ */
+export function wasAskedInVain(link: WorkerLink | undefined, leaseMilliseconds: number): boolean {
+    return link?.listed !== true || link.failedAtMilliseconds >= link.answeredAtMilliseconds + leaseMilliseconds;
+}
+
+/**
+ * Takes in that all leases on a worker have lapsed. A batch task whose start was sent and never answered stays: the
+ * worker may still carry the start out when it wakes, unless the instance list no longer has it.
+ */
+export function observeSilence(
+    input: ObserveInput,
+    worker: string,
+    link: WorkerLink | undefined,
+    now: number,
+): void {
+    for (const committed of input.ledger.committedOn(worker)) {
+        const task = findHeld(input.ledger, worker, committed);
+        if (task === undefined || mayStartLate(input.ledger, task, link)) {
+            continue;
         }
+        // Its start has not been sent, and from now on never is.
+        link?.started.add(nameAttempt(task));
+        lose(input, task, `its lease on ${worker} lapsed`, now);
+    }
+}
+
+function mayStartLate(ledger: Ledger, task: Task, link: WorkerLink | undefined): boolean {
+    if (link?.listed !== true || task.state !== "starting" || ledger.specOf(task).kind === "service") {
+        return false;
     }
+    return link.incarnation === undefined || link.open.has(nameAttempt(task));
 }
 
 function lose(input: ObserveInput, task: Task, reason: string, now: number): void {
@@ -126,9 +150,10 @@
  * Tells when all leases on a silent worker have lapsed. A renewal that got no answer may have been taken in until the
  * lease before it lapsed, and prolongs it by one lease at most; so two leases after the last answer none is left.
  */
-export function leasesEndAt(input: SilenceInput, link: WorkerLink): number {
-    const lastRenewal = link.incarnation === undefined
-        ? Math.max(link.answeredAtMilliseconds, input.predecessorsEndMilliseconds)
-        : link.answeredAtMilliseconds;
+export function leasesEndAt(input: SilenceInput, link: WorkerLink | undefined, takenAtMilliseconds: number): number {
+    // A worker that the instance list no longer has is gone, so nobody else renews anything on it.
+    const isListed = link?.listed === true;
+    const formerOwners = isListed && link.incarnation === undefined ? input.predecessorsEndMilliseconds : 0;
+    const lastRenewal = Math.max(link?.answeredAtMilliseconds ?? takenAtMilliseconds, formerOwners);
     return lastRenewal + 2 * input.workerLeaseMilliseconds * (1 + input.clockRateShare);
 }
--- a/stand-ins/worker/server.ts
+++ b/stand-ins/worker/server.ts
@@ -50,7 +50,7 @@
     const attempts = createAttempts({ worker: name, cores: shape.cores, behaviour, interference, faults, record });
     const epochs = new Map<string, number>();
     const connections = new Map<Socket, string>();
-    const counts = { orders: 0, fenced: 0, bytesIn: 0, bytesOut: 0 };
+    const counts = { orders: 0, fenced: 0, started: 0, bytesIn: 0, bytesOut: 0 };
     let incarnation = "";
 
     function begin(): void {
@@ -115,6 +115,7 @@
         attempts,
         interference,
         faults,
+        ignore: behaviour.ignore,
         record,
         onLatency: reports.addLatency,
         onGateway: (socket, gateway) => connections.set(socket, gateway),
@@ -123,6 +124,7 @@
     begin();
     const control = await listen(application, { host: options.host, port: 0 });
     const serve = await listen(serving, { host: options.host, port: 0 });
+    serve.server.keepAliveTimeout = behaviour.idleMilliseconds;
     limitConnections(
         serve,
         shape.connections,
@@ -160,7 +162,6 @@
     onRefused: () => void,
 ): void {
     server.maxConnections = most;
-    server.keepAliveTimeout = 0;
     server.on("drop", onRefused);
     server.on("connection", socket => {
         connections.set(socket, "");
--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -8,6 +8,8 @@
 export const RuleProfile = z.strictObject({
     /** Real work as a multiple of the declared work. */
     workFactor: z.number().positive().default(1),
+    /** Real work of each task is spread by this share to both sides. */
+    workSpread: z.number().min(0).max(1).default(0),
     /** Real processor use as a multiple of the declared cores. */
     coresFactor: z.number().positive().default(1),
     /** Real memory use as a multiple of the declared memory. */
@@ -29,6 +31,10 @@
 });
 export type PairEffect = z.infer<typeof PairEffect>;
 
+/** What a worker can be made not to keep to, to show that checkers notice. */
+export const Negligence = z.enum(["leases", "stops", "checkpoints", "request-ids", "refusals"]);
+export type Negligence = z.infer<typeof Negligence>;
+
 /** Behaviour that all workers of a process share. */
 export const WorkerBehaviour = z.strictObject({
     seed: z.int().default(1),
@@ -37,7 +43,10 @@
     checkpointMilliseconds: z.int().min(0).default(200),
     reportEveryMilliseconds: z.int().min(1).default(1_000),
     reportLagMilliseconds: z.int().min(0).default(2_000),
+    /** Idle connections of callers are closed after this. */
+    idleMilliseconds: z.int().min(1).default(10_000),
     profiles: z.record(Name, RuleProfile).default({}),
+    ignore: z.array(Negligence).default([]),
     effects: z.array(PairEffect).default([]),
     /** Pairs without an entry in `effects` get one from the seed, between 0 and this. */
     unlistedEffectAtMost: z.number().min(0).default(0),
@@ -56,6 +65,8 @@
     truncateAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
     /** The share of answers to callers that are lost after the work was done. */
     dropAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
+    /** The share of answers to callers that are those of the request before. */
+    crossAnswers: z.union([z.boolean().transform(Number), z.number().min(0).max(1)]).optional(),
     /** Added to the processing time of each request. */
     slowMilliseconds: z.int().min(0).optional(),
     /** Added to each order. */
@@ -76,6 +87,7 @@
     controlDown: boolean;
     truncateAnswers: number;
     dropAnswers: number;
+    crossAnswers: number;
     slowMilliseconds: number;
     slowOrdersMilliseconds: number;
     refuse: boolean;
@@ -90,6 +102,7 @@
         controlDown: false,
         truncateAnswers: 0,
         dropAnswers: 0,
+        crossAnswers: 0,
         slowMilliseconds: 0,
         slowOrdersMilliseconds: 0,
         refuse: false,
