flamingowell state export and state verify

Cause: operators could not see or keep what the ledgers hold. Change: two methods on the operators' port and two commands; verify takes a file or the ledgers as they are, then with workers and rules.

--- a/src/client/catalog.ts
+++ b/src/client/catalog.ts
@@ -15,6 +15,8 @@
 import { rulesHistory } from "./queries/rules-history.js";
 import { rulesPlan } from "./queries/rules-plan.js";
 import { rulesShow } from "./queries/rules-show.js";
+import { stateExport } from "./queries/state-export.js";
+import { stateVerify } from "./queries/state-verify.js";
 import { status } from "./queries/status.js";
 import { who } from "./queries/who.js";
 import { workers } from "./queries/workers.js";
@@ -35,5 +37,7 @@
     workers,
     drain,
     status,
+    stateExport,
+    stateVerify,
     completion,
 ];
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -15,6 +15,8 @@
 import { defineMethod } from "../core/rpc.js";
 import { Member } from "../membership/member.js";
 import { RuleChange } from "../rules/diff.js";
+import { ExportedState } from "../scheduler/queries/export.js";
+import { Verification } from "../scheduler/queries/verify.js";
 
 /** A version of a team's rules. */
 export const RulesVersion = z.strictObject({
@@ -157,3 +159,9 @@
     z.strictObject({ instance: Name.optional() }),
     z.strictObject({ processes: z.array(ProcessStatus) }),
 );
+
+/** Reads the ledgers of all cells from the store, as one document. */
+export const exportLedgers = defineMethod("state.export", z.strictObject({}), ExportedState);
+
+/** Checks the ledgers' invariants against the workers and rules that the gateway knows. */
+export const verifyLedgers = defineMethod("state.verify", z.strictObject({}), Verification);
--- a/src/operator/operator.ts
+++ b/src/operator/operator.ts
@@ -26,6 +26,7 @@
 import { applyRules, listHistory, planRules, readSpread, revertRules, showRules } from "./messages.js";
 import type { OperatorSettings } from "./settings.js";
 import { showVersions } from "./show.js";
+import { createStateHandlers } from "./state.js";
 
 /** Options of the operators' surface. */
 export interface OperatorSurfaceOptions {
@@ -50,7 +51,11 @@
     const applies = options.metrics.counter("flamingowell_rules_applies_total", "Applies of rules", ["outcome"]);
     const context: OperatorContext = { ...options, applies };
     return {
-        handlers: [...createRulesHandlers(context), ...createForwardHandlers(context)],
+        handlers: [
+            ...createRulesHandlers(context),
+            ...createForwardHandlers(context),
+            ...createStateHandlers(context),
+        ],
         run: signal => runEndingReport(context, signal),
     };
 }
