--- /dev/null
+++ b/features/exclusive/claim.feature
@@ -0,0 +1,22 @@
+Feature: Who may claim a partition of exclusive requests
+
+    Scenario Outline: A partition that is <state> is claimed for reason "<reason>"
+        Given a partition that is <state>
+        Then the claim's reason is "<reason>"
+
+        Examples:
+            | state                                     | reason         |
+            | held by nobody                            | unheld         |
+            | released                                  | released       |
+            | held by the process itself                | own-renewal    |
+            | held by the process's own predecessor     | proof-of-death |
+            | held by another until a horizon in reach  | none           |
+            | held by another until a horizon long past | horizon-passed |
+
+    Scenario: A successor sends nothing while the last attempts of the process that it replaced may run
+        Given a partition that is held by the process's own predecessor
+        Then the claim is quiet until 2500 ms after the process began to listen
+
+    Scenario: A successor elsewhere waits from the time of its claim
+        Given a partition that is held by another until a horizon long past
+        Then the claim is quiet until 2500 ms after the claim
--- a/src/gateway/exclusive/claim.ts
+++ b/src/gateway/exclusive/claim.ts
@@ -10,6 +10,8 @@
     readonly instance: string;
     readonly incarnation: string;
     readonly origin: string;
+    /** Time at which the process was listening at its origin. */
+    readonly startedAtMilliseconds: number;
 }
 
 /** Why a partition may be claimed, or `undefined` where it may not (yet). */
@@ -39,9 +41,12 @@
     if (now > record.horizonMilliseconds + settings.clockDifferenceMilliseconds) {
         return "horizon-passed";
     }
-    // This process listens where the holder listened, so the holder's process has ended.
-    const replacesHolder = record.holder === claimant.instance && record.origin === claimant.origin;
-    return settings.acceptProofOfDeath && replacesHolder ? "proof-of-death" : undefined;
+    return settings.acceptProofOfDeath && replacesHolder(record, claimant) ? "proof-of-death" : undefined;
+}
+
+/** Whether the claimant listens where the holder listened, so that the holder's process has ended. */
+function replacesHolder(record: PartitionRecord, claimant: Claimant): boolean {
+    return record.holder === claimant.instance && record.origin === claimant.origin;
 }
 
 /** Makes the record of a claim. The attempts of the holder before it may run until `quietUntilMilliseconds`. */
@@ -72,6 +77,8 @@
     if (previous === undefined || previous.released || isHeldBy(previous, claimant)) {
         return previous?.quietUntilMilliseconds ?? now;
     }
-    const attemptsEnd = now + previous.longestAttemptMilliseconds + settings.clockDifferenceMilliseconds;
+    // A process that was replaced had sent everything before its successor could listen.
+    const lastSend = replacesHolder(previous, claimant) ? claimant.startedAtMilliseconds : now;
+    const attemptsEnd = lastSend + previous.longestAttemptMilliseconds + settings.clockDifferenceMilliseconds;
     return Math.max(previous.quietUntilMilliseconds, attemptsEnd);
 }
--- a/src/gateway/exclusive/exclusive.ts
+++ b/src/gateway/exclusive/exclusive.ts
@@ -16,6 +16,7 @@
 import type { ConfigurationSource } from "../../rules/rule.js";
 import type { Guard } from "../guard.js";
 import { findClaimReason } from "./claim.js";
+import type { Claimant } from "./claim.js";
 import { createExclusiveAdmission } from "./guard.js";
 import { createHolder } from "./holder.js";
 import type { Holder } from "./holder.js";
@@ -58,6 +59,7 @@
 
 interface ExclusiveParts {
     readonly options: ExclusiveOptions;
+    readonly claimant: Claimant;
     readonly table: PartitionTable;
     readonly holder: Holder;
     readonly proof: ProofFinder;
@@ -66,6 +68,7 @@
 /** Creates the part. */
 export function createExclusive(options: ExclusiveOptions): Exclusive {
     const { clock, identity, settings } = options;
+    const claimant = { ...identity, startedAtMilliseconds: clock() };
     const table = createPartitionTable(options.store);
     const proof = createProofFinder({
         rpc: options.rpc,
@@ -78,7 +81,7 @@
         ["reason"],
     );
     const holder = createHolder({
-        claimant: identity,
+        claimant,
         settings,
         store: options.store,
         table,
@@ -89,7 +92,7 @@
         logger: options.logger,
     });
     const locks = createLocks();
-    const parts = { options, table, holder, proof };
+    const parts = { options, claimant, table, holder, proof };
     const state = { lastLookMilliseconds: 0, releasing: new Set<number>() };
     const admit = createExclusiveAdmission({
         settings,
@@ -177,11 +180,11 @@
     await Promise.all(due.map(partition => holder.claim(partition)));
 }
 
-function isClaimDue(partition: number, { options, table }: ExclusiveParts): boolean {
+function isClaimDue(partition: number, { claimant, options, table }: ExclusiveParts): boolean {
     const { settings } = options;
     const now = options.clock();
     const record = table.get(partition)?.body;
-    if (findClaimReason(record, options.identity, settings, now) === "own-renewal" && record !== undefined) {
+    if (findClaimReason(record, claimant, settings, now) === "own-renewal" && record !== undefined) {
         const rest = record.horizonMilliseconds - now;
         const needsLongerAttempts = findLongestAttempt(options.configuration) > record.longestAttemptMilliseconds;
         return needsLongerAttempts || rest < settings.horizonMilliseconds * RENEWAL_SHARE;
