--- a/bench/experiments/capacity.ts
+++ b/bench/experiments/capacity.ts
@@ -41,7 +41,8 @@
         : await measureSeries(context);
     if (context.values["write"] === true) {
         await writeFile(POINTS_FILE, `${JSON.stringify(series, undefined, 4)}\n`);
-        await writeFile(PAGE_FILE, writePage(series, `npm run bench -- capacity --seed ${context.seed} --write`));
+        const source = typeof points === "string" ? `--points ${points}` : `--seed ${context.seed}`;
+        await writeFile(PAGE_FILE, writePage(series, `npm run bench -- capacity ${source} --write`));
         context.progress(`wrote ${PAGE_FILE} and ${POINTS_FILE}`);
     }
     plotSeries(series, context);
