--- a/bench/exclusive/scenario.ts
+++ b/bench/exclusive/scenario.ts
@@ -4,10 +4,12 @@
 import { mkdtemp, readFile, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { createRandom } from "../../src/core/random.js";
+import { createRpcClient } from "../../src/core/rpc.js";
 import { pause, systemClock } from "../../src/core/time.js";
-import type { Deployment } from "../../stand-ins/deployment.js";
-import { startDeployment } from "../../stand-ins/deployment.js";
+import { findPartition, readHolder } from "../../src/gateway/exclusive/partition.js";
+import { ExclusiveSettings } from "../../src/gateway/exclusive/settings.js";
+import type { DeployedInstance, Deployment } from "../../stand-ins/deployment.js";
+import { PEER_TOKEN, startDeployment } from "../../stand-ins/deployment.js";
 import { createDeploymentOperator } from "../../stand-ins/operator.js";
 import { WorkerRecord } from "../../stand-ins/worker/record.js";
 import type { Evidence } from "../support/checker/index.js";
@@ -18,6 +20,7 @@
 const TEAM = "rental";
 const INSTANCES = 3;
 const REQUEST_MILLISECONDS = 40;
+const PEER_TIMEOUT_MILLISECONDS = 1_000;
 const DATA_CENTRES = [
     { name: "rovaniemi", workers: 2 },
     { name: "levi", workers: 2 },
@@ -96,7 +99,7 @@
 ): Promise<ExclusiveOutcome> {
     const calls: CallRecord[] = [];
     const startedAtMilliseconds = systemClock();
-    const faults = Promise.all(scenario.faults.map(fault => carryOut(fault, deployment)));
+    const faults = Promise.all(scenario.faults.map(fault => carryOut(fault, deployment, scenario)));
     await runLoad({
         seed: scenario.seed,
         origins: deployment.instances.flatMap(({ gateway }) => gateway.announcement["callers"] ?? []),
@@ -106,7 +109,7 @@
         clock: systemClock,
         drawCall: random => ({
             service: SERVICE,
-            key: `kit-${Math.floor(random() * scenario.keys)}`,
+            key: nameKey(Math.floor(random() * scenario.keys)),
             method: random() < 1 / 2 ? "GET" : "POST",
         }),
         onRecord: record => calls.push(record),
@@ -121,13 +124,9 @@
     };
 }
 
-async function carryOut(fault: ExclusiveFault, deployment: Deployment): Promise<void> {
-    const random = createRandom(fault.atMilliseconds);
-    const victim = deployment.instances[Math.floor(random() * deployment.instances.length)];
-    if (victim === undefined) {
-        return;
-    }
+async function carryOut(fault: ExclusiveFault, deployment: Deployment, scenario: ExclusiveScenario): Promise<void> {
     await pause(fault.atMilliseconds);
+    const victim = await findBusiestHolder(deployment, scenario.keys);
     switch (fault.kind) {
         case "crash":
             await victim.gateway.kill();
@@ -150,3 +149,24 @@
             break;
     }
 }
+
+function nameKey(index: number): string {
+    return `kit-${index}`;
+}
+
+/** The instance whose gateway holds most of the keys in use, so that the fault falls where it is felt. */
+async function findBusiestHolder(deployment: Deployment, keys: number): Promise<DeployedInstance> {
+    const rpc = createRpcClient({ token: PEER_TOKEN, timeoutMilliseconds: PEER_TIMEOUT_MILLISECONDS });
+    const { partitions } = ExclusiveSettings.parse({});
+    const inUse = [...Array(keys).keys()].map(index => findPartition(SERVICE, nameKey(index), partitions));
+    const counts = await Promise.all(deployment.instances.map(async instance => {
+        const answer = await rpc.call(instance.gateway.announcement["peers"] ?? "", readHolder, {});
+        const held = answer.isOk ? answer.value.held : [];
+        return { instance, count: inUse.filter(partition => held.includes(partition)).length };
+    }));
+    const [busiest] = counts.sort((left, right) => right.count - left.count);
+    if (busiest === undefined) {
+        throw new Error("the deployment has no instances");
+    }
+    return busiest.instance;
+}
