--- a/features/client/client.steps.ts
+++ b/features/client/client.steps.ts
@@ -15,6 +15,7 @@
 import type { FleetWorld } from "../rules/fleet.steps.js";
 
 const CLIENT = resolve("dist/src/binaries/flamingowell.js");
+const DAEMONS_PER_INSTANCE = 2;
 const FLEET_TOKEN = "fleet-token";
 const limit = { timeout: STEP_LIMIT_MILLISECONDS };
 
@@ -46,6 +47,11 @@
 ) {
     this.clientDeployment = await startDeployment({ dataCentres: [{ name: "levi", workers }], instances });
     await waitFor("a gateway answers", async () => (await runClient(this, ["rules", "show"])).code === 0);
+    const processes = `of ${instances * DAEMONS_PER_INSTANCE} processes`;
+    await waitFor("a gateway knows all processes", async () => {
+        const status = await runClient(this, ["status"]);
+        return status.notes.includes(processes);
+    });
 });
 
 Given("the rules file {string}:", async function(this: ClientWorld, file: string, text: string) {
