A setting without a mechanism is gone

Cause: overflowAfterMilliseconds and Task.transferCell promised an overflow of jobs to other cells that is not built.

--- a/features/scheduler/model/world.ts
+++ b/features/scheduler/model/world.ts
@@ -46,7 +46,6 @@
     stopGraceMilliseconds: 100,
     routeDrainMilliseconds: 100,
     segmentsPerSnapshot: 6,
-    overflowAfterMilliseconds: 1_000,
     backOffMilliseconds: 200,
     longestBackOffMilliseconds: 1_000,
 });
--- a/src/scheduler/cell/decide.ts
+++ b/src/scheduler/cell/decide.ts
@@ -88,7 +88,7 @@
 ): string | undefined {
     const link = links.get(worker);
     const spec = ledger.specOf(task);
-    if (!WAITING_STATES.has(task.state) || task.transferCell !== undefined) {
+    if (!WAITING_STATES.has(task.state)) {
         return "not-waiting";
     }
     if (now < task.notBeforeMilliseconds) {
--- a/src/scheduler/cell/view.ts
+++ b/src/scheduler/cell/view.ts
@@ -24,7 +24,7 @@
     const placed = new Map<string, PlacedTask[]>();
     const pending: PendingTask[] = [];
     for (const task of input.ledger.draft.values()) {
-        if (WAITING_STATES.has(task.state) && task.transferCell === undefined) {
+        if (WAITING_STATES.has(task.state)) {
             pending.push(toPending(input.ledger, task));
         }
         else if (task.worker !== undefined && HOLDING_STATES.has(task.state)) {
--- a/src/scheduler/ledger/task.ts
+++ b/src/scheduler/ledger/task.ts
@@ -43,8 +43,6 @@
     throttleShare: z.number().min(0).max(1),
     /** Why it waits, is parked or is being stopped; empty where it runs as asked. */
     reason: z.string(),
-    /** Cell that has offered a place and holds the task until the transfer is settled. */
-    transferCell: z.string().optional(),
 });
 export type Task = z.infer<typeof Task>;
 
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -21,7 +21,6 @@
 const DEFAULT_LONGEST_BACK_OFF_MILLISECONDS = 300_000;
 const DEFAULT_ENDED_KEPT_MILLISECONDS = 3_600_000;
 const DEFAULT_ENDED_KEPT_AT_MOST = 200;
-const DEFAULT_OVERFLOW_AFTER_MILLISECONDS = 3_000;
 
 export const CellSettings = z.strictObject({
     /** Consecutive racks of one data centre that form a cell. Must be the same on all schedulers. */
@@ -55,7 +54,5 @@
     endedKeptMilliseconds: z.int().min(0).default(DEFAULT_ENDED_KEPT_MILLISECONDS),
     /** Ended tasks that stay in a cell's ledger at most. */
     endedKeptAtMost: z.int().min(0).default(DEFAULT_ENDED_KEPT_AT_MOST),
-    /** Time that a task waits in its home cell before other cells are asked to take it. */
-    overflowAfterMilliseconds: z.int().min(1).default(DEFAULT_OVERFLOW_AFTER_MILLISECONDS),
 });
 export type CellSettings = z.infer<typeof CellSettings>;
