Exclusive requests: shorter quiet time after a crash; probes carry their request's id

(2) Probes after a time-out sent no request id; a worker that repeats ids answered with an empty one, the answer counted as crossed, and the breaker of a living upstream opened (log: upstream-dead, answer-crossed). Ruled out: load (45 requests a second), process start (0.7 s). Change: a holder limits attempts to the shorter time at once, and shortens its record once attempts of the longer time must have ended. Probes send the id that they expect.

--- a/features/exclusive/claim.feature
+++ b/features/exclusive/claim.feature
@@ -20,3 +20,15 @@
     Scenario: A successor elsewhere waits from the time of its claim
         Given a partition that is held by another until a horizon long past
         Then the claim is quiet until 2500 ms after the claim
+
+    Scenario: A holder shortens its record only when its longer attempts have ended
+        Given a partition that is held by the process itself
+        And rules that have allowed attempts of 500 ms for 1900 ms
+        Then the record keeps attempts of 2000 ms
+        Given rules that have allowed attempts of 500 ms for 2100 ms
+        Then the record keeps attempts of 500 ms
+
+    Scenario: A holder lengthens its record at once
+        Given a partition that is held by the process itself
+        And rules that have allowed attempts of 3000 ms for 0 ms
+        Then the record keeps attempts of 3000 ms
--- a/features/exclusive/claim.steps.ts
+++ b/features/exclusive/claim.steps.ts
@@ -5,6 +5,8 @@
 import assert from "node:assert/strict";
 import { createClaim, findClaimReason } from "../../src/gateway/exclusive/claim.js";
 import type { Claimant } from "../../src/gateway/exclusive/claim.js";
+import { chooseLongestAttempt } from "../../src/gateway/exclusive/longest.js";
+import type { LongestAttempt } from "../../src/gateway/exclusive/longest.js";
 import type { PartitionRecord } from "../../src/gateway/exclusive/partition.js";
 import { ExclusiveSettings } from "../../src/gateway/exclusive/settings.js";
 
@@ -20,6 +22,7 @@
 
 interface ClaimWorld {
     record: PartitionRecord | undefined;
+    longest: LongestAttempt;
 }
 
 const held: PartitionRecord = {
@@ -72,3 +75,18 @@
 Then("the claim is quiet until {int} ms after the claim", function(this: ClaimWorld, wait: number) {
     assert.equal(findQuietTime(this.record), NOW + wait);
 });
+
+Given("rules that have allowed attempts of {int} ms for {int} ms", function(
+    this: ClaimWorld,
+    longestMilliseconds: number,
+    unchangedMilliseconds: number,
+) {
+    this.longest = {
+        current: () => longestMilliseconds,
+        unchangedMilliseconds: () => unchangedMilliseconds,
+    };
+});
+
+Then("the record keeps attempts of {int} ms", function(this: ClaimWorld, milliseconds: number) {
+    assert.equal(chooseLongestAttempt(this.record, claimant, this.longest, NOW), milliseconds);
+});
--- a/features/gateway/support/upstream.ts
+++ b/features/gateway/support/upstream.ts
@@ -27,10 +27,12 @@
     close(): Promise<void>;
 }
 
-/** Answers with a body that names the request. */
+/** Answers with a body that names the request, and with its id. */
 export const answerWhole: Behaviour = (request, socket) => {
+    const id = request.headers.get("flamingowell-request-id") ?? "";
     const body = `answer to ${request.path}${request.body === "" ? "" : ` with ${request.body}`}`;
-    socket.write(`HTTP/1.1 200 OK\r\ncontent-length: ${body.length}\r\n\r\n${body}`);
+    const head = `HTTP/1.1 200 OK\r\nflamingowell-request-id: ${id}\r\ncontent-length: ${body.length}`;
+    socket.write(`${head}\r\n\r\n${body}`);
 };
 
 /** Starts an upstream. */
--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -5,6 +5,7 @@
         And 3 open connections that have gone silent
         When a caller posts "x" to "/beacon-check/kits/1" and waits at most 200 ms
         Then the caller gets status 504 with outcome "unknown" and reason "upstream-timeout"
+        And the probe on a new connection opens no breaker
         When a caller posts 10 requests one after the other
         Then every request got status 200
 
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -80,6 +80,16 @@
     this.upstreams[index]?.behave(() => undefined);
 });
 
+Then("the probe on a new connection opens no breaker", async function(this: UpstreamsWorld) {
+    const [upstream] = this.upstreams;
+    await waitUntil(
+        "the probe has arrived",
+        () => upstream?.requests.some(({ head }) => head.startsWith("OPTIONS")) === true,
+    );
+    await callTimes(this, 5);
+    assert.equal(firstGateway(this).gateway.breakersOpened(), 0);
+});
+
 When("callers have met the silence of replica 0 once", async function(this: UpstreamsWorld) {
     const { gateway } = firstGateway(this);
     const opened = gateway.breakersOpened();
--- a/src/gateway/exclusive/exclusive.ts
+++ b/src/gateway/exclusive/exclusive.ts
@@ -22,6 +22,8 @@
 import type { Holder } from "./holder.js";
 import { createLocks } from "./locks.js";
 import type { Locks } from "./locks.js";
+import { chooseLongestAttempt, createLongestAttempt } from "./longest.js";
+import type { LongestAttempt } from "./longest.js";
 import { nameKey, readHolder } from "./partition.js";
 import { createProofFinder } from "./proof.js";
 import type { ProofFinder } from "./proof.js";
@@ -30,7 +32,6 @@
 import type { PartitionTable } from "./table.js";
 
 const LOCK_POLL_MILLISECONDS = 20;
-const DEFAULT_LONGEST_ATTEMPT_MILLISECONDS = 5_000;
 /** A claim is renewed once this share of its horizon has passed. */
 const RENEWAL_SHARE = 0.5;
 /** Time between two notes that the process runs, as a share of the pause limit. */
@@ -60,6 +61,7 @@
 interface ExclusiveParts {
     readonly options: ExclusiveOptions;
     readonly claimant: Claimant;
+    readonly longest: LongestAttempt;
     readonly table: PartitionTable;
     readonly holder: Holder;
     readonly proof: ProofFinder;
@@ -69,6 +71,7 @@
 export function createExclusive(options: ExclusiveOptions): Exclusive {
     const { clock, identity, settings } = options;
     const claimant = { ...identity, startedAtMilliseconds: clock() };
+    const longest = createLongestAttempt(options.configuration, claimant.startedAtMilliseconds);
     const table = createPartitionTable(options.store);
     const proof = createProofFinder({
         rpc: options.rpc,
@@ -85,14 +88,14 @@
         settings,
         store: options.store,
         table,
-        longestAttemptMilliseconds: () => findLongestAttempt(options.configuration),
+        longestAttemptMilliseconds: record => chooseLongestAttempt(record, claimant, longest, clock()),
         isProvenDead: record => proof.isProvenDead(record),
         onClaim: reason => claims.inc({ reason }),
         clock,
         logger: options.logger,
     });
     const locks = createLocks();
-    const parts = { options, claimant, table, holder, proof };
+    const parts = { options, claimant, longest, table, holder, proof };
     const state = { lastLookMilliseconds: 0, releasing: new Set<number>() };
     const admit = createExclusiveAdmission({
         settings,
@@ -102,6 +105,7 @@
         isAwake: now => now - state.lastLookMilliseconds < settings.pauseLimitMilliseconds,
         isReleasing: partition => state.releasing.has(partition),
         findClaimantOrigin: partition => findClaimantOrigin(partition, options),
+        longestAttemptMilliseconds: now => longest.current(now),
         clock,
     });
     return {
@@ -180,14 +184,14 @@
     await Promise.all(due.map(partition => holder.claim(partition)));
 }
 
-function isClaimDue(partition: number, { claimant, options, table }: ExclusiveParts): boolean {
+function isClaimDue(partition: number, { claimant, longest, options, table }: ExclusiveParts): boolean {
     const { settings } = options;
     const now = options.clock();
     const record = table.get(partition)?.body;
     if (findClaimReason(record, claimant, settings, now) === "own-renewal" && record !== undefined) {
         const rest = record.horizonMilliseconds - now;
-        const needsLongerAttempts = findLongestAttempt(options.configuration) > record.longestAttemptMilliseconds;
-        return needsLongerAttempts || rest < settings.horizonMilliseconds * RENEWAL_SHARE;
+        const chosen = chooseLongestAttempt(record, claimant, longest, now);
+        return chosen !== record.longestAttemptMilliseconds || rest < settings.horizonMilliseconds * RENEWAL_SHARE;
     }
     return findClaimantOrigin(partition, options) === undefined && !isHolderAlive(record?.holder, options);
 }
@@ -207,14 +211,6 @@
     return rankByRendezvous(nameKey(partition), candidates, candidate => candidate.instance)[0]?.origin;
 }
 
-function findLongestAttempt(configuration: ConfigurationSource): number {
-    const rules = configuration.current()?.documents.flatMap(document => document.rules) ?? [];
-    const deadlines = rules.flatMap(rule =>
-        rule.kind === "service" && rule.exclusive !== undefined ? [rule.deadlineMilliseconds] : []
-    );
-    return deadlines.length === 0 ? DEFAULT_LONGEST_ATTEMPT_MILLISECONDS : Math.max(...deadlines);
-}
-
 async function handOverPartition(partition: number, holder: Holder, locks: Locks): Promise<void> {
     while (locks.count(key => key.startsWith(`${partition}/`)) > 0) {
         await pause(LOCK_POLL_MILLISECONDS);
--- a/src/gateway/exclusive/guard.ts
+++ b/src/gateway/exclusive/guard.ts
@@ -26,6 +26,8 @@
     isReleasing(partition: number): boolean;
     /** Origin of the live gateway that should claim a partition that nobody holds; `undefined` for this process. */
     findClaimantOrigin(partition: number): string | undefined;
+    /** Longest attempt that the rules in force allow. */
+    longestAttemptMilliseconds(now: number): number;
     readonly clock: Clock;
 }
 
@@ -112,17 +114,19 @@
     release: Release,
     options: ExclusiveAdmissionOptions,
 ): Permit {
-    const longest = options.holder.find(partition)?.longestAttemptMilliseconds ?? 0;
-    const latestEndMilliseconds = Math.min(request.deadlineMilliseconds, options.clock() + longest);
+    const now = options.clock();
+    const recorded = options.holder.find(partition)?.longestAttemptMilliseconds ?? 0;
+    const longest = Math.min(recorded, options.longestAttemptMilliseconds(now));
+    const latestEndMilliseconds = Math.min(request.deadlineMilliseconds, now + longest);
     return {
         latestEndMilliseconds,
-        maySend: now => {
+        maySend: time => {
             const record = options.holder.find(partition);
             return record !== undefined
                 && !options.isReleasing(partition)
-                && options.isAwake(now)
-                && now < record.horizonMilliseconds
-                && now < latestEndMilliseconds;
+                && options.isAwake(time)
+                && time < record.horizonMilliseconds
+                && time < latestEndMilliseconds;
         },
         finish: async outcome => {
             endLock(outcome, latestEndMilliseconds, release, options);
--- a/src/gateway/exclusive/holder.ts
+++ b/src/gateway/exclusive/holder.ts
@@ -23,8 +23,8 @@
     readonly settings: ExclusiveSettings;
     readonly store: Store;
     readonly table: PartitionTable;
-    /** Longest time that an attempt of any exclusive service may run. */
-    longestAttemptMilliseconds(): number;
+    /** Longest time that an attempt of any exclusive service may run under a claim that replaces a record. */
+    longestAttemptMilliseconds(record: PartitionRecord | undefined): number;
     /** Asks whether the process that holds a record is provably gone. */
     isProvenDead(record: PartitionRecord): Promise<boolean>;
     onClaim(reason: ClaimReason): void;
@@ -81,7 +81,7 @@
         );
     }
     const now = options.clock();
-    const longest = options.longestAttemptMilliseconds();
+    const longest = options.longestAttemptMilliseconds(previous?.body);
     const record = createClaim(options.claimant, previous, longest, options.settings, now);
     const committed = await commit(partition, record, previous, options);
     if (committed.isOk && reason !== "own-renewal") {
--- a/src/gateway/upstream/probe.ts
+++ b/src/gateway/upstream/probe.ts
@@ -55,13 +55,15 @@
         if (connections === undefined || connection === undefined) {
             return;
         }
+        // A worker that repeats request ids repeats this one, so that the answer does not look like another request's.
+        const requestId = randomUUID();
         const result = await exchange(connection.client, {
             // Every server answers OPTIONS in some way, and it runs nothing.
             method: "OPTIONS",
             path: PROBE_PATH,
-            headers: { [headers.gateway]: options.holder },
+            headers: { [headers.gateway]: options.holder, [headers.requestId]: requestId },
             body: Buffer.alloc(0),
-            requestId: randomUUID(),
+            requestId,
             bufferBytes: PROBE_LIMIT_BYTES,
             limitBytes: PROBE_LIMIT_BYTES,
             timeoutMilliseconds: options.probeTimeoutMilliseconds,
