--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -2,6 +2,7 @@
  * Constructs the parts of both daemons and joins them.
  */
 import { randomUUID } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import { Result } from "true-myth/result";
 import { createConfigurationFeed } from "./configuration/feed.js";
 import type { RunningDaemon } from "./core/daemon.js";
@@ -283,6 +284,8 @@
     const metricsSurface = await openSurface(settings.metrics);
     mountMetrics(metricsSurface, { metrics: options.metrics, ready: () => options.ready() });
     const stopping = new AbortController();
+    // Every wait of every part listens to the one signal; a count of them says nothing about a leak.
+    setMaxListeners(0, stopping.signal);
     const runs = parts.map(part => part.run(stopping.signal));
     return {
         announcement: { peers: peers.running.origin, metrics: metricsSurface.running.origin },
