Gateways say whether the store answers

Cause: a gateway's status said that the store is reached whatever happened: a constant in the wiring, found in the read-through. Change: the store that a daemon uses notes whether its last call was answered; the gateway's status reads it. Conclusion: flamingowell status can be believed for gateways too.

--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -27,6 +27,7 @@
 import { createStore } from "./platform/adapters/store.js";
 import { createWorkerControl } from "./platform/adapters/worker.js";
 import type { WorkerInstance } from "./platform/instances.js";
+import { observeStore } from "./platform/reach.js";
 import { shareInstanceList } from "./platform/sharing.js";
 import { createPolicy } from "./policy/create.js";
 import type { ConfigurationSource } from "./rules/rule.js";
@@ -96,7 +97,7 @@
     const running = await foundation.run([gateway, operator, exclusive, callersPart], {
         ready: () => gateway.ready(),
         ownedCells: () => [],
-        storeReachable: () => true,
+        storeReachable: () => store.isReachable(),
     });
     return {
         announcement: { ...running.announcement, callers: callers.origin, operators: operators.running.origin },
@@ -175,7 +176,7 @@
     const peers = await openSurface(settings.peers);
     const origin = settings.advertisedOrigin ?? peers.running.origin;
     const rpc = createRpcClient({ token: settings.peerToken, timeoutMilliseconds: settings.peerTimeoutMilliseconds });
-    const store = createStore(settings.store);
+    const store = observeStore(createStore(settings.store));
     const instanceList = shareInstanceList(createInstanceList(settings.instanceList), {
         clock,
         freshMilliseconds: settings.instanceList.freshMilliseconds,
