A process that leaves is heard before it is missed

At one incarnation suspect ranked above leaving, so the true news never replaced the suspicion. Change: the leaver tells random peers in rounds until all, at most 24, have acknowledged, within leaveLimitMilliseconds; failed sends are repeated. Order is alive, suspect, leaving, dead. A leaving member that is silent is dead after the suspicion time, noted locally and not passed on as suspect; an answer clears the note.

--- /dev/null
+++ b/features/membership/leave.steps.ts
@@ -0,0 +1,87 @@
+/**
+ * Steps for how a leave is told, and for what one process makes of news and silence.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { Member } from "../../src/membership/member.js";
+import type { Membership } from "../../src/membership/membership.js";
+import { createRoster } from "../../src/membership/roster.js";
+import type { Roster } from "../../src/membership/roster.js";
+import { createNetwork, describeMember } from "./network.js";
+
+const SEED = 11;
+const SUSPICION_MILLISECONDS = 1_000;
+const PEER = "entry-1/gateway";
+
+interface LeaveWorld {
+    roster: Roster;
+    network: Membership[];
+}
+
+Given("a process that knows one peer", function(this: LeaveWorld) {
+    this.roster = createRoster("entry-9/gateway");
+    hear(this, "alive");
+});
+
+When("it hears that the peer is {string}", function(this: LeaveWorld, state: Member["state"]) {
+    hear(this, state);
+});
+
+When(
+    "it hears that the peer is {string} and then that it is {string}",
+    function(this: LeaveWorld, first: Member["state"], second: Member["state"]) {
+        hear(this, first);
+        hear(this, second);
+    },
+);
+
+When("the peer does not answer", function(this: LeaveWorld) {
+    this.roster.doubt(describeMember("entry-1"), 0);
+});
+
+When("the peer answers", function(this: LeaveWorld) {
+    this.roster.trust(describeMember("entry-1", { state: "leaving" }));
+});
+
+When("the suspicion time is over", function(this: LeaveWorld) {
+    this.roster.expire(SUSPICION_MILLISECONDS, SUSPICION_MILLISECONDS);
+});
+
+Then("it sees the peer as {string}", function(this: LeaveWorld, state: string) {
+    assert.equal(this.roster.get(PEER)?.member.state, state);
+});
+
+Then("it passes the peer on as {string}", function(this: LeaveWorld, state: string) {
+    assert.deepEqual(this.roster.takeChanges(1).map(member => member.state), [state]);
+});
+
+Given(
+    "{int} processes whose first message to each other is lost",
+    async function(this: LeaveWorld, size: number) {
+        this.network = await createNetwork(size, SEED);
+    },
+);
+
+When("one of them leaves", async function(this: LeaveWorld) {
+    await this.network[0]?.leave();
+});
+
+Then("{int} of the others have heard it from itself", function(this: LeaveWorld, count: number) {
+    assert.equal(countHeard(this), count);
+});
+
+Then("{int} to {int} of the others have heard it from itself", function(this: LeaveWorld, least: number, most: number) {
+    const heard = countHeard(this);
+    assert.ok(heard >= least && heard <= most, `${heard} have heard`);
+});
+
+function hear(world: LeaveWorld, state: Member["state"]): void {
+    world.roster.merge(describeMember("entry-1", { state }), 0);
+}
+
+function countHeard(world: LeaveWorld): number {
+    const leaver = world.network[0]?.source.self().instance;
+    return world.network.filter(({ source }) =>
+        source.members().some(member => member.instance === leaver && member.state === "leaving")
+    ).length;
+}
--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -41,3 +41,37 @@
 
     Scenario: News of a member replaces older news in every order of arrival
         Then two processes that hear the same news in any order agree in the end
+
+    Scenario: A leave replaces a suspicion, whichever comes first
+        Given a process that knows one peer
+        When it hears that the peer is "suspect" and then that it is "leaving"
+        Then it sees the peer as "leaving"
+        When it hears that the peer is "suspect"
+        Then it sees the peer as "leaving"
+
+    Scenario: A leaving peer that falls silent is dead after the suspicion time and passed on as nothing else
+        Given a process that knows one peer
+        When it hears that the peer is "leaving"
+        And the peer does not answer
+        Then it sees the peer as "leaving"
+        And it passes the peer on as "leaving"
+        When the suspicion time is over
+        Then it sees the peer as "dead"
+
+    Scenario: A leaving peer that answers after all is not dead
+        Given a process that knows one peer
+        When it hears that the peer is "leaving"
+        And the peer does not answer
+        And the peer answers
+        And the suspicion time is over
+        Then it sees the peer as "leaving"
+
+    Scenario: A process that leaves repeats itself until all of a small fleet have heard
+        Given 10 processes whose first message to each other is lost
+        When one of them leaves
+        Then 9 of the others have heard it from itself
+
+    Scenario: A process that leaves a large fleet tells a bounded number
+        Given 60 processes whose first message to each other is lost
+        When one of them leaves
+        Then 24 to 31 of the others have heard it from itself
--- a/features/rules/fleet.steps.ts
+++ b/features/rules/fleet.steps.ts
@@ -18,6 +18,7 @@
         probeIntervalMilliseconds: 60,
         probeTimeoutMilliseconds: 150,
         suspicionMilliseconds: 600,
+        leaveLimitMilliseconds: 30_000,
     },
     configuration: { compareIntervalMilliseconds: 200, headIntervalMilliseconds: 200, storeRetryMilliseconds: 100 },
 };
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -16,6 +16,7 @@
 import { pause } from "../core/time.js";
 import type { Clock } from "../core/time.js";
 import type { EntryInstance, InstanceList } from "../platform/instances.js";
+import { tellLeaving } from "./leave.js";
 import { nameMember } from "./member.js";
 import type { Member, MembershipSource } from "./member.js";
 import { probeForPeer, probePeer } from "./messages.js";
@@ -41,7 +42,7 @@
 /** The membership: a part of the process and its source of members. */
 export interface Membership extends Part {
     readonly source: MembershipSource;
-    /** Tells peers that this process is going; resolves when some have heard it. */
+    /** Tells peers that this process is going; resolves when enough have heard it, or after the limit in the settings. */
     leave(): Promise<void>;
 }
 
@@ -51,13 +52,14 @@
     current(): Member;
     /** Takes in news of members, of this process as well. */
     hear(news: readonly Member[]): void;
+    /** Tells listeners that the roster has changed. */
+    publish(): void;
     /** Counts how a probe went: answered directly, through another peer, or not at all. */
     readonly probes: Counter<"outcome">;
     /** What the next heartbeat to a peer says. */
     compose(target: Member | undefined): { self: Member; changes: Member[]; };
 }
 
-const LEAVE_FANOUT = 4;
 const INTERVAL_JITTER_SHARE = 0.1;
 
 /** Creates the membership. */
@@ -99,6 +101,7 @@
         probes: metrics.counter("flamingowell_membership_probes_total", "Probes of peers by outcome", ["outcome"]),
         roster,
         current,
+        publish,
         hear(news) {
             const now = options.clock();
             news.filter(member => nameMember(member) === nameMember(options.self)).forEach(refute);
@@ -151,8 +154,7 @@
         },
         async leave() {
             leaving = true;
-            const peers = roster.entries().map(entry => entry.member).filter(member => member.state === "alive");
-            await Promise.all(peers.slice(0, LEAVE_FANOUT).map(peer => exchangeHeartbeat(context, peer)));
+            await tellLeaving(context);
         },
     };
 }
@@ -165,6 +167,7 @@
     return [
         implement(probePeer, async ({ self, changes }) => {
             context.hear([self, ...changes]);
+            context.roster.trust(self);
             return Result.ok(context.compose(context.roster.get(nameMember(self))?.member));
         }),
         implement(probeForPeer, async ({ target }) => {
--- a/src/membership/probe.ts
+++ b/src/membership/probe.ts
@@ -32,9 +32,10 @@
     if (peer.state === "dead") {
         return;
     }
-    // News may have come in the meantime; the suspicion counts only for the incarnation that was probed.
-    context.logger.info("peer suspected", { peer: nameMember(peer), incarnation: peer.incarnation });
-    context.hear([{ ...peer, state: "suspect" }]);
+    if (context.roster.doubt(peer, context.clock())) {
+        context.logger.info("peer suspected", { peer: nameMember(peer), incarnation: peer.incarnation });
+        context.publish();
+    }
 }
 
 function choosePeer(context: MembershipContext): Member | undefined {
@@ -56,6 +57,7 @@
     }
     const { self, changes } = answer.value;
     context.hear([self, ...changes]);
+    context.roster.trust(self);
     // Another process may have taken over the address.
     return nameMember(self) === nameMember(peer) ? self : undefined;
 }
@@ -79,11 +81,12 @@
         answer.isOk && answer.value.target !== undefined ? answer.value.target : []
     );
     context.hear(found);
+    found.forEach(member => context.roster.trust(member));
     return found.some(member => nameMember(member) === nameMember(peer));
 }
 
 /** Draws up to a number of members at random. */
-function draw(members: readonly Member[], count: number, random: Random): Member[] {
+export function draw(members: readonly Member[], count: number, random: Random): Member[] {
     return members
         .map(member => ({ member, order: random() }))
         .sort((left, right) => left.order - right.order)
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -6,12 +6,13 @@
 import type { Member } from "./member.js";
 
 /** At one incarnation, news of a later state in this order replaces an earlier one. */
-const stateOrder: Record<Member["state"], number> = { alive: 0, leaving: 1, suspect: 2, dead: 3 };
+const stateOrder: Record<Member["state"], number> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
 
 /** A member with what this process notes about it. */
 export interface RosterEntry {
     member: Member;
-    suspectedAtMilliseconds: number | undefined;
+    /** Since when it is suspected, or is leaving and has not answered this process. */
+    doubtedAtMilliseconds: number | undefined;
     /** The instance list names it, or has named it and since dropped it. */
     listed: "never" | "now" | "dropped";
     /** Origin that the list named last. */
@@ -36,7 +37,11 @@
     merge(news: Member, now: number): boolean;
     /** Takes in the instance list; true where something changed. */
     mergeList(instances: readonly EntryInstance[], now: number): boolean;
-    /** Suspects that did not refute in time become dead, and dead ones that are listed no more go; true on a change. */
+    /** Notes that a member answered neither this process nor others; true where it has become a suspect. */
+    doubt(probed: Member, now: number): boolean;
+    /** Notes that a member has answered: one that is leaving is still there. */
+    trust(answered: Member): void;
+    /** Doubted members that gave no sign in time become dead, and dead ones that are listed no more go; true on a change. */
     expire(suspicionMilliseconds: number, now: number): boolean;
     /** Picks changes to pass on. */
     takeChanges(limit: number): Member[];
@@ -53,7 +58,7 @@
     }
 
     function set(entry: RosterEntry, member: Member, now: number): void {
-        entry.suspectedAtMilliseconds = member.state === "suspect" ? entry.suspectedAtMilliseconds ?? now : undefined;
+        entry.doubtedAtMilliseconds = member.state === "suspect" ? entry.doubtedAtMilliseconds ?? now : undefined;
         entry.member = member;
         entry.sendsLeft = countSends();
     }
@@ -61,7 +66,7 @@
     function add(member: Member, now: number): RosterEntry {
         const entry: RosterEntry = {
             member,
-            suspectedAtMilliseconds: member.state === "suspect" ? now : undefined,
+            doubtedAtMilliseconds: member.state === "suspect" ? now : undefined,
             listed: "never",
             listedOrigin: undefined,
             sendsLeft: 0,
@@ -134,11 +139,29 @@
             }
             return changes.includes(true);
         },
+        doubt(probed, now) {
+            const entry = entries.get(nameMember(probed));
+            // News may have come while the probe was under way; it counts only for the incarnation that was probed.
+            if (entry === undefined || entry.member.incarnation !== probed.incarnation) {
+                return false;
+            }
+            if (entry.member.state === "leaving") {
+                // It has said so itself; passed on as a suspicion, its silence would say less than what is known.
+                entry.doubtedAtMilliseconds ??= now;
+            }
+            return merge({ ...entry.member, state: "suspect" }, now);
+        },
+        trust(answered) {
+            const entry = entries.get(nameMember(answered));
+            if (entry?.member.state === "leaving" && entry.member.incarnation === answered.incarnation) {
+                entry.doubtedAtMilliseconds = undefined;
+            }
+        },
         expire(suspicionMilliseconds, now) {
             let changed = false;
             for (const [name, entry] of entries) {
-                const suspectedAt = entry.suspectedAtMilliseconds;
-                if (suspectedAt !== undefined && now - suspectedAt >= suspicionMilliseconds) {
+                const doubtedAt = entry.doubtedAtMilliseconds;
+                if (doubtedAt !== undefined && now - doubtedAt >= suspicionMilliseconds) {
                     set(entry, { ...entry.member, state: "dead" }, now);
                     changed = true;
                 }
--- a/src/membership/settings.ts
+++ b/src/membership/settings.ts
@@ -14,6 +14,8 @@
     indirectProbes: z.int().min(0).default(3),
     /** Time that a suspected peer has to refute the suspicion. */
     suspicionMilliseconds: z.int().min(1).default(2_000),
+    /** Longest time that a process takes to tell its peers that it is leaving. */
+    leaveLimitMilliseconds: z.int().min(0).default(2_000),
     /** Most changes of members that one heartbeat carries. */
     changesPerHeartbeat: z.int().min(1).default(12),
 });
