Only a process that has probed a member in vain declares its death

As read in the code: the suspect was not told, but heard of the suspicion by gossip; everyone who had heard it counted 2 s; the first of these clocks to run out before the refutation had come round told everyone of a death. And nearly 10 % of the exchanges fail at 5 % loss in each direction. Change: a failed probe is repeated beside the indirect ones. The process notes a doubt of its own and probes the doubted member in each interval, telling it, so that it refutes in the answer; death needs the suspicion time and two more failed rounds. A suspicion that was only heard of never expires. A probe that ended later than a timeout allows (this process was held up) is counted as delayed and suspects nobody. The steps of the silent leaver say 3 probes now.

--- a/bench/experiments/membership.ts
+++ b/bench/experiments/membership.ts
@@ -131,7 +131,7 @@
 }
 
 async function countProbes(fleet: Fleet, outcome: string): Promise<number> {
-    const outcomes = outcome === "" ? ['"direct"', '"indirect"', '"none"'] : [outcome];
+    const outcomes = outcome === "" ? ['"direct"', '"repeated"', '"indirect"', '"delayed"', '"none"'] : [outcome];
     const counts = await Promise.all(
         fleet.nodes.filter(node => node.running).flatMap(node =>
             outcomes.map(label => fleet.readMetric(node, "flamingowell_membership_probes_total", label))
--- a/features/membership/leave.steps.ts
+++ b/features/membership/leave.steps.ts
@@ -35,14 +35,20 @@
     },
 );
 
-When("the peer does not answer", function(this: LeaveWorld) {
-    this.roster.doubt(describeMember("entry-1"), 0);
+When("the peer does not answer {int} probe(s)", function(this: LeaveWorld, probes: number) {
+    for (let probe = 0; probe < probes; probe += 1) {
+        this.roster.doubt(describeMember("entry-1"), 0);
+    }
 });
 
 When("the peer answers", function(this: LeaveWorld) {
     this.roster.trust(describeMember("entry-1", { state: "leaving" }));
 });
 
+When("the peer refutes the suspicion", function(this: LeaveWorld) {
+    this.roster.merge(describeMember("entry-1", { incarnation: 2 }));
+});
+
 When("the suspicion time is over", function(this: LeaveWorld) {
     this.roster.expire(SUSPICION_MILLISECONDS, SUSPICION_MILLISECONDS);
 });
@@ -76,7 +82,7 @@
 });
 
 function hear(world: LeaveWorld, state: Member["state"]): void {
-    world.roster.merge(describeMember("entry-1", { state }), 0);
+    world.roster.merge(describeMember("entry-1", { state }));
 }
 
 function countHeard(world: LeaveWorld): number {
--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -52,7 +52,7 @@
     Scenario: A leaving peer that falls silent is dead after the suspicion time and passed on as nothing else
         Given a process that knows one peer
         When it hears that the peer is "leaving"
-        And the peer does not answer
+        And the peer does not answer 3 probes
         Then it sees the peer as "leaving"
         And it passes the peer on as "leaving"
         When the suspicion time is over
@@ -61,7 +61,7 @@
     Scenario: A leaving peer that answers after all is not dead
         Given a process that knows one peer
         When it hears that the peer is "leaving"
-        And the peer does not answer
+        And the peer does not answer 3 probes
         And the peer answers
         And the suspicion time is over
         Then it sees the peer as "leaving"
@@ -75,3 +75,27 @@
         Given 60 processes whose first message to each other is lost
         When one of them leaves
         Then 24 to 31 of the others have heard it from itself
+
+    Scenario: What others say of a silence is no proof of a death
+        Given a process that knows one peer
+        When it hears that the peer is "suspect"
+        And the suspicion time is over
+        Then it sees the peer as "suspect"
+
+    Scenario: A silence that further probes confirm is a death
+        Given a process that knows one peer
+        When the peer does not answer 2 probes
+        And the suspicion time is over
+        Then it sees the peer as "suspect"
+        When the peer does not answer 1 probe
+        And the suspicion time is over
+        Then it sees the peer as "dead"
+
+    Scenario: An answer ends the doubt in a peer
+        Given a process that knows one peer
+        When the peer does not answer 3 probes
+        And the peer answers
+        And the suspicion time is over
+        Then it sees the peer as "suspect"
+        When the peer refutes the suspicion
+        Then it sees the peer as "alive"
--- a/features/membership/membership.steps.ts
+++ b/features/membership/membership.steps.ts
@@ -179,9 +179,9 @@
 function hearAll(news: readonly Member[]): string[] {
     const roster = createRoster("entry-9/gateway");
     for (const instance of ["entry-1", "entry-2"]) {
-        roster.merge({ ...emptyMember, instance }, 0);
+        roster.merge({ ...emptyMember, instance });
     }
-    news.forEach(member => roster.merge(member, 0));
+    news.forEach(member => roster.merge(member));
     return roster.entries().map(({ member }) => `${nameMember(member)} ${member.incarnation} ${member.state}`);
 }
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -54,9 +54,11 @@
     hear(news: readonly Member[]): void;
     /** Tells listeners that the roster has changed. */
     publish(): void;
-    /** Counts how a probe went: answered directly, through another peer, or not at all. */
+    /** Counts how probes went. */
     readonly probes: Counter<"outcome">;
-    /** What the next heartbeat to a peer says. */
+    /** Counts how further probes of doubted members went. */
+    readonly confirmations: Counter<"outcome">;
+    /** What the next heartbeat to a peer says; a peer that is not believed to be alive is told so, and can refute it. */
     compose(target: Member | undefined): { self: Member; changes: Member[]; };
 }
 
@@ -99,13 +101,17 @@
     const context: MembershipContext = {
         ...options,
         probes: metrics.counter("flamingowell_membership_probes_total", "Probes of peers by outcome", ["outcome"]),
+        confirmations: metrics.counter(
+            "flamingowell_membership_confirmations_total",
+            "Further probes of peers that gave no answer, by outcome",
+            ["outcome"],
+        ),
         roster,
         current,
         publish,
         hear(news) {
-            const now = options.clock();
             news.filter(member => nameMember(member) === nameMember(options.self)).forEach(refute);
-            const changes = news.map(member => roster.merge(member, now));
+            const changes = news.map(member => roster.merge(member));
             if (changes.includes(true)) {
                 publish();
             }
@@ -135,7 +141,7 @@
             if (list.isErr) {
                 logger.warn("instance list not read", { failure: formatFailure(list.error) });
             }
-            else if (roster.mergeList(list.value.filter(isEntry), options.clock())) {
+            else if (roster.mergeList(list.value.filter(isEntry))) {
                 publish();
             }
             await pause(jitter(settings.listIntervalMilliseconds, INTERVAL_JITTER_SHARE, options.random), signal);
--- a/src/membership/probe.ts
+++ b/src/membership/probe.ts
@@ -14,32 +14,65 @@
 /** An indirect probe passes two hops. */
 const INDIRECT_TIMEOUT_FACTOR = 2;
 
-/** Probes one peer and suspects it where nobody reaches it. */
+/** Timeouts that fire later than by this share of themselves were held up on this machine. */
+const DELAY_FACTOR = 1;
+
+/** How a probe ended: `delayed` where this process was held up itself, so that the silence says nothing of the peer. */
+type Outcome = "direct" | "repeated" | "indirect" | "delayed" | "none";
+
+/** Probes one peer, and beside it one whose silence is not confirmed yet. */
 export async function probeNext(context: MembershipContext): Promise<void> {
-    const peer = choosePeer(context);
-    if (peer === undefined) {
-        return;
-    }
-    if (await exchangeHeartbeat(context, peer) !== undefined) {
-        context.probes.inc({ outcome: "direct" });
-        return;
-    }
-    if (peer.state !== "dead" && await probeIndirectly(context, peer)) {
-        context.probes.inc({ outcome: "indirect" });
-        return;
-    }
-    context.probes.inc({ outcome: "none" });
+    const doubted = context.roster.nextDoubted();
+    const peer = choosePeer(context, doubted);
+    await Promise.all([
+        peer === undefined ? undefined : probe(context, peer),
+        doubted === undefined ? undefined : confirm(context, doubted),
+    ]);
+}
+
+async function probe(context: MembershipContext, peer: Member): Promise<void> {
     if (peer.state === "dead") {
+        const answered = await exchangeHeartbeat(context, peer) !== undefined;
+        context.probes.inc({ outcome: answered ? "direct" : "none" });
         return;
     }
-    if (context.roster.doubt(peer, context.clock())) {
+    const outcome = await reach(context, peer);
+    context.probes.inc({ outcome });
+    if (outcome === "none" && context.roster.doubt(peer, context.clock())) {
         context.logger.info("peer suspected", { peer: nameMember(peer), incarnation: peer.incarnation });
         context.publish();
     }
 }
 
-function choosePeer(context: MembershipContext): Member | undefined {
-    const members = context.roster.entries().map(entry => entry.member);
+/** Probes a doubted peer again; it hears of the doubt and refutes it, or its silence is confirmed. */
+async function confirm(context: MembershipContext, peer: Member): Promise<void> {
+    const outcome = await reach(context, peer);
+    context.confirmations.inc({ outcome });
+    if (outcome === "none") {
+        context.roster.doubt(peer, context.clock());
+    }
+}
+
+/** Tries to reach a peer: once directly, then once more directly and through others. */
+async function reach(context: MembershipContext, peer: Member): Promise<Outcome> {
+    const { clock, settings } = context;
+    const startedAt = clock();
+    if (await exchangeHeartbeat(context, peer) !== undefined) {
+        return "direct";
+    }
+    const [repeated, indirect] = await Promise.all([exchangeHeartbeat(context, peer), probeIndirectly(context, peer)]);
+    if (repeated !== undefined) {
+        return "repeated";
+    }
+    if (indirect) {
+        return "indirect";
+    }
+    const longestMilliseconds = settings.probeTimeoutMilliseconds * (1 + INDIRECT_TIMEOUT_FACTOR + DELAY_FACTOR);
+    return clock() - startedAt > longestMilliseconds ? "delayed" : "none";
+}
+
+function choosePeer(context: MembershipContext, doubted: Member | undefined): Member | undefined {
+    const members = context.roster.entries().map(entry => entry.member).filter(member => member !== doubted);
     const dead = members.filter(member => member.state === "dead");
     const others = members.filter(member => member.state !== "dead");
     const candidates = dead.length > 0 && (others.length === 0 || context.random() < DEAD_PROBE_SHARE) ? dead : others;
@@ -48,7 +81,8 @@
 
 /** Sends a heartbeat; gives the peer as it answered, or `undefined`. */
 export async function exchangeHeartbeat(context: MembershipContext, peer: Member): Promise<Member | undefined> {
-    const answer = await context.rpc.call(peer.origin, probePeer, context.compose(peer), {
+    const known = context.roster.get(nameMember(peer))?.member ?? peer;
+    const answer = await context.rpc.call(peer.origin, probePeer, context.compose(known), {
         timeoutMilliseconds: context.settings.probeTimeoutMilliseconds,
     });
     if (answer.isErr) {
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -8,11 +8,19 @@
 /** At one incarnation, news of a later state in this order replaces an earlier one. */
 const stateOrder: Record<Member["state"], number> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
 
+/** A member's silence towards this process and those that it asked to probe. */
+interface Doubt {
+    readonly sinceMilliseconds: number;
+    readonly lastProbeMilliseconds: number;
+    /** Failed probes after the one that raised the doubt. */
+    readonly confirmations: number;
+}
+
 /** A member with what this process notes about it. */
 export interface RosterEntry {
     member: Member;
-    /** Since when it is suspected, or is leaving and has not answered this process. */
-    doubtedAtMilliseconds: number | undefined;
+    /** What this process itself has found while it probed the member; undefined while it answers. */
+    doubt: Doubt | undefined;
     /** The instance list names it, or has named it and since dropped it. */
     listed: "never" | "now" | "dropped";
     /** Origin that the list named last. */
@@ -34,14 +42,19 @@
     entries(): RosterEntry[];
     get(name: string): RosterEntry | undefined;
     /** Takes in news of a member; true where something changed. */
-    merge(news: Member, now: number): boolean;
+    merge(news: Member): boolean;
     /** Takes in the instance list; true where something changed. */
-    mergeList(instances: readonly EntryInstance[], now: number): boolean;
+    mergeList(instances: readonly EntryInstance[]): boolean;
     /** Notes that a member answered neither this process nor others; true where it has become a suspect. */
     doubt(probed: Member, now: number): boolean;
-    /** Notes that a member has answered: one that is leaving is still there. */
+    /** Notes that a member has answered. */
     trust(answered: Member): void;
-    /** Doubted members that gave no sign in time become dead, and dead ones that are listed no more go; true on a change. */
+    /** The doubted member whose last probe is the longest ago. */
+    nextDoubted(): Member | undefined;
+    /**
+     * Members that stayed silent for this time and at further probes become dead, and dead ones that are listed no more
+     * go; true on a change. What others say of a silence is no proof: only the process that probes declares the death.
+     */
     expire(suspicionMilliseconds: number, now: number): boolean;
     /** Picks changes to pass on. */
     takeChanges(limit: number): Member[];
@@ -49,6 +62,9 @@
 
 const SENDS_PER_DOUBLING = 3;
 
+/** Probes that have to fail after the one that raised a doubt, so that a few lost messages are no death. */
+const CONFIRMATIONS_WANTED = 2;
+
 /** Creates an empty roster for the process of the given name. */
 export function createRoster(selfName: string): Roster {
     const entries = new Map<string, RosterEntry>();
@@ -57,16 +73,16 @@
         return SENDS_PER_DOUBLING * Math.ceil(Math.log2(entries.size + 2));
     }
 
-    function set(entry: RosterEntry, member: Member, now: number): void {
-        entry.doubtedAtMilliseconds = member.state === "suspect" ? entry.doubtedAtMilliseconds ?? now : undefined;
+    function set(entry: RosterEntry, member: Member): void {
+        entry.doubt = undefined;
         entry.member = member;
         entry.sendsLeft = countSends();
     }
 
-    function add(member: Member, now: number): RosterEntry {
+    function add(member: Member): RosterEntry {
         const entry: RosterEntry = {
             member,
-            doubtedAtMilliseconds: member.state === "suspect" ? now : undefined,
+            doubt: undefined,
             listed: "never",
             listedOrigin: undefined,
             sendsLeft: 0,
@@ -75,7 +91,7 @@
         return entry;
     }
 
-    function merge(news: Member, now: number): boolean {
+    function merge(news: Member): boolean {
         const name = nameMember(news);
         if (name === selfName) {
             return false;
@@ -84,7 +100,7 @@
         if (entry === undefined) {
             // News of the death of one that is not known helps nobody.
             if (news.state !== "dead") {
-                add(news, now).sendsLeft = countSends();
+                add(news).sendsLeft = countSends();
             }
             return news.state !== "dead";
         }
@@ -99,7 +115,7 @@
                 entry.member = news;
                 return true;
             }
-            set(entry, restarted ? news : { ...news, configurationRevision }, now);
+            set(entry, restarted ? news : { ...news, configurationRevision });
             return true;
         }
         const risen = news.incarnation === entry.member.incarnation
@@ -110,15 +126,15 @@
         return risen;
     }
 
-    function mergeListed(listed: Member, now: number): boolean {
+    function mergeListed(listed: Member): boolean {
         const known = entries.get(nameMember(listed));
-        const entry = known ?? add(listed, now);
+        const entry = known ?? add(listed);
         const moved = entry.listedOrigin !== undefined && entry.listedOrigin !== listed.origin;
         entry.listed = "now";
         entry.listedOrigin = listed.origin;
         if (known !== undefined && moved && entry.member.origin !== listed.origin && entry.member.state !== "alive") {
             // A replacement stands at a new origin; its incarnation is learnt when it answers.
-            set(entry, { ...listed, incarnation: entry.member.incarnation }, now);
+            set(entry, { ...listed, incarnation: entry.member.incarnation });
             return true;
         }
         return known === undefined;
@@ -128,10 +144,10 @@
         entries: () => [...entries.values()],
         get: name => entries.get(name),
         merge,
-        mergeList(instances, now) {
+        mergeList(instances) {
             const members = instances.flatMap(listProcesses).filter(member => nameMember(member) !== selfName);
             const names = new Set(members.map(nameMember));
-            const changes = members.map(member => mergeListed(member, now));
+            const changes = members.map(member => mergeListed(member));
             for (const [name, entry] of entries) {
                 if (entry.listed === "now" && !names.has(name)) {
                     entry.listed = "dropped";
@@ -145,24 +161,37 @@
             if (entry === undefined || entry.member.incarnation !== probed.incarnation) {
                 return false;
             }
-            if (entry.member.state === "leaving") {
-                // It has said so itself; passed on as a suspicion, its silence would say less than what is known.
-                entry.doubtedAtMilliseconds ??= now;
+            // A leaving member has said so itself: its silence is noted here and not passed on as a suspicion.
+            const { doubt } = entry;
+            const changed = merge({ ...entry.member, state: "suspect" });
+            if (entry.member.state !== "dead") {
+                entry.doubt = doubt === undefined
+                    ? { sinceMilliseconds: now, lastProbeMilliseconds: now, confirmations: 0 }
+                    : { ...doubt, lastProbeMilliseconds: now, confirmations: doubt.confirmations + 1 };
             }
-            return merge({ ...entry.member, state: "suspect" }, now);
+            return changed;
         },
         trust(answered) {
             const entry = entries.get(nameMember(answered));
-            if (entry?.member.state === "leaving" && entry.member.incarnation === answered.incarnation) {
-                entry.doubtedAtMilliseconds = undefined;
+            if (entry?.member.incarnation === answered.incarnation) {
+                entry.doubt = undefined;
             }
         },
+        nextDoubted() {
+            const [first] = [...entries.values()]
+                .flatMap(({ member, doubt }) => doubt === undefined ? [] : { member, at: doubt.lastProbeMilliseconds })
+                .sort((left, right) => left.at - right.at);
+            return first?.member;
+        },
         expire(suspicionMilliseconds, now) {
             let changed = false;
             for (const [name, entry] of entries) {
-                const doubtedAt = entry.doubtedAtMilliseconds;
-                if (doubtedAt !== undefined && now - doubtedAt >= suspicionMilliseconds) {
-                    set(entry, { ...entry.member, state: "dead" }, now);
+                const { doubt } = entry;
+                if (
+                    doubt !== undefined && doubt.confirmations >= CONFIRMATIONS_WANTED
+                    && now - doubt.sinceMilliseconds >= suspicionMilliseconds
+                ) {
+                    set(entry, { ...entry.member, state: "dead" });
                     changed = true;
                 }
                 if (entry.member.state === "dead" && entry.listed !== "now" && entry.sendsLeft === 0) {
