--- a/features/membership/membership.feature
+++ b/features/membership/membership.feature
@@ -41,3 +41,61 @@
 
     Scenario: News of a member replaces older news in every order of arrival
         Then two processes that hear the same news in any order agree in the end
+
+    Scenario: A leave replaces a suspicion, whichever comes first
+        Given a process that knows one peer
+        When it hears that the peer is "suspect" and then that it is "leaving"
+        Then it sees the peer as "leaving"
+        When it hears that the peer is "suspect"
+        Then it sees the peer as "leaving"
+
+    Scenario: A leaving peer that falls silent is dead after the suspicion time and passed on as nothing else
+        Given a process that knows one peer
+        When it hears that the peer is "leaving"
+        And the peer does not answer 3 probes
+        Then it sees the peer as "leaving"
+        And it passes the peer on as "leaving"
+        When the suspicion time is over
+        Then it sees the peer as "dead"
+
+    Scenario: A leaving peer that answers after all is not dead
+        Given a process that knows one peer
+        When it hears that the peer is "leaving"
+        And the peer does not answer 3 probes
+        And the peer answers
+        And the suspicion time is over
+        Then it sees the peer as "leaving"
+
+    Scenario: A process that leaves repeats itself until all of a small fleet have heard
+        Given 10 processes whose first message to each other is lost
+        When one of them leaves
+        Then 9 of the others have heard it from itself
+
+    Scenario: A process that leaves a large fleet tells a bounded number
+        Given 60 processes whose first message to each other is lost
+        When one of them leaves
+        Then 24 to 31 of the others have heard it from itself
+
+    Scenario: What others say of a silence is no proof of a death
+        Given a process that knows one peer
+        When it hears that the peer is "suspect"
+        And the suspicion time is over
+        Then it sees the peer as "suspect"
+
+    Scenario: A silence that further probes confirm is a death
+        Given a process that knows one peer
+        When the peer does not answer 2 probes
+        And the suspicion time is over
+        Then it sees the peer as "suspect"
+        When the peer does not answer 1 probe
+        And the suspicion time is over
+        Then it sees the peer as "dead"
+
+    Scenario: An answer ends the doubt in a peer
+        Given a process that knows one peer
+        When the peer does not answer 3 probes
+        And the peer answers
+        And the suspicion time is over
+        Then it sees the peer as "suspect"
+        When the peer refutes the suspicion
+        Then it sees the peer as "alive"
