Fault runs without a mechanism bring about what it prevents

Change: a switched-off run may name its own faults, a least length and batch work that outlasts it. Added: connection-credits (workers take 2 connections, the list says 64), peer-news (nobody hears of changes, the store answers from its past), conflicts (an operator applies over a conflict). The workers' log is read once rather than anew at each look; a fault that fails frees its target; restarts are timed, and a daemon that does not listen in time is reported with its processor time.

--- a/bench/experiments/faults.ts
+++ b/bench/experiments/faults.ts
@@ -92,10 +92,11 @@
     if (listLagMilliseconds !== undefined) {
         await world.deployment.setFaults(world.deployment.instancesOrigin, { lagMilliseconds: listLagMilliseconds });
     }
-    const milliseconds = Number(context.values["seconds"]) * 1_000;
+    const seconds = Math.max(Number(context.values["seconds"]), world.options.without?.leastSeconds ?? 0);
+    const milliseconds = seconds * 1_000;
     const stop = new AbortController();
     const work = Promise.all([operators.edit(stop.signal), operators.look(stop.signal)]);
-    const faults = carryOut(world, planFaults(random, milliseconds), context);
+    const faults = carryOut(world, world.options.without?.faults ?? planFaults(random, milliseconds), context);
     const underFaults = await runTraffic(world, {
         name: "call",
         seed: context.seed,
@@ -105,6 +106,8 @@
     const failures = await faults;
     failures.forEach(failure => context.progress(`    not carried out: ${failure}`));
     world.healLinks();
+    const slowest = Math.max(0, ...world.restartMilliseconds).toFixed(0);
+    context.progress(`${world.restartMilliseconds.length} daemons started again, the slowest in ${slowest} ms`);
     context.progress(`healed; ${JSON.stringify(underFaults.outcomes)}`);
     const { without } = world.options;
     const closing = without === undefined ? await close(world, context) : undefined;
--- a/bench/support/faults/inject.ts
+++ b/bench/support/faults/inject.ts
@@ -40,8 +40,12 @@
             }
             busy.add(action.target);
             const at = world.clock();
-            await action.run();
-            busy.delete(action.target);
+            try {
+                await action.run();
+            }
+            finally {
+                busy.delete(action.target);
+            }
             const kind = fault.kind.endsWith("-paused") ? "pause" : fault.kind;
             world.operators.push({ event: "fault", at, until: world.clock(), kind, target: action.target });
         },
@@ -73,6 +77,10 @@
     "store-slow": { begin: { slowMilliseconds: SLOW_STORE_MILLISECONDS }, end: { slowMilliseconds: 0 } },
     "store-loses-answers": { begin: { loseAnswers: 5 }, end: { loseAnswers: 0 } },
     "store-reads-stale": { begin: { staleReads: true }, end: { staleReads: false } },
+    "store-answers-from-the-past": {
+        begin: { staleReads: true, silentWatches: true },
+        end: { staleReads: false, silentWatches: false, breakWatches: true },
+    },
     "store-watches-break": { begin: { breakWatches: true }, end: {} },
 };
 
@@ -124,8 +132,14 @@
 
 async function killDaemon(world: World, instance: DeployedInstance, role: DaemonRole): Promise<void> {
     await instance[role].kill();
+    await restartDaemon(world, instance, role);
+}
+
+async function restartDaemon(world: World, instance: DeployedInstance, role: DaemonRole): Promise<void> {
     await pause(RESTART_AFTER_MILLISECONDS);
+    const at = world.clock();
     await world.deployment.restart(instance, role);
+    world.restartMilliseconds.push(world.clock() - at);
 }
 
 async function pauseDaemon(instance: DeployedInstance, role: DaemonRole, milliseconds: number): Promise<void> {
@@ -147,8 +161,7 @@
         origin: daemon.announcement["callers"] ?? "",
         exitCode: typeof exit === "number" ? exit : 1,
     });
-    await pause(RESTART_AFTER_MILLISECONDS);
-    await world.deployment.restart(instance, role);
+    await restartDaemon(world, instance, role);
 }
 
 async function endDaemon(daemon: RunningProcess, isGraceful: boolean): Promise<number | NodeJS.Signals> {
@@ -226,15 +239,14 @@
         spreadMilliseconds: 0,
     }],
     "links-drop-answers": [{ dropAnswers: 3 }, { dropAnswers: 0 }],
+    "links-peers-silent": [{ silence: "both", silenceOpen: "both" }, { silence: "none" }],
 };
 
 /** Acts on a share of the links: those whose place in the list follows the choice. */
 function createLinksAction(world: World, fault: PlannedFault): Action {
-    const names = [...world.proxies.keys()];
-    const count = Math.max(1, Math.floor(names.length * LINKS_SHARE));
-    const first = Math.floor(fault.choice * names.length);
-    const step = Math.max(1, Math.floor(names.length / count));
-    const chosen = Array.from({ length: count }, (unused, index) => names[(first + index * step) % names.length] ?? "");
+    const chosen = fault.kind === "links-peers-silent"
+        ? [...world.proxies.keys()].filter(name => name.startsWith("peers>"))
+        : chooseLinks([...world.proxies.keys()], fault);
     const [begin, end] = linkRules[fault.kind] ?? [{}, {}];
     const change = (rules: ProxyRuleChange) => chosen.forEach(name => world.proxies.get(name)?.setRules(rules));
     return {
@@ -247,6 +259,13 @@
     };
 }
 
+function chooseLinks(names: readonly string[], fault: PlannedFault): string[] {
+    const count = Math.max(1, Math.floor(names.length * LINKS_SHARE));
+    const first = Math.floor(fault.choice * names.length);
+    const step = Math.max(1, Math.floor(names.length / count));
+    return Array.from({ length: count }, (unused, index) => names[(first + index * step) % names.length] ?? "");
+}
+
 function choose<Value>(values: readonly Value[], choice: number): Value {
     const value = values[Math.floor(choice * values.length)];
     if (value === undefined) {
--- a/bench/support/faults/operators.ts
+++ b/bench/support/faults/operators.ts
@@ -41,12 +41,12 @@
 
     /** Repeats one edit, under one id, until a gateway says what became of it. */
     async function apply(wanted: Wanted, base: number, signal?: AbortSignal): Promise<number | undefined> {
-        const edit = {
+        let edit = {
             team: TEAM,
             text: createRulesText(
                 world.clock(),
                 wanted.waves.map(wave => ({ wave, tasks: WAVE_TASKS })),
-                world.options.without?.exclusiveRule,
+                world.options.without,
             ),
             baseRevision: base,
             applyId: randomUUID(),
@@ -58,7 +58,11 @@
             const origin = instance?.gateway.announcement["operators"] ?? "";
             const answer = await world.operatorRpc.call(origin, applyRules, edit);
             if (answer.isOk) {
-                return readRevision(answer.value);
+                const { value } = answer;
+                if (value.outcome !== "conflict" || (world.options.without?.conflicts ?? true)) {
+                    return readRevision(value);
+                }
+                edit = { ...edit, baseRevision: value.current.revision, applyId: randomUUID() };
             }
             await pause(RETRY_MILLISECONDS, signal);
         }
--- a/bench/support/faults/plan.ts
+++ b/bench/support/faults/plan.ts
@@ -36,7 +36,10 @@
     "links-delayed",
     "links-drop-answers",
 ] as const;
-export type FaultKind = typeof faultKinds[number];
+
+/** Kinds beyond what the brief promises to survive; only runs without a mechanism bring them about. */
+export type DirectedKind = "store-answers-from-the-past" | "links-peers-silent";
+export type FaultKind = typeof faultKinds[number] | DirectedKind;
 
 /** One fault with its time, from the start of the traffic. */
 export interface PlannedFault {
--- a/bench/support/faults/rules.ts
+++ b/bench/support/faults/rules.ts
@@ -2,6 +2,7 @@
  * The rules file of a fault run.
  */
 import { MILLISECONDS_PER_DAY } from "../../../src/core/time.js";
+import type { Without } from "./without.js";
 
 const DAYS_IN_FORCE = 180;
 
@@ -21,17 +22,20 @@
 }
 
 /** Writes the rules file with the given waves. */
-export function createRulesText(now: number, waves: readonly Wave[], isExclusive = true): string {
+export function createRulesText(now: number, waves: readonly Wave[], without: Without | undefined): string {
     const until = new Date(now + DAYS_IN_FORCE * MILLISECONDS_PER_DAY).toISOString().slice(0, 10);
     return [
         `service ${services.exclusive} --replicas 6 --cores 2 --memory 4GiB ${
-            isExclusive ? "--exclusive path:0 " : ""
+            without?.exclusiveRule ?? true ? "--exclusive path:0 " : ""
         }--deadline 2s --priority 0 --until ${until} # Aino, rental desk`,
         `service ${services.plain} --replicas 6 --cores 1 --memory 2GiB --deadline 3s --priority 2 --until ${until} # Aino, rental desk`,
         `service ${services.billing} --replicas 4 --cores 1 --memory 2GiB --deadline 3s --priority 1 --until ${until} # Eero, bookings`,
         ...lastingBatch.map(({ name, tasks, seconds }) =>
             `batch ${name} --tasks ${tasks} --cores 4 --memory 8GiB --seconds ${seconds} --retries 9 --until ${until} # Eero, bookings`
         ),
+        ...(without?.endlessBatch === undefined
+            ? []
+            : [`batch season-archive --tasks 12 --cores 4 --memory 8GiB --seconds 600 --until ${until} # Eero, bookings`]),
         ...waves.map(({ wave, tasks }) =>
             `batch wave-${wave} --tasks ${tasks} --cores 4 --memory 8GiB --seconds 600 --retries 9 --until ${until} # Eero, wave ${wave}`
         ),
--- a/bench/support/faults/world.ts
+++ b/bench/support/faults/world.ts
@@ -1,7 +1,7 @@
 /**
  * A whole deployment of real processes with fault-injecting proxies in all its links.
  */
-import { mkdtemp, readFile } from "node:fs/promises";
+import { mkdtemp, open } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -27,6 +27,8 @@
 const RPC_TIMEOUT_MILLISECONDS = 4_000;
 const STATUS_TIMEOUT_MILLISECONDS = 1_000;
 const READY_POLL_MILLISECONDS = 100;
+/** Both users' workers. */
+const WORKER_SHAPE = { slots: 8, cores: 32, memoryBytes: 125_000_000_000, accelerators: 0, connections: 64 } as const;
 
 /** Options of a world. */
 export interface WorldOptions {
@@ -54,6 +56,8 @@
     readonly workers: readonly WorkerInstance[];
     readonly operators: OperatorRecord[];
     readonly calls: CallRecord[];
+    /** Times from the start of each restarted daemon until it listened. */
+    readonly restartMilliseconds: number[];
     /** For operators' ports. */
     readonly operatorRpc: RpcClient;
     /** For peers' ports. */
@@ -86,6 +90,9 @@
         instances: options.instances,
         platform: {
             recordFile,
+            ...(options.without?.connections === undefined
+                ? {}
+                : { shape: { ...WORKER_SHAPE, connections: options.without.connections } }),
             workers: { seed: options.seed, ignore: options.without?.workersIgnore ?? [], ...options.workers },
         },
         ...(options.gateway === undefined ? {} : { gateway: options.gateway }),
@@ -102,10 +109,11 @@
         workers,
         operators: [],
         calls: [],
+        restartMilliseconds: [],
         operatorRpc: createRpcClient({ token: OPERATOR_TOKEN, timeoutMilliseconds: RPC_TIMEOUT_MILLISECONDS }),
         peerRpc: createRpcClient({ token: PEER_TOKEN, timeoutMilliseconds: STATUS_TIMEOUT_MILLISECONDS }),
         list: worker => putInstance(deployment.instancesOrigin, worker),
-        readWorkerRecords: () => readRecords(recordFile),
+        readWorkerRecords: createRecordReader(recordFile),
         healLinks() {
             for (const proxy of proxies.values()) {
                 proxy.setRules(healthyRules);
@@ -147,7 +155,7 @@
     return Promise.all(workers.map(async worker => {
         const behind = {
             ...worker,
-            shape: enlarge(worker.shape, without?.sizeFactor ?? 1),
+            shape: enlarge(worker.shape, without),
             serveOrigin: await passThrough(`gateways>${worker.name}`, worker.serveOrigin, proxies, seed),
         };
         await putInstance(instancesOrigin, behind);
@@ -155,8 +163,10 @@
     }));
 }
 
-function enlarge(shape: WorkerShape, factor: number): WorkerShape {
-    return { ...shape, slots: shape.slots * factor, cores: shape.cores * factor };
+function enlarge(shape: WorkerShape, without: Without | undefined): WorkerShape {
+    const factor = without?.sizeFactor ?? 1;
+    const connections = without?.connections === undefined ? shape.connections : WORKER_SHAPE.connections;
+    return { ...shape, slots: shape.slots * factor, cores: shape.cores * factor, connections };
 }
 
 async function putInstance(instancesOrigin: string, worker: WorkerInstance): Promise<void> {
@@ -170,11 +180,34 @@
     }
 }
 
-/** Reads the workers' log up to its last whole line. */
-async function readRecords(recordFile: string): Promise<WorkerRecord[]> {
-    const text = await readFile(recordFile, "utf8");
-    const lines = text.slice(0, text.lastIndexOf("\n") + 1).split("\n");
-    return lines.filter(line => line !== "").map(line => WorkerRecord.parse(JSON.parse(line)));
+/** Reads the workers' log up to its last whole line; each line is read once, as long runs ask often. */
+function createRecordReader(recordFile: string): () => Promise<WorkerRecord[]> {
+    const records: WorkerRecord[] = [];
+    let readBytes = 0;
+    const readNew = async () => {
+        const file = await open(recordFile, "r");
+        try {
+            const { size } = await file.stat();
+            if (size === readBytes) {
+                return;
+            }
+            const { buffer } = await file.read(Buffer.alloc(size - readBytes), 0, size - readBytes, readBytes);
+            const whole = buffer.subarray(0, buffer.lastIndexOf("\n") + 1);
+            readBytes += whole.length;
+            for (const line of whole.toString("utf8").split("\n").filter(each => each !== "")) {
+                records.push(WorkerRecord.parse(JSON.parse(line)));
+            }
+        }
+        finally {
+            await file.close();
+        }
+    };
+    let reading = Promise.resolve();
+    return async () => {
+        reading = reading.then(readNew);
+        await reading;
+        return [...records];
+    };
 }
 
 /** Waits until a condition holds; false after the limit. */
--- a/stand-ins/processes.ts
+++ b/stand-ins/processes.ts
@@ -5,11 +5,14 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { createWriteStream } from "node:fs";
-import { writeFile } from "node:fs/promises";
+import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 
 const READY_LIMIT_MILLISECONDS = 20_000;
+const TICKS_PER_SECOND = 100;
+/** Place of user time among the fields that follow the process's name; system time comes next. */
+const USER_TICKS_FIELD = 11;
 
 /** What to start. */
 export interface ProcessOptions {
@@ -95,7 +98,24 @@
         return JSON.parse(String(line[0])) as Record<string, string>;
     }
     catch (thrown) {
+        const usage = await describeUsage(child);
         child.kill("SIGKILL");
+        if (limit.aborted) {
+            throw new Error(`${options.name}: did not listen within ${READY_LIMIT_MILLISECONDS} ms (${usage})`);
+        }
         throw thrown;
     }
 }
+
+/** Tells a process that waits for something from one that gets no processor time (Linux). */
+async function describeUsage(child: ChildProcess): Promise<string> {
+    try {
+        const stat = await readFile(`/proc/${child.pid ?? 0}/stat`, "utf8");
+        const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+        const ticks = Number(fields[USER_TICKS_FIELD]) + Number(fields[USER_TICKS_FIELD + 1]);
+        return `state ${fields[0] ?? "?"}, ${ticks / TICKS_PER_SECOND} s of processor time`;
+    }
+    catch {
+        return "usage unknown";
+    }
+}
