Bench request-path runs with both guards and a mix of calls

Cause: the bench measured plain requests on a gateway without the guards of exclusive and keyed requests, so its figures were not of every mechanism on.

--- a/bench/request/gateway.ts
+++ b/bench/request/gateway.ts
@@ -10,30 +10,48 @@
 import { createRpcClient } from "../../src/core/rpc.js";
 import { systemClock } from "../../src/core/time.js";
 import { createGateway } from "../../src/gateway/gateway.js";
+import { createBenchGuards } from "./guards.js";
 import { BENCH_PEER_TOKEN, BenchGatewaySettings, READY_PATH } from "./settings.js";
-import { createFixedConfiguration, createFixedMembership } from "./sources.js";
+import { createFixedConfiguration, createFixedMembership, EXCLUSIVE_RULE } from "./sources.js";
 import { announce, BENCH_ADDRESS, readSettings } from "./support.js";
 
 const DRAIN_LIMIT_MILLISECONDS = 10_000;
 const RPC_TIMEOUT_MILLISECONDS = 2_000;
 
 const settings = await readSettings(BenchGatewaySettings);
+const incarnation = randomUUID();
 const metrics = createMetrics({});
+const logger = createLogger("gateway");
+const configuration = createFixedConfiguration({}, EXCLUSIVE_RULE);
+const membership = createFixedMembership(settings.instance, settings.schedulers);
+const rpc = createRpcClient({ token: BENCH_PEER_TOKEN, timeoutMilliseconds: RPC_TIMEOUT_MILLISECONDS });
+const guards = settings.platform === undefined
+    ? undefined
+    : await createBenchGuards({
+        instance: settings.instance,
+        incarnation,
+        platform: settings.platform,
+        configuration,
+        membership,
+        rpc,
+        metrics,
+        logger,
+    });
 const gateway = createGateway({
-    identity: { instance: settings.instance, dataCentre: "levi", incarnation: randomUUID() },
+    identity: { instance: settings.instance, dataCentre: "levi", incarnation },
     settings: settings.request,
-    configuration: createFixedConfiguration(),
-    membership: createFixedMembership(settings.instance, settings.schedulers),
-    rpc: createRpcClient({ token: BENCH_PEER_TOKEN, timeoutMilliseconds: RPC_TIMEOUT_MILLISECONDS }),
-    guards: [],
+    configuration,
+    membership,
+    rpc,
+    guards: guards?.guards ?? [],
     peerToken: BENCH_PEER_TOKEN,
     clock: systemClock,
     random: createRandom(1),
     metrics,
-    logger: createLogger("gateway"),
+    logger,
 });
 const controller = new AbortController();
-const running = gateway.run(controller.signal);
+const running = Promise.all([gateway.run(controller.signal), guards?.run(controller.signal)]);
 const callers = settings.surface === "express"
     ? await listen(express().use(gateway.listener), BENCH_ADDRESS)
     : await gateway.listenForCallers(BENCH_ADDRESS);
@@ -51,7 +69,7 @@
 announce({ callers: callers.origin, metrics: facts.origin });
 
 async function stop(): Promise<void> {
-    await gateway.drain(DRAIN_LIMIT_MILLISECONDS);
+    await Promise.all([gateway.drain(DRAIN_LIMIT_MILLISECONDS), guards?.settle(DRAIN_LIMIT_MILLISECONDS)]);
     await callers.close();
     controller.abort();
     await running;
--- a/bench/request/processes.ts
+++ b/bench/request/processes.ts
@@ -21,6 +21,8 @@
 /** Processes of one run; all end with it. */
 export interface BenchProcesses {
     startUpstreams(settings: UpstreamsSettings): Promise<void>;
+    /** Starts a store and an instance list of their own for the gateways started next, which have all guards. */
+    startPlatform(): Promise<void>;
     /** Origins of the upstreams themselves. */
     workers(): readonly string[];
     startGateway(
@@ -36,8 +38,9 @@
     const directory = await mkdtemp(join(tmpdir(), "flamingowell-bench-"));
     const running: RunningProcess[] = [];
     let upstreams: Readonly<Record<string, string>> = {};
+    let platform: BenchGatewaySettings["platform"];
     const start = async (name: string, script: string, settings: object) => {
-        const started = await startProcess({ name, script: `dist/bench/request/${script}.js`, settings, directory });
+        const started = await startProcess({ name, script: `dist/${script}.js`, settings, directory });
         running.push(started);
         return started;
     };
@@ -47,21 +50,30 @@
         return await run({
             workers,
             startUpstreams: async settings => {
-                upstreams = (await start("upstreams", "upstreams", settings)).announcement;
+                upstreams = (await start("upstreams", "bench/request/upstreams", settings)).announcement;
+            },
+            startPlatform: async () => {
+                const { announcement } = await start(`platform-${running.length}`, "stand-ins/platform", {});
+                platform = { store: announcement["store"] ?? "", instances: announcement["instances"] ?? "" };
             },
             startGateway: (instance, changes = {}) =>
                 start(
                     instance,
-                    "gateway",
+                    "bench/request/gateway",
                     {
                         instance,
                         schedulers: [upstreams["scheduler"] ?? ""],
+                        ...(platform === undefined ? {} : { platform }),
                         request: RequestSettings.parse(changes.request ?? {}),
                         surface: changes.surface ?? "plain",
                     } satisfies BenchGatewaySettings,
                 ),
             startForwarder: () =>
-                start("forwarder", "forwarder", { upstreams: [...workers()] } satisfies ForwarderSettings),
+                start(
+                    "forwarder",
+                    "bench/request/forwarder",
+                    { upstreams: [...workers()] } satisfies ForwarderSettings,
+                ),
             readFacts: async () => {
                 const answer = await request(`${upstreams["scheduler"] ?? ""}/facts`);
                 return await answer.body.json() as UpstreamFacts;
@@ -73,10 +85,14 @@
     }
 }
 
-/** Waits until a gateway answers a call. */
-export async function waitUntilServing(origin: string, path: string): Promise<void> {
+/** Waits until a gateway answers a call, which is made with further headers where some are given. */
+export async function waitUntilServing(
+    origin: string,
+    path: string,
+    headers: Readonly<Record<string, string>> = {},
+): Promise<void> {
     for (;;) {
-        const answer = await request(origin + path);
+        const answer = await request(origin + path, { headers });
         await answer.body.dump();
         if (answer.statusCode === 200) {
             return;
--- a/bench/request/settings.ts
+++ b/bench/request/settings.ts
@@ -16,10 +16,12 @@
 });
 export type UpstreamsSettings = z.infer<typeof UpstreamsSettings>;
 
-/** A gateway without a platform. */
+/** A gateway whose configuration and membership are fixed. */
 export const BenchGatewaySettings = z.strictObject({
     instance: z.string(),
     schedulers: z.array(z.string()),
+    /** Platform that the guards of exclusive and keyed requests work with; without one they are left out. */
+    platform: z.strictObject({ store: z.string(), instances: z.string() }).optional(),
     request: RequestSettings,
     /** What stands before the gateway's handler on the callers' port. */
     surface: z.enum(["plain", "express"]),
--- a/bench/request/sources.ts
+++ b/bench/request/sources.ts
@@ -6,9 +6,18 @@
 
 /** Name of the service that the sources know. */
 export const SERVICE = "beacon-check";
+/** Service whose requests are exclusive by the last part of their path. */
+export const EXCLUSIVE_SERVICE = "kit-handover";
 
-/** Creates a configuration with one service. */
-export function createFixedConfiguration(rule: Partial<ServiceRule> = {}): ConfigurationSource {
+/** The rule of the exclusive service, where it differs from the other's. */
+export const EXCLUSIVE_RULE: Partial<ServiceRule> = {
+    name: EXCLUSIVE_SERVICE,
+    exclusive: { source: "path", segment: 1 },
+};
+
+/** Creates a configuration with one service for each change of the usual rule. */
+export function createFixedConfiguration(...changes: readonly Partial<ServiceRule>[]): ConfigurationSource {
+    const rules = changes.length === 0 ? [createRule({})] : changes.map(createRule);
     const configuration: Configuration = {
         revision: 1,
         documents: [{
@@ -17,24 +26,28 @@
             text: "",
             appliedBy: "aino",
             appliedAtMilliseconds: 0,
-            rules: [{
-                kind: "service",
-                name: SERVICE,
-                requester: "Aino",
-                line: 1,
-                end: {},
-                resources: { cores: 1, memoryBytes: 1, accelerators: 0 },
-                dataCentres: [],
-                priority: 3,
-                replicas: 1,
-                deadlineMilliseconds: 5_000,
-                ...rule,
-            }],
+            rules,
         }],
     };
     return { current: () => configuration, onChange: () => () => undefined };
 }
 
+function createRule(change: Partial<ServiceRule>): ServiceRule {
+    return {
+        kind: "service",
+        name: SERVICE,
+        requester: "Aino",
+        line: 1,
+        end: {},
+        resources: { cores: 1, memoryBytes: 1, accelerators: 0 },
+        dataCentres: [],
+        priority: 3,
+        replicas: 1,
+        deadlineMilliseconds: 5_000,
+        ...change,
+    };
+}
+
 /** Creates a membership of a gateway that knows schedulers by their origins. */
 export function createFixedMembership(instance: string, schedulers: readonly string[]): MembershipSource {
     const createMember = (name: string, role: "gateway" | "scheduler", origin: string): Member => ({
--- a/bench/request/upstreams.ts
+++ b/bench/request/upstreams.ts
@@ -13,7 +13,7 @@
 import { pause, systemClock } from "../../src/core/time.js";
 import { createCreditBank } from "../../src/scheduler/credits/bank.js";
 import { BENCH_PEER_TOKEN, UpstreamsSettings } from "./settings.js";
-import { SERVICE } from "./sources.js";
+import { EXCLUSIVE_SERVICE, SERVICE } from "./sources.js";
 import { announce, BENCH_ADDRESS, readSettings } from "./support.js";
 import { startBenchUpstream } from "./upstream.js";
 
@@ -27,16 +27,18 @@
     cell: CELL,
     epoch: 1,
     version: 1,
-    routes: upstreams.map(({ origin, worker }) => ({
-        service: SERVICE,
-        taskId: `${SERVICE}-${worker}`,
-        attempt: 1,
-        worker,
-        dataCentre: "levi",
-        cell: CELL,
-        origin,
-        state: "serving",
-    })),
+    routes: [SERVICE, EXCLUSIVE_SERVICE].flatMap(service =>
+        upstreams.map(({ origin, worker }) => ({
+            service,
+            taskId: `${service}-${worker}`,
+            attempt: 1,
+            worker,
+            dataCentre: "levi",
+            cell: CELL,
+            origin,
+            state: "serving" as const,
+        }))
+    ),
 };
 const bank = createCreditBank({
     clock: systemClock,
--- a/features/gateway/support/gateway.ts
+++ b/features/gateway/support/gateway.ts
@@ -134,7 +134,7 @@
     const gateway = createGateway({
         identity: { instance, dataCentre: options.dataCentre ?? "levi", incarnation: `${instance}-${systemClock()}` },
         settings: RequestSettings.parse({ ...FAST_SETTINGS, ...options.settings }),
-        configuration: createFixedConfiguration(options.rule),
+        configuration: createFixedConfiguration(options.rule ?? {}),
         membership: createFixedMembership(instance, options.schedulers),
         rpc: createRpcClient({ token: PEER_TOKEN, timeoutMilliseconds: 2_000 }),
         guards: options.guards ?? [],
