TLS between the system's processes, with certificates read again on change

Cause: peers' and operators' ports spoke plain HTTP, so the peer token could be read on the network.

Change: settings 'tls' (certificate, key, authorities, interval). Peers' ports ask for a certificate of the authority and the token, operators' ports for the token; the client checks gateways by authorityFile. One module reads and follows certificates for all ports; a key has to be its certificate's.

--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -3,6 +3,8 @@
  */
 import { parseArgs } from "node:util";
 import { Result } from "true-myth/result";
+import { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { createFailure, describeThrown, formatFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
 import { createRpcClient } from "../core/rpc.js";
@@ -67,7 +69,12 @@
         settings.error.forEach(failure => options.note(formatFailure(failure)));
         return exitCodes.usage;
     }
-    const context = createContext(options, settings.value, parsed);
+    const dispatcher = await createDispatcher(settings.value, options);
+    if (dispatcher.isErr) {
+        options.note(formatFailure(dispatcher.error));
+        return exitCodes.usage;
+    }
+    const context = createContext(options, settings.value, parsed, dispatcher.value);
     return parsed.values["watch"] === true ? watch(command, context) : command.run(context);
 }
 
@@ -132,12 +139,34 @@
     }));
 }
 
+/** Gateways are known by the authority that signed them, since they are reached by IP numbers. */
+async function createDispatcher(
+    { authorityFile }: ClientSettings,
+    options: ClientOptions,
+): Promise<Result<Dispatcher | undefined, Failure>> {
+    if (authorityFile === undefined) {
+        return Result.ok(undefined);
+    }
+    try {
+        const ca = await options.readFile(authorityFile);
+        return Result.ok(new Agent({ connect: { ca, checkServerIdentity: () => undefined } }));
+    }
+    catch (thrown) {
+        return Result.err(createFailure("invalid-input", `authorityFile ${authorityFile}`, describeThrown(thrown)));
+    }
+}
+
 function createContext(
     options: ClientOptions,
     settings: ClientSettings,
     parsed: { values: OptionValues; positionals: string[]; },
+    dispatcher: Dispatcher | undefined,
 ): CommandContext {
-    const rpc = createRpcClient({ token: settings.token, timeoutMilliseconds: settings.timeoutMilliseconds });
+    const rpc = createRpcClient({
+        token: settings.token,
+        timeoutMilliseconds: settings.timeoutMilliseconds,
+        ...(dispatcher === undefined ? {} : { dispatcher }),
+    });
     return {
         ...parsed,
         json: parsed.values["json"] === true,
--- a/src/client/settings.ts
+++ b/src/client/settings.ts
@@ -13,6 +13,8 @@
     token: z.string().default(""),
     /** Name under which changes are recorded. */
     by: z.string().min(1).optional(),
+    /** Certificates of the authorities that sign the gateways, PEM; for operators' ports that speak TLS. */
+    authorityFile: z.string().min(1).optional(),
     timeoutMilliseconds: z.int().min(1).default(DEFAULT_TIMEOUT_MILLISECONDS),
 });
 export type ClientSettings = z.infer<typeof ClientSettings>;
--- a/src/core/http.ts
+++ b/src/core/http.ts
@@ -4,8 +4,11 @@
 import { once } from "node:events";
 import type { RequestListener, Server } from "node:http";
 import { createServer } from "node:http";
+import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import { z } from "zod";
+import { followCertificate } from "./certificates.js";
+import type { CertificateKeeper } from "./certificates.js";
 
 /** Where a server listens. Port 0 lets the operating system choose. */
 export const ListenAddress = z.strictObject({
@@ -26,13 +29,38 @@
     close(): Promise<void>;
 }
 
-/** Starts an HTTP server; rejects when the address cannot be bound. */
-export async function listen(listener: RequestListener, address: ListenAddress): Promise<RunningServer> {
-    const server = createServer(listener);
+/** How a server speaks TLS. */
+export interface ServerTls {
+    readonly certificates: CertificateKeeper;
+    /** Refuses connections without a certificate of the keeper's authorities. */
+    readonly requireClientCertificate: boolean;
+}
+
+/** Starts an HTTP server, or an HTTPS server where TLS is given; rejects when the address cannot be bound. */
+export async function listen(
+    listener: RequestListener,
+    address: ListenAddress,
+    tls?: ServerTls,
+): Promise<RunningServer> {
+    const server = tls === undefined ? createServer(listener) : createSecureServer(listener, tls);
     server.listen(address.port, address.host);
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
-    return { server, host: address.host, port, origin: `http://${address.host}:${port}`, close: () => close(server) };
+    const scheme = tls === undefined ? "http" : "https";
+    return {
+        server,
+        host: address.host,
+        port,
+        origin: `${scheme}://${address.host}:${port}`,
+        close: () => close(server),
+    };
+}
+
+function createSecureServer(listener: RequestListener, { certificates, requireClientCertificate }: ServerTls): Server {
+    const options = { ...certificates.current(), requestCert: requireClientCertificate, rejectUnauthorized: true };
+    const server = createTlsServer(options, listener);
+    followCertificate(server, certificates);
+    return server;
 }
 
 async function close(server: Server): Promise<void> {
--- a/src/core/surface.ts
+++ b/src/core/surface.ts
@@ -4,7 +4,7 @@
 import express from "express";
 import type { ErrorRequestHandler, Express } from "express";
 import { createFailure, describeThrown } from "./errors.js";
-import type { ListenAddress, RunningServer } from "./http.js";
+import type { ListenAddress, RunningServer, ServerTls } from "./http.js";
 import { listen } from "./http.js";
 import type { Metrics } from "./metrics.js";
 
@@ -15,11 +15,11 @@
 }
 
 /** Starts a port; until routes are mounted it answers every request with 404. */
-export async function openSurface(address: ListenAddress): Promise<Surface> {
+export async function openSurface(address: ListenAddress, tls?: ServerTls): Promise<Surface> {
     const app = express();
     app.disable("x-powered-by");
     app.disable("etag");
-    const running = await listen(app, address);
+    const running = await listen(app, address, tls);
     return { app, running };
 }
 
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -2,18 +2,15 @@
  * The callers' port: limits on heads, slow callers and connections; TLS with certificates that are read again.
  */
 import { once } from "node:events";
-import { readFile } from "node:fs/promises";
 import { createServer } from "node:http";
 import type { RequestListener, Server, ServerOptions } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { Server as TlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import type { Duplex } from "node:stream";
-import { createSecureContext } from "node:tls";
-import { describeThrown } from "../../core/errors.js";
+import { createCertificateKeeper, followCertificate } from "../../core/certificates.js";
+import type { CertificateKeeper } from "../../core/certificates.js";
 import type { ListenAddress, RunningServer } from "../../core/http.js";
 import type { Logger } from "../../core/log.js";
-import { pause } from "../../core/time.js";
 import { headers } from "../../platform/worker.js";
 import { reasons } from "../counters.js";
 import type { RequestSettings } from "../settings.js";
@@ -40,15 +37,10 @@
     run(signal: AbortSignal): Promise<void>;
 }
 
-interface Certificate {
-    readonly cert: string;
-    readonly key: string;
-}
-
 /** Opens the callers' port; rejects when it cannot be bound or the certificate cannot be read. */
 export async function listenForCallers(options: CallersOptions): Promise<CallersServer> {
-    const { listener, address, settings } = options;
-    const certificate = await readCertificate(settings);
+    const { address, settings } = options;
+    const certificates = await readCertificates(options);
     const serverOptions: ServerOptions = {
         maxHeaderSize: settings.headerLimitBytes,
         headersTimeout: settings.headerTimeoutMilliseconds,
@@ -56,9 +48,7 @@
         connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
         keepAliveTimeout: settings.keepAliveMilliseconds,
     };
-    const server = certificate === undefined
-        ? createServer(serverOptions, listener)
-        : createTlsServer({ ...serverOptions, ...certificate }, listener);
+    const server = createCallersServer(serverOptions, certificates, options);
     server.maxConnections = settings.callerConnections;
     server.timeout = settings.longestDeadlineMilliseconds + SILENCE_MARGIN_MILLISECONDS;
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
@@ -67,7 +57,7 @@
     server.listen({ port: address.port, host: address.host, backlog: BACKLOG_CONNECTIONS });
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
-    const scheme = certificate === undefined ? "http" : "https";
+    const scheme = certificates === undefined ? "http" : "https";
     return {
         server,
         host: address.host,
@@ -75,13 +65,31 @@
         origin: `${scheme}://${address.host}:${port}`,
         close: () => close(server),
         run: async signal => {
-            if (certificate !== undefined) {
-                await followCertificate(server as TlsServer, certificate, options, signal);
-            }
+            await certificates?.run(signal);
         },
     };
 }
 
+async function readCertificates({ logger, settings }: CallersOptions): Promise<CertificateKeeper | undefined> {
+    const { certificateCheckMilliseconds, tls } = settings;
+    return tls === undefined
+        ? undefined
+        : createCertificateKeeper({ ...tls, checkMilliseconds: certificateCheckMilliseconds }, logger);
+}
+
+function createCallersServer(
+    serverOptions: ServerOptions,
+    certificates: CertificateKeeper | undefined,
+    { listener }: CallersOptions,
+): Server {
+    if (certificates === undefined) {
+        return createServer(serverOptions, listener);
+    }
+    const server = createTlsServer({ ...serverOptions, ...certificates.current() }, listener);
+    followCertificate(server, certificates);
+    return server;
+}
+
 async function close(server: Server): Promise<void> {
     const closed = once(server, "close");
     server.close();
@@ -116,36 +124,3 @@
             return { line: "400 Bad Request", reason: reasons.invalidRequest };
     }
 }
-
-async function readCertificate({ tls }: RequestSettings): Promise<Certificate | undefined> {
-    if (tls === undefined) {
-        return undefined;
-    }
-    const [cert, key] = await Promise.all([readFile(tls.certificateFile, "utf8"), readFile(tls.keyFile, "utf8")]);
-    return { cert, key };
-}
-
-/** A pair that does not fit, for instance while only one of the files has been replaced, leaves the old one in use. */
-async function followCertificate(
-    server: TlsServer,
-    first: Certificate,
-    { settings, logger }: CallersOptions,
-    signal: AbortSignal,
-): Promise<void> {
-    let current = first;
-    while (!signal.aborted) {
-        await pause(settings.certificateCheckMilliseconds, signal);
-        try {
-            const found = await readCertificate(settings);
-            if (found !== undefined && (found.cert !== current.cert || found.key !== current.key)) {
-                createSecureContext(found);
-                server.setSecureContext(found);
-                current = found;
-                logger.info("certificate-replaced", { file: settings.tls?.certificateFile });
-            }
-        }
-        catch (thrown) {
-            logger.warn("certificate-not-read", { step: "certificate", message: describeThrown(thrown) });
-        }
-    }
-}
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -3,6 +3,7 @@
  */
 import type { IncomingMessage } from "node:http";
 import { Agent } from "undici";
+import type { buildConnector } from "undici";
 import type { Clock } from "../core/time.js";
 import { headers } from "../platform/worker.js";
 import type { AttemptsResult } from "./attempts.js";
@@ -30,6 +31,8 @@
     readonly peerToken: string;
     readonly settings: RequestSettings;
     readonly clock: Clock;
+    /** Opens connections to peers; plain HTTP by default. */
+    readonly connector?: buildConnector.connector | undefined;
 }
 
 /** Creates a forwarder. */
@@ -37,7 +40,7 @@
     const { settings, clock, peerToken } = options;
     const agent = new Agent({
         pipelining: 1,
-        connect: { timeout: settings.connectTimeoutMilliseconds },
+        connect: options.connector ?? { timeout: settings.connectTimeoutMilliseconds },
         headersTimeout: 0,
         bodyTimeout: 0,
     });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
 import express from "express";
 import type { Router } from "express";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
+import type { buildConnector } from "undici";
 import type { ListenAddress } from "../core/http.js";
 import type { Logger } from "../core/log.js";
 import { nameHolder } from "../core/messages/credits.js";
@@ -56,6 +57,8 @@
     readonly rpc: RpcClient;
     readonly guards: readonly Guard[];
     readonly peerToken: string;
+    /** Opens connections to other gateways; plain HTTP by default. */
+    readonly peerConnector?: buildConnector.connector | undefined;
     readonly clock: Clock;
     readonly random: Random;
     readonly metrics: Metrics;
@@ -134,7 +137,12 @@
             }
         },
     });
-    const forwarder = createPeerForwarder({ peerToken: options.peerToken, settings, clock });
+    const forwarder = createPeerForwarder({
+        peerToken: options.peerToken,
+        connector: options.peerConnector,
+        settings,
+        clock,
+    });
     const budgetOf = (service: string): RetryBudget => {
         let budget = budgets.get(service);
         if (budget === undefined) {
--- a/src/settings/common.ts
+++ b/src/settings/common.ts
@@ -3,6 +3,7 @@
  */
 import { z } from "zod";
 import { ConfigurationSettings } from "../configuration/settings.js";
+import { PeerTlsSettings } from "../core/certificates.js";
 import { ListenAddress } from "../core/http.js";
 import { Name, Origin } from "../core/messages/identity.js";
 import { MembershipSettings } from "../membership/settings.js";
@@ -33,6 +34,8 @@
         /** Parts of a process that want the list again within this time get the one that was read last. */
         freshMilliseconds: z.int().min(0).default(DEFAULT_INSTANCE_LIST_FRESH_MILLISECONDS),
     }),
+    /** Certificates of the peers' and operators' ports and of connections to peers; without them all speak plain HTTP. */
+    tls: PeerTlsSettings.optional(),
     /** Port for peers: JSON-RPC under the peer token. */
     peers: ListenAddress,
     /** Origin under which peers reach this process; by default where it listens. */
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -3,17 +3,19 @@
  */
 import { randomUUID } from "node:crypto";
 import { setMaxListeners } from "node:events";
-import { Result } from "true-myth/result";
+import { Agent } from "undici";
 import { createConfigurationFeed } from "./configuration/feed.js";
+import { createCertificateKeeper, createPeerConnector } from "./core/certificates.js";
+import type { CertificateKeeper } from "./core/certificates.js";
 import type { RunningDaemon } from "./core/daemon.js";
+import type { ServerTls } from "./core/http.js";
 import type { Logger } from "./core/log.js";
 import type { Role } from "./core/messages/identity.js";
-import { readStatus } from "./core/messages/operator.js";
 import { createMetrics } from "./core/metrics.js";
 import type { Metrics } from "./core/metrics.js";
 import type { Part } from "./core/part.js";
 import { createRandom, hashText } from "./core/random.js";
-import { createRpcClient, createRpcRouter, implement } from "./core/rpc.js";
+import { createRpcClient, createRpcRouter } from "./core/rpc.js";
 import type { MethodHandler } from "./core/rpc.js";
 import { answerErrors, mountMetrics, openSurface } from "./core/surface.js";
 import type { Surface } from "./core/surface.js";
@@ -23,6 +25,8 @@
 import { createIdempotencyGuard } from "./gateway/idempotency/guard.js";
 import { createMembership } from "./membership/membership.js";
 import { createOperatorSurface } from "./operator/operator.js";
+import { describeStatus } from "./operator/status.js";
+import type { DaemonState } from "./operator/status.js";
 import { createInstanceList } from "./platform/adapters/instances.js";
 import { createStore } from "./platform/adapters/store.js";
 import { createWorkerControl } from "./platform/adapters/worker.js";
@@ -30,7 +34,6 @@
 import { observeStore } from "./platform/reach.js";
 import { shareInstanceList } from "./platform/sharing.js";
 import { createPolicy } from "./policy/create.js";
-import type { ConfigurationSource } from "./rules/rule.js";
 import { createCreditBank } from "./scheduler/credits/bank.js";
 import type { CreditBank } from "./scheduler/credits/bank.js";
 import type { CreditHooks } from "./scheduler/hooks.js";
@@ -72,6 +75,7 @@
         rpc,
         guards: [exclusive.guard, idempotency],
         peerToken: settings.peerToken,
+        peerConnector: createConnector(foundation.certificates, settings.requests.connectTimeoutMilliseconds),
         clock,
         random,
         metrics,
@@ -88,7 +92,7 @@
         metrics,
         logger,
     });
-    const operators = await openSurface(settings.operators);
+    const operators = await openSurface(settings.operators, createServerTls(foundation.certificates, false));
     operators.app.use(createRpcRouter({ handlers: operator.handlers, token: settings.operatorToken }));
     operators.app.use(answerErrors);
     foundation.peers.app.use(gateway.peerListener);
@@ -173,9 +177,15 @@
     const incarnation = randomUUID();
     const random = createRandom(hashText(incarnation));
     const metrics = createMetrics({ instance: settings.instance, role });
-    const peers = await openSurface(settings.peers);
+    const certificates = settings.tls === undefined ? undefined : await createCertificateKeeper(settings.tls, logger);
+    const peers = await openSurface(settings.peers, createServerTls(certificates, true));
     const origin = settings.advertisedOrigin ?? peers.running.origin;
-    const rpc = createRpcClient({ token: settings.peerToken, timeoutMilliseconds: settings.peerTimeoutMilliseconds });
+    const connector = createConnector(certificates, settings.peerTimeoutMilliseconds);
+    const rpc = createRpcClient({
+        token: settings.peerToken,
+        timeoutMilliseconds: settings.peerTimeoutMilliseconds,
+        ...(connector === undefined ? {} : { dispatcher: new Agent({ connect: connector }) }),
+    });
     const store = observeStore(createStore(settings.store));
     const instanceList = shareInstanceList(createInstanceList(settings.instanceList), {
         clock,
@@ -209,9 +219,12 @@
         logger,
     });
     const identity = { instance: settings.instance, dataCentre: settings.dataCentre, incarnation };
+    const certificateParts: Part[] = certificates === undefined
+        ? []
+        : [{ handlers: [], run: signal => certificates.run(signal) }];
     const run = (parts: readonly Part[], state: DaemonState) =>
         runParts({
-            parts: [membership, configuration, ...parts],
+            parts: [membership, configuration, ...certificateParts, ...parts],
             status: describeStatus(state, { ...identity, role, origin, startedAtMilliseconds }, configuration.source),
             peers,
             settings,
@@ -222,6 +235,7 @@
         clock,
         random,
         metrics,
+        certificates,
         peers,
         origin,
         rpc,
@@ -234,37 +248,15 @@
     };
 }
 
-/** What a daemon says of itself beside its identity. */
-interface DaemonState {
-    ready(): boolean;
-    ownedCells(): { cell: string; epoch: number; tasks: number; workers: number; }[];
-    storeReachable(): boolean;
+function createServerTls(
+    certificates: CertificateKeeper | undefined,
+    requireClientCertificate: boolean,
+): ServerTls | undefined {
+    return certificates === undefined ? undefined : { certificates, requireClientCertificate };
 }
 
-function describeStatus(
-    state: DaemonState,
-    identity: {
-        readonly instance: string;
-        readonly dataCentre: string;
-        readonly role: Role;
-        readonly origin: string;
-        readonly startedAtMilliseconds: number;
-    },
-    configuration: ConfigurationSource,
-): MethodHandler {
-    const { instance, dataCentre, role, origin, startedAtMilliseconds } = identity;
-    return implement(readStatus, async () =>
-        Result.ok({
-            instance,
-            dataCentre,
-            role,
-            origin,
-            startedAtMilliseconds,
-            ready: state.ready(),
-            configurationRevision: configuration.current()?.revision ?? 0,
-            storeReachable: state.storeReachable(),
-            cells: state.ownedCells(),
-        }));
+function createConnector(certificates: CertificateKeeper | undefined, timeoutMilliseconds: number) {
+    return certificates === undefined ? undefined : createPeerConnector(certificates, timeoutMilliseconds);
 }
 
 interface RunOptions {
