--- a/bench/experiments/rules-scale.ts
+++ b/bench/experiments/rules-scale.ts
@@ -20,6 +20,7 @@
 const RULES_PER_TEAM = 25;
 const CHANGES_PER_DAY = 21_000;
 const SECONDS_PER_DAY = 86_400;
+const HOURS_PER_DAY = 24;
 const DEFAULT_APPLIES = 60;
 const STORE_TIMEOUT_MILLISECONDS = 10_000;
 const WRITES_AT_ONCE = 4;
@@ -73,11 +74,13 @@
 }
 
 function writeText(team: number, version: number): string {
-    const tasks = Math.max(1, Math.round(TASKS / TEAMS / RULES_PER_TEAM));
+    const tasks = Math.ceil(TASKS / TEAMS / RULES_PER_TEAM);
     return Array.from({ length: RULES_PER_TEAM }, (_, index) =>
         index % 5 === 0
             ? `service service-${team}-${index} --replicas ${tasks} --cores 1 --memory 1GiB --until 2999-01-01 # Aino ${version}`
-            : `batch batch-${team}-${index} --tasks ${tasks} --cores 2 --memory 4GiB --schedule "0 ${index} * * *" `
+            : `batch batch-${team}-${index} --tasks ${tasks} --cores 2 --memory 4GiB --schedule "0 ${
+                index % HOURS_PER_DAY
+            } * * *" `
                 + `--feature feature-${team} --until 2999-01-01 # Eero ${version}`).join("\n");
 }
 
@@ -188,10 +191,11 @@
     }
     const entries = all.value.entries.filter(entry => entry.key !== HEAD_KEY);
     const before = process.cpuUsage();
-    const parsed = entries.filter(entry => decodeRulesEntry(entry).andThen(toDocument).isOk);
+    const parsed = entries.map(entry => decodeRulesEntry(entry).andThen(toDocument));
     const used = process.cpuUsage(before);
-    if (parsed.length !== teams) {
-        throw new Error(`${parsed.length} of ${teams} records parse`);
+    const bad = parsed.find(document => document.isErr);
+    if (bad?.isErr === true || parsed.length !== teams) {
+        throw new Error(`${parsed.length} of ${teams} records read; ${bad?.isErr === true ? bad.error.message : ""}`);
     }
     return (used.user + used.system) / 1e6;
 }
