A commit can hold further conditions

Cause: rule names are to be compared in the transaction that writes a team's rules. Change: RecordCommit takes comparisons; where one fails the commit is a conflict.

--- a/src/platform/commit.ts
+++ b/src/platform/commit.ts
@@ -11,7 +11,7 @@
 import type { Failure } from "../core/errors.js";
 import { parse, parseJson } from "../core/parse.js";
 import { pause } from "../core/time.js";
-import type { KeyValue, Store, TransactionAnswer, WriteOperation } from "./store.js";
+import type { Comparison, KeyValue, Store, TransactionAnswer, WriteOperation } from "./store.js";
 
 const SETTLE_FIRST_WAIT_MILLISECONDS = 50;
 const SETTLE_LONGEST_WAIT_MILLISECONDS = 2_000;
@@ -25,6 +25,8 @@
     /** Revision of the record that the new one replaces; 0 where there must be none. */
     readonly expectedRevision: number;
     readonly leaseId?: string;
+    /** Further conditions; where one does not hold, the commit is a conflict though the record is the expected one. */
+    readonly comparisons?: readonly Comparison[];
     /** Writes that take effect together with the record. */
     readonly alongside?: readonly WriteOperation[];
     /** Ends the attempts to settle an ambiguous write; its outcome then stays `ambiguous`. */
@@ -55,7 +57,10 @@
 
 function write(store: Store, commit: RecordCommit, writeId: string): Promise<Result<TransactionAnswer, Failure>> {
     return store.transact({
-        comparisons: [{ key: commit.key, target: "modRevision", relation: "equal", value: commit.expectedRevision }],
+        comparisons: [
+            { key: commit.key, target: "modRevision", relation: "equal", value: commit.expectedRevision },
+            ...commit.comparisons ?? [],
+        ],
         writes: [
             {
                 kind: "put",
