Of two teams that race for a rule name one is refused

Cause: the check against other teams looked at what the gateway has in force, so two teams that applied one name through two gateways were both accepted. A process that hears of a change of hands in the wrong order ignores the rule in the older document. The surface of the history scenario moved to a file that both use; its steps are the same. Conclusion: a name has one owner in the store; rules accepted before this have no key yet.

--- a/features/rules/history.steps.ts
+++ b/features/rules/history.steps.ts
@@ -4,56 +4,30 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import type { DataTable } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { Result } from "true-myth/result";
 import type { z } from "zod";
-import { createLogger } from "../../src/core/log.js";
-import { createMetrics } from "../../src/core/metrics.js";
-import { createRpcClient } from "../../src/core/rpc.js";
 import { MILLISECONDS_PER_DAY } from "../../src/core/time.js";
 import { applyRules, listHistory } from "../../src/operator/messages.js";
-import { createOperatorSurface } from "../../src/operator/operator.js";
-import { OperatorSettings } from "../../src/operator/settings.js";
 import { createStore } from "../../src/platform/adapters/store.js";
 import { waitFor } from "../membership/fleet.js";
 import { STEP_LIMIT_MILLISECONDS } from "./fleet.steps.js";
 import type { FleetWorld } from "./fleet.steps.js";
+import { createSurface } from "./surface.js";
+import type { SurfaceCall } from "./surface.js";
 
 interface HistoryWorld extends FleetWorld {
     historyDay: number;
-    historyCall(name: string, params: unknown): Promise<unknown>;
+    historyCall: SurfaceCall;
     historySeen: string[];
 }
 
 Given("a surface of its own that keeps history for {int} days", function(this: HistoryWorld, days: number) {
     this.historyDay = 0;
-    const self = {
-        instance: "entry-9",
-        role: "gateway" as const,
-        dataCentre: "levi",
-        origin: "http://127.0.0.1:1",
-        incarnation: 1,
-        state: "alive" as const,
-        configurationRevision: 0,
-    };
-    const surface = createOperatorSurface({
-        settings: OperatorSettings.parse({ historyDays: days }),
-        store: createStore({ origins: [this.nodeFleet.store.origin], timeoutMilliseconds: 1_000 }),
-        instanceList: { list: async () => Result.ok([]) },
-        feed: {
-            source: { current: () => undefined, onChange: () => () => undefined },
-            accept: () => undefined,
-            revisionOf: () => 0,
-            handlers: [],
-            run: () => Promise.resolve(),
-        },
-        membership: { members: () => [], self: () => self, onChange: () => () => undefined },
-        rpc: createRpcClient({ token: "unused", timeoutMilliseconds: 1_000 }),
+    const store = createStore({ origins: [this.nodeFleet.store.origin], timeoutMilliseconds: 1_000 });
+    this.historyCall = createSurface({
+        store,
+        settings: { historyDays: days },
         clock: () => this.historyDay * MILLISECONDS_PER_DAY,
-        metrics: createMetrics({}),
-        logger: createLogger("history"),
     });
-    this.historyCall = async (name, params) =>
-        await surface.handlers.find(handler => handler.name === name)?.handle(params);
 });
 
 When("rules are applied on days 0, 4, 9, 13 and 30", async function(this: HistoryWorld) {
--- a/src/configuration/catalog.ts
+++ b/src/configuration/catalog.ts
@@ -3,7 +3,8 @@
  * higher revision, so that replayed watches, stale reads and late answers change nothing.
  */
 import type { Failure } from "../core/errors.js";
-import type { Configuration, RulesDocument } from "../rules/rule.js";
+import { startsTasks } from "../rules/rule.js";
+import type { Configuration, Rule, RulesDocument } from "../rules/rule.js";
 import { toDocument } from "./record.js";
 import type { RevisedRecord } from "./record.js";
 
@@ -63,7 +64,7 @@
             const changed = outcomes.includes("taken");
             if (changed) {
                 const highest = Math.max(...[...documents.values()].map(document => document.revision));
-                configuration = { revision: highest, documents: [...documents.values()] };
+                configuration = { revision: highest, documents: dropOutdatedNames([...documents.values()]) };
             }
             // A record that cannot be read stays missing, so that it is asked for again.
             if (failures.length === 0) {
@@ -84,3 +85,22 @@
         configuration: () => configuration,
     };
 }
+
+/**
+ * A name changes hands in two applies of two teams, which may arrive in either order. The later apply was accepted only
+ * because the earlier owner had given the name back, so an older document that still has it is outdated in this.
+ */
+function dropOutdatedNames(documents: readonly RulesDocument[]): RulesDocument[] {
+    const owners = new Map<string, number>();
+    for (const { revision, rules } of documents) {
+        for (const { name } of rules.filter(startsTasks)) {
+            owners.set(name, Math.max(revision, owners.get(name) ?? 0));
+        }
+    }
+    return documents.map(document => {
+        const isOwned = (rule: Rule) => !startsTasks(rule) || owners.get(rule.name) === document.revision;
+        return document.rules.every(isOwned)
+            ? document
+            : { ...document, rules: document.rules.filter(isOwned) };
+    });
+}
--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -9,13 +9,19 @@
 import type { Failure } from "../core/errors.js";
 import { commitRecord, readRecord } from "../platform/commit.js";
 import { diffRules } from "../rules/diff.js";
+import type { RuleChange } from "../rules/diff.js";
 import { safeParseRules } from "../rules/parse.js";
 import type { Rule } from "../rules/rule.js";
 import { checkAgainstOthers } from "./check.js";
 import { findExpired, readHistory } from "./history.js";
 import type { ApplyAnswer, applyRules, RulesVersion } from "./messages.js";
+import { claimNames } from "./names.js";
+import type { NameClaim } from "./names.js";
 import type { OperatorContext } from "./operator.js";
 
+/** A name can change hands while an apply is under way; more than once is unlikely. */
+const ATTEMPTS = 3;
+
 /** Parameters of an apply. */
 export type ApplyParams = z.output<typeof applyRules.params>;
 
@@ -61,6 +67,7 @@
     context: OperatorContext,
     params: ApplyParams,
     current: RevisedRecord | undefined,
+    attempt = 1,
 ): Promise<Result<ApplyAnswer, Failure>> {
     if (current !== undefined && isRepeat(params, current)) {
         context.feed.accept(current);
@@ -70,17 +77,35 @@
     if ((current?.revision ?? 0) !== params.baseRevision) {
         return conflict(context, params, current);
     }
-    const committed = await commit(context, params, current);
+    const before = current === undefined ? [] : readRules(current.record.text, params.team);
+    const after = readRules(params.text, params.team);
+    const claim = await claimNames(context, params, before, after);
+    if (claim.isErr) {
+        return Result.err(claim.error);
+    }
+    if (claim.value.refusals.length > 0) {
+        context.applies.inc({ outcome: "rejected" });
+        return Result.ok({ outcome: "rejected", failures: [...claim.value.refusals] });
+    }
+    const committed = await commit(context, params, current, claim.value);
     if (committed.isErr) {
-        return committed.error.code === "conflict" ? retryAsConflict(context, params) : Result.err(committed.error);
+        return committed.error.code === "conflict"
+            ? settleConflict(context, params, attempt)
+            : Result.err(committed.error);
     }
-    const revised = committed.value;
+    return Result.ok(accept(context, params, committed.value, diffRules(before, after)));
+}
+
+function accept(
+    context: OperatorContext,
+    params: ApplyParams,
+    revised: RevisedRecord,
+    changes: RuleChange[],
+): ApplyAnswer {
     context.feed.accept(revised);
     context.applies.inc({ outcome: "accepted" });
     context.logger.info("rules accepted", { team: params.team, revision: revised.revision, by: params.by });
-    const before = current === undefined ? [] : readRules(current.record.text, params.team);
-    const changes = diffRules(before, readRules(params.text, params.team));
-    return Result.ok({ outcome: "accepted", revision: revised.revision, changed: true, changes });
+    return { outcome: "accepted", revision: revised.revision, changed: true, changes };
 }
 
 /** The same apply once more, or the same text against the version in force. */
@@ -92,6 +117,7 @@
     context: OperatorContext,
     params: ApplyParams,
     current: RevisedRecord | undefined,
+    claim: NameClaim,
 ): Promise<Result<RevisedRecord, Failure>> {
     const now = context.clock();
     const record: RulesRecord = {
@@ -108,7 +134,9 @@
         key: rulesKey(params.team),
         body: record,
         expectedRevision: params.baseRevision,
+        comparisons: claim.comparisons,
         alongside: [
+            ...claim.writes,
             { kind: "put", key: historyKey(params.team, record.sequence), value: JSON.stringify(history) },
             { kind: "put", key: HEAD_KEY, value: params.team },
             ...expired.map(key => ({ kind: "delete" as const, key })),
@@ -118,8 +146,12 @@
     return committed.map(revision => ({ revision, record }));
 }
 
-/** Someone else was faster, or an earlier call of this very apply had got through. */
-async function retryAsConflict(context: OperatorContext, params: ApplyParams): Promise<Result<ApplyAnswer, Failure>> {
+/** Someone else was faster with the team's rules or a name, or an earlier call of this very apply had got through. */
+async function settleConflict(
+    context: OperatorContext,
+    params: ApplyParams,
+    attempt: number,
+): Promise<Result<ApplyAnswer, Failure>> {
     const current = await readCurrent(context, params.team);
     if (current.isErr) {
         return Result.err(current.error);
@@ -128,6 +160,13 @@
         context.feed.accept(current.value);
         return Result.ok({ outcome: "accepted", revision: current.value.revision, changed: true, changes: [] });
     }
+    if ((current.value?.revision ?? 0) === params.baseRevision) {
+        // The team's rules are those expected, so another team was faster with a name; it is read again.
+        const message = "names of rules changed hands while the apply was under way; nothing was changed, apply again";
+        return attempt < ATTEMPTS
+            ? applyOn(context, params, current.value, attempt + 1)
+            : Result.err(createFailure("conflict", "rules.apply", message));
+    }
     return conflict(context, params, current.value);
 }
 
--- a/src/operator/check.ts
+++ b/src/operator/check.ts
@@ -4,7 +4,8 @@
 import { createFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
 import type { WorkerInstance } from "../platform/instances.js";
-import type { BatchRule, Rule, ServiceRule } from "../rules/rule.js";
+import { startsTasks } from "../rules/rule.js";
+import type { Rule, TaskRule } from "../rules/rule.js";
 import type { OperatorContext } from "./operator.js";
 
 /** A file under check. */
@@ -19,7 +20,7 @@
     file: CheckedFile,
     rules: readonly Rule[],
 ): Promise<Failure[]> {
-    const placed = rules.filter(isPlaced);
+    const placed = rules.filter(startsTasks);
     const list = placed.length === 0 ? undefined : await context.instanceList.list();
     const workers = list?.isOk === true ? list.value.filter(instance => instance.kind === "worker") : [];
     return placed.flatMap(rule => [
@@ -28,10 +29,6 @@
     ]);
 }
 
-function isPlaced(rule: Rule): rule is ServiceRule | BatchRule {
-    return rule.kind === "service" || rule.kind === "batch";
-}
-
 function toFailure(file: CheckedFile, rule: Rule, message: string): Failure {
     const name = file.file ?? `${file.team}.rules`;
     return createFailure("invalid-input", `${name}:${rule.line}:1`, message, { path: [name, rule.line, 1] });
@@ -41,13 +38,16 @@
     const documents = context.feed.source.current()?.documents ?? [];
     const other = documents
         .filter(document => document.team !== file.team)
-        .find(document => document.rules.some(existing => isPlaced(existing) && existing.name === rule.name));
-    return other === undefined
-        ? []
-        : [toFailure(file, rule, `${rule.name} is a rule of team ${other.team}; use another name`)];
+        .find(document => document.rules.some(existing => startsTasks(existing) && existing.name === rule.name));
+    return other === undefined ? [] : [refuseName(file, rule, other.team)];
+}
+
+/** Refuses a rule whose name another team owns. */
+export function refuseName(file: CheckedFile, rule: Rule, owner: string): Failure {
+    return toFailure(file, rule, `${rule.name} is a rule of team ${owner}; use another name`);
 }
 
-function checkFit(file: CheckedFile, rule: ServiceRule | BatchRule, workers: readonly WorkerInstance[]): Failure[] {
+function checkFit(file: CheckedFile, rule: TaskRule, workers: readonly WorkerInstance[]): Failure[] {
     const inReach = workers.filter(worker =>
         rule.dataCentres.length === 0 || rule.dataCentres.includes(worker.dataCentre)
     );
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -76,6 +76,14 @@
 });
 export type BatchRule = z.infer<typeof BatchRule>;
 
+/** A rule that starts tasks. The names of these are shared by all teams: one team owns a name. */
+export type TaskRule = ServiceRule | BatchRule;
+
+/** Tells whether a rule starts tasks. */
+export function startsTasks(rule: Rule): rule is TaskRule {
+    return rule.kind === "service" || rule.kind === "batch";
+}
+
 /** The most that a team's tasks may take together. The rule's name is the team's. */
 export const QuotaRule = z.strictObject({
     kind: z.literal("quota"),
