Bad input names the unknown key and the keys that are allowed

Cause: an unknown key was told by the place of the object that holds it, and without the keys that it may have; a value that fits none of several schemas was told as 'Invalid input'. Change: each unknown key is a failure of its own, with its path and the allowed keys; unions say what each way objects to.

--- a/src/core/parse.ts
+++ b/src/core/parse.ts
@@ -5,6 +5,7 @@
 import type { z } from "zod";
 import { createFailure } from "./errors.js";
 import type { Failure } from "./errors.js";
+import { describeIssue } from "./issue.js";
 
 /** Checks a value against a schema; gives a failure for each bad place. */
 export function parseAll<Schema extends z.ZodType>(
@@ -16,10 +17,7 @@
     if (parsed.success) {
         return Result.ok(parsed.data);
     }
-    return Result.err(parsed.error.issues.map(issue => {
-        const path = issue.path.filter(part => typeof part !== "symbol");
-        return createFailure("invalid-input", step, issue.message, { path });
-    }));
+    return Result.err(parsed.error.issues.flatMap(issue => describeIssue(schema, issue, step)));
 }
 
 /** Checks a value against a schema; gives the first failure, with a count of the others. */
