Fuzzing of settings files and calls; the settings page cannot go stale

Cause: nothing tested that bad settings and JSON-RPC bodies get an error that names the place and what is allowed. The committed settings page had the instance list's words on the store's timeout, none on listening addresses and tls, and only {} for the policy's settings.

--- a/features/rules/apply.feature
+++ b/features/rules/apply.feature
@@ -109,3 +109,7 @@
     Scenario: Bodies that are not what a method takes are refused and crash nothing
         Then 300 arbitrary bodies to the operators' port and the peers' port of instance 1 are answered
         And instance 1 still knows the rules
+
+    Scenario: Bodies with one bad place are refused for that place
+        Then 300 calls of methods of instance 1 with one bad place are carried out or refused for that place
+        And instance 1 still knows the rules
--- a/src/binaries/reference.ts
+++ b/src/binaries/reference.ts
@@ -11,6 +11,10 @@
 import { GatewaySettings } from "../settings/gateway.js";
 import { SchedulerSettings } from "../settings/scheduler.js";
 
+/** A comment, a key with what opens an object there, an object that opens without a key, or one that closes. */
+const TOKENS =
+    /\/\*\*((?:(?!\*\/)[^])*)\*\/|^ {4,}(\w+): (z\.strictObject\(\{(?!.*\}))?|(?:z\.strictObject\(|= )(\{(?!.*\}))|^\s*\}/gm;
+
 const PAGE = "docs/operators/settings.md";
 
 /** Where the comments of a section's keys stand. */
@@ -105,13 +109,18 @@
     const comments = await readComments(sourcesOfSections[section] ?? []);
     const rows = properties.flatMap(([name, described]) =>
         flatten(name, described, required.includes(name)).map(row => {
-            const key = row.key.split(".").at(-1) ?? "";
-            return [`\`${row.key}\``, row.type, row.fallback, comments.get(key) ?? ""];
+            return [`\`${row.key}\``, row.type, row.fallback, findComment(comments, row.key)];
         })
     );
     return [...alignTable([["key", "value", "default", "what it does"], ...rows]), ""];
 }
 
+/** The comment on the key itself, on a key of that name in a schema of its own, or on the object that holds it. */
+function findComment(comments: ReadonlyMap<string, string>, path: string): string {
+    const parts = path.split(".");
+    return comments.get(path) ?? comments.get(parts.at(-1) ?? "") ?? comments.get(parts.slice(0, -1).join(".")) ?? "";
+}
+
 /** Pads cells as the formatter of the repository does. */
 function alignTable(rows: readonly string[][]): string[] {
     const [heading = []] = rows;
@@ -130,7 +139,8 @@
 }
 
 function flatten(key: string, described: Described, required: boolean): Row[] {
-    if (described.properties !== undefined && described.default === undefined) {
+    const prefilled = JSON.stringify(described.default) === "{}";
+    if (described.properties !== undefined && (described.default === undefined || prefilled)) {
         const inner = described.required ?? [];
         return Object.entries(described.properties).flatMap(([name, value]) =>
             flatten(`${key}.${name}`, value, inner.includes(name))
@@ -167,14 +177,34 @@
     return parts.length === 0 ? "" : ` ${parts.join(" ")}`;
 }
 
-/** Reads the comments that stand right above keys. */
+/**
+ * Reads the comments that stand right above keys. A key inside an object that is written out in the same file goes by its
+ * whole path, so that two keys of one name do not share a comment.
+ */
 async function readComments(files: readonly string[]): Promise<Map<string, string>> {
     const comments = new Map<string, string>();
     for (const file of files) {
         const source = await readFile(file, "utf8");
-        for (const match of source.matchAll(/\/\*\*((?:(?!\*\/)[^])*)\*\/\s*(\w+):/g)) {
-            const words = (match[1] ?? "").replaceAll(/\n\s*\*/g, " ").replaceAll(/\s+/g, " ").trim();
-            comments.set(match[2] ?? "", words.replaceAll("|", "\\|"));
+        const parents: string[] = [];
+        let words: string | undefined;
+        for (const [token, comment, key, opens] of source.matchAll(TOKENS)) {
+            if (comment !== undefined) {
+                words = comment.replaceAll(/\n\s*\*/g, " ").replaceAll(/\s+/g, " ").trim().replaceAll("|", "\\|");
+                continue;
+            }
+            if (token.trimStart().startsWith("}")) {
+                parents.pop();
+            }
+            else if (key !== undefined) {
+                const path = [...parents, key].filter(part => part !== "").join(".");
+                if (words !== undefined) {
+                    comments.set(path, words);
+                }
+            }
+            if (opens !== undefined) {
+                parents.push(key ?? "");
+            }
+            words = undefined;
         }
     }
     return comments;
--- a/src/client/settings.ts
+++ b/src/client/settings.ts
@@ -13,6 +13,7 @@
     token: z.string().default(""),
     /** Name under which changes are recorded. */
     by: z.string().min(1).optional(),
+    /** Time within which a gateway has to answer. */
     timeoutMilliseconds: z.int().min(1).default(DEFAULT_TIMEOUT_MILLISECONDS),
 });
 export type ClientSettings = z.infer<typeof ClientSettings>;
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -89,6 +89,7 @@
     breakerFailures: z.int().min(1).default(DEFAULT_BREAKER_FAILURES),
     /** Time for which a circuit breaker opens first; it doubles with each failed probe. */
     breakerOpenMilliseconds: z.int().min(1).default(DEFAULT_BREAKER_OPEN_MILLISECONDS),
+    /** Longest time for which a circuit breaker stays open. */
     breakerLongestMilliseconds: z.int().min(1).default(DEFAULT_BREAKER_LONGEST_MILLISECONDS),
     /** Time within which a probe on a new connection has to be answered. */
     probeTimeoutMilliseconds: z.int().min(1).default(DEFAULT_PROBE_TIMEOUT_MILLISECONDS),
