--- a/bench/experiments/drain.ts
+++ b/bench/experiments/drain.ts
@@ -11,7 +11,9 @@
 import { SERVICE } from "../request/sources.js";
 import { checkAtLeast, checkAtMost } from "../support/experiment.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
+import { plotLatencies } from "../support/report/curves.js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const GATEWAYS = 9;
 const UPSTREAMS = 4;
 const WORK_MILLISECONDS = 30;
@@ -68,6 +70,12 @@
     const result = await load;
     await balancing;
     const facts = await processes.readFacts();
+    context.plot?.(plotLatencies(
+        "latency",
+        "Latency while all gateways are restarted",
+        [{ name: "answers", histogram: result.latency }],
+        MICROSECONDS_PER_MILLISECOND,
+    ));
     const tail = Math.round(result.latency.getValueAtPercentile(99) / 1_000);
     context.progress(
         `${result.sent} sent, ${result.good} in time, ${result.late} late, ${result.notRun} not run, `
--- a/bench/experiments/overload.ts
+++ b/bench/experiments/overload.ts
@@ -8,7 +8,9 @@
 import { SERVICE } from "../request/sources.js";
 import { checkAtLeast, checkAtMost } from "../support/experiment.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
+import { plotLatencies } from "../support/report/curves.js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const FACTORS = [0.5, 1, 2, 4];
 const HIGHEST_FACTOR = 4;
 const UPSTREAMS = 2;
@@ -28,6 +30,7 @@
     run: async context => {
         const withShedding = await withProcesses(processes => measure(processes, true, context));
         const without = await withProcesses(processes => measure(processes, false, context));
+        plotResults(withShedding, without, context);
         return compare(withShedding, without, Number(context.values["seconds"]));
     },
 };
@@ -84,6 +87,34 @@
     return results;
 }
 
+function plotResults(
+    results: ReadonlyMap<number, OpenLoadResult>,
+    baseline: ReadonlyMap<number, OpenLoadResult>,
+    context: ExperimentContext,
+): void {
+    const ways = [["shedding", results], ["no shedding", baseline]] as const;
+    const seconds = Number(context.values["seconds"]);
+    context.plot?.({
+        name: "goodput",
+        title: "Answers in time by offered load",
+        xLabel: "offered load, times capacity",
+        yLabel: "answers in time a second",
+        series: ways.map(([name, all]) => ({
+            name,
+            points: [...all].map(([x, result]) => ({ x, y: result.good / seconds })),
+        })),
+    });
+    context.plot?.(plotLatencies(
+        "latency",
+        `Latency of answers at ${HIGHEST_FACTOR} times the capacity`,
+        ways.flatMap(([name, all]) => {
+            const result = all.get(HIGHEST_FACTOR);
+            return result === undefined ? [] : [{ name, histogram: result.latency }];
+        }),
+        MICROSECONDS_PER_MILLISECOND,
+    ));
+}
+
 function compare(
     results: ReadonlyMap<number, OpenLoadResult>,
     baseline: ReadonlyMap<number, OpenLoadResult>,
--- a/bench/experiments/policy.ts
+++ b/bench/experiments/policy.ts
@@ -118,6 +118,19 @@
     return outcomes.reduce((total, outcome) => total + measure(outcome), 0);
 }
 
+function plotContestants(context: ExperimentContext, name: string, all: Record<string, Figures>): void {
+    const plot = (measure: string, title: string, unit: string, read: (figures: Figures) => number) =>
+        context.plot?.({
+            name: `${name}-${measure}`,
+            title: `${title}, ${name}`,
+            unit,
+            bars: Object.entries(all).map(([contestant, figures]) => ({ name: contestant, value: read(figures) })),
+        });
+    plot("tail", "Tail latency of services (p99)", "times the base of the service", figures => figures.tail);
+    plot("throughput", "Batch work done", "core seconds", figures => figures.workDone);
+    plot("evictions", "Evictions", "evictions", figures => figures.evictions);
+}
+
 function judge(context: ExperimentContext, deployment: Deployment): Check[] {
     const prefersTail = deployment.name === "tunturivalo";
     const weights = prefersTail ? TAIL_WEIGHTS : THROUGHPUT_WEIGHTS;
@@ -130,6 +143,8 @@
     const informed = run("informed", createInformed(weights));
     const own = run("flamingowell", createOwn(weights, true));
     const { name } = deployment;
+    const contestants = { "first-fit": first, "random": atRandom, "no-learning": unlearned, "tail-only": reactive };
+    plotContestants(context, name, { ...contestants, "oracle": best, informed, "flamingowell": own });
     const oracleTail = Math.min(best.tail, informed.tail);
     const checks = [
         checkAtMost(`${name}-tail-to-oracle`, own.tail / oracleTail, "ratio", LARGEST_TAIL_TO_ORACLE, oracleTail),
--- a/bench/experiments/request-path.ts
+++ b/bench/experiments/request-path.ts
@@ -8,7 +8,9 @@
 import { SERVICE } from "../request/sources.js";
 import { checkAtLeast, checkAtMost } from "../support/experiment.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
+import { plotLatencies } from "../support/report/curves.js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const CALLERS = [64, 1_000];
 const SMALLEST_RATIO = 1.2;
 const ANSWER_BYTES = 200;
@@ -76,6 +78,12 @@
         for (const { name } of targets) {
             context.progress(`${callers} callers, ${describe(name, find(results, name))}`);
         }
+        context.plot?.(plotLatencies(
+            `latency-${callers}`,
+            `Latency with ${callers} callers`,
+            [...results].map(([name, { latency }]) => ({ name, histogram: latency })),
+            MICROSECONDS_PER_MILLISECOND,
+        ));
         checks.push(...compare(callers, find(results, "gateway"), find(results, "forwarder")));
     }
     const { peakConnections } = await processes.readFacts();
--- a/bench/experiments/spread.ts
+++ b/bench/experiments/spread.ts
@@ -9,6 +9,8 @@
 import { MILLISECONDS_PER_SECOND, systemClock } from "../../src/core/time.js";
 import { applyRules } from "../../src/operator/messages.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
+import { toShares } from "../support/report/curves.js";
+import type { PlotSeries } from "../support/report/plot.js";
 
 const TODAY_BOUND_SECONDS = 2;
 const TARGET_BOUND_SECONDS = 11;
@@ -65,14 +67,22 @@
     async run(context) {
         const sizes = String(context.values["processes"] ?? "18,60").split(",").map(Number);
         const checks: Check[] = [];
+        const spreads: PlotSeries[] = [];
         for (const size of sizes) {
-            checks.push(...await measure(context, size));
+            checks.push(...await measure(context, size, spreads));
         }
+        context.plot?.({
+            name: "spread",
+            title: "Time until a change is in force on the last process",
+            xLabel: "share of applies, %",
+            yLabel: "seconds",
+            series: spreads,
+        });
         return checks;
     },
 };
 
-async function measure(context: ExperimentContext, size: number): Promise<Check[]> {
+async function measure(context: ExperimentContext, size: number, spreads: PlotSeries[]): Promise<Check[]> {
     const fleet = await startFleet({ instances: size / 2, seed: context.seed });
     try {
         await waitFor("every process knows its peers", async () => {
@@ -81,7 +91,7 @@
         });
         const checks: Check[] = [];
         for (const phase of [steady, slow, cut]) {
-            checks.push(...await runPhase(context, fleet, phase));
+            checks.push(...await runPhase(context, fleet, phase, spreads));
         }
         checks.push(...countReversions(await readAll(fleet), size));
         return checks;
@@ -91,7 +101,12 @@
     }
 }
 
-async function runPhase(context: ExperimentContext, fleet: Fleet, phase: Phase): Promise<Check[]> {
+async function runPhase(
+    context: ExperimentContext,
+    fleet: Fleet,
+    phase: Phase,
+    spreads: PlotSeries[],
+): Promise<Check[]> {
     const applies = Number(context.values["applies"] ?? DEFAULT_APPLIES);
     const seconds: number[] = [];
     for (let index = 0; index < applies; index += 1) {
@@ -108,6 +123,7 @@
         fleet.store.setFaults({ down: "no" });
     }
     seconds.sort((left, right) => left - right);
+    spreads.push(toShares(`${fleet.nodes.length}, ${phase.name}`, seconds));
     const median = seconds[Math.floor(seconds.length / 2)] ?? Infinity;
     const largest = seconds.at(-1) ?? Infinity;
     const label = `${fleet.nodes.length} processes, ${phase.name}`;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -12,8 +12,9 @@
 import { describeThrown } from "../src/core/errors.js";
 import { compareResults } from "./support/compare.js";
 import type { BenchResult, Check, Experiment } from "./support/experiment.js";
-import type { Plot } from "./support/report/plot.js";
+import type { BarChart } from "./support/report/bars.js";
 import { writeReport } from "./support/report/report.js";
+import type { Drawing } from "./support/report/report.js";
 
 const EXPERIMENTS_FOLDER = new URL("experiments/", import.meta.url);
 const DEFAULT_SEED = "1";
@@ -74,7 +75,7 @@
     if (!Number.isSafeInteger(seed)) {
         throw new Error(`--seed takes a whole number, not ${String(values["seed"])}`);
     }
-    const plots: Plot[] = [];
+    const plots: Drawing[] = [];
     const lines: string[] = [];
     const checks = await experiment.run({
         seed,
@@ -98,13 +99,22 @@
     if (typeof values["report"] === "string") {
         const command = quote(["npm", "run", "bench", "--", experiment.name, ...commandLine]);
         const { summary } = experiment;
-        const content = { result, summary, command, plots, lines, takenAt: new Date() };
+        const content = { result, summary, command, plots: [...plots, plotBounds(checks)], lines, takenAt: new Date() };
         console.log(`wrote ${await writeReport(values["report"], content)}`);
     }
     console.log(JSON.stringify(result));
     return result.holds ? 0 : 1;
 }
 
+/** Shows at a glance how far each figure is from its bound; bounds of zero have no share. */
+function plotBounds(checks: readonly Check[]): BarChart {
+    const bars = checks.filter(check => check.bound > 0 && Number.isFinite(check.figure)).map(check => ({
+        name: check.name,
+        value: check.figure / check.bound,
+    }));
+    return { name: "bounds", title: "Figures as shares of their bounds", unit: "figure / bound", bars, mark: 1 };
+}
+
 function printCheck(check: Check): void {
     const baseline = check.baseline === undefined ? "" : `, baseline ${check.baseline}`;
     const verdict = check.holds ? "holds" : "FAILS";
--- a/bench/support/experiment.ts
+++ b/bench/support/experiment.ts
@@ -2,7 +2,7 @@
  * Experiments: what `npm run bench -- NAME` runs, and what they give back.
  */
 import type { ParseArgsConfig } from "node:util";
-import type { Plot } from "./report/plot.js";
+import type { Drawing } from "./report/report.js";
 
 /** What an experiment is run with. */
 export interface ExperimentContext {
@@ -12,7 +12,7 @@
     /** Prints a line on how far a long run has come. */
     progress(line: string): void;
     /** Adds a plot to the report; it is drawn where the run is given `--report`. */
-    plot?(plot: Plot): void;
+    plot?(plot: Drawing): void;
 }
 
 /** One figure with the bound that it is held to. */
