Processes of tests and benches have 60 s to listen

Ruled out: waiting for store, list or peers (a daemon announces as soon as its ports are open and awaits nothing remote before), a port in use (that ends the process with another message), a paused target (one fault at a time acts on a daemon). Change: the limit of the harness is 60 s; a daemon that does not come up still makes the run red.

--- a/stand-ins/processes.ts
+++ b/stand-ins/processes.ts
@@ -9,7 +9,7 @@
 import { join } from "node:path";
 import { createInterface } from "node:readline";
 
-const READY_LIMIT_MILLISECONDS = 20_000;
+const READY_LIMIT_MILLISECONDS = 60_000;
 const TICKS_PER_SECOND = 100;
 /** Place of user time among the fields that follow the process's name; system time comes next. */
 const USER_TICKS_FIELD = 11;
