--- a/bench/support/capacity/estimate.ts
+++ b/bench/support/capacity/estimate.ts
@@ -1,23 +1,13 @@
 /**
  * Estimates at the target's size, from lines through measured points.
  */
-import { fitLine } from "./fit.js";
+import { estimateChanges } from "./changes.js";
 import type { Line } from "./fit.js";
 import type { Point } from "./measure.js";
+import { lineOf, workersOf } from "./series.js";
+import type { Series } from "./series.js";
 import { nodeLimits, storeLimits, target } from "./target.js";
 
-const SECONDS_PER_DAY = 86_400;
-
-/** Series of points: growing fleets, numbers of entry instances, traffic, and edits. */
-export interface Series {
-    /** Processes that wanted to run in the minute before the first point. */
-    readonly machineLoad: number;
-    readonly workers: readonly Point[];
-    readonly instances: readonly Point[];
-    readonly calls: readonly Point[];
-    readonly changes: readonly Point[];
-}
-
 /** One line of the page. */
 export interface Estimate {
     readonly role: string;
@@ -31,6 +21,8 @@
     readonly limit?: number;
     /** What carries the role at the target's size. */
     readonly mechanism: string;
+    /** What would carry it where today's mechanism does not. */
+    readonly next?: string;
 }
 
 /** Entry instances at the target, as many as keep a scheduler below its memory. */
@@ -69,6 +61,7 @@
     const schedulerCores = byWorkers(point => point.scheduler.processorShare);
     const schedulerMemory = byWorkers(point => point.scheduler.residentBytes);
     const gatewayMemory = byWorkers(point => point.gateway.residentBytes);
+    const gatewayIdle = byWorkers(point => point.gateway.processorShare);
     const gatewayCores = byCalls(point => point.gateway.processorShare);
     const writes = byWorkers(point => point.store.writes);
     const readsByInstances = byInstances(point => point.store.reads);
@@ -101,6 +94,29 @@
             atTarget: at(schedulerMemory, workersPerInstance),
             limit: nodeLimits.residentBytes,
             mechanism: `with ${workersPerInstance} workers each; a cell's ledger is only with its owner`,
+            next: "more entry instances, each with fewer cells",
+        },
+        {
+            role: "scheduler",
+            measure: "processor time of one process",
+            unit: "cores",
+            per: "worker",
+            line: schedulerCores,
+            atTarget: at(schedulerCores, workersPerInstance),
+            limit: nodeLimits.coreShare,
+            mechanism: `with ${workersPerInstance} workers each; one commit, one renewal and one report an interval`,
+            next: "longer intervals of renewals and reports, and a more compact encoding of them",
+        },
+        {
+            role: "gateway",
+            measure: "processor time of one process without calls",
+            unit: "cores",
+            per: "worker",
+            line: gatewayIdle,
+            atTarget: at(gatewayIdle, target.workers / target.dataCentres),
+            limit: nodeLimits.coreShare,
+            mechanism: "routes and members are compared by revision, and read only where they differ",
+            next: "routes of the gateway's own data centre only",
         },
         {
             role: "gateway",
@@ -111,6 +127,7 @@
             atTarget: at(gatewayMemory, target.workers / target.dataCentres),
             limit: nodeLimits.residentBytes,
             mechanism: "with the routes of one data centre; today each gateway reads the routes of all cells",
+            next: "routes of the services that a gateway's callers ask for, read on the first call",
         },
         {
             role: "gateway",
@@ -142,6 +159,7 @@
             atTarget: at(readsByInstances, entryInstances),
             limit: storeLimits.readsPerSecond,
             mechanism: "one heartbeat per process; ownership and configuration are read by watch or from peers",
+            next: "claims and partitions read by a few processes, the others hear from peers",
         },
         {
             role: "store",
@@ -188,6 +206,7 @@
             atTarget: at(listBytes, target.workers) * at(listReads, entryInstances),
             limit: nodeLimits.bytesPerSecond * daemons,
             mechanism: "the whole list with each read; the limit is 14 KB/s for each daemon that reads",
+            next: "a few processes read the list, the others hear of its changes with the heartbeats",
         },
         {
             role: "worker's control traffic",
@@ -220,54 +239,3 @@
         },
     ];
 }
-
-/** Edits of rules, at the target's rate of changes. */
-function estimateChanges({ changes }: Series): Estimate[] {
-    const perSecond = target.configurationChangesPerDay / SECONDS_PER_DAY;
-    const byChanges = (read: (point: Point) => number) => lineOf(changes, point => point.changesPerSecond, read);
-    const estimate = (role: string, measure: string, unit: string, line: Line, mechanism: string) => ({
-        role,
-        measure,
-        unit,
-        per: "change a second",
-        line,
-        atTarget: line.slope * perSecond,
-        mechanism,
-    });
-    return [
-        estimate(
-            "configuration",
-            "writes of the store for changes",
-            "writes/s",
-            byChanges(point => point.store.writes),
-            "one compare-and-swap for each accepted file, whatever the number of processes",
-        ),
-        estimate(
-            "configuration",
-            "bytes that the store sends for changes",
-            "bytes/s",
-            byChanges(point => point.store.bytesOut),
-            "a few processes watch the store, the others hear of a change from peers and read what they lack",
-        ),
-        estimate(
-            "configuration",
-            "processor time of a gateway for changes",
-            "cores",
-            byChanges(point => point.gateway.processorShare),
-            "a change replaces one team's document",
-        ),
-        estimate(
-            "configuration",
-            "processor time of a scheduler for changes",
-            "cores",
-            byChanges(point => point.scheduler.processorShare),
-            "a change replaces one team's document; only jobs of changed rules are looked at",
-        ),
-    ];
-}
-
-const workersOf = (point: Point) => point.size.workers;
-
-function lineOf(points: readonly Point[], size: (point: Point) => number, figure: (point: Point) => number): Line {
-    return fitLine(points.map(point => ({ size: size(point), figure: figure(point) })));
-}
--- a/bench/support/capacity/page.ts
+++ b/bench/support/capacity/page.ts
@@ -4,8 +4,9 @@
 import { cpus } from "node:os";
 import { writeTable } from "../report/table.js";
 import { estimateAll, estimateFleet } from "./estimate.js";
-import type { Estimate, Series } from "./estimate.js";
+import type { Estimate } from "./estimate.js";
 import type { Point } from "./measure.js";
+import type { Series } from "./series.js";
 import { nodeLimits, storeLimits, target } from "./target.js";
 
 const POOR_FIT = 0.8;
@@ -107,9 +108,11 @@
         estimate.limit === undefined ? [] : [{ estimate, ratio: estimate.atTarget / estimate.limit }]
     );
     limited.sort((left, right) => right.ratio - left.ratio);
-    return limited.map(({ estimate, ratio }, index) =>
-        `${index + 1}. ${estimate.role}, ${estimate.measure}: ${ratio.toFixed(2)} times its limit at the target.`
-    );
+    return limited.map(({ estimate, ratio }, index) => {
+        const { role, measure, next } = estimate;
+        const relief = ratio > 1 && next !== undefined ? ` What would carry it: ${next}.` : "";
+        return `${index + 1}. ${role}, ${measure}: ${ratio.toFixed(2)} times its limit at the target.${relief}`;
+    });
 }
 
 function toPointRow(point: Point): (string | number)[] {
