Checker: processes that give no status are counted, fault runs print the faults left out

Cause: a process that did not answer the operators' look was passed over without a trace, and so was a fault whose target was in trouble already. Shown: a scenario with a log by hand.

--- a/bench/experiments/faults.ts
+++ b/bench/experiments/faults.ts
@@ -155,18 +155,21 @@
     const failures: string[] = [];
     const injector = createInjector(world);
     const startedAt = world.clock();
+    let left = 0;
     await Promise.all(faults.map(async fault => {
         await pause(Math.max(0, startedAt + fault.atMilliseconds - world.clock()));
         const at = ((world.clock() - startedAt) / 1_000).toFixed(1);
         context.progress(`${at} s ${fault.kind} for ${(fault.durationMilliseconds / 1_000).toFixed(1)} s`);
         try {
-            await injector.inject(fault);
+            const isCarriedOut = await injector.inject(fault);
+            left += isCarriedOut ? 0 : 1;
         }
         catch (thrown) {
             // Most likely a daemon that did not come up again; the verdict must say so.
             failures.push(`${fault.kind} at ${at} s: ${describeThrown(thrown)}`);
         }
     }));
+    context.progress(`${faults.length - left} faults of ${faults.length}; the others met a target in trouble already`);
     return failures;
 }
 
--- a/bench/support/checker/evidence.ts
+++ b/bench/support/checker/evidence.ts
@@ -27,6 +27,8 @@
         readonly ready: boolean;
         readonly revision: number;
     }
+    /** A daemon was asked for its status and gave none in time. */
+    | { readonly event: "no-status"; readonly at: number; readonly process: string; }
     /** The instance list shows a worker as leaving from `at` until `until`. */
     | { readonly event: "worker-leaving"; readonly at: number; readonly until: number; readonly worker: string; }
     /** A daemon was asked to stop and ended. `origin` is where callers reached it; empty for a scheduler. */
--- a/bench/support/checker/rules.ts
+++ b/bench/support/checker/rules.ts
@@ -30,6 +30,10 @@
             findings.push(...findLate(status, applied, its));
         }
     }
+    const silent = groupBy(pickOperators(evidence.operators, "no-status"), look => look.process);
+    for (const [process, looks] of silent) {
+        findings.push({ text: `${process} gave no status ${looks.length} times`, isExcused: true });
+    }
     const ready = statuses.filter(status => status.ready);
     return {
         promise: "configuration in force in time, never reverted",
--- a/bench/support/faults/inject.ts
+++ b/bench/support/faults/inject.ts
@@ -19,8 +19,8 @@
 
 /** Faults that act on one daemon at a time; a daemon that is already in trouble is left alone. */
 export interface Injector {
-    /** Resolves when the fault is over. */
-    inject(fault: PlannedFault): Promise<void>;
+    /** Resolves when the fault is over; false where its target was in trouble already and was left alone. */
+    inject(fault: PlannedFault): Promise<boolean>;
 }
 
 /** What a fault does between its start and its end. */
@@ -36,7 +36,7 @@
         async inject(fault) {
             const action = await createAction(world, fault);
             if (busy.has(action.target)) {
-                return;
+                return false;
             }
             busy.add(action.target);
             const at = world.clock();
@@ -48,6 +48,7 @@
             }
             const kind = fault.kind.endsWith("-paused") ? "pause" : fault.kind;
             world.operators.push({ event: "fault", at, until: world.clock(), kind, target: action.target });
+            return true;
         },
     };
 }
--- a/bench/support/faults/operators.ts
+++ b/bench/support/faults/operators.ts
@@ -169,4 +169,7 @@
             revision: configurationRevision,
         });
     }
+    else {
+        world.operators.push({ event: "no-status", at: world.clock(), process: name });
+    }
 }
--- a/features/faults/checker.feature
+++ b/features/faults/checker.feature
@@ -416,3 +416,13 @@
             | c-1  | refused | 15     | 16      |
         Then "planned stops cut off no request" has 1 opportunity and 0 violations
         And "planned stops cut off no request" has 1 excused event naming "c-1"
+
+    Scenario: Processes that give no status are counted as excused
+        Given the operators wrote
+            | event     | at    | revision | process | ready |
+            | applied   | 1000  | 7        |         |       |
+            | status    | 2000  | 7        | g-1     | true  |
+            | no-status | 13000 |          | g-2     |       |
+            | no-status | 14000 |          | g-2     |       |
+        Then "configuration in force in time, never reverted" has 1 opportunity and 0 violations
+        And "configuration in force in time, never reverted" has 1 excused event naming "g-2 gave no status 2 times"
