--- a/bench/experiments/request-path.ts
+++ b/bench/experiments/request-path.ts
@@ -14,7 +14,9 @@
 import { EXCLUSIVE_SERVICE, SERVICE } from "../request/sources.js";
 import { checkAtLeast, checkAtMost } from "../support/experiment.js";
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
+import { plotLatencies } from "../support/report/curves.js";
 
+const MICROSECONDS_PER_MILLISECOND = 1_000;
 const CALLERS = [64, 1_000];
 const SMALLEST_RATIO = 1.2;
 /**
@@ -98,6 +100,12 @@
         for (const { name } of targets) {
             describe(name, find(results, name)).forEach(line => context.progress(`${callers} callers, ${line}`));
         }
+        context.plot?.(plotLatencies(
+            `latency-${callers}`,
+            `Latency with ${callers} callers`,
+            [...results].map(([name, { latency }]) => ({ name, histogram: latency })),
+            MICROSECONDS_PER_MILLISECOND,
+        ));
         checks.push(...compare(callers, find(results, "gateway"), find(results, "forwarder")));
     }
     const { peakConnections } = await processes.readFacts();
