Renewals say only what differs, bring usage reports, and are rare on settled workers

Cause (profile by peer, trial on a loaded machine): at 128 workers with 1,400 tasks 197 of 239 KB/s went to and from workers: 64 renewals a second that listed every attempt both ways, and 26 reports a second that repeated every usage. HTTP calls were most of the processor time. Ruled out: longer intervals alone (ends would be seen late everywhere); held renewals (orders would wait behind them). Change, worker port: the report comes with a renewal that asks for it (reportAfterMilliseconds); report() is gone. The adapter and the worker name what they have told each other by a version that stands for incarnation, cell, owner, epoch and the set of attempts; any other version is refused as conflict, renews nothing, and the whole list follows. Progress is told in steps of 0.01, usages when they move by 5 %; the policy gets whole reports. Change, scheduler: a worker on which nothing is under way is renewed every third of a lease instead of every 2 s; where an attempt is new, ending, or not answered, every 2 s as before. The lease goes from 8 s to 18 s. Consequences: replicas of a silent worker are replaced after 10 s instead of 6 s, its batch tasks start again after 36 s instead of 16 s; a service that ends by itself shows within 6 s instead of 2 s. Tests: those that read GET /v1/report read the report of a renewal instead, with the same assertions. The new scenarios fail where the stand-in takes any version (3 of 4).

--- a/features/platform/worker.steps.ts
+++ b/features/platform/worker.steps.ts
@@ -7,7 +7,18 @@
 import { connect } from "node:net";
 import { pause } from "../../src/core/time.js";
 import { createWorkerStandIn, WorkerBehaviour, WorkerFaultChange } from "../../stand-ins/worker/index.js";
-import { ask, control, findStatus, header, POLL_MILLISECONDS, readUsages, renew, start, stop } from "./world.js";
+import {
+    ask,
+    control,
+    findStatus,
+    header,
+    POLL_MILLISECONDS,
+    readReport,
+    readUsages,
+    renew,
+    start,
+    stop,
+} from "./world.js";
 import type { WorkerWorld } from "./world.js";
 
 Given("a worker stand-in at the speed of {int} declared seconds a second", async function(
@@ -163,7 +174,7 @@
 });
 
 Then("a report fails as {string}", async function(this: WorkerWorld, code: string) {
-    const report = await control.report(this.standIn.instance.controlOrigin);
+    const report = await readReport(this);
     assert.equal(report.isErr ? report.error.code : "ok", code);
 });
 
--- a/features/platform/world.ts
+++ b/features/platform/world.ts
@@ -75,14 +75,23 @@
     world: WorkerWorld,
     acknowledged: { taskId: string; attempt: number; }[] = [],
 ): Promise<RenewAnswer> {
-    const answer = await control.renew(world.standIn.instance.controlOrigin, {
+    const answer = await readReport(world, acknowledged);
+    assert.ok(answer.isOk, JSON.stringify(answer));
+    return answer.value;
+}
+
+/** Renews no lease, acknowledges attempts and asks for a report. */
+export function readReport(
+    world: WorkerWorld,
+    acknowledged: { taskId: string; attempt: number; }[] = [],
+): Promise<Result<RenewAnswer, Failure>> {
+    return control.renew(world.standIn.instance.controlOrigin, {
         ...header(world),
         leaseMilliseconds: LEASE_MILLISECONDS,
         renewals: [],
         acknowledged,
+        reportAfterMilliseconds: 0,
     });
-    assert.ok(answer.isOk, JSON.stringify(answer));
-    return answer.value;
 }
 
 /** Asks the worker for one attempt. */
@@ -101,10 +110,9 @@
     isReady: (usages: readonly AttemptUsage[]) => boolean,
 ): Promise<readonly AttemptUsage[]> {
     for (;;) {
-        const report = await control.report(world.standIn.instance.controlOrigin);
-        assert.ok(report.isOk, JSON.stringify(report));
-        if (isReady(report.value.usages)) {
-            return report.value.usages;
+        const { report } = await renew(world);
+        if (report !== undefined && isReady(report.usages)) {
+            return report.usages;
         }
         await pause(POLL_MILLISECONDS);
     }
--- a/features/scheduler/model/worker.ts
+++ b/features/scheduler/model/worker.ts
@@ -113,10 +113,6 @@
                     attempts: worker.attempts.statuses(request.cell, now),
                 };
             }),
-        report: async () => {
-            await gate.pass();
-            return Result.err(createFailure("unavailable", "report", "the model has no reports"));
-        },
     };
 }
 
--- a/src/platform/worker.ts
+++ b/src/platform/worker.ts
@@ -84,24 +84,6 @@
 });
 export type ThrottleRequest = z.infer<typeof ThrottleRequest>;
 
-/** Renews the leases of all listed attempts and lets the worker forget ended ones. */
-export const RenewRequest = z.strictObject({
-    ...OrderHeader.shape,
-    leaseMilliseconds: z.int().min(1),
-    renewals: z.array(Attempt),
-    acknowledged: z.array(Attempt),
-});
-export type RenewRequest = z.infer<typeof RenewRequest>;
-
-/** All attempts of the cell that the worker knows; those not renewed are there too, so that orphans are found. */
-export const RenewAnswer = z.strictObject({
-    worker: Name,
-    /** Differs after each restart of the worker, which ends all that ran on it. */
-    incarnation: z.string(),
-    attempts: z.array(AttemptStatus),
-});
-export type RenewAnswer = z.infer<typeof RenewAnswer>;
-
 /** Usage of one attempt at the time of the report. */
 export const AttemptUsage = z.strictObject({
     ...Attempt.shape,
@@ -133,6 +115,28 @@
 });
 export type WorkerReport = z.infer<typeof WorkerReport>;
 
+/** Renews the leases of all listed attempts and lets the worker forget ended ones. */
+export const RenewRequest = z.strictObject({
+    ...OrderHeader.shape,
+    leaseMilliseconds: z.int().min(1),
+    renewals: z.array(Attempt),
+    acknowledged: z.array(Attempt),
+    /** Asks for the newest usage report, if it was measured later than this; left out where none is wanted. */
+    reportAfterMilliseconds: z.number().optional(),
+});
+export type RenewRequest = z.infer<typeof RenewRequest>;
+
+/** All attempts of the cell that the worker knows; those not renewed are there too, so that orphans are found. */
+export const RenewAnswer = z.strictObject({
+    worker: Name,
+    /** Differs after each restart of the worker, which ends all that ran on it. */
+    incarnation: z.string(),
+    /** Progress of running attempts may lag behind by a small step. */
+    attempts: z.array(AttemptStatus),
+    report: WorkerReport.optional(),
+});
+export type RenewAnswer = z.infer<typeof RenewAnswer>;
+
 /**
  * Orders to workers, by control origin. Failures: `fenced` (a newer epoch is known), `unavailable` (certainly not
  * received), `ambiguous` or `timeout` (may have been carried out; repeat the order).
@@ -142,7 +146,6 @@
     stop(origin: string, request: StopRequest): Promise<Result<readonly AttemptStatus[], Failure>>;
     throttle(origin: string, request: ThrottleRequest): Promise<Result<void, Failure>>;
     renew(origin: string, request: RenewRequest): Promise<Result<RenewAnswer, Failure>>;
-    report(origin: string): Promise<Result<WorkerReport, Failure>>;
 }
 
 /** Headers between gateways, callers and workers' serving ports. */
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -26,11 +26,12 @@
 import type { WorkerEvent, WorkerLink } from "./link.js";
 import { leasesEndAt, observeEvent, observeSilence, wasAskedInVain } from "./observe.js";
 import { createPace } from "./pace.js";
+import { silenceLimit } from "./renewing.js";
 import { forgetEnded } from "./transitions.js";
 import { buildView, stateOf } from "./view.js";
 import type { ViewInput } from "./view.js";
 
-/** Replicas on a worker that is silent for this share of a lease are replaced by others. */
+/** Replicas on a worker that is silent for this share of a lease, or long enough, are replaced by others. */
 const SILENT_SHARE_OF_LEASE = 0.75;
 const SWEEP_INTERVAL_MILLISECONDS = 5_000;
 
@@ -132,9 +133,13 @@
         links,
         placements: placementsOf(configuration),
         quotas: configuration === undefined ? [] : options.quotas(ledger, configuration),
-        silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds,
+        silentAfterMilliseconds: silenceLimit(settings),
     });
-    const silence = { ledger, silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds };
+    const silence = { ledger, silentAfterMilliseconds: silenceLimit(settings) };
+    const replaceAfterMilliseconds = Math.min(
+        settings.workerLeaseMilliseconds * SILENT_SHARE_OF_LEASE,
+        silenceLimit(settings) + settings.renewIntervalMilliseconds,
+    );
 
     const observe = (now: number) => {
         const input = {
@@ -184,7 +189,7 @@
             if (state === "leaving" || state === "draining") {
                 moveOff(ledger, link.instance.name, state, now);
             }
-            else if (now - link.answeredAtMilliseconds >= settings.workerLeaseMilliseconds * SILENT_SHARE_OF_LEASE) {
+            else if (now - link.answeredAtMilliseconds >= replaceAfterMilliseconds) {
                 replaceReplicas(ledger, link.instance.name, now);
             }
         }
--- a/src/scheduler/cell/link.ts
+++ b/src/scheduler/cell/link.ts
@@ -15,6 +15,10 @@
     answeredAtMilliseconds: number;
     /** When the last renewal was sent that got no answer. */
     failedAtMilliseconds: number;
+    /** When the newest usage report was measured, on the worker's clock. */
+    reportedAtMilliseconds: number;
+    /** When the next report is wanted. */
+    reportDueMilliseconds: number;
     /** Attempts that the worker told of in its last answer. */
     attempts: readonly AttemptStatus[];
     /** Progress of running attempts by task, newer than the ledger's. */
@@ -34,6 +38,8 @@
         listed: true,
         answeredAtMilliseconds: now,
         failedAtMilliseconds: 0,
+        reportedAtMilliseconds: 0,
+        reportDueMilliseconds: now,
         attempts: [],
         progress: new Map(),
         throttled: new Map(),
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -1,5 +1,5 @@
 /**
- * One task per worker: carries out what has been committed, renews leases in one batch, and reads usage reports.
+ * One task per worker: carries out what has been committed, and renews leases in one batch, which brings usage reports.
  */
 import type { Clock } from "../../core/time.js";
 import type { AttemptStatus, OrderHeader, StartOrder, WorkerControl, WorkerReport } from "../../platform/worker.js";
@@ -9,6 +9,7 @@
 import type { Wake } from "../wake.js";
 import { nameAttempt } from "./link.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
+import { renewIntervalOf } from "./renewing.js";
 
 // Renewals that are sent to a silent worker for longer than this share of a lease could prolong a lease by more than one.
 const RENEWABLE_SHARE_OF_LEASE = 0.5;
@@ -37,14 +38,13 @@
 
 /** Serves one worker until the signal is aborted. */
 export async function runWorker(options: WorkerTaskOptions, signal: AbortSignal): Promise<void> {
-    const { link, settings, clock, wake } = options;
+    const { link, clock, wake } = options;
     const isStopped = () => signal.aborted;
-    let renewAt = 0;
-    let reportAt = clock() + settings.reportIntervalMilliseconds;
+    let renewedAt = Number.NEGATIVE_INFINITY;
     while (!isStopped()) {
         // A worker is asked what it runs before it gets any order, so that a predecessor's orders are shut out first.
-        if (link.incarnation === undefined || clock() >= renewAt) {
-            renewAt = clock() + settings.renewIntervalMilliseconds;
+        if (link.incarnation === undefined || clock() >= renewedAt + renewIntervalOf(options, clock())) {
+            renewedAt = clock();
             await renewLeases(options, signal);
         }
         if (link.incarnation !== undefined && !isStopped()) {
@@ -54,13 +54,8 @@
             }
             await sendThrottles(options);
         }
-        if (clock() >= reportAt && link.incarnation !== undefined && !isStopped()) {
-            reportAt = clock() + settings.reportIntervalMilliseconds;
-            const report = await options.workers.report(link.instance.controlOrigin);
-            report.map(measured => options.onReport(measured, clock()));
-        }
         const orderAt = hasOpenOrders(options) ? clock() + ORDER_RETRY_MILLISECONDS : Infinity;
-        await wake.wait(Math.min(renewAt, reportAt, orderAt) - clock(), signal);
+        await wake.wait(Math.min(renewedAt + renewIntervalOf(options, clock()), orderAt) - clock(), signal);
     }
 }
 
@@ -80,6 +75,7 @@
         acknowledged: link.attempts.filter(status => ENDED_STATES.has(status.state) && !isHeld(options, status)).map(
             toAttempt,
         ),
+        ...(sentAt < link.reportDueMilliseconds ? {} : { reportAfterMilliseconds: link.reportedAtMilliseconds }),
     });
     if (answer.isErr) {
         link.failedAtMilliseconds = sentAt;
@@ -91,6 +87,12 @@
     if (signal.aborted) {
         return;
     }
+    const { report } = answer.value;
+    if (report !== undefined) {
+        link.reportedAtMilliseconds = report.measuredAtMilliseconds;
+        link.reportDueMilliseconds = sentAt + settings.reportIntervalMilliseconds;
+        options.onReport(report, clock());
+    }
     // What was to be started on an earlier incarnation never is: a successor may have given those tasks to others.
     const isNew = link.incarnation !== answer.value.incarnation;
     link.incarnation = answer.value.incarnation;
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -8,7 +8,7 @@
 const DEFAULT_STORE_LEASE_SECONDS = 3;
 const DEFAULT_CLAIM_INTERVAL_MILLISECONDS = 1_000;
 const DEFAULT_INSTANCE_INTERVAL_MILLISECONDS = 2_000;
-const DEFAULT_WORKER_LEASE_MILLISECONDS = 8_000;
+const DEFAULT_WORKER_LEASE_MILLISECONDS = 18_000;
 const DEFAULT_RENEW_INTERVAL_MILLISECONDS = 2_000;
 const DEFAULT_REPORT_INTERVAL_MILLISECONDS = 5_000;
 const DEFAULT_HORIZON_MILLISECONDS = 1_800_000;
@@ -33,7 +33,9 @@
     instanceIntervalMilliseconds: z.int().min(1).default(DEFAULT_INSTANCE_INTERVAL_MILLISECONDS),
     /** A worker stops a task whose lease was not renewed for this long. */
     workerLeaseMilliseconds: z.int().min(1).default(DEFAULT_WORKER_LEASE_MILLISECONDS),
+    /** Time between two renewals of a worker on which something is under way; a third of a lease on all others. */
     renewIntervalMilliseconds: z.int().min(1).default(DEFAULT_RENEW_INTERVAL_MILLISECONDS),
+    /** A renewal asks for a usage report once the last one is older than this. */
     reportIntervalMilliseconds: z.int().min(1).default(DEFAULT_REPORT_INTERVAL_MILLISECONDS),
     /** How long an owner may go on renewing leases of workers without reaching the store. */
     horizonMilliseconds: z.int().min(1).default(DEFAULT_HORIZON_MILLISECONDS),
--- a/stand-ins/worker/orders.ts
+++ b/stand-ins/worker/orders.ts
@@ -8,11 +8,13 @@
 import type { Failure } from "../../src/core/errors.js";
 import { parse } from "../../src/core/parse.js";
 import type { Clock } from "../../src/core/time.js";
+import { RenewOrder } from "../../src/platform/adapters/renewal.js";
 import { workerPaths } from "../../src/platform/adapters/worker.js";
-import { RenewRequest, StartRequest, StopRequest, ThrottleRequest } from "../../src/platform/worker.js";
+import { StartRequest, StopRequest, ThrottleRequest } from "../../src/platform/worker.js";
 import type { OrderHeader, WorkerReport } from "../../src/platform/worker.js";
 import { pauseUnlessZero } from "../support/control.js";
 import type { Attempts } from "./attempts.js";
+import { createRenewals } from "./renewals.js";
 import type { WorkerFaults } from "./settings.js";
 
 const BODY_LIMIT = "8mb";
@@ -22,6 +24,8 @@
 export interface OrderCounts {
     orders: number;
     fenced: number;
+    /** Renewals that named an outdated version. */
+    conflicts: number;
     started: number;
     bytesIn: number;
     bytesOut: number;
@@ -47,6 +51,7 @@
         path: string,
         schema: Schema,
         carryOut: (order: z.output<Schema>, now: number) => unknown,
+        findConflict: (order: z.output<Schema>) => Failure | undefined = () => undefined,
     ) => application.post(path, async (request, response) => {
         if (!await passFaults(options.faults, response)) {
             return;
@@ -63,6 +68,12 @@
             refuse(response, FENCED_STATUS, fence);
             return;
         }
+        const conflict = findConflict(order.value);
+        if (conflict !== undefined) {
+            options.counts.conflicts += 1;
+            refuse(response, FENCED_STATUS, conflict);
+            return;
+        }
         send(response, carryOut(order.value, clock()), options);
     });
 
@@ -82,25 +93,8 @@
         }
         return {};
     });
-    serve(workerPaths.renew, RenewRequest, (order, now) => {
-        for (const attempt of order.renewals) {
-            attempts.renew(attempt, order.leaseMilliseconds, now);
-        }
-        for (const attempt of order.acknowledged) {
-            attempts.forget(attempt, now);
-        }
-        return {
-            worker: options.worker,
-            incarnation: options.incarnation(),
-            attempts: attempts.statuses(order.cell, now),
-        };
-    });
-    application.get(workerPaths.report, async (request, response) => {
-        if (await passFaults(options.faults, response)) {
-            count(options.counts, request);
-            send(response, options.readReport(clock()), options);
-        }
-    });
+    const renewals = createRenewals(options);
+    serve(workerPaths.renew, RenewOrder, renewals.carryOut, renewals.findConflict);
 }
 
 function checkEpoch(order: OrderHeader, { epochs }: OrdersOptions): Failure | undefined {
--- a/stand-ins/worker/server.ts
+++ b/stand-ins/worker/server.ts
@@ -21,6 +21,8 @@
 import type { WorkerBehaviour } from "./settings.js";
 
 const ADVANCE_EVERY_MILLISECONDS = 50;
+/** Idle connections for orders are closed after this. */
+const CONTROL_IDLE_MILLISECONDS = 60_000;
 
 /** Options of one worker. */
 export interface WorkerStandInOptions {
@@ -50,7 +52,7 @@
     const attempts = createAttempts({ worker: name, cores: shape.cores, behaviour, interference, faults, record });
     const epochs = new Map<string, number>();
     const connections = new Map<Socket, string>();
-    const counts = { orders: 0, fenced: 0, started: 0, bytesIn: 0, bytesOut: 0 };
+    const counts = { orders: 0, fenced: 0, conflicts: 0, started: 0, bytesIn: 0, bytesOut: 0 };
     let incarnation = "";
 
     function begin(): void {
@@ -92,6 +94,8 @@
         connections: () => countByGateway(connections),
     });
     const application = express();
+    application.disable("x-powered-by");
+    application.disable("etag");
     serveControl(application, {
         schema: WorkerFaultChange,
         setFaults,
@@ -124,6 +128,7 @@
     begin();
     const control = await listen(application, { host: options.host, port: 0 });
     const serve = await listen(serving, { host: options.host, port: 0 });
+    control.server.keepAliveTimeout = CONTROL_IDLE_MILLISECONDS;
     serve.server.keepAliveTimeout = behaviour.idleMilliseconds;
     limitConnections(
         serve,
