Exchanges of credits name only the workers whose figures differ

Cause: each gateway names every worker of a cell, with held and wanted, once a second, and is answered as long; with 9 gateways that was most of the 19 KB/s on a cell owner's peer port at today's sizes. Change: a request builds on the last one that was answered, by its sequence; after any failure, another owner or another incarnation the whole list goes. The bank claims every holding as before, so grants and their ends are the same. Touches the gateway's client (src/gateway/credits), which keeps the last exchange per cell.

--- a/src/core/messages/credits.ts
+++ b/src/core/messages/credits.ts
@@ -28,7 +28,11 @@
  * a gateway opens no connection; those that are open stay in use, and the owner counts them by the worker's reports,
  * under the name that `nameHolder` gives. A new incarnation of a gateway starts from zero.
  *
- * Errors: `fenced` where the scheduler does not own the cell, `conflict` where a later request was seen before.
+ * A request may build on the last one that the owner answered, by its sequence: holdings that it does not name, and
+ * grants that the answer does not name, are as they were then.
+ *
+ * Errors: `fenced` where the scheduler does not own the cell, `conflict` where a later request was seen before or
+ * `sameAs` is not the last one that was answered; nothing is granted or renewed then.
  */
 export const exchangeCredits = defineMethod(
     "credits.exchange",
@@ -38,7 +42,11 @@
         cell: z.string(),
         /** Rises with each request of an incarnation, so that one that arrives late changes nothing. */
         sequence: z.int().min(0),
+        /** Sequence of the request that this one builds on; without it `holdings` is the whole list. */
+        sameAs: z.int().min(0).optional(),
         holdings: z.array(CreditHolding),
+        /** Workers of the former list that are not in this one. */
+        dropped: z.array(Name).optional(),
     }),
     z.strictObject({
         epoch: z.int(),
--- a/src/gateway/credits/client.ts
+++ b/src/gateway/credits/client.ts
@@ -13,6 +13,8 @@
 import type { Clock } from "../../core/time.js";
 import type { WorkerConnections } from "../upstream/connections.js";
 import type { UpstreamPool } from "../upstream/pool.js";
+import { describeHoldings, mergeGrants } from "./baseline.js";
+import type { Baseline } from "./baseline.js";
 import type { CellOwners } from "./owners.js";
 
 const FIRST_RENEWAL_MILLISECONDS = 500;
@@ -60,6 +62,7 @@
 export function createCreditClient(options: CreditClientOptions): CreditClient {
     const tasks = new Map<string, CellTask>();
     const peaks = new Map<string, number>();
+    const baselines = new Map<string, Baseline>();
     const ending = new AbortController();
     let lastSequence = 0;
 
@@ -94,23 +97,35 @@
         const sentAt = options.clock();
         const holdings = all.map(connections => declare(connections, wishOf(connections), sentAt));
         lastSequence += 1;
+        const sequence = lastSequence;
+        const former = baselines.get(cell);
+        const baseline = former?.origin === owner.origin ? former : undefined;
+        // After a failure it is not known whether the owner has answered.
+        baselines.delete(cell);
         const answer = await options.rpc.call(owner.origin, exchangeCredits, {
             gateway: options.instance,
             incarnation: options.incarnation,
             cell,
-            sequence: lastSequence,
-            holdings,
+            sequence,
+            ...describeHoldings(baseline, holdings),
         }, { timeoutMilliseconds: EXCHANGE_TIMEOUT_MILLISECONDS });
         if (answer.isErr) {
             options.logger.debug("credits-not-exchanged", { cell, failure: formatFailure(answer.error) });
             return FIRST_RENEWAL_MILLISECONDS;
         }
-        const { epoch, grants, leaseMilliseconds } = answer.value;
+        const { epoch, leaseMilliseconds } = answer.value;
         if (epoch < (options.owners.find(cell)?.epoch ?? epoch)) {
             options.logger.warn("credits-of-former-owner", { cell, epoch, peer: owner.origin });
             return FIRST_RENEWAL_MILLISECONDS;
         }
-        for (const { worker, granted } of grants) {
+        const grants = mergeGrants(baseline, holdings, answer.value.grants);
+        baselines.set(cell, {
+            sequence,
+            origin: owner.origin,
+            holdings: new Map(holdings.map(holding => [holding.worker, holding])),
+            grants,
+        });
+        for (const [worker, granted] of grants) {
             options.pool.find(worker)?.setCredits(granted, sentAt + leaseMilliseconds);
         }
         options.onChange();
--- a/src/scheduler/credits/bank.ts
+++ b/src/scheduler/credits/bank.ts
@@ -61,8 +61,14 @@
 interface CellCredits {
     readonly epoch: number;
     readonly accounts: Map<string, CreditAccount>;
-    /** Highest sequence seen, by holder. */
-    readonly sequences: Map<string, number>;
+    /** Last request that was answered, by holder. */
+    readonly answered: Map<string, AnsweredRequest>;
+}
+
+interface AnsweredRequest {
+    readonly sequence: number;
+    readonly holdings: ReadonlyMap<string, CreditHolding>;
+    readonly grants: ReadonlyMap<string, number>;
 }
 
 /** Creates a bank without cells. */
@@ -79,13 +85,14 @@
     const createAccount = (capacity: number, takenAtMilliseconds: number | undefined): CreditAccount =>
         createCreditAccount({ capacity, leaseMilliseconds, clockMarginMilliseconds, takenAtMilliseconds });
 
-    const grant = (credits: CellCredits, holder: string, holdings: readonly CreditHolding[], now: number) =>
-        holdings.map(({ worker, held, wanted }): CreditGrant => ({
+    const grant = (credits: CellCredits, holder: string, holdings: Iterable<CreditHolding>, now: number) =>
+        [...holdings].map(({ worker, held, wanted }): CreditGrant => ({
             worker,
             granted: credits.accounts.get(worker)?.claim({ holder, held, wanted }, now) ?? 0,
         }));
 
-    const exchange = implement(exchangeCredits, async ({ gateway, incarnation, cell, sequence, holdings }) => {
+    const exchange = implement(exchangeCredits, async request => {
+        const { gateway, incarnation, cell, sequence, sameAs } = request;
         const now = options.clock();
         const credits = cells.get(cell);
         if (credits === undefined || !options.isOwner(cell, now)) {
@@ -97,16 +104,28 @@
             );
         }
         const holder = nameHolder(gateway, incarnation);
-        if (sequence <= (credits.sequences.get(holder) ?? -1)) {
+        const last = credits.answered.get(holder);
+        if (sequence <= (last?.sequence ?? -1)) {
             exchanges.inc({ result: "conflict" });
             return fail("conflict", exchangeCredits.name, `request ${sequence} of ${holder} arrived late`);
         }
-        credits.sequences.set(holder, sequence);
+        if (sameAs !== undefined && sameAs !== last?.sequence) {
+            exchanges.inc({ result: "unknown-base" });
+            return fail("conflict", exchangeCredits.name, `request ${sameAs} of ${holder} is not the last answered`);
+        }
+        const base = sameAs === undefined ? undefined : last;
+        const holdings = mergeHoldings(base, request.holdings, request.dropped ?? []);
+        const grants = grant(credits, holder, holdings.values(), now);
+        credits.answered.set(holder, {
+            sequence,
+            holdings,
+            grants: new Map(grants.map(({ worker, granted }) => [worker, granted])),
+        });
         exchanges.inc({ result: "granted" });
         return Result.ok<{ epoch: number; leaseMilliseconds: number; grants: CreditGrant[]; }, Failure>({
             epoch: credits.epoch,
             leaseMilliseconds,
-            grants: grant(credits, holder, holdings, now),
+            grants: grants.filter(({ worker, granted }) => base?.grants.get(worker) !== granted),
         });
     });
 
@@ -118,7 +137,7 @@
                 worker,
                 createAccount(connections, takenAt),
             ]));
-            cells.set(cell, { epoch, accounts, sequences: new Map() });
+            cells.set(cell, { epoch, accounts, answered: new Map() });
             options.logger.debug("credits-taken", { cell, epoch, workers: workers.length });
         },
         updateWorkers(cell, workers, now) {
@@ -162,3 +181,14 @@
         },
     };
 }
+
+function mergeHoldings(
+    base: AnsweredRequest | undefined,
+    changed: readonly CreditHolding[],
+    dropped: readonly string[],
+): Map<string, CreditHolding> {
+    const holdings = new Map(base?.holdings);
+    dropped.forEach(worker => holdings.delete(worker));
+    changed.forEach(holding => holdings.set(holding.worker, holding));
+    return holdings;
+}
