--- a/bench/experiments/request-path.ts
+++ b/bench/experiments/request-path.ts
@@ -102,8 +102,8 @@
         }
         context.plot?.(plotLatencies(
             `latency-${callers}`,
-            `Latency with ${callers} callers`,
-            [...results].map(([name, { latency }]) => ({ name, histogram: latency })),
+            `Latency of plain calls with ${callers} callers`,
+            [...results].map(([name, { kinds }]) => ({ name, histogram: kinds.plain.latency })),
             MICROSECONDS_PER_MILLISECOND,
         ));
         checks.push(...compare(callers, find(results, "gateway"), find(results, "forwarder")));
