--- a/bench/experiments/capacity.ts
+++ b/bench/experiments/capacity.ts
@@ -49,7 +49,7 @@
         return [];
     }
     const series = typeof points === "string"
-        ? JSON.parse(await readFile(points, "utf8")) as Series
+        ? await readSeries(points)
         : await measureSeries(context);
     if (context.values["write"] === true) {
         await writeFile(POINTS_FILE, `${JSON.stringify(series, undefined, 4)}\n`);
@@ -88,6 +88,18 @@
     return Number(Math.min(...shares).toFixed(4));
 }
 
+async function readSeries(file: string): Promise<Series> {
+    const series = JSON.parse(await readFile(file, "utf8")) as Partial<Series>;
+    const { machineLoad, workers, instances, calls, changes } = series;
+    if (
+        machineLoad === undefined || workers === undefined || instances === undefined || calls === undefined
+        || changes === undefined
+    ) {
+        throw new Error(`${file}: a series is missing, there are ${Object.keys(series).join(", ")}; measure again`);
+    }
+    return { machineLoad, workers, instances, calls, changes };
+}
+
 function plotSeries({ workers, calls }: Series, context: ExperimentContext): void {
     const toPoints = (read: (point: Point) => number) =>
         workers.map(point => ({ x: point.size.workers, y: Number(read(point).toFixed(4)) }));
