Deployment: peers find each other behind the proxies for good

Cause: a daemon tells its peers its own origin, which went past the proxy that the instance list names; after the first heartbeat peers talked directly, so that faults of links met hardly any traffic between peers. Change: where links are routed, a daemon gets a port beforehand and advertises the routed origin.

--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -1,7 +1,10 @@
 /**
  * A whole deployment of real processes: the development platform, and a gateway and a scheduler on each entry instance.
  */
+import { once } from "node:events";
 import { mkdtemp } from "node:fs/promises";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -182,12 +185,18 @@
         start: async (instance, dataCentre, role, ports = {}) => {
             const from = `${instance}/${role}`;
             const anyPort = { host: LOOPBACK, port: 0 };
+            // Peers tell one another their origins, so a link that is routed needs its port before the process runs.
+            const peers = ports["peers"] ?? (options.route === undefined ? anyPort : await findFreePort());
+            const origin = `http://${peers.host}:${peers.port}`;
             const settings = {
                 instance,
                 dataCentre,
                 store: { origins: [await route({ from, to: "store" }, storeOrigin)] },
                 instanceList: { origin: await route({ from, to: "instances" }, instancesOrigin) },
-                peers: ports["peers"] ?? anyPort,
+                peers,
+                ...(options.route === undefined
+                    ? {}
+                    : { advertisedOrigin: await options.route({ from: "peers", to: from }, origin) }),
                 metrics: ports["metrics"] ?? anyPort,
                 peerToken: PEER_TOKEN,
                 ...(role === "gateway"
@@ -210,6 +219,16 @@
     };
 }
 
+async function findFreePort(): Promise<Ports[string]> {
+    const server = createServer();
+    server.listen(0, LOOPBACK);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    return { host: LOOPBACK, port };
+}
+
 async function startInstance(index: number, options: DeploymentOptions, launcher: Launcher): Promise<DeployedInstance> {
     const name = `entry-${index + 1}`;
     const dataCentre = options.dataCentres[index % options.dataCentres.length]?.name ?? "nowhere";
