--- a/bench/experiments/soak.ts
+++ b/bench/experiments/soak.ts
@@ -37,6 +37,8 @@
         rate: { type: "string", default: DEFAULT_RATE },
         deployment: { type: "string", default: "tunturivalo" },
         workers: { type: "string" },
+        // By default the daemons run as operators are told to run them.
+        "node-flags": { type: "string" },
     },
     run,
 };
@@ -52,6 +54,9 @@
         ...(typeof context.values["workers"] === "string"
             ? { workersPerDataCentre: Number(context.values["workers"]) }
             : {}),
+        ...(typeof context.values["node-flags"] === "string"
+            ? { nodeFlags: context.values["node-flags"].split(" ") }
+            : {}),
         workers: { profiles: { [services.exclusive]: { requestMilliseconds: 10 } } },
     });
     try {
--- a/bench/support/faults/world.ts
+++ b/bench/support/faults/world.ts
@@ -41,6 +41,8 @@
     readonly workers: object;
     readonly gateway?: object;
     readonly scheduler?: object;
+    /** Flags of Node.js for the daemons, such as limits of the heap. */
+    readonly nodeFlags?: readonly string[];
     readonly without?: Without;
 }
 
@@ -103,6 +105,7 @@
         },
         ...(options.gateway === undefined ? {} : { gateway: options.gateway }),
         ...(options.scheduler === undefined ? {} : { scheduler: options.scheduler }),
+        ...(options.nodeFlags === undefined ? {} : { nodeFlags: options.nodeFlags }),
         route,
     });
     const balancer = startBalancer(deployment);
