--- a/bench/support/faults/world.ts
+++ b/bench/support/faults/world.ts
@@ -41,6 +41,8 @@
     readonly workers: object;
     readonly gateway?: object;
     readonly scheduler?: object;
+    /** Flags of Node.js for the daemons, such as limits of the heap. */
+    readonly nodeFlags?: readonly string[];
     readonly without?: Without;
 }
 
@@ -75,9 +77,15 @@
     const recordFile = join(await mkdtemp(join(tmpdir(), "flamingowell-faults-")), "workers.jsonl");
     const proxies = new Map<string, Proxy>();
     const workers: WorkerInstance[] = [];
+    const placeWorkers = async (origin: string) => {
+        workers.push(...await putWorkersBehindProxies(origin, proxies, options));
+    };
+    let placing: Promise<void> | undefined;
     const route = async (link: Link, origin: string) => {
-        if (link.to === "instances" && workers.length === 0) {
-            workers.push(...await putWorkersBehindProxies(origin, proxies, options));
+        // All daemons start at the same time; the first one's link places the workers for all.
+        if (link.to === "instances") {
+            placing ??= placeWorkers(origin);
+            await placing;
         }
         return passThrough(`${link.from}>${link.to}`, origin, proxies, options.seed);
     };
@@ -97,6 +105,7 @@
         },
         ...(options.gateway === undefined ? {} : { gateway: options.gateway }),
         ...(options.scheduler === undefined ? {} : { scheduler: options.scheduler }),
+        ...(options.nodeFlags === undefined ? {} : { nodeFlags: options.nodeFlags }),
         route,
     });
     const balancer = startBalancer(deployment);
