Credits are leased for 6 s instead of 3 s

Cause: exchanges of credits are the largest part of a cell owner's traffic at today's sizes once they are short: 9 gateways, each every second. A lease now outlasts the usual takeover, so that gateways may open connections meanwhile; what a crashed gateway held, and what a former owner granted, is free 3 s later than before.

--- a/src/scheduler/credits/bank.ts
+++ b/src/scheduler/credits/bank.ts
@@ -15,7 +15,7 @@
 import { createCreditAccount } from "./account.js";
 import type { CreditAccount } from "./account.js";
 
-const DEFAULT_LEASE_MILLISECONDS = 3_000;
+const DEFAULT_LEASE_MILLISECONDS = 6_000;
 const DEFAULT_CLOCK_MARGIN_MILLISECONDS = 250;
 /** Epoch of a cell's first owner. */
 const FIRST_EPOCH = 1;
