Cell's round in modules: intake, planning, commands

Commands that were drafted by a failed commit are kept as such instead of as empty ones. Ended tasks are swept after the plan, so that the plan sees the ones that ended last. No change of behaviour besides.

--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -11,7 +11,6 @@
 import type { CellMap } from "../cells.js";
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
-import { planCell } from "../jobs/plan.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -19,20 +18,18 @@
 import type { RouteTable } from "../routes.js";
 import type { CellSettings } from "../settings.js";
 import { createWake } from "../wake.js";
+import { createCommandQueue } from "./commands.js";
+import type { Command } from "./commands.js";
 import { createCrew } from "./crew.js";
-import { applyDecisions } from "./decide.js";
-import type { DecideInput } from "./decide.js";
-import { moveOff, replaceReplicas } from "./drain.js";
+import { takeIn } from "./intake.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
-import { leasesEndAt, observeEvent, observeSilence, wasAskedInVain } from "./observe.js";
 import { createPace } from "./pace.js";
+import { planAndDecide } from "./planning.js";
 import { silenceLimit } from "./renewing.js";
 import { forgetEnded } from "./transitions.js";
-import { buildView, stateOf } from "./view.js";
+import { buildView } from "./view.js";
 import type { ViewInput } from "./view.js";
 
-/** Replicas on a worker that is silent for this share of a lease, or long enough, are replaced by others. */
-const SILENT_SHARE_OF_LEASE = 0.75;
 const SWEEP_INTERVAL_MILLISECONDS = 5_000;
 
 /** Why a cell's task ended. */
@@ -58,9 +55,6 @@
     onRoutes(): void;
 }
 
-/** A change that an operator has asked for; carried out by the cell's own task. */
-export type Command = (ledger: Ledger, now: number) => void;
-
 /** An owned cell. */
 export interface Cell {
     readonly name: string;
@@ -81,11 +75,6 @@
     run(signal: AbortSignal): Promise<CellEnd>;
 }
 
-interface WaitingCommand {
-    readonly command: Command;
-    readonly settle: (committed: boolean) => void;
-}
-
 /** Creates the owner's side of a claimed cell. */
 export function createCell(options: CellOptions): Cell {
     const { settings, ledger, journal, clock, policy } = options;
@@ -93,7 +82,7 @@
     const takenAt = clock();
     const routes = createRouteTable(name, journal.head().epoch);
     const inbox: WorkerEvent[] = [];
-    const commands: WaitingCommand[] = [];
+    const commands = createCommandQueue();
     const ended = new AbortController();
     setMaxListeners(0, ended.signal);
     const wake = createWake();
@@ -135,75 +124,46 @@
         quotas: configuration === undefined ? [] : options.quotas(ledger, configuration),
         silentAfterMilliseconds: silenceLimit(settings),
     });
-    const silence = { ledger, silentAfterMilliseconds: silenceLimit(settings) };
-    const replaceAfterMilliseconds = Math.min(
-        settings.workerLeaseMilliseconds * SILENT_SHARE_OF_LEASE,
-        silenceLimit(settings) + settings.renewIntervalMilliseconds,
-    );
 
-    const observe = (now: number) => {
-        const input = {
-            ledger,
-            backOff: settings,
-            onEnd: (attemptEnd: AttemptEnd) => {
-                options.metrics.attemptsEnded.inc({ outcome: attemptEnd.outcome });
-                policy.observeEnd(attemptEnd, now);
+    const observe = (now: number) =>
+        takeIn(
+            {
+                ledger,
+                links,
+                settings,
+                backOff: settings,
+                takenAtMilliseconds: takenAt,
+                predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds,
+                dropWorker: worker => crew.drop(worker),
+                onEnd: (attemptEnd: AttemptEnd) => {
+                    options.metrics.attemptsEnded.inc({ outcome: attemptEnd.outcome });
+                    policy.observeEnd(attemptEnd, now);
+                },
             },
-        };
-        for (const event of inbox.splice(0)) {
-            observeEvent(input, event, now);
-        }
-        const leases = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
-        for (const worker of ledger.workers()) {
-            const link = links.get(worker);
-            const isOver = now >= leasesEndAt(leases, link, takenAt);
-            if (isOver && wasAskedInVain(link, settings.workerLeaseMilliseconds)) {
-                observeSilence(input, worker, link, now);
-            }
-        }
-        for (const link of [...links.values()]) {
-            if (!link.listed && ledger.committedOn(link.instance.name).length === 0) {
-                crew.drop(link.instance.name);
-            }
-        }
-    };
+            inbox.splice(0),
+            now,
+        );
 
     const decide = (now: number) => {
+        configuration = options.configuration();
+        if (configuration !== undefined) {
+            const hasWaiting = planAndDecide({
+                cell: name,
+                ledger,
+                links,
+                settings,
+                configuration,
+                findAssignment: options.assignments.find,
+                policy,
+                metrics: options.metrics,
+                buildView: at => buildView(viewInput(), at),
+            }, now);
+            pace.noteDecided(hasWaiting, now);
+        }
         if (now >= sweepAt) {
             sweepAt = now + SWEEP_INTERVAL_MILLISECONDS;
             forgetEnded(ledger, settings, now);
         }
-        configuration = options.configuration();
-        if (configuration === undefined) {
-            return;
-        }
-        planCell({
-            cell: name,
-            configuration,
-            ledger,
-            findAssignment: options.assignments.find,
-            stopsAtMost: settings.stopsPerInterval,
-        }, now);
-        for (const link of links.values()) {
-            const state = stateOf(silence, link, now);
-            if (state === "leaving" || state === "draining") {
-                moveOff(ledger, link.instance.name, state, now);
-            }
-            else if (now - link.answeredAtMilliseconds >= replaceAfterMilliseconds) {
-                replaceReplicas(ledger, link.instance.name, now);
-            }
-        }
-        const view = buildView(viewInput(), now);
-        const decisions = policy.decide(view, now);
-        const isAnySilent = [...links.values()].some(link => link.failedAtMilliseconds > link.answeredAtMilliseconds);
-        pace.noteDecided(view.pending.length > 0 || isAnySilent, now);
-        const input: DecideInput = {
-            ledger,
-            links,
-            isLive: link => stateOf(silence, link, now) === "live",
-            onRejected: ({ kind }, reason) => options.metrics.decisionsRejected.inc({ kind, reason }),
-        };
-        applyDecisions(input, decisions, now);
     };
 
     const commit = async (): Promise<Failure | undefined> => {
@@ -240,8 +200,7 @@
     const round = async (): Promise<void> => {
         const now = clock();
         observe(now);
-        const taken = commands.splice(0);
-        taken.forEach(({ command }) => command(ledger, now));
+        commands.carryOut(ledger, now);
         const version = `${options.assignments.version()}/${options.configuration()?.revision ?? 0}`;
         if (!releasing && pace.isDue({ now, isBusy: ledger.hasChanges(), version })) {
             decide(now);
@@ -251,7 +210,7 @@
         }
         const failure = await commit();
         if (failure === undefined) {
-            taken.forEach(({ settle }) => settle(true));
+            commands.settleCommitted();
             if (releasing) {
                 finish("released");
             }
@@ -259,12 +218,8 @@
         }
         options.logger.warn("commit failed", { cell: name, failure });
         if (failure.code === "conflict" || failure.code === "ambiguous") {
-            taken.forEach(({ settle }) => settle(false));
             finish("fenced");
-            return;
         }
-        // The draft keeps its changes, so the next commit that succeeds settles these commands too.
-        commands.unshift(...taken.map(({ settle }) => ({ command: () => undefined, settle })));
     };
 
     return {
@@ -283,15 +238,7 @@
                 options.credits.updateWorkers(name, map.workers, now);
             }
         },
-        command(command) {
-            return new Promise(settle => {
-                if (end !== undefined) {
-                    settle(false);
-                    return;
-                }
-                commands.push({ command, settle });
-            });
-        },
+        command: command => end === undefined ? commands.push(command) : Promise.resolve(false),
         release() {
             releasing = true;
             wake.wake();
@@ -308,7 +255,7 @@
             }
             signal.removeEventListener("abort", abort);
             finish("aborted");
-            commands.splice(0).forEach(({ settle }) => settle(false));
+            commands.settleLost();
             options.credits.dropCell(name);
             await crew.settled();
             return end ?? "aborted";
--- /dev/null
+++ b/src/scheduler/cell/intake.ts
@@ -0,0 +1,43 @@
+/**
+ * First part of a cell's round: takes what workers have told, or no longer tell, into the ledger's draft.
+ */
+import type { CellSettings } from "../settings.js";
+import type { WorkerEvent, WorkerLink } from "./link.js";
+import { leasesEndAt, observeEvent, observeSilence, wasAskedInVain } from "./observe.js";
+import type { ObserveInput } from "./observe.js";
+
+/** What the intake works on. */
+export interface IntakeInput extends ObserveInput {
+    readonly links: ReadonlyMap<string, WorkerLink>;
+    readonly settings: CellSettings;
+    readonly takenAtMilliseconds: number;
+    /** When renewals by former owners end at the latest. */
+    readonly predecessorsEndMilliseconds: number;
+    /** Ends the task of a worker that is gone and holds nothing. */
+    dropWorker(worker: string): void;
+}
+
+/** Takes in events, leases that have lapsed, and workers that are gone. */
+export function takeIn(input: IntakeInput, events: readonly WorkerEvent[], now: number): void {
+    for (const event of events) {
+        observeEvent(input, event, now);
+    }
+    observeSilentWorkers(input, now);
+    for (const { listed, instance } of [...input.links.values()]) {
+        if (!listed && input.ledger.committedOn(instance.name).length === 0) {
+            input.dropWorker(instance.name);
+        }
+    }
+}
+
+function observeSilentWorkers(input: IntakeInput, now: number): void {
+    const { ledger, links, settings, predecessorsEndMilliseconds } = input;
+    const leases = { ...settings, predecessorsEndMilliseconds };
+    for (const worker of ledger.workers()) {
+        const link = links.get(worker);
+        const isOver = now >= leasesEndAt(leases, link, input.takenAtMilliseconds);
+        if (isOver && wasAskedInVain(link, settings.workerLeaseMilliseconds)) {
+            observeSilence(input, worker, link, now);
+        }
+    }
+}
