--- a/stand-ins/worker/serving.ts
+++ b/stand-ins/worker/serving.ts
@@ -1,7 +1,6 @@
 /**
  * Callers' requests on a worker: checked against the attempt that they are meant for, processed, answered.
  */
-import { once } from "node:events";
 import type { IncomingMessage, RequestListener, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { createRandom } from "../../src/core/random.js";
@@ -14,6 +13,8 @@
 import type { Attempts, RunningAttempt } from "./attempts.js";
 import type { Interference } from "./interference.js";
 import type { Recorder, WorkerRecord } from "./record.js";
+import { readAll, readFacts, readHeader } from "./request.js";
+import type { RequestFacts } from "./request.js";
 import type { Negligence, WorkerFaults } from "./settings.js";
 
 /** Options of the serving side. */
@@ -32,21 +33,12 @@
     onGateway(socket: Socket, gateway: string): void;
 }
 
-interface Facts {
-    readonly service: string;
-    readonly call: string;
-    readonly requestId: string;
-    readonly path: string;
-    readonly deadline: number;
-}
-
 type Outcome = Extract<WorkerRecord, { event: "request-ended"; }>["outcome"];
 
 const REFUSED_STATUS = 503;
 const DEADLINE_STATUS = 504;
 /** Share of answers that a negligent worker turns into refusals, or crosses. */
 const DISHONEST_SHARE = 0.1;
-const NO_DEADLINE = Number.MAX_SAFE_INTEGER;
 
 /** Creates the handler of a worker's serving port. */
 export function createServing(options: ServingOptions): RequestListener {
@@ -91,7 +83,7 @@
 
 interface Run extends Serving {
     readonly attempt: RunningAttempt;
-    readonly facts: Facts;
+    readonly facts: RequestFacts;
 }
 
 async function processRequest(
@@ -211,7 +203,7 @@
     return attempts.find({ taskId: wanted.slice(0, separator), attempt: Number(wanted.slice(separator + 1)) });
 }
 
-function findRefusal(attempt: RunningAttempt | undefined, facts: Facts, serving: Serving): string | undefined {
+function findRefusal(attempt: RunningAttempt | undefined, facts: RequestFacts, serving: Serving): string | undefined {
     if (serving.faults.refuse) {
         return "leaving";
     }
@@ -224,7 +216,7 @@
     return facts.deadline <= serving.clock() ? "deadline" : undefined;
 }
 
-function refuse(response: ServerResponse, facts: Facts, reason: string, serving: Serving): void {
+function refuse(response: ServerResponse, facts: RequestFacts, reason: string, serving: Serving): void {
     serving.record({
         event: "request-refused",
         worker: serving.worker,
@@ -281,27 +273,3 @@
         run,
     };
 }
-
-function readFacts(request: IncomingMessage): Facts {
-    const url = new URL(request.url ?? "/", "http://worker");
-    const deadline = Number(readHeader(request, headers.deadline) || NO_DEADLINE);
-    return {
-        service: readHeader(request, headers.service),
-        call: url.searchParams.get("call") ?? "",
-        requestId: readHeader(request, headers.requestId),
-        path: url.pathname,
-        deadline: Number.isFinite(deadline) ? deadline : NO_DEADLINE,
-    };
-}
-
-function readHeader(request: IncomingMessage, name: string): string {
-    const value = request.headers[name];
-    return Array.isArray(value) ? value.join(",") : value ?? "";
-}
-
-async function readAll(request: IncomingMessage): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    request.on("data", (chunk: Buffer) => chunks.push(chunk));
-    await once(request, "end");
-    return Buffer.concat(chunks);
-}
