Replicas that fail again and again restart with back-off, and explain says so

Cause: the replacement of a failed replica was admitted and placed at once, so a service that fails at its start was started several times a second for good. Change: failures are counted within a replica's slot and handed to its replacement, which waits as batch does (backOffMilliseconds, doubled with each failure in a row, longestBackOffMilliseconds at most). Its reason says how long and why. An end by itself counts as a failure; a stop, a lapse or a lost worker does not; a replica that ran longer than the longest wait starts afresh. slotOf of src/scheduler/jobs/plan.ts is exported for it.

--- a/src/scheduler/cell/planning.ts
+++ b/src/scheduler/cell/planning.ts
@@ -13,6 +13,7 @@
 import { moveOff, replaceReplicas } from "./drain.js";
 import type { WorkerLink } from "./link.js";
 import { silenceLimit } from "./renewing.js";
+import { delayReplacements } from "./restarts.js";
 import { stateOf } from "./view.js";
 
 /** Replicas on a worker that is silent for this share of a lease, or long enough, are replaced by others. */
@@ -35,6 +36,7 @@
 export function planAndDecide(input: PlanningInput, now: number): boolean {
     const { cell, ledger, links, configuration, findAssignment, metrics, policy, settings } = input;
     planCell({ cell, configuration, ledger, findAssignment, stopsAtMost: settings.stopsPerInterval }, now);
+    delayReplacements(ledger, settings, now);
     moveOffWorkers(input, now);
     const view = input.buildView(now);
     const silence = { ledger, silentAfterMilliseconds: silenceLimit(settings) };
--- a/src/scheduler/cell/transitions.ts
+++ b/src/scheduler/cell/transitions.ts
@@ -12,6 +12,11 @@
     readonly longestBackOffMilliseconds: number;
 }
 
+/** Wait after a number of failures in a row, in milliseconds. */
+export function waitAfterFailures(backOff: BackOff, failures: number): number {
+    return Math.min(backOff.longestBackOffMilliseconds, backOff.backOffMilliseconds * 2 ** (failures - 1));
+}
+
 /** Gives a waiting task room on a worker; its next attempt starts after the commit. */
 export function placeTask(ledger: Ledger, task: Task, worker: string, now: number): void {
     ledger.put({
@@ -28,7 +33,7 @@
 /** Ends a task for good: at once where it waits, after its stop has been confirmed where it may run. */
 export function endTask(ledger: Ledger, task: Task, reason: string, now: number): void {
     if (WAITING_STATES.has(task.state) || task.state === "parked") {
-        close(ledger, task, "cancelled", { reason, now });
+        close(ledger, { ...task, failures: 0 }, "cancelled", { reason, now });
     }
     else if (HOLDING_STATES.has(task.state) && task.state !== "stopping") {
         ledger.put({ ...task, state: "stopping", sinceMilliseconds: now, reason });
@@ -77,7 +82,7 @@
         : { checkpoint: status.checkpoint, checkpointProgress: Math.max(task.checkpointProgress, status.progress) };
     switch (status.state) {
         case "finished": {
-            finish(ledger, task, now);
+            finish(ledger, task, backOff, now);
             return;
         }
         case "failed": {
@@ -103,10 +108,10 @@
     release(ledger, task, { reason, now });
 }
 
-function finish(ledger: Ledger, task: Task, now: number): void {
+function finish(ledger: Ledger, task: Task, backOff: BackOff, now: number): void {
     const spec = ledger.specOf(task);
     if (spec.kind === "service" && task.state !== "stopping") {
-        release(ledger, task, { reason: "ended by itself", now });
+        fail(ledger, task, "it ended by itself", backOff, now);
         return;
     }
     close(ledger, task, "finished", { reason: "", now });
@@ -114,8 +119,10 @@
 
 function fail(ledger: Ledger, task: Task, reason: string, backOff: BackOff, now: number): void {
     const spec = ledger.specOf(task);
-    const failures = task.failures + 1;
-    const wait = Math.min(backOff.longestBackOffMilliseconds, backOff.backOffMilliseconds * 2 ** (failures - 1));
+    // A replica that has run for long was well; its failure is no sequel to the ones before.
+    const wasWell = spec.kind === "service" && now - task.sinceMilliseconds >= backOff.longestBackOffMilliseconds;
+    const failures = wasWell ? 1 : task.failures + 1;
+    const wait = waitAfterFailures(backOff, failures);
     if (spec.kind === "batch" && failures > spec.retries && task.state !== "stopping") {
         ledger.put({
             ...withoutWorker(task),
@@ -141,7 +148,10 @@
     }
     if (task.state === "stopping" || ledger.specOf(task).kind === "service") {
         // A replica is never moved: the plan admits another one with another id.
-        close(ledger, task, "cancelled", { reason: task.state === "stopping" ? task.reason : reason, now });
+        const isStopped = task.state === "stopping";
+        // Failures are handed on to the replacement only by a replica that was not well when it ended.
+        const failures = isStopped || changes.notBeforeMilliseconds === undefined ? 0 : task.failures;
+        close(ledger, { ...task, failures }, "cancelled", { reason: isStopped ? task.reason : reason, now });
         return;
     }
     const evicted = task.state === "checkpointing";
--- a/src/scheduler/jobs/plan.ts
+++ b/src/scheduler/jobs/plan.ts
@@ -177,6 +177,7 @@
     });
 }
 
-function slotOf(taskId: string): number {
+/** Number of the replica that a task is or replaces. */
+export function slotOf(taskId: string): number {
     return Number(taskId.slice(taskId.lastIndexOf("/") + 1)) % REPLICA_STRIDE;
 }
