--- a/src/core/issue.ts
+++ b/src/core/issue.ts
@@ -47,5 +47,5 @@
 }
 
 function listKeys(schema: z.core.$ZodType | undefined): string[] {
-    return schema instanceof z.ZodObject ? Object.keys(schema.shape as object) : [];
+    return schema instanceof z.ZodObject ? Object.keys(schema.shape) : [];
 }
