--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -13,6 +13,7 @@
     readStatus,
 } from "../core/messages/operator.js";
 import { defineMethod } from "../core/rpc.js";
+import type { Method } from "../core/rpc.js";
 import { Member } from "../membership/member.js";
 import { RuleChange } from "../rules/diff.js";
 import { ExportedState } from "../scheduler/queries/export.js";
@@ -116,38 +117,18 @@
     z.strictObject({ processes: z.int(), inForce: z.int(), behind: z.array(z.string()), silent: z.array(z.string()) }),
 );
 
-/** Processes that did not answer; what they would have said is missing from the answer. */
-const silent = { silent: z.array(z.string()) };
-
-export const listTasks = defineMethod(
-    "tasks.list",
-    listSchedulerTasks.params,
-    listSchedulerTasks.answer.extend(silent),
-);
-
-export const cancelTasks = defineMethod(
-    "tasks.cancel",
-    cancelTask.params,
-    cancelTask.answer.extend(silent),
-);
-
-export const explainTasks = defineMethod(
-    "tasks.explain",
-    explainTask.params,
-    explainTask.answer.extend(silent),
-);
-
-export const listWorkers = defineMethod(
-    "workers.list",
-    listSchedulerWorkers.params,
-    listSchedulerWorkers.answer.extend(silent),
-);
-
-export const drainWorkers = defineMethod(
-    "workers.drain",
-    drainWorker.params,
-    drainWorker.answer.extend(silent),
-);
+/** A scheduler's method as gateways offer it: the answers of all schedulers, and the names of those that gave none. */
+function defineForwarded<Params extends z.ZodType, Shape extends z.ZodRawShape>(
+    method: Method<Params, z.ZodObject<Shape, z.core.$strict>>,
+) {
+    return defineMethod(method.name, method.params, method.answer.extend({ silent: z.array(z.string()) }));
+}
+
+export const listTasks = defineForwarded(listSchedulerTasks);
+export const cancelTasks = defineForwarded(cancelTask);
+export const explainTasks = defineForwarded(explainTask);
+export const listWorkers = defineForwarded(listSchedulerWorkers);
+export const drainWorkers = defineForwarded(drainWorker);
 
 /** A process as the membership sees it and, where it answered, as it sees itself. */
 export const ProcessStatus = z.strictObject({ member: Member, status: readStatus.answer.optional() });
