allow takes data centres only; errors of rules files say more with fewer lines

A schedule without quotes gave an error for each of its words; an option of another kind was called unknown. Ruled out: an allow that lifts a deny: nobody could tell from a file what holds. Change: allow needs --in; an option says with which kinds it goes; further words are counted in one error, with the advice to quote. The arbitrary rules of the tests follow, the errors' table has four more rows.

--- a/features/rules/arbitrary.ts
+++ b/features/rules/arbitrary.ts
@@ -102,8 +102,15 @@
     end: fastCheck.constant({}),
 });
 
-const placement: fastCheck.Arbitrary<Rule> = fastCheck.record({
-    kind: fastCheck.constantFrom("allow" as const, "deny" as const),
+const allow: fastCheck.Arbitrary<Rule> = fastCheck.record({
+    kind: fastCheck.constant("allow" as const),
+    ...common,
+    end,
+    dataCentres: fastCheck.uniqueArray(name, { minLength: 1, maxLength: 3 }),
+});
+
+const deny: fastCheck.Arbitrary<Rule> = fastCheck.record({
+    kind: fastCheck.constant("deny" as const),
     ...common,
     end,
     beside: name,
@@ -111,7 +118,7 @@
 });
 
 /** Sound rules of one team, with the line numbers that printing gives them. */
-export const arbitraryRules = fastCheck.uniqueArray(fastCheck.oneof(service, batch, quota, retire, placement), {
+export const arbitraryRules = fastCheck.uniqueArray(fastCheck.oneof(service, batch, quota, retire, allow, deny), {
     maxLength: 8,
     selector: identifyRule,
 }).map(rules => rules.map((rule, index): Rule => structuredClone({ ...rule, line: index + 1 })));
--- a/features/rules/file.feature
+++ b/features/rules/file.feature
@@ -26,6 +26,8 @@
             service twice --cores 1 --memory 1GiB --until 2027-05-31 # Eero
             service endless --cores 1 --memory 1GiB # Eero
             batch quoted --cores 1 --memory 1GiB --runs 1 "# Eero
+            allow twice --beside desk --until 2027-05-31 # Eero
+            batch loose --cores 1 --memory 1GiB --feature x --schedule 0 2 * * * # Eero
             """
         Then the errors are:
             | line | column | text                                  |
@@ -40,6 +42,10 @@
             | 6    | 1      | stands already on line 5              |
             | 7    | 40     | --until DATE, --feature NAME          |
             | 8    | 47     | quote is not closed                   |
+            | 9    | 13     | --beside goes with deny               |
+            | 9    | 45     | allow needs --in                      |
+            | 10   | 49     | a cron expression in quotes           |
+            | 10   | 62     | (and 3 more words)                    |
 
     Scenario: Accepted text prints and parses back to itself, and no text is a crash
         Then 2000 arbitrary files are read without a crash
--- a/src/rules/line.ts
+++ b/src/rules/line.ts
@@ -110,7 +110,11 @@
     const option = given.allowed.find(candidate => candidate === given.name);
     if (option === undefined) {
         const known = given.allowed.map(candidate => `--${candidate}`);
-        report(given.word.column, unknownWord(given.rawName, "options here are", known));
+        const kinds = RULE_KINDS.filter(kind => optionsOfKind[kind].some(candidate => candidate === given.name));
+        const message = kinds.length === 0
+            ? unknownWord(given.rawName, "options here are", known)
+            : `${given.rawName} goes with ${kinds.join(", ")}; options here are ${known.join(", ")}`;
+        report(given.word.column, message);
         return;
     }
     if (option in values) {
@@ -133,8 +137,11 @@
     report: Report,
 ): string | undefined {
     const [first, ...others] = positionals;
-    for (const other of others) {
-        report(other.column, `unexpected word ${JSON.stringify(other.text)}: a line has one name, then options`);
+    const [second] = others;
+    if (second !== undefined) {
+        const more = others.length === 1 ? "" : ` (and ${others.length - 1} more words)`;
+        const hint = "a line has one name, then options; a value with spaces goes in quotes";
+        report(second.column, `unexpected word ${JSON.stringify(second.text)}${more}: ${hint}`);
     }
     if (first === undefined) {
         report(endColumn(split), `${kind} needs a name after it`);
@@ -163,8 +170,8 @@
     if (kind === "quota" && !["cores", "memory", "accelerators"].some(option => given.has(option))) {
         report(column, "quota needs one of --cores, --memory, --accelerators");
     }
-    if ((kind === "allow" || kind === "deny") && !given.has("beside") && !given.has("in")) {
-        report(column, `${kind} needs --in DATA-CENTRE or --beside RULE`);
+    if (kind === "deny" && !given.has("beside") && !given.has("in")) {
+        report(column, "deny needs --in DATA-CENTRE, --beside RULE or both");
     }
 }
 
--- a/src/rules/option.ts
+++ b/src/rules/option.ts
@@ -99,7 +99,7 @@
     ],
     quota: ["cores", "memory", "accelerators", "until", "feature"],
     retire: ["until"],
-    allow: ["in", "beside", "until", "feature"],
+    allow: ["in", "until", "feature"],
     deny: ["in", "beside", "until", "feature"],
 };
 
@@ -109,7 +109,7 @@
     batch: ["cores", "memory"],
     quota: [],
     retire: [],
-    allow: [],
+    allow: ["in"],
     deny: [],
 };
 
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -98,11 +98,14 @@
 export const RetireRule = z.strictObject({ kind: z.literal("retire"), ...common });
 export type RetireRule = z.infer<typeof RetireRule>;
 
-/** Allows or denies a rule's tasks beside another rule's, or in a data centre. */
+/**
+ * `allow` keeps a rule's tasks to data centres. `deny` keeps them out of data centres or, where a neighbour is named, off
+ * the workers that run the neighbour's tasks, in these data centres or in all.
+ */
 export const PlacementRule = z.strictObject({
     kind: z.enum(["allow", "deny"]),
     ...common,
-    /** The neighbour that is denied, where one is named. */
+    /** The neighbour that is denied, where one is named; only with `deny`. */
     beside: Name.optional(),
     dataCentres: z.array(Name),
 });
