--- a/bench/experiments/rules-scale.ts
+++ b/bench/experiments/rules-scale.ts
@@ -103,7 +103,7 @@
         const after = fleet.store.counts();
         const seconds = (systemClock() - startedAt) / 1_000;
         const idle = await measureIdle(fleet);
-        const reports = await Promise.all(fleet.nodes.map(node => fleet.read(node)));
+        const reports = await Promise.all(fleet.nodes.map(node => fleet.read(node, NO_TEAM)));
         const resident = Math.max(...reports.map(report => report.residentBytes));
         const writesPerApply = (after.writes - before.writes) / applies.count;
         const parseShare = parseSeconds / teams * CHANGES_PER_DAY / SECONDS_PER_DAY;
@@ -200,10 +200,13 @@
     return (used.user + used.system) / 1e6;
 }
 
+/** Reports with the revisions of all teams are large, and writing them would count as the process's own memory. */
+const NO_TEAM = "none";
+
 async function waitForAll(fleet: Fleet, teams: number): Promise<void> {
     await waitFor("every process knows every team", async () => {
-        const reports = await Promise.all(fleet.nodes.map(node => fleet.read(node)));
-        return reports.every(report => new Set(report.revisions.map(seen => seen.team)).size >= teams);
+        const reports = await Promise.all(fleet.nodes.map(node => fleet.read(node, NO_TEAM)));
+        return reports.every(report => report.teams >= teams);
     });
 }
 
@@ -255,7 +258,7 @@
         const arrivals = () =>
             Promise.all(
                 fleet.nodes.map(async node =>
-                    (await fleet.read(node)).revisions.find(seen => seen.team === team && seen.revision >= revision)?.at
+                    (await fleet.read(node, team)).revisions.find(seen => seen.revision >= revision)?.at
                 ),
             );
         await waitFor(`revision ${revision} is everywhere`, async () => !(await arrivals()).includes(undefined));
--- a/features/membership/fleet.ts
+++ b/features/membership/fleet.ts
@@ -26,6 +26,8 @@
     readonly messages: number;
     readonly bytes: number;
     readonly revisions: readonly { readonly team: string; readonly revision: number; readonly at: number; }[];
+    /** Number of teams whose rules the process has. */
+    readonly teams: number;
     /** Every change of state of a peer as the process saw it, in order. */
     readonly states: readonly { readonly name: string; readonly state: string; }[];
     readonly self: Member;
@@ -60,7 +62,8 @@
     readonly instanceList: InstancesStandIn;
     readonly nodes: readonly FleetNode[];
     readonly rpc: RpcClient;
-    read(node: FleetNode): Promise<NodeReport>;
+    /** Reads a process's report, on request with the revisions of one team only. */
+    read(node: FleetNode, team?: string): Promise<NodeReport>;
     /** Cuts the links of a process or makes them lose messages; `{}` heals them. */
     setLinks(node: FleetNode, faults: { loss?: number; cut?: boolean; cutTo?: string[]; }): Promise<void>;
     /** Reads a metric; 0 where it has not been counted yet. */
@@ -129,8 +132,9 @@
         instanceList,
         nodes,
         rpc: createRpcClient({ token: TOKEN, timeoutMilliseconds: 20_000 }),
-        read: async node => {
-            const answer = await fetch(`${operatorsOf(node)}/control`);
+        read: async (node, team) => {
+            const query = team === undefined ? "" : `?team=${team}`;
+            const answer = await fetch(`${operatorsOf(node)}/control${query}`);
             return await answer.json() as NodeReport;
         },
         async setLinks(node, faults) {
--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -2,7 +2,8 @@
  * A process with membership, distribution of rules and the operators' surface, and nothing else; tests and benches run
  * many of them. Its links can be cut or made to lose messages at its own edge, in both directions.
  *
- * Control: `POST /control` on the operators' port with `LinkFaults`; `GET /control` answers what the process knows.
+ * Control: `POST /control` on the operators' port with `LinkFaults`; `GET /control` answers what the process knows,
+ * with `?team=NAME` the revisions of one team only.
  */
 import Emittery from "emittery";
 import express from "express";
@@ -145,8 +146,13 @@
     );
     const operatorsApplication = express();
     operatorsApplication.get("/control", (request, response) => {
+        const { team } = request.query;
         response.json({
             ...traffic,
+            revisions: team === undefined
+                ? traffic.revisions
+                : traffic.revisions.filter(revision => revision.team === team),
+            teams: lastSeen.size,
             states,
             self: membership.source.self(),
             members: membership.source.members(),
--- a/src/rules/line.ts
+++ b/src/rules/line.ts
@@ -15,6 +15,10 @@
 const DEFAULT_EXPECTED_SECONDS = 600;
 const DEFAULT_RETRIES = 3;
 
+const parsedOptions = Object.fromEntries(
+    Object.keys(optionReaders).map(option => [option, { type: "string" as const }]),
+);
+
 type OptionValues = { -readonly [Option in OptionName]?: ReturnType<(typeof optionReaders)[Option]["parse"]>; };
 
 /** Reads a line's words; reports every failure and gives `undefined` where there was one. */
@@ -70,7 +74,7 @@
     const allowed = optionsOfKind[kind];
     const { tokens } = parseArgs({
         args: words.map((word, index) => completeExclusive(word.text, words[index + 1]?.text)),
-        options: Object.fromEntries(Object.keys(optionReaders).map(option => [option, { type: "string" as const }])),
+        options: parsedOptions,
         strict: false,
         allowPositionals: true,
         tokens: true,
--- a/src/rules/option.ts
+++ b/src/rules/option.ts
@@ -14,6 +14,7 @@
 export const RULE_KINDS = ["service", "batch", "quota", "retire", "allow", "deny"] as const;
 
 const LARGEST_COUNT = 1_000_000;
+const REMEMBERED_TEXTS = 2_000;
 
 function count(smallest: number, largest = LARGEST_COUNT) {
     return z.string()
@@ -40,6 +41,26 @@
     });
 }
 
+const readCron = remember(text => {
+    try {
+        CronExpressionParser.parse(text, { tz: "UTC" });
+        return /^\S+(?: \S+){4}$/.test(text);
+    }
+    catch {
+        return false;
+    }
+});
+
+const readTimeZone = remember(text => {
+    try {
+        new Intl.DateTimeFormat("en", { timeZone: text });
+        return true;
+    }
+    catch {
+        return false;
+    }
+});
+
 /** Readers of the options' values, by the option's name. */
 export const optionReaders = {
     "replicas": count(1),
@@ -113,22 +134,20 @@
     deny: [],
 };
 
-function readCron(text: string): string | undefined {
-    try {
-        CronExpressionParser.parse(text, { tz: "UTC" });
-        return /^\S+(?: \S+){4}$/.test(text) ? text : undefined;
-    }
-    catch {
-        return undefined;
-    }
-}
-
-function readTimeZone(text: string): string | undefined {
-    try {
-        new Intl.DateTimeFormat("en", { timeZone: text });
+/** Gives back a text that passes a costly check; texts that have passed are remembered, as many rules share them. */
+function remember(check: (text: string) => boolean): (text: string) => string | undefined {
+    const passed = new Set<string>();
+    return text => {
+        if (passed.has(text)) {
+            return text;
+        }
+        if (!check(text)) {
+            return undefined;
+        }
+        if (passed.size >= REMEMBERED_TEXTS) {
+            passed.clear();
+        }
+        passed.add(text);
         return text;
-    }
-    catch {
-        return undefined;
-    }
+    };
 }
--- a/src/rules/parse.ts
+++ b/src/rules/parse.ts
@@ -42,6 +42,7 @@
     const file = options.file ?? `${options.team}.rules`;
     const failures: Failure[] = [];
     const rules: Rule[] = [];
+    const linesByIdentity = new Map<string, number>();
     for (const [index, content] of text.split(/\r\n|\r|\n/).entries()) {
         const report: Report = (column, message) => {
             failures.push(toFailure(file, index + 1, column, message));
@@ -49,7 +50,7 @@
         const split = splitLine(content, index + 1, report);
         const rule = split === undefined ? undefined : readWords(split, report);
         if (rule !== undefined) {
-            reportDuplicate(rule, rules, report);
+            reportDuplicate(rule, linesByIdentity, report);
             rules.push(rule);
         }
     }
@@ -102,6 +103,9 @@
 
 /** Splitting drops a quote that is not closed; words put after it then come out different. */
 function checkQuotes(before: string, report: Report): boolean {
+    if (!/["'\\]/.test(before)) {
+        return true;
+    }
     const closed = ['"S T"', "'S T'"].every(sentinel => splitWords(`${before} ${sentinel}`).at(-1) === "S T");
     if (!closed) {
         const column = Math.max(before.lastIndexOf('"'), before.lastIndexOf("'"), before.lastIndexOf("\\")) + 1;
@@ -116,9 +120,12 @@
     return (found === -1 ? from : found) + 1;
 }
 
-function reportDuplicate(rule: Rule, earlier: readonly Rule[], report: Report): void {
-    const same = earlier.find(other => identifyRule(other) === identifyRule(rule));
-    if (same !== undefined) {
-        report(1, `${rule.kind} ${rule.name} stands already on line ${same.line}; use another name`);
+function reportDuplicate(rule: Rule, linesByIdentity: Map<string, number>, report: Report): void {
+    const identity = identifyRule(rule);
+    const line = linesByIdentity.get(identity);
+    if (line !== undefined) {
+        report(1, `${rule.kind} ${rule.name} stands already on line ${line}; use another name`);
+        return;
     }
+    linesByIdentity.set(identity, rule.line);
 }
--- a/src/rules/suggest.ts
+++ b/src/rules/suggest.ts
@@ -6,6 +6,9 @@
 
 /** Gives the known word that is nearest to a mistyped one, if any is near. */
 export function suggestWord(word: string, known: readonly string[]): string | undefined {
+    if (known.includes(word)) {
+        return word;
+    }
     const limit = Math.min(LARGEST_DISTANCE, Math.ceil(word.length / 3));
     const ranked = known
         .map(candidate => ({ candidate, distance: measureDistance(word.slice(0, 80), candidate) }))
