--- a/bench/experiments/rules-scale.ts
+++ b/bench/experiments/rules-scale.ts
@@ -32,6 +32,7 @@
     residentBytes: 128_000_000,
     valueBytes: 1_048_576,
     storeWritesPerSecond: 600,
+    storeReadsPerSecond: 2_000,
     processorShare: 0.047,
     readyMilliseconds: 11_000,
     /** Watches and reads of the rules must not grow with the fleet. */
@@ -106,6 +107,7 @@
         const reports = await Promise.all(fleet.nodes.map(node => fleet.read(node, NO_TEAM)));
         const resident = Math.max(...reports.map(report => report.residentBytes));
         const writesPerApply = (after.writes - before.writes) / applies.count;
+        const readsPerApply = (after.reads - before.reads) / applies.count;
         const parseShare = parseSeconds / teams * CHANGES_PER_DAY / SECONDS_PER_DAY;
         const label = `${teams} teams, ${size} processes`;
         context.progress(
@@ -140,6 +142,12 @@
                     "writes/s",
                     bounds.storeWritesPerSecond,
                 ),
+                toCheck(
+                    `${label}: store reads and watches at ${CHANGES_PER_DAY} changes a day and at rest`,
+                    readsPerApply * CHANGES_PER_DAY / SECONDS_PER_DAY + idle,
+                    "reads/s",
+                    bounds.storeReadsPerSecond,
+                ),
             ],
         };
     }
