Placement rules decide which cells share a rule's work; allowed pairs lift denials

Lines that had ended by date or by a retired feature still counted.

Change: assignments ask the same constraints as the policy; an allowed pair lifts a denial of the same pair, everywhere or in the data centres that it names; ended lines no longer count.

--- a/features/policy/placement.feature
+++ b/features/policy/placement.feature
@@ -68,3 +68,23 @@
         And a waiting task that failed 4 times of 3 allowed
         When the policy decides
         Then 1 tasks are parked for "failed 4 times"
+
+    Scenario: An allowed pair lifts a denial in the data centres that it names
+        Given a policy with default settings
+        And 1 live worker
+        And the operators deny "season-prep" beside "rental-desk"
+        And the operators allow "rental-desk" beside "season-prep" in "levi"
+        And a task of rule "season-prep" on "worker-0"
+        And a waiting replica of rule "rental-desk"
+        When the policy decides
+        Then 1 tasks are placed
+
+    Scenario: An allowed pair elsewhere lifts no denial here
+        Given a policy with default settings
+        And 1 live worker
+        And the operators deny "season-prep" beside "rental-desk"
+        And the operators allow "rental-desk" beside "season-prep" in "rovaniemi"
+        And a task of rule "season-prep" on "worker-0"
+        And a waiting replica of rule "rental-desk"
+        When the policy decides
+        Then 0 tasks are placed
--- a/features/policy/placement.steps.ts
+++ b/features/policy/placement.steps.ts
@@ -112,6 +112,21 @@
     this.placements = [{ kind: "deny", name, beside, dataCentres: [], requester: "Aino", line: 1, end: { runs: 1 } }];
 });
 
+Given(
+    "the operators allow {string} beside {string} in {string}",
+    function(this: PlacementWorld, name: string, beside: string, dataCentre: string) {
+        this.placements = [...this.placements ?? [], {
+            kind: "allow",
+            name,
+            beside,
+            dataCentres: [dataCentre],
+            requester: "Aino",
+            line: 2,
+            end: { runs: 1 },
+        }];
+    },
+);
+
 When("the policy decides", function(this: PlacementWorld) {
     this.decisions = this.policy.decide(viewOf(this), NOW);
 });
--- a/src/policy/constraints.ts
+++ b/src/policy/constraints.ts
@@ -3,14 +3,14 @@
  *
  * `deny RULE in DATACENTRES` keeps a rule's tasks out of data centres; `deny RULE beside OTHER` keeps the two off one
  * worker, in the named data centres or everywhere; `allow RULE in DATACENTRES` keeps them to the union of all such
- * data centres.
+ * data centres; `allow RULE beside OTHER` lifts a denial of the same pair, in the named data centres or everywhere.
  */
 import type { PlacementRule } from "../rules/rule.js";
 import type { PendingTask, WorkerView } from "./policy.js";
 import type { WorkerRoom } from "./room.js";
 
-/** A pair of rules that may not share a worker. */
-interface DeniedNeighbour {
+/** A neighbour that is denied, or whose denial is lifted. */
+interface Neighbour {
     readonly rule: string;
     /** Empty: everywhere. */
     readonly dataCentres: readonly string[];
@@ -18,14 +18,16 @@
 
 /** Placement rules by the rule that they are about. */
 export interface PlacementConstraints {
-    readonly deniedNeighbours: ReadonlyMap<string, readonly DeniedNeighbour[]>;
+    readonly deniedNeighbours: ReadonlyMap<string, readonly Neighbour[]>;
+    readonly allowedNeighbours: ReadonlyMap<string, readonly Neighbour[]>;
     readonly deniedDataCentres: ReadonlyMap<string, ReadonlySet<string>>;
     readonly allowedDataCentres: ReadonlyMap<string, ReadonlySet<string>>;
 }
 
-/** Sorts placement rules by what they forbid. A denied pair is kept apart whichever of the two comes first. */
+/** Sorts placement rules by what they say. A pair means the same whichever of the two comes first. */
 export function readPlacements(placements: readonly PlacementRule[]): PlacementConstraints {
-    const deniedNeighbours = new Map<string, DeniedNeighbour[]>();
+    const deniedNeighbours = new Map<string, Neighbour[]>();
+    const allowedNeighbours = new Map<string, Neighbour[]>();
     const deniedDataCentres = new Map<string, Set<string>>();
     const allowedDataCentres = new Map<string, Set<string>>();
     for (const placement of placements) {
@@ -34,12 +36,13 @@
             const target = placement.kind === "deny" ? deniedDataCentres : allowedDataCentres;
             addAll(target, name, dataCentres);
         }
-        else if (placement.kind === "deny") {
-            push(deniedNeighbours, name, { rule: beside, dataCentres });
-            push(deniedNeighbours, beside, { rule: name, dataCentres });
+        else {
+            const target = placement.kind === "deny" ? deniedNeighbours : allowedNeighbours;
+            push(target, name, { rule: beside, dataCentres });
+            push(target, beside, { rule: name, dataCentres });
         }
     }
-    return { deniedNeighbours, deniedDataCentres, allowedDataCentres };
+    return { deniedNeighbours, allowedNeighbours, deniedDataCentres, allowedDataCentres };
 }
 
 function push<Value>(map: Map<string, Value[]>, key: string, value: Value): void {
@@ -93,9 +96,15 @@
         return undefined;
     }
     const { dataCentre } = room.view.instance;
+    const allowed = constraints.allowedNeighbours.get(rule) ?? [];
     const neighbour = denied.find(entry =>
-        (entry.dataCentres.length === 0 || entry.dataCentres.includes(dataCentre))
+        holdsIn(entry, dataCentre)
+        && !allowed.some(lifted => lifted.rule === entry.rule && holdsIn(lifted, dataCentre))
         && room.occupants.some(occupant => occupant.rule === entry.rule)
     );
     return neighbour === undefined ? undefined : `a place beside ${neighbour.rule} is denied`;
 }
+
+function holdsIn({ dataCentres }: Neighbour, dataCentre: string): boolean {
+    return dataCentres.length === 0 || dataCentres.includes(dataCentre);
+}
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -7,11 +7,12 @@
 import type { Clock } from "../../core/time.js";
 import type { WorkerControl } from "../../platform/worker.js";
 import type { AttemptEnd, Policy, QuotaSlice } from "../../policy/policy.js";
-import type { Configuration, PlacementRule } from "../../rules/rule.js";
+import type { Configuration } from "../../rules/rule.js";
 import type { CellMap } from "../cells.js";
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
 import { planCell } from "../jobs/plan.js";
+import { listPlacements } from "../jobs/spec.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -130,7 +131,7 @@
         cell: name,
         ledger,
         links,
-        placements: placementsOf(configuration),
+        placements: configuration === undefined ? [] : listPlacements(configuration, clock()),
         quotas: configuration === undefined ? [] : options.quotas(ledger, configuration),
         silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds,
     });
@@ -307,9 +308,3 @@
         },
     };
 }
-
-function placementsOf(configuration: Configuration | undefined): PlacementRule[] {
-    return configuration?.documents.flatMap(document =>
-        document.rules.flatMap(rule => rule.kind === "allow" || rule.kind === "deny" ? [rule] : [])
-    ) ?? [];
-}
--- a/src/scheduler/jobs/assignments.ts
+++ b/src/scheduler/jobs/assignments.ts
@@ -10,13 +10,14 @@
 import { commitRecord, decodeRecord } from "../../platform/commit.js";
 import type { StoredRecord } from "../../platform/commit.js";
 import type { KeyValue, Store } from "../../platform/store.js";
+import { readPlacements } from "../../policy/constraints.js";
 import type { BatchRule, Configuration } from "../../rules/rule.js";
 import type { CellMap } from "../cells.js";
 import { Assignment, ASSIGNMENTS_PREFIX, keyOfAssignment, reviseAssignment } from "./assignment.js";
 import type { AssignmentNeed } from "./assignment.js";
 import { findDueRun } from "./due.js";
 import { allowedCells } from "./home.js";
-import { listRunnable } from "./spec.js";
+import { listPlacements, listRunnable } from "./spec.js";
 
 const PAGE_ENTRIES = 200;
 const WRITES_AT_ONCE = 16;
@@ -183,10 +184,11 @@
 }
 
 function listNeeds(configuration: Configuration, cells: readonly CellMap[], now: number): AssignmentNeed[] {
+    const constraints = readPlacements(listPlacements(configuration, now));
     return listRunnable(configuration, now).flatMap(({ rule, document }): AssignmentNeed[] => {
         const common = {
             rule: rule.name,
-            cells: allowedCells(cells, rule.dataCentres),
+            cells: allowedCells(cells, { rule: rule.name, dataCentres: rule.dataCentres }, constraints),
             revision: document.revision,
         };
         if (rule.kind === "service") {
--- a/src/scheduler/jobs/home.ts
+++ b/src/scheduler/jobs/home.ts
@@ -2,12 +2,25 @@
  * Which cell a task belongs to when it is created.
  */
 import { rankByRendezvous } from "../../core/random.js";
+import { refuseDataCentre } from "../../policy/constraints.js";
+import type { PlacementConstraints } from "../../policy/constraints.js";
 import type { CellMap } from "../cells.js";
 import type { AssignedCell } from "./assignment.js";
 
-/** Cells that a rule's data centres allow; an empty list of data centres allows all. */
-export function allowedCells(cells: readonly CellMap[], dataCentres: readonly string[]): CellMap[] {
-    return cells.filter(({ dataCentre }) => dataCentres.length === 0 || dataCentres.includes(dataCentre));
+/** What limits a rule to data centres, as the policy reads it. */
+export interface RuleLimits {
+    readonly rule: string;
+    /** Empty: all. */
+    readonly dataCentres: readonly string[];
+}
+
+/** Cells of the data centres that a rule and the placement rules of operators allow. */
+export function allowedCells(
+    cells: readonly CellMap[],
+    limits: RuleLimits,
+    constraints: PlacementConstraints,
+): CellMap[] {
+    return cells.filter(({ dataCentre }) => refuseDataCentre(constraints, limits, dataCentre) === undefined);
 }
 
 /** Gives the home of a batch task. */
--- a/src/scheduler/jobs/spec.ts
+++ b/src/scheduler/jobs/spec.ts
@@ -2,7 +2,7 @@
  * From rules to what their tasks need.
  */
 import { hashText } from "../../core/random.js";
-import type { Configuration, Rule, RulesDocument } from "../../rules/rule.js";
+import type { Configuration, PlacementRule, Rule, RulesDocument } from "../../rules/rule.js";
 import type { TaskSpec } from "../ledger/task.js";
 
 /** A rule that runs tasks, with the team that it belongs to. */
@@ -12,20 +12,37 @@
     readonly rule: Extract<Rule, { kind: "service" | "batch"; }>;
 }
 
+/** A rule of a team's document. */
+interface RuleOfTeam {
+    readonly document: RulesDocument;
+    readonly rule: Rule;
+}
+
 /** Lists the rules that have not ended by date or by a retired feature. */
-export function listRunnable(configuration: Configuration, now: number): RunnableRule[] {
+function listRules(configuration: Configuration, now: number): RuleOfTeam[] {
     const rules = configuration.documents.flatMap(document => document.rules.map(rule => ({ document, rule })));
     const retired = new Set(rules.filter(({ rule }) => rule.kind === "retire").map(({ rule }) => rule.name));
-    return rules.flatMap(({ document, rule }) => {
-        if (rule.kind !== "service" && rule.kind !== "batch") {
-            return [];
-        }
-        const over = rule.end.untilMilliseconds !== undefined && now >= rule.end.untilMilliseconds;
-        const withdrawn = rule.end.feature !== undefined && retired.has(rule.end.feature);
-        return over || withdrawn ? [] : [{ team: document.team, document, rule }];
+    return rules.filter(({ rule: { end } }) => {
+        const over = end.untilMilliseconds !== undefined && now >= end.untilMilliseconds;
+        const withdrawn = end.feature !== undefined && retired.has(end.feature);
+        return !over && !withdrawn;
     });
 }
 
+/** Lists the rules that run tasks now. */
+export function listRunnable(configuration: Configuration, now: number): RunnableRule[] {
+    return listRules(configuration, now).flatMap(({ rule, document }) =>
+        rule.kind === "service" || rule.kind === "batch" ? [{ team: document.team, document, rule }] : []
+    );
+}
+
+/** Lists what operators allow and deny now. */
+export function listPlacements(configuration: Configuration, now: number): PlacementRule[] {
+    return listRules(configuration, now).flatMap(({ rule }) =>
+        rule.kind === "allow" || rule.kind === "deny" ? [rule] : []
+    );
+}
+
 /** Derives what a rule's tasks need; equal needs give equal ids. */
 export function toSpec({ team, rule }: RunnableRule): TaskSpec {
     const needs = {
