Tasks overflow from a full cell to others of the same constraint

Cause: a run's tasks stayed in the cells of their assignment for good, however full.

Change: a batch task that was never given a worker is dropped from its ledger and written down as a transfer in one commit; a cell with room claims the transfer by compare-and-swap and admits the task; the commit that ends it deletes the record. Offers that nobody takes go back after the same time.

Found on the way by the new scenarios: an ended namesake in the taking cell's ledger made it delete the record of a new task (a task is told by its time of submission now), and tasks of a rule that was applied again never moved because their attempts go on counting (attemptsBefore).

Without the wait for records of an earlier generation the scenarios still pass: none brings the overlap about.

--- a/features/scheduler/model/world.ts
+++ b/features/scheduler/model/world.ts
@@ -48,6 +48,7 @@
     segmentsPerSnapshot: 6,
     backOffMilliseconds: 200,
     longestBackOffMilliseconds: 1_000,
+    overflowAfterMilliseconds: 1_500,
 });
 
 /** A scheduler's process in the model. */
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -11,6 +11,7 @@
 import type { CellMap } from "../cells.js";
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
+import type { Overflow } from "../jobs/overflow.js";
 import { planCell } from "../jobs/plan.js";
 import { listPlacements } from "../jobs/spec.js";
 import type { Journal } from "../ledger/journal.js";
@@ -54,6 +55,7 @@
     readonly logger: Logger;
     configuration(): Configuration | undefined;
     readonly assignments: Pick<Assignments, "find" | "version">;
+    readonly overflow: Overflow;
     quotas(ledger: Ledger, configuration: Configuration): readonly QuotaSlice[];
     /** Routes of the cell have changed. */
     onRoutes(): void;
@@ -69,6 +71,7 @@
     readonly ledger: Ledger;
     readonly links: ReadonlyMap<string, WorkerLink>;
     readonly policy: Policy;
+    readonly overflow: Overflow;
     epoch(): number;
     /** Until when leases may be renewed without the store. */
     horizonMilliseconds(): number;
@@ -89,7 +92,7 @@
 
 /** Creates the owner's side of a claimed cell. */
 export function createCell(options: CellOptions): Cell {
-    const { settings, ledger, journal, clock, policy } = options;
+    const { settings, ledger, journal, clock, policy, overflow } = options;
     const name = options.map.cell;
     const takenAt = clock();
     const routes = createRouteTable(name, journal.head().epoch);
@@ -172,7 +175,7 @@
     const decide = (now: number) => {
         if (now >= sweepAt) {
             sweepAt = now + SWEEP_INTERVAL_MILLISECONDS;
-            forgetEnded(ledger, settings, now);
+            forgetEnded(ledger, settings, now, overflow.isBound);
         }
         configuration = options.configuration();
         if (configuration === undefined) {
@@ -183,8 +186,10 @@
             configuration,
             ledger,
             findAssignment: options.assignments.find,
+            isAway: overflow.isAway,
             stopsAtMost: settings.stopsPerInterval,
         }, now);
+        overflow.plan(configuration, now);
         for (const link of links.values()) {
             const state = stateOf(silence, link, now);
             if (state === "leaving" || state === "draining") {
@@ -207,7 +212,8 @@
     const commit = async (): Promise<Failure | undefined> => {
         const now = clock();
         const renewHorizon = now > journal.head().horizonMilliseconds - settings.horizonMilliseconds * 2 / 3;
-        if (!ledger.hasChanges() && !renewHorizon && !releasing) {
+        const alongside = overflow.writes();
+        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !releasing) {
             return undefined;
         }
         const { workers } = ledger.changes();
@@ -216,12 +222,14 @@
             now,
             horizonMilliseconds: settings.horizonMilliseconds,
             release: releasing,
+            alongside,
             signal: ended.signal,
         });
         options.metrics.commits.inc({ outcome: committed.isOk ? "committed" : committed.error.code });
         if (committed.isErr) {
             return committed.error;
         }
+        overflow.markCommitted();
         publish();
         workers.forEach(worker => crew.wake(worker));
         return undefined;
@@ -240,7 +248,9 @@
         observe(now);
         const taken = commands.splice(0);
         taken.forEach(({ command }) => command(ledger, now));
-        const version = `${options.assignments.version()}/${options.configuration()?.revision ?? 0}`;
+        const version = `${options.assignments.version()}/${overflow.version()}/${
+            options.configuration()?.revision ?? 0
+        }`;
         if (!releasing && pace.isDue({ now, isBusy: ledger.hasChanges(), version })) {
             decide(now);
         }
@@ -271,6 +281,7 @@
         ledger,
         links,
         policy,
+        overflow,
         epoch: () => journal.head().epoch,
         horizonMilliseconds: () => journal.head().horizonMilliseconds,
         view: now => buildView(viewInput(), now),
--- a/src/scheduler/cell/transitions.ts
+++ b/src/scheduler/cell/transitions.ts
@@ -162,12 +162,21 @@
     ledger.put(state === "finished" ? { ...ended, checkpointProgress: 1 } : ended);
 }
 
-/** Forgets ended tasks that are older than the limit, and the oldest ones beyond the count. */
-export function forgetEnded(ledger: Ledger, keep: EndedLimits, now: number): void {
+/**
+ * Forgets ended tasks that are older than the limit, and the oldest ones beyond the count, but for those that something
+ * outside the ledger still refers to.
+ */
+export function forgetEnded(
+    ledger: Ledger,
+    keep: EndedLimits,
+    now: number,
+    isBound: (taskId: string) => boolean,
+): void {
     const ended = [...ledger.draft.values()].filter(task => ENDED_STATES.has(task.state))
         .sort((left, right) => right.sinceMilliseconds - left.sinceMilliseconds);
     for (const [index, task] of ended.entries()) {
-        if (index >= keep.endedKeptAtMost || now - task.sinceMilliseconds >= keep.endedKeptMilliseconds) {
+        const isOver = index >= keep.endedKeptAtMost || now - task.sinceMilliseconds >= keep.endedKeptMilliseconds;
+        if (isOver && !isBound(task.taskId)) {
             ledger.remove(task.taskId);
         }
     }
--- /dev/null
+++ b/src/scheduler/jobs/intake.ts
@@ -0,0 +1,105 @@
+/**
+ * Which tasks on offer a cell claims: those that it has room for beside the work that waits there.
+ */
+import { readPlacements, refuseDataCentre } from "../../policy/constraints.js";
+import type { CellView, PendingTask } from "../../policy/policy.js";
+import { createQuotas } from "../../policy/quotas.js";
+import { createRooms, findShortage, takeRoom } from "../../policy/room.js";
+import type { TaskSize, WorkerRoom } from "../../policy/room.js";
+import type { Configuration, Resources } from "../../rules/rule.js";
+import type { Assignment } from "./assignment.js";
+import { listRunnable } from "./spec.js";
+import type { RunnableRule } from "./spec.js";
+import type { StoredTransfer, Transfer } from "./transfer.js";
+
+/** What a cell judges offers by. */
+export interface IntakeInput {
+    readonly cell: string;
+    readonly dataCentre: string;
+    readonly view: CellView;
+    readonly configuration: Configuration;
+    readonly transfers: readonly StoredTransfer[];
+    /** Time after which the giving cell takes its own offer back. */
+    readonly afterMilliseconds: number;
+    hasTask(transfer: Transfer): boolean;
+    findAssignment(rule: string): Assignment | undefined;
+}
+
+/** A transfer to be replaced, or to be deleted where nothing is to follow. */
+export interface TransferAction {
+    readonly before: StoredTransfer;
+    readonly after: Transfer | undefined;
+}
+
+/** Lists what the cell wants to do about transfers. */
+export function listTransferActions(input: IntakeInput, now: number): TransferAction[] {
+    const { cell } = input;
+    const runnable = new Map(listRunnable(input.configuration, now).map(entry => [entry.rule.name, entry]));
+    const hasRoom = createRoomCheck(input);
+    return input.transfers.flatMap((before): TransferAction[] => {
+        const { transfer, revision } = before;
+        const entry = runnable.get(transfer.rule);
+        const isOwn = transfer.to === cell || (transfer.to === undefined && transfer.from === cell);
+        if (revision === 0) {
+            return [];
+        }
+        if (isOwn && !input.hasTask(transfer) && (entry === undefined || !isCurrent(input, transfer))) {
+            return [{ before, after: undefined }];
+        }
+        if (transfer.to !== undefined || entry === undefined || !isCurrent(input, transfer)) {
+            return [];
+        }
+        const isTakenBack = transfer.from === cell
+            && now - transfer.offeredAtMilliseconds >= input.afterMilliseconds;
+        return isTakenBack || (transfer.from !== cell && hasRoom(entry))
+            ? [{ before, after: { ...transfer, to: cell } }]
+            : [];
+    });
+}
+
+/** A transfer of an earlier generation belongs to a rule that has been removed meanwhile. */
+export function isCurrent(input: Pick<IntakeInput, "findAssignment">, transfer: Transfer): boolean {
+    const assignment = input.findAssignment(transfer.rule);
+    return assignment !== undefined && assignment.removedRevision === undefined
+        && assignment.generation === transfer.generation;
+}
+
+/** Counts room by declared sizes; what waits in the cell already comes first, and each task found room for counts. */
+function createRoomCheck({ dataCentre, view }: IntakeInput): (entry: RunnableRule) => boolean {
+    const constraints = readPlacements(view.placements);
+    const quotas = createQuotas(view.quotas);
+    const live = view.workers.filter(({ state, instance }) => state === "live" && instance.state === "live");
+    const rooms = createRooms(live, ({ resources }) => declaredSize(resources));
+    for (const task of view.pending) {
+        if (place(rooms, task)) {
+            quotas.take(task.team, task.resources);
+        }
+    }
+    return ({ rule, team }) => {
+        const limits = { rule: rule.name, dataCentres: rule.dataCentres };
+        const isRefused = refuseDataCentre(constraints, limits, dataCentre) !== undefined
+            || quotas.refuse(team, rule.resources) !== undefined;
+        const task = { taskId: rule.name, rule: rule.name, kind: rule.kind, resources: rule.resources };
+        if (isRefused || !place(rooms, task)) {
+            return false;
+        }
+        quotas.take(team, rule.resources);
+        return true;
+    };
+}
+
+function place(
+    rooms: readonly WorkerRoom[],
+    task: Pick<PendingTask, "taskId" | "rule" | "kind" | "resources">,
+): boolean {
+    const size = declaredSize(task.resources);
+    const room = rooms.find(candidate => findShortage(candidate, size) === undefined);
+    if (room !== undefined) {
+        takeRoom(room, { taskId: task.taskId, rule: task.rule, kind: task.kind, resources: task.resources }, size);
+    }
+    return room !== undefined;
+}
+
+function declaredSize(resources: Resources): TaskSize {
+    return { ...resources, usedCores: resources.cores, usedMemoryBytes: resources.memoryBytes };
+}
--- a/src/scheduler/jobs/plan.ts
+++ b/src/scheduler/jobs/plan.ts
@@ -23,6 +23,8 @@
     readonly configuration: Configuration;
     readonly ledger: Ledger;
     findAssignment(rule: string): Assignment | undefined;
+    /** Another cell may still have a task of this name from an earlier generation. */
+    readonly isAway: (taskId: string, generation: number) => boolean;
     /** Running tasks that one plan may begin to stop. */
     readonly stopsAtMost: number;
 }
@@ -98,7 +100,8 @@
     for (const slot of wanted) {
         const replacements = admission === undefined ? 0 : admission.replacements + 1;
         admission = { rule: name, run: 0, generation, tasks: 0, replacements };
-        admit(ledger, toSpec(runnable), `${name}/${slot + REPLICA_STRIDE * replacements}`, now);
+        const taskId = `${name}/${slot + REPLICA_STRIDE * replacements}`;
+        admitTask(ledger, toSpec(runnable), { taskId, now, submittedAtMilliseconds: now });
         ledger.putAdmission(admission);
     }
 }
@@ -114,7 +117,7 @@
             || (generation === admission.generation && assigned.run > admission.run);
         if (isNew || isSame) {
             const from = isSame ? admission.tasks : 0;
-            const tasks = admitSlice(input, runnable, { assigned, from }, now);
+            const tasks = admitSlice(input, runnable, { assigned, generation, from }, now);
             if (tasks > from) {
                 ledger.putAdmission({ rule: name, run: assigned.run, generation, tasks, replacements: 0 });
             }
@@ -128,12 +131,14 @@
 /** Part of a run. */
 interface Slice {
     readonly assigned: AssignedRun;
+    readonly generation: number;
     /** Index of the first task that has not been looked at. */
     readonly from: number;
 }
 
 /** Admits the next tasks of this cell's share, and gives the index after the last one that was looked at. */
-function admitSlice(input: PlanInput, runnable: RunnableRule, { assigned, from }: Slice, now: number): number {
+function admitSlice(input: PlanInput, runnable: RunnableRule, slice: Slice, now: number): number {
+    const { assigned, generation, from } = slice;
     const { rule } = runnable;
     if (rule.kind !== "batch") {
         return from;
@@ -147,27 +152,40 @@
             continue;
         }
         const state = input.ledger.draft.get(taskId)?.state;
-        const isOnItsWayOut = state !== undefined && !ENDED_STATES.has(state);
+        const isOnItsWayOut = (state !== undefined && !ENDED_STATES.has(state)) || input.isAway(taskId, generation);
         if (isOnItsWayOut || admitted >= ADMISSIONS_PER_PLAN) {
             // Looked at again by the next plan.
             return index;
         }
-        admit(input.ledger, spec, taskId, now);
+        admitTask(input.ledger, spec, { taskId, now, submittedAtMilliseconds: now });
         admitted += 1;
     }
     return rule.tasks;
 }
 
-function admit(ledger: Ledger, spec: TaskSpec, taskId: string, now: number): void {
+/** A task to be admitted. */
+export interface NewTask {
+    readonly taskId: string;
+    readonly submittedAtMilliseconds: number;
+    readonly now: number;
+    /** Number of the last attempt under this name elsewhere. */
+    readonly attempt?: number;
+}
+
+/** Admits a task to the ledger's draft. */
+export function admitTask(ledger: Ledger, spec: TaskSpec, task: NewTask): void {
+    const { taskId, now, submittedAtMilliseconds } = task;
+    // Attempts of an earlier task of this name are told apart by their numbers.
+    const attempt = Math.max(ledger.draft.get(taskId)?.attempt ?? 0, task.attempt ?? 0);
     ledger.putSpec(spec);
     ledger.put({
         taskId,
         specId: spec.specId,
         state: "pending",
-        // Attempts of an earlier task of this name are told apart by their numbers.
-        attempt: ledger.draft.get(taskId)?.attempt ?? 0,
+        attempt,
+        ...(attempt === 0 ? {} : { attemptsBefore: attempt }),
         checkpointProgress: 0,
-        submittedAtMilliseconds: now,
+        submittedAtMilliseconds,
         notBeforeMilliseconds: now,
         sinceMilliseconds: now,
         failures: 0,
--- a/src/scheduler/ledger/journal.ts
+++ b/src/scheduler/ledger/journal.ts
@@ -38,6 +38,8 @@
     readonly horizonMilliseconds: number;
     /** Gives the cell up in the same write. */
     readonly release?: boolean;
+    /** Writes outside the ledger that take effect together with the commit. */
+    readonly alongside?: readonly WriteOperation[];
     readonly signal?: AbortSignal;
 }
 
@@ -125,6 +127,7 @@
                 alongside: [
                     ...compact ? dropOld(head) : [putSegment(next, commit)],
                     ...next.released ? [putClaim(next)] : [],
+                    ...commit.alongside ?? [],
                 ],
                 ...(commit.signal === undefined ? {} : { signal: commit.signal }),
             });
--- a/src/scheduler/ledger/task.ts
+++ b/src/scheduler/ledger/task.ts
@@ -29,6 +29,8 @@
     state: TaskState,
     /** Number of the last attempt; 0 before the first. */
     attempt: z.int().min(0),
+    /** Attempts of earlier tasks of this name, counted in `attempt`; absent where there were none. */
+    attemptsBefore: z.int().min(0).optional(),
     /** Worker that the last attempt holds room on; absent where it holds none. */
     worker: Name.optional(),
     /** Where the next attempt begins. */
--- a/src/scheduler/metrics.ts
+++ b/src/scheduler/metrics.ts
@@ -10,6 +10,7 @@
     readonly claims: Counter<"outcome">;
     readonly attemptsEnded: Counter<"outcome">;
     readonly decisionsRejected: Counter<"kind" | "reason">;
+    readonly transfers: Counter<"outcome">;
     readonly cellsOwned: Gauge;
 }
 
@@ -24,6 +25,11 @@
             "Decisions of the policy that were not taken in, by kind and reason",
             ["kind", "reason"],
         ),
+        transfers: metrics.counter(
+            "scheduler_transfers_total",
+            "Tasks on offer between cells, by what became of the offer",
+            ["outcome"],
+        ),
         cellsOwned: metrics.gauge("scheduler_cells_owned", "Cells that this scheduler owns"),
     };
 }
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -24,7 +24,10 @@
 import type { SchedulerEvents } from "./handlers.js";
 import type { CreditHooks } from "./hooks.js";
 import { createAssignments } from "./jobs/assignments.js";
+import { createOverflow } from "./jobs/overflow.js";
 import { sliceQuotas } from "./jobs/quota.js";
+import { createTransfers } from "./jobs/transfer.js";
+import type { Transfer } from "./jobs/transfer.js";
 import type { LiveScheduler } from "./ledger/head.js";
 import { ENDED_STATES } from "./ledger/task.js";
 import { createSchedulerMetrics } from "./metrics.js";
@@ -32,6 +35,9 @@
 import { keepPresence } from "./presence.js";
 import type { CellSettings } from "./settings.js";
 
+/** How often transfers are read within the time after which a task is given up. */
+const TRANSFER_READS_PER_OVERFLOW = 10;
+
 /** Identity of a scheduler's process. */
 export interface SchedulerIdentity {
     readonly instance: string;
@@ -98,8 +104,10 @@
     };
     const announceRoutes = () => void events.emit("routes", undefined);
     let maps: readonly CellMap[] = [];
+    let transfersReadAt = 0;
     const leaving = new AbortController();
     let isReachable = false;
+    const transfers = createTransfers(store, logger);
     const ownership = createOwnership({
         self,
         store,
@@ -121,6 +129,14 @@
                 configuration: () => options.configuration.current(),
                 quotas: (current, configuration) => sliceQuotas(configuration, current, Math.max(1, maps.length)),
                 onRoutes: announceRoutes,
+                overflow: createOverflow({
+                    cell: map.cell,
+                    ledger,
+                    transfers,
+                    afterMilliseconds: settings.overflowAfterMilliseconds,
+                    cells: () => maps,
+                    findAssignment: rule => assignments.find(rule),
+                }),
             }),
     });
     const assignments = createAssignments({
@@ -143,9 +159,38 @@
         }
     };
 
+    const refreshTransfers = async () => {
+        const isOld = clock() - transfersReadAt >= settings.overflowAfterMilliseconds / TRANSFER_READS_PER_OVERFLOW;
+        if (isOld || [...ownership.owned.values()].some(({ overflow }) => !overflow.isKnown())) {
+            transfersReadAt = clock();
+            await transfers.refresh();
+        }
+    };
+
+    /** Cells take in what others have given up; the change wakes them. */
+    const moveTasks = async () => {
+        const configuration = options.configuration.current();
+        if (configuration === undefined || transfers.list().length === 0) {
+            return;
+        }
+        for (const cell of ownership.owned.values()) {
+            const now = clock();
+            const dataCentre = maps.find(map => map.cell === cell.name)?.dataCentre ?? identity.dataCentre;
+            const actions = cell.overflow.listActions({ dataCentre, view: cell.view(now), configuration }, now);
+            await Promise.all(actions.map(async ({ before, after }) => {
+                const isDone = await transfers.replace(before, after);
+                metrics.transfers.inc({ outcome: nameOutcome(isDone, after) });
+            }));
+        }
+    };
+
     const claimCells = async (signal: AbortSignal) => {
         while (!signal.aborted) {
             isReachable = await ownership.look(signal);
+            if (isReachable) {
+                await refreshTransfers();
+                await moveTasks();
+            }
             await assignments.revise(signal);
             await pause(settings.claimIntervalMilliseconds, signal);
         }
@@ -197,3 +242,13 @@
 function countTasks(cell: Cell): number {
     return [...cell.ledger.draft.values()].filter(({ state }) => !ENDED_STATES.has(state)).length;
 }
+
+function nameOutcome(isDone: boolean, after: Transfer | undefined): string {
+    if (!isDone) {
+        return "conflict";
+    }
+    if (after === undefined) {
+        return "dropped";
+    }
+    return after.to === after.from ? "taken-back" : "taken";
+}
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -19,6 +19,7 @@
 const DEFAULT_SEGMENTS_PER_SNAPSHOT = 64;
 const DEFAULT_BACK_OFF_MILLISECONDS = 1_000;
 const DEFAULT_LONGEST_BACK_OFF_MILLISECONDS = 300_000;
+const DEFAULT_OVERFLOW_AFTER_MILLISECONDS = 30_000;
 const DEFAULT_ENDED_KEPT_MILLISECONDS = 3_600_000;
 const DEFAULT_ENDED_KEPT_AT_MOST = 200;
 
@@ -52,6 +53,8 @@
     /** First wait after a failed attempt; doubles with each further one. */
     backOffMilliseconds: z.int().min(1).default(DEFAULT_BACK_OFF_MILLISECONDS),
     longestBackOffMilliseconds: z.int().min(1).default(DEFAULT_LONGEST_BACK_OFF_MILLISECONDS),
+    /** A batch task that has never had a place moves to another cell after this time; an offer nobody takes comes back. */
+    overflowAfterMilliseconds: z.int().min(1).default(DEFAULT_OVERFLOW_AFTER_MILLISECONDS),
     /** Ended tasks stay in a cell's ledger for this long, for operators to see. */
     endedKeptMilliseconds: z.int().min(0).default(DEFAULT_ENDED_KEPT_MILLISECONDS),
     /** Ended tasks that stay in a cell's ledger at most. */
