--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -7,10 +7,12 @@
 import type { Clock } from "../../core/time.js";
 import type { WorkerControl } from "../../platform/worker.js";
 import type { AttemptEnd, Policy, QuotaSlice } from "../../policy/policy.js";
-import type { Configuration, PlacementRule } from "../../rules/rule.js";
+import type { Configuration } from "../../rules/rule.js";
 import type { CellMap } from "../cells.js";
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
+import type { Overflow } from "../jobs/overflow.js";
+import { listPlacements } from "../jobs/spec.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -50,6 +52,7 @@
     readonly logger: Logger;
     configuration(): Configuration | undefined;
     readonly assignments: Pick<Assignments, "find" | "version">;
+    readonly overflow: Overflow;
     quotas(ledger: Ledger, configuration: Configuration): readonly QuotaSlice[];
     /** Routes of the cell have changed. */
     onRoutes(): void;
@@ -62,6 +65,7 @@
     readonly ledger: Ledger;
     readonly links: ReadonlyMap<string, WorkerLink>;
     readonly policy: Policy;
+    readonly overflow: Overflow;
     epoch(): number;
     /** Until when leases may be renewed without the store. */
     horizonMilliseconds(): number;
@@ -77,7 +81,7 @@
 
 /** Creates the owner's side of a claimed cell. */
 export function createCell(options: CellOptions): Cell {
-    const { settings, ledger, journal, clock, policy } = options;
+    const { settings, ledger, journal, clock, policy, overflow } = options;
     const name = options.map.cell;
     const takenAt = clock();
     const routes = createRouteTable(name, journal.head().epoch);
@@ -120,7 +124,7 @@
         cell: name,
         ledger,
         links,
-        placements: placementsOf(configuration),
+        placements: configuration === undefined ? [] : listPlacements(configuration, clock()),
         quotas: configuration === undefined ? [] : options.quotas(ledger, configuration),
         silentAfterMilliseconds: silenceLimit(settings),
     });
@@ -154,6 +158,7 @@
                 settings,
                 configuration,
                 findAssignment: options.assignments.find,
+                overflow,
                 policy,
                 metrics: options.metrics,
                 buildView: at => buildView(viewInput(), at),
@@ -162,14 +167,15 @@
         }
         if (now >= sweepAt) {
             sweepAt = now + SWEEP_INTERVAL_MILLISECONDS;
-            forgetEnded(ledger, settings, now);
+            forgetEnded(ledger, settings, now, overflow.isBound);
         }
     };
 
     const commit = async (): Promise<Failure | undefined> => {
         const now = clock();
         const renewHorizon = now > journal.head().horizonMilliseconds - settings.horizonMilliseconds * 2 / 3;
-        if (!ledger.hasChanges() && !renewHorizon && !releasing) {
+        const alongside = overflow.writes();
+        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !releasing) {
             return undefined;
         }
         const { workers } = ledger.changes();
@@ -178,12 +184,14 @@
             now,
             horizonMilliseconds: settings.horizonMilliseconds,
             release: releasing,
+            alongside,
             signal: ended.signal,
         });
         options.metrics.commits.inc({ outcome: committed.isOk ? "committed" : committed.error.code });
         if (committed.isErr) {
             return committed.error;
         }
+        overflow.markCommitted();
         publish();
         workers.forEach(worker => crew.wake(worker));
         return undefined;
@@ -201,7 +209,9 @@
         const now = clock();
         observe(now);
         commands.carryOut(ledger, now);
-        const version = `${options.assignments.version()}/${options.configuration()?.revision ?? 0}`;
+        const version = `${options.assignments.version()}/${overflow.version()}/${
+            options.configuration()?.revision ?? 0
+        }`;
         if (!releasing && pace.isDue({ now, isBusy: ledger.hasChanges(), version })) {
             decide(now);
         }
@@ -228,6 +238,7 @@
         ledger,
         links,
         policy,
+        overflow,
         epoch: () => journal.head().epoch,
         horizonMilliseconds: () => journal.head().horizonMilliseconds,
         view: now => buildView(viewInput(), now),
@@ -262,9 +273,3 @@
         },
     };
 }
-
-function placementsOf(configuration: Configuration | undefined): PlacementRule[] {
-    return configuration?.documents.flatMap(document =>
-        document.rules.flatMap(rule => rule.kind === "allow" || rule.kind === "deny" ? [rule] : [])
-    ) ?? [];
-}
--- a/src/scheduler/cell/planning.ts
+++ b/src/scheduler/cell/planning.ts
@@ -5,6 +5,7 @@
 import type { CellView, Policy } from "../../policy/policy.js";
 import type { Configuration } from "../../rules/rule.js";
 import type { Assignments } from "../jobs/assignments.js";
+import type { Overflow } from "../jobs/overflow.js";
 import { planCell } from "../jobs/plan.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -27,6 +28,7 @@
     readonly settings: CellSettings;
     readonly configuration: Configuration;
     readonly findAssignment: Assignments["find"];
+    readonly overflow: Overflow;
     readonly policy: Policy;
     readonly metrics: SchedulerMetrics;
     buildView(now: number): CellView;
@@ -34,8 +36,16 @@
 
 /** Plans and decides; true where tasks wait for a place or a worker is silent, so that time alone changes something. */
 export function planAndDecide(input: PlanningInput, now: number): boolean {
-    const { cell, ledger, links, configuration, findAssignment, metrics, policy, settings } = input;
-    planCell({ cell, configuration, ledger, findAssignment, stopsAtMost: settings.stopsPerInterval }, now);
+    const { ledger, links, configuration, metrics, overflow, policy, settings } = input;
+    planCell({
+        cell: input.cell,
+        configuration,
+        ledger,
+        findAssignment: input.findAssignment,
+        isAway: overflow.isAway,
+        stopsAtMost: settings.stopsPerInterval,
+    }, now);
+    overflow.plan(configuration, now);
     delayReplacements(ledger, settings, now);
     moveOffWorkers(input, now);
     const view = input.buildView(now);
