A burst after an idle time is not refused for want of connections

The wait ahead was reckoned from the requests under way, and a burst after an idle time finds almost none, as connections are closed and their credits are given back; 900 waiting requests over 1 place seemed hopeless.

Change: the number under way at once lately, which fades slowly, is taken as the number of places. Requests still expire in the queue where credits do not come. An unused method of the selector goes.

--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -38,6 +38,12 @@
         Then some of them are answered, and some are refused as "queue-full"
         And nothing that was refused as not run had arrived
 
+    Scenario: A burst after an idle time waits for connections instead of being refused
+        Given a service whose only replica needs 100 ms for each request
+        And 64 callers have called at once before, and all connections have been closed since
+        When 300 callers call at once and wait at most 20000 ms
+        Then all of them are answered
+
     Scenario: A certificate is read again when it changes
         Given a gateway that speaks TLS with the "first" certificate
         Then callers see the "first" certificate
--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -23,6 +23,8 @@
 const CHECK_MILLISECONDS = 20;
 const CHECKS_WAITED = 5;
 const LEARNING_CALLS = 40;
+const IDLE_MILLISECONDS = 50;
+const STEP_LIMIT_MILLISECONDS = 60_000;
 
 interface LimitsWorld extends RequestWorld {
     sockets: Socket[];
@@ -109,6 +111,32 @@
     },
 );
 
+Given("a service whose only replica needs {int} ms for each request", async function(
+    this: LimitsWorld,
+    milliseconds: number,
+) {
+    this.sockets = [];
+    await startService(this, { replicas: 1, settings: { idleMilliseconds: IDLE_MILLISECONDS } });
+    this.upstreams[0]?.behave((request, socket) => {
+        void pause(milliseconds).then(() => answerWhole(request, socket));
+    });
+});
+
+Given(
+    "{int} callers have called at once before, and all connections have been closed since",
+    async function(this: LimitsWorld, count: number) {
+        const { origin } = firstGateway(this);
+        const calls = Array.from({ length: count }, () => call(`${origin}/beacon-check/before`, { body: "x" }));
+        assert.ok((await Promise.all(calls)).every(({ status }) => status === 200));
+        await waitUntil("no connection is open", () => this.upstreams[0]?.connections() === 0);
+    },
+);
+
+Then("all of them are answered", function(this: LimitsWorld) {
+    const others = this.answers.filter(({ status }) => status !== 200);
+    assert.deepEqual(others.map(({ reason }) => reason), []);
+});
+
 When(/^a caller sends ((?:a|something) .*)$/, async function(this: LimitsWorld, what: string) {
     const socket = sendRaw(this, what);
     const chunks: Buffer[] = [];
@@ -177,6 +205,7 @@
 
 When(
     "{int} callers call at once and wait at most {int} ms",
+    { timeout: STEP_LIMIT_MILLISECONDS },
     async function(this: LimitsWorld, count: number, deadline: number) {
         const headers = { "flamingowell-deadline": String(deadline) };
         const { origin } = firstGateway(this);
--- a/src/gateway/admission/selector.ts
+++ b/src/gateway/admission/selector.ts
@@ -18,6 +18,8 @@
 import type { UpstreamPool } from "../upstream/pool.js";
 import { createConcurrencyLimit } from "./limit.js";
 import type { ConcurrencyLimit } from "./limit.js";
+import { createRecentPlaces } from "./places.js";
+import type { RecentPlaces } from "./places.js";
 import { createWaitQueue } from "./queue.js";
 import type { WaitQueue } from "./queue.js";
 
@@ -53,7 +55,6 @@
     waiting(): number;
     /** Connections that waiting requests want on a worker. */
     demand(worker: string): number;
-    inFlight(): number;
 }
 
 /** Options of the selector. */
@@ -72,6 +73,7 @@
 interface ServiceState {
     readonly limit: ConcurrencyLimit;
     readonly queue: WaitQueue;
+    readonly places: RecentPlaces;
     inFlight: number;
     outliers: ReadonlySet<Route>;
 }
@@ -175,6 +177,7 @@
         this.health = new Map([...this.health].filter(([name, { inFlight }]) => names.has(name) || inFlight > 0));
         for (const [service, state] of this.services) {
             state.queue.expire(now, this.neededTime(state));
+            state.places.fade();
             const own = routes.filter(route => route.service === service && route.state === "serving");
             const mean = state.limit.meanLatencyMilliseconds();
             own.forEach(route => fadeHealth(this.healthOf(route), mean));
@@ -201,16 +204,13 @@
         return Math.ceil(demand);
     }
 
-    inFlight(): number {
-        return [...this.services.values()].reduce((sum, state) => sum + state.inFlight, 0);
-    }
-
     private findService(service: string): ServiceState {
         let state = this.services.get(service);
         if (state === undefined) {
             state = {
                 limit: createConcurrencyLimit(this.options.settings),
                 queue: createWaitQueue(),
+                places: createRecentPlaces(),
                 inFlight: 0,
                 outliers: new Set(),
             };
@@ -250,6 +250,7 @@
             return "no-place";
         }
         state.inFlight += 1;
+        state.places.observe(state.inFlight);
         this.healthOf(route).inFlight += 1;
         return { route, connection, startedAtMilliseconds: now };
     }
@@ -264,7 +265,7 @@
 
     /** Expects the wait from the requests ahead, the places, and the mean time that one is taken. */
     private isHopeless(wanted: Wanted, state: ServiceState, now: number): boolean {
-        const places = Math.max(1, Math.min(state.limit.current(), state.inFlight));
+        const places = Math.min(state.limit.current(), state.places.current());
         const rounds = state.queue.lengthBefore(wanted.priority) / places;
         const expected = rounds * state.limit.meanLatencyMilliseconds();
         return now + expected + this.neededTime(state) > wanted.deadlineMilliseconds;
