--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -41,7 +41,7 @@
     Scenario: A burst after an idle time waits for connections instead of being refused
         Given a service whose only replica needs 100 ms for each request
         And 64 callers have called at once before, and all connections have been closed since
-        When 300 callers call at once and wait at most 20000 ms
+        When 500 callers call at once and wait at most 40000 ms
         Then all of them are answered
 
     Scenario: A certificate is read again when it changes
