state verify finds gaps in a ledger, tasks that stand twice, and runs that would be admitted again

Cause: a segment missing from the store was not noticed at all, a task that stood twice in one cell was, but blamed on another cell, and progress without its checkpoint or a run that is not noted as admitted passed. Change: the export says which segments and chunks it found; verify compares them with the head, and checks admissions, attempts and checkpoints. A task without its spec is reported as such only, no more as one without a rule. Exports of before lack the new fields and have to be taken again. Left: an owner that takes a cell over does not refuse a log with a gap.

--- a/src/scheduler/queries/export.ts
+++ b/src/scheduler/queries/export.ts
@@ -8,7 +8,7 @@
 import type { StoredRecord } from "../../platform/commit.js";
 import type { KeyValue, Store } from "../../platform/store.js";
 import { Assignment, ASSIGNMENTS_PREFIX } from "../jobs/assignment.js";
-import { Head, HEADS_PREFIX } from "../ledger/head.js";
+import { Head, HEADS_PREFIX, segmentsPrefix, snapshotPrefix } from "../ledger/head.js";
 import { loadLedger, readHead } from "../ledger/journal.js";
 import { Admission, Drain, Task, TaskSpec } from "../ledger/task.js";
 
@@ -22,6 +22,10 @@
     specs: z.array(TaskSpec),
     admissions: z.array(Admission),
     drains: z.array(Drain),
+    /** Numbers of the log segments that were in the store; the head tells which should be. */
+    segments: z.array(z.int()),
+    /** Number of the snapshot's chunks that were in the store. */
+    chunks: z.int().min(0),
 });
 export type ExportedCell = z.infer<typeof ExportedCell>;
 
@@ -65,6 +69,7 @@
     triesLeft: number,
 ): Promise<Result<ExportedCell, Failure>> {
     const ledger = await loadLedger(store, record.body);
+    const stored = await listStored(store, record.body);
     const after = await readHead(store, record.body.cell);
     if (after.isErr) {
         return Result.err(after.error);
@@ -72,15 +77,32 @@
     if (after.value !== undefined && after.value.revision !== record.revision && triesLeft > 1) {
         return exportCell(store, after.value, triesLeft - 1);
     }
-    return ledger.map(loaded => ({
+    return stored.andThen(found => ledger.map(loaded => ({ found, loaded }))).map(({ found, loaded }) => ({
         head: record.body,
         tasks: [...loaded.committed.values()],
         specs: [...loaded.specs.values()],
         admissions: [...loaded.admissions.values()],
         drains: [...loaded.drains.values()],
+        ...found,
     }));
 }
 
+/** Lists what there is of the log and the snapshot. */
+async function listStored(
+    store: Store,
+    { cell, snapshotSequence }: Head,
+): Promise<Result<Pick<ExportedCell, "segments" | "chunks">, Failure>> {
+    const prefix = segmentsPrefix(cell);
+    const segments = await store.read({ key: prefix, prefix: true, keysOnly: true });
+    const chunks = await store.read({ key: snapshotPrefix(cell, snapshotSequence), prefix: true, keysOnly: true });
+    return segments.andThen(log =>
+        chunks.map(snapshot => ({
+            segments: log.entries.map(({ key }) => Number(key.slice(prefix.length))),
+            chunks: snapshot.entries.length,
+        }))
+    );
+}
+
 interface PrefixRecords<Body> {
     readonly revision: number;
     readonly records: StoredRecord<Body>[];
--- a/src/scheduler/queries/verify.ts
+++ b/src/scheduler/queries/verify.ts
@@ -4,12 +4,19 @@
 import { z } from "zod";
 import type { WorkerInstance } from "../../platform/instances.js";
 import type { Configuration } from "../../rules/rule.js";
-import { ENDED_STATES, HOLDING_STATES, WAITING_STATES } from "../ledger/task.js";
+import { ENDED_STATES, HOLDING_STATES } from "../ledger/task.js";
 import type { Task, TaskSpec } from "../ledger/task.js";
 import type { ExportedCell, ExportedState } from "./export.js";
 
 /** The invariants that are checked. */
-export const Invariant = z.enum(["capacity", "one-place", "resume-once", "no-job-without-rule", "ledger-whole"]);
+export const Invariant = z.enum([
+    "capacity",
+    "one-place",
+    "resume-once",
+    "admitted-once",
+    "no-job-without-rule",
+    "ledger-whole",
+]);
 export type Invariant = z.infer<typeof Invariant>;
 
 /** An invariant that does not hold. */
@@ -45,34 +52,55 @@
         tasks: tasks.length,
         placed: tasks.filter(({ state }) => HOLDING_STATES.has(state)).length,
         violations: [
+            ...input.state.cells.flatMap(checkSegments),
             ...input.state.cells.flatMap(checkWhole),
             ...checkOnePlace(input.state.cells),
             ...input.state.cells.flatMap(checkResumption),
+            ...input.state.cells.flatMap(checkAdmissions),
             ...input.workers === undefined ? [] : checkCapacity(input.state.cells, input.workers),
             ...input.configuration === undefined ? [] : checkRules(input.state.cells, input.configuration),
         ],
     };
 }
 
-/** Each task has its spec, and a worker exactly where it holds room. */
+/** The snapshot is whole, and the log goes on without a gap from there to the newest commit. */
+function checkSegments({ head, segments, chunks }: ExportedCell): Violation[] {
+    const present = new Set(segments);
+    const missing: number[] = [];
+    for (let sequence = head.snapshotSequence + 1; sequence <= head.sequence; sequence += 1) {
+        if (!present.has(sequence)) {
+            missing.push(sequence);
+        }
+    }
+    const isShort = head.snapshotSequence > 0 && chunks < head.snapshotChunks;
+    const faults = [
+        missing.length === 0 ? "" : `segments ${missing.join(", ")} of its log are missing`,
+        isShort ? `${chunks} of ${head.snapshotChunks} chunks of its snapshot are there` : "",
+    ];
+    return toViolations("ledger-whole", head.cell, head.cell, faults);
+}
+
+/** Each task has its spec, a worker exactly where it holds room, and an attempt where it has a worker. */
 function checkWhole({ head, tasks, specs }: ExportedCell): Violation[] {
     const known = new Set(specs.map(({ specId }) => specId));
     return tasks.flatMap(task => {
-        const violation = (message: string): Violation => ({
-            invariant: "ledger-whole",
-            cell: head.cell,
-            subject: task.taskId,
-            message,
-        });
-        return [
-            ...known.has(task.specId) ? [] : [violation(`its spec ${task.specId} is not in the ledger`)],
-            ...HOLDING_STATES.has(task.state) === (task.worker !== undefined)
-                ? []
-                : [violation(`state ${task.state} does not fit worker ${task.worker ?? "none"}`)],
+        const isHeld = HOLDING_STATES.has(task.state);
+        const faults = [
+            known.has(task.specId) ? "" : `its spec ${task.specId} is not in the ledger`,
+            isHeld === (task.worker !== undefined)
+                ? ""
+                : `state ${task.state} does not fit worker ${task.worker ?? "none"}`,
+            isHeld && task.attempt === 0 ? `state ${task.state} without an attempt` : "",
+            task.sinceMilliseconds < task.submittedAtMilliseconds ? "in its state since before it was submitted" : "",
         ];
+        return toViolations("ledger-whole", head.cell, task.taskId, faults);
     });
 }
 
+function toViolations(invariant: Invariant, cell: string, subject: string, faults: readonly string[]): Violation[] {
+    return faults.filter(message => message !== "").map(message => ({ invariant, cell, subject, message }));
+}
+
 function checkOnePlace(cells: readonly ExportedCell[]): Violation[] {
     const places = new Map<string, string>();
     const violations: Violation[] = [];
@@ -83,7 +111,7 @@
                 continue;
             }
             if (other !== undefined) {
-                const message = `also in the ledger of ${other}`;
+                const message = other === head.cell ? "twice in its ledger" : `also in the ledger of ${other}`;
                 violations.push({ invariant: "one-place", cell: head.cell, subject: taskId, message });
             }
             places.set(taskId, head.cell);
@@ -92,16 +120,41 @@
     return violations;
 }
 
-/** An evicted task waits with the checkpoint that its next attempt begins from, and has run before. */
+/** An evicted task waits with the checkpoint that its next attempt begins from; nothing that has ended has one. */
 function checkResumption({ head, tasks }: ExportedCell): Violation[] {
-    return tasks
-        .filter(task => WAITING_STATES.has(task.state) && task.checkpoint !== undefined && task.attempt === 0)
-        .map(task => ({
-            invariant: "resume-once" as const,
-            cell: head.cell,
-            subject: task.taskId,
-            message: "has a checkpoint, but no attempt was ever made",
-        }));
+    return tasks.flatMap(task => {
+        const hasCheckpoint = task.checkpoint !== undefined;
+        const faults = [
+            hasCheckpoint && task.attempt === 0 ? "has a checkpoint, but no attempt was ever made" : "",
+            task.state === "evicted" && task.attempt === 0 ? "evicted, but no attempt was ever made" : "",
+            hasCheckpoint && ENDED_STATES.has(task.state) ? `${task.state}, but has a checkpoint to resume from` : "",
+            !hasCheckpoint && !ENDED_STATES.has(task.state) && task.checkpointProgress > 0
+                ? "its progress is kept, but not the checkpoint"
+                : "",
+        ];
+        return toViolations("resume-once", head.cell, task.taskId, faults);
+    });
+}
+
+/** A task of a run that the cell has not noted as admitted would be admitted, and run, a second time. */
+function checkAdmissions({ head, tasks, specs, admissions }: ExportedCell): Violation[] {
+    const ruleOf = new Map(specs.map(({ specId, rule }) => [specId, rule]));
+    const admitted = new Map(admissions.map(admission => [admission.rule, admission]));
+    return tasks.filter(({ state }) => !ENDED_STATES.has(state)).flatMap(task => {
+        const rule = ruleOf.get(task.specId);
+        const admission = admitted.get(rule ?? "");
+        const run = readRun(task.taskId);
+        const faults = [
+            rule !== undefined && admission === undefined ? `rule ${rule} is not noted as admitted` : "",
+            admission !== undefined && run > admission.run ? `run ${run} is not noted as admitted` : "",
+        ];
+        return toViolations("admitted-once", head.cell, task.taskId, faults);
+    });
+}
+
+/** Run of a batch task, `RULE@RUN/INDEX`; 0 for tasks that run once and for replicas. */
+function readRun(taskId: string): number {
+    return Number(/@(\d+)\//.exec(taskId)?.[1] ?? 0);
 }
 
 function checkCapacity(cells: readonly ExportedCell[], workers: readonly WorkerInstance[]): Violation[] {
@@ -139,13 +192,12 @@
         return tasks
             // A task that is being stopped is on its way out.
             .filter(task => !ENDED_STATES.has(task.state) && task.state !== "stopping")
-            .filter(task => !rules.has(ruleOf.get(task.specId) ?? ""))
-            .map(task => ({
-                invariant: "no-job-without-rule" as const,
-                cell: head.cell,
-                subject: task.taskId,
-                message: `no rule ${ruleOf.get(task.specId) ?? "of its name"} exists`,
-            }));
+            .flatMap(task => {
+                const rule = ruleOf.get(task.specId);
+                const isOrphan = rule !== undefined && !rules.has(rule);
+                const faults = [isOrphan ? `no rule ${rule} exists` : ""];
+                return toViolations("no-job-without-rule", head.cell, task.taskId, faults);
+            });
     });
 }
 
