Slices of quotas follow the work that waits

Cause: each cell had an equal share of a team's quota, so a team whose work waited in one data centre could use a part of its quota only; the share also followed each scheduler's own count of cells.

Change: one record of shares per team, changed by compare-and-swap; a short cell raises its share from what is free and notes its want, a cell with more than it needs lowers its own, fenced by the head of its ledger.

Shown failing in the built code: a share lowered below what is held fails the property; a share of the whole for each cell lets 8 tasks run where 4 may; equal shares leave 4 tasks waiting in vain.

--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -5,6 +5,7 @@
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
 import type { Clock } from "../../core/time.js";
+import type { Comparison } from "../../platform/store.js";
 import type { WorkerControl } from "../../platform/worker.js";
 import type { AttemptEnd, Policy, QuotaSlice } from "../../policy/policy.js";
 import type { Configuration } from "../../rules/rule.js";
@@ -73,6 +74,8 @@
     readonly policy: Policy;
     readonly overflow: Overflow;
     epoch(): number;
+    /** Holds in the store as long as this process owns the cell and commits nothing more. */
+    readonly fence: () => Comparison;
     /** Until when leases may be renewed without the store. */
     horizonMilliseconds(): number;
     view(now: number): ReturnType<typeof buildView>;
@@ -282,6 +285,7 @@
         links,
         policy,
         overflow,
+        fence: () => journal.fence(),
         epoch: () => journal.head().epoch,
         horizonMilliseconds: () => journal.head().horizonMilliseconds,
         view: now => buildView(viewInput(), now),
--- a/src/scheduler/ledger/journal.ts
+++ b/src/scheduler/ledger/journal.ts
@@ -10,7 +10,7 @@
 import { parseJson } from "../../core/parse.js";
 import { commitRecord, readRecord } from "../../platform/commit.js";
 import type { StoredRecord } from "../../platform/commit.js";
-import type { KeyValue, Store, WriteOperation } from "../../platform/store.js";
+import type { Comparison, KeyValue, Store, WriteOperation } from "../../platform/store.js";
 import { Head, keyOfClaim, keyOfHead, keyOfSegment, Segment, segmentsPrefix, snapshotPrefix } from "./head.js";
 import type { Holder } from "./head.js";
 import { createLedger } from "./ledger.js";
@@ -24,6 +24,8 @@
 /** Journal of an owned cell. */
 export interface Journal {
     head(): Head;
+    /** Holds as long as nobody has replaced the head since the last commit. */
+    fence(): Comparison;
     /**
      * Commits the draft's changes. Codes: `conflict` (the cell has another owner, nothing was written), `unavailable`,
      * `refused` (nothing was written) or `ambiguous` (aborted before the outcome was known).
@@ -105,6 +107,12 @@
     let headRevision = claimedRevision;
     return {
         head: () => head,
+        fence: () => ({
+            key: keyOfHead(options.cell),
+            target: "modRevision",
+            relation: "equal",
+            value: headRevision,
+        }),
         async commit(commit) {
             const compact = head.sequence + 1 - head.snapshotSequence > options.segmentsPerSnapshot;
             let next: Head = {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -24,8 +24,10 @@
 import type { SchedulerEvents } from "./handlers.js";
 import type { CreditHooks } from "./hooks.js";
 import { createAssignments } from "./jobs/assignments.js";
+import { createBalance } from "./jobs/balance.js";
+import type { CellBalance } from "./jobs/balance.js";
 import { createOverflow } from "./jobs/overflow.js";
-import { sliceQuotas } from "./jobs/quota.js";
+import { listQuotas, measureNeed, sliceQuotas } from "./jobs/quota.js";
 import { createTransfers } from "./jobs/transfer.js";
 import type { Transfer } from "./jobs/transfer.js";
 import type { LiveScheduler } from "./ledger/head.js";
@@ -108,6 +110,8 @@
     const leaving = new AbortController();
     let isReachable = false;
     const transfers = createTransfers(store, logger);
+    const balance = createBalance(store, logger);
+    const shares = new Map<string, CellBalance>();
     const ownership = createOwnership({
         self,
         store,
@@ -116,8 +120,9 @@
         metrics,
         logger,
         onChange: announceRoutes,
-        createCell: (map, journal, ledger) =>
-            createCell({
+        createCell: (map, journal, ledger) => {
+            shares.set(map.cell, balance.join(map.cell));
+            return createCell({
                 ...options,
                 map,
                 journal,
@@ -127,7 +132,8 @@
                 metrics,
                 assignments,
                 configuration: () => options.configuration.current(),
-                quotas: (current, configuration) => sliceQuotas(configuration, current, Math.max(1, maps.length)),
+                quotas: (current, configuration) =>
+                    sliceQuotas(configuration, current, team => shares.get(map.cell)?.share(team) ?? 0),
                 onRoutes: announceRoutes,
                 overflow: createOverflow({
                     cell: map.cell,
@@ -137,7 +143,8 @@
                     cells: () => maps,
                     findAssignment: rule => assignments.find(rule),
                 }),
-            }),
+            });
+        },
     });
     const assignments = createAssignments({
         store,
@@ -184,12 +191,31 @@
         }
     };
 
+    /** Shares of quotas follow the work that waits; costs nothing where no team has a quota. */
+    const balanceQuotas = async () => {
+        const configuration = options.configuration.current();
+        if (configuration === undefined || listQuotas(configuration).length === 0) {
+            return;
+        }
+        await balance.refresh();
+        for (const cell of ownership.owned.values()) {
+            for (const quota of listQuotas(configuration)) {
+                await shares.get(cell.name)?.revise(quota.name, {
+                    cells: maps.map(map => map.cell),
+                    measure: () => measureNeed(quota, cell.ledger),
+                    fence: cell.fence,
+                });
+            }
+        }
+    };
+
     const claimCells = async (signal: AbortSignal) => {
         while (!signal.aborted) {
             isReachable = await ownership.look(signal);
             if (isReachable) {
                 await refreshTransfers();
                 await moveTasks();
+                await balanceQuotas();
             }
             await assignments.revise(signal);
             await pause(settings.claimIntervalMilliseconds, signal);
