--- a/features/client/client.feature
+++ b/features/client/client.feature
@@ -96,6 +96,9 @@
             | jobs --state waiting            | 2    | use one of                                    |
             | status --gateway http://[::1]:1 | 1    | ECONNREFUSED                                  |
             | completion tcsh                 | 2    | use bash, zsh or fish                         |
+            | rules apply rental-desk.rules --base two | 2 | --base two: use a whole number from 0   |
+            | rules ending --days -1          | 2    | --days                                        |
+            | status --gateway entry-1:7002   | 2    | use http://ADDRESS:PORT                       |
 
     Scenario: Every command explains itself
         Then every command prints its usage and all of its options with --help
--- a/src/client/apply.ts
+++ b/src/client/apply.ts
@@ -22,6 +22,7 @@
 /** The option that says how long the spread of an apply is followed. */
 export const spreadWaitOption = {
     type: "string",
+    number: true,
     help: `seconds to follow the spread (default ${DEFAULT_SPREAD_WAIT_SECONDS}; 0: don't)`,
 } as const;
 
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -5,6 +5,7 @@
 import { Result } from "true-myth/result";
 import { createFailure, describeThrown, formatFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
+import { parseAll } from "../core/parse.js";
 import { createRpcClient } from "../core/rpc.js";
 import type { RpcCallOptions } from "../core/rpc.js";
 import { loadSettings } from "../core/settings.js";
@@ -62,6 +63,11 @@
         options.note(`${wrong}; see flamingowell ${command.name} --help`);
         return exitCodes.usage;
     }
+    const badNumber = checkNumbers(command, parsed.values);
+    if (badNumber !== undefined) {
+        options.note(badNumber);
+        return exitCodes.usage;
+    }
     const settings = await readSettings(parsed.values);
     if (settings.isErr) {
         settings.error.forEach(failure => options.note(formatFailure(failure)));
@@ -119,17 +125,26 @@
     return surplus === undefined ? undefined : `unexpected argument ${surplus}`;
 }
 
+function checkNumbers(command: Command, values: OptionValues): string | undefined {
+    const bad = Object.entries(command.options).find(([name, option]) => {
+        const value = values[name];
+        return option.number === true && typeof value === "string" && !/^\d{1,15}$/.test(value);
+    });
+    return bad === undefined ? undefined : `--${bad[0]} ${String(values[bad[0]])}: use a whole number from 0`;
+}
+
 async function readSettings(values: OptionValues): Promise<Result<ClientSettings, Failure[]>> {
     const file = values["settings"];
     const loaded = typeof file === "string"
         ? await loadSettings(file, ClientSettings)
         : Result.ok<ClientSettings, Failure[]>(ClientSettings.parse({}));
-    return loaded.map(settings => ({
+    const merged = loaded.map(settings => ({
         ...settings,
         ...(typeof values["gateway"] === "string" ? { gateways: values["gateway"].split(",") } : {}),
         ...(typeof values["token"] === "string" ? { token: values["token"] } : {}),
         ...(typeof values["by"] === "string" ? { by: values["by"] } : {}),
     }));
+    return merged.andThen(settings => parseAll(ClientSettings, settings, "options"));
 }
 
 function createContext(
--- a/src/client/command.ts
+++ b/src/client/command.ts
@@ -38,6 +38,8 @@
 /** An option with its line of help. */
 export interface CommandOption {
     readonly type: "string" | "boolean";
+    /** The text has to be a whole number from 0. */
+    readonly number?: true;
     readonly help: string;
 }
 
--- a/src/client/commands/cancel.ts
+++ b/src/client/commands/cancel.ts
@@ -22,6 +22,7 @@
     options: {
         wait: {
             type: "string",
+            number: true,
             help: `seconds to follow until it has ended (default ${DEFAULT_WAIT_SECONDS}; 0: don't)`,
         },
     },
--- a/src/client/commands/retire.ts
+++ b/src/client/commands/retire.ts
@@ -4,6 +4,7 @@
 import { randomUUID } from "node:crypto";
 import { applyRules, listTasks, showRules } from "../../operator/messages.js";
 import { printRule } from "../../rules/print.js";
+import type { TeamRule } from "../../rules/rule.js";
 import { callUntilSettled, reportApplied, spreadWaitOption } from "../apply.js";
 import type { Command, CommandContext } from "../command.js";
 import { textOption } from "../command.js";
@@ -11,7 +12,6 @@
 import type { ExitCode } from "../exit.js";
 import { reportFailure, reportReadFailure } from "../report.js";
 import { readAllRules } from "../rules.js";
-import type { TeamRule } from "../rules.js";
 import { followEnd } from "./cancel.js";
 
 export const retire: Command = {
--- a/src/client/commands/rules-apply.ts
+++ b/src/client/commands/rules-apply.ts
@@ -16,7 +16,11 @@
     positionals: ["FILE"],
     options: {
         team: { type: "string", help: "team whose rules these are; by default the file's name" },
-        base: { type: "string", help: "revision that the file was made from; by default the one in force" },
+        base: {
+            type: "string",
+            number: true,
+            help: "revision that the file was made from; by default the one in force",
+        },
         wait: spreadWaitOption,
     },
     summary: "put a rules file in force, whole or not at all",
@@ -45,7 +49,7 @@
 
 async function findBase(context: CommandContext, team: string, text: string): Promise<Result<number, Failure>> {
     const given = textOption(context, "base");
-    if (given !== undefined && /^\d+$/.test(given)) {
+    if (given !== undefined) {
         return Result.ok(Number(given));
     }
     const plan = await context.call(planRules, { team, text });
--- a/src/client/help.ts
+++ b/src/client/help.ts
@@ -73,8 +73,8 @@
 }
 
 function formatOptions(options: Command["options"]): string[] {
-    const entries = Object.entries(options).map(([name, { type, help }]) => ({
-        usage: type === "string" ? `--${name} VALUE` : `--${name}`,
+    const entries = Object.entries(options).map(([name, { type, number, help }]) => ({
+        usage: type === "boolean" ? `--${name}` : `--${name} ${number === true ? "N" : "VALUE"}`,
         help,
     }));
     const width = Math.max(0, ...entries.map(({ usage }) => usage.length));
--- a/src/client/queries/explain.ts
+++ b/src/client/queries/explain.ts
@@ -4,12 +4,12 @@
 import type { z } from "zod";
 import { explainTasks, listTasks } from "../../operator/messages.js";
 import { printRule } from "../../rules/print.js";
+import type { TeamRule } from "../../rules/rule.js";
 import type { Command, CommandContext } from "../command.js";
 import { exitCodes } from "../exit.js";
 import type { ExitCode } from "../exit.js";
 import { reportReadFailure, reportSilent } from "../report.js";
 import { describeEnd, listRetired, readAllRules } from "../rules.js";
-import type { TeamRule } from "../rules.js";
 
 type Explanation = z.output<typeof explainTasks.answer>;
 
--- a/src/client/queries/who.ts
+++ b/src/client/queries/who.ts
@@ -1,11 +1,11 @@
 /**
  * `who`: tells whom to ask about a rule, a feature or a team.
  */
+import type { TeamRule } from "../../rules/rule.js";
 import type { Command } from "../command.js";
 import { exitCodes } from "../exit.js";
 import { printRows, reportReadFailure } from "../report.js";
 import { describeEnd, readAllRules } from "../rules.js";
-import type { TeamRule } from "../rules.js";
 import type { Column } from "../table.js";
 
 const columns: readonly Column<TeamRule>[] = [
--- a/src/client/rules.ts
+++ b/src/client/rules.ts
@@ -5,16 +5,10 @@
 import type { Failure } from "../core/errors.js";
 import { showRules } from "../operator/messages.js";
 import { safeParseRules } from "../rules/parse.js";
-import type { Rule } from "../rules/rule.js";
+import type { Rule, TeamRule } from "../rules/rule.js";
 import { printUntil } from "../rules/words.js";
 import type { CommandContext } from "./command.js";
 
-/** A rule with the team that it belongs to. */
-export interface TeamRule {
-    readonly team: string;
-    readonly rule: Rule;
-}
-
 /** Reads the rules of all teams. */
 export async function readAllRules(context: CommandContext): Promise<Result<TeamRule[], Failure>> {
     const shown = await context.call(showRules, {});
@@ -26,12 +20,12 @@
     );
 }
 
-/** Tells in words when a rule ends. */
+/** Tells in words when a rule ends; a date holds to the end of its day, UTC. */
 export function describeEnd({ end }: Rule): string {
     const parts = [
-        end.untilMilliseconds === undefined ? "" : `until ${printUntil(end.untilMilliseconds)}`,
+        end.untilMilliseconds === undefined ? "" : `after ${printUntil(end.untilMilliseconds)}`,
         end.feature === undefined ? "" : `with feature ${end.feature}`,
-        end.runs === undefined ? "" : `after ${end.runs} runs`,
+        end.runs === undefined ? "" : `after ${end.runs === 1 ? "1 run" : `${end.runs} runs`}`,
     ].filter(part => part !== "");
     return parts.length === 0 ? "stands until it is removed" : `ends ${parts.join(" or ")}`;
 }
--- a/src/operator/ending.ts
+++ b/src/operator/ending.ts
@@ -3,20 +3,17 @@
  */
 import type { Gauge } from "prom-client";
 import { MILLISECONDS_PER_DAY, MILLISECONDS_PER_MINUTE, pause } from "../core/time.js";
-import type { Configuration, Rule } from "../rules/rule.js";
+import type { TeamRule } from "../rules/rule.js";
 import type { OperatorContext } from "./operator.js";
 
 /** A rule that has ended or ends soon. */
-export interface EndingRule {
-    readonly team: string;
-    readonly rule: Rule;
+export interface EndingRule extends TeamRule {
     /** `ended` rules run nothing any more and can be removed from their file. */
     readonly state: "ending" | "ended";
 }
 
 /** Lists the rules that have ended or end within some days. */
-export function findEnding(configuration: Configuration, days: number, now: number): EndingRule[] {
-    const all = configuration.documents.flatMap(({ team, rules }) => rules.map(rule => ({ team, rule })));
+export function findEnding(all: readonly TeamRule[], days: number, now: number): EndingRule[] {
     const retired = new Set(all.filter(({ rule }) => rule.kind === "retire").map(({ rule }) => rule.name));
     return all.flatMap(({ team, rule }): EndingRule[] => {
         const { untilMilliseconds = Infinity, feature } = rule.end;
@@ -38,7 +35,8 @@
         const now = context.clock();
         const configuration = context.feed.source.current();
         if (configuration !== undefined) {
-            const ending = findEnding(configuration, context.settings.endingDays, now);
+            const all = configuration.documents.flatMap(({ team, rules }) => rules.map(rule => ({ team, rule })));
+            const ending = findEnding(all, context.settings.endingDays, now);
             publish(gauge, ending);
             if (now - reportedAt >= MILLISECONDS_PER_DAY) {
                 reportedAt = now;
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -114,6 +114,12 @@
 export const Rule = z.discriminatedUnion("kind", [ServiceRule, BatchRule, QuotaRule, RetireRule, PlacementRule]);
 export type Rule = z.infer<typeof Rule>;
 
+/** A rule with the team that it belongs to. */
+export interface TeamRule {
+    readonly team: string;
+    readonly rule: Rule;
+}
+
 /** All rules of a team, as accepted together. */
 export const RulesDocument = z.strictObject({
     team: Name,
