--- a/bench/support/capacity/estimate.ts
+++ b/bench/support/capacity/estimate.ts
@@ -1,18 +1,13 @@
 /**
  * Estimates at the target's size, from lines through measured points.
  */
-import { fitLine } from "./fit.js";
+import { estimateChanges } from "./changes.js";
 import type { Line } from "./fit.js";
 import type { Point } from "./measure.js";
+import { lineOf, workersOf } from "./series.js";
+import type { Series } from "./series.js";
 import { nodeLimits, storeLimits, target } from "./target.js";
 
-/** The three series of points: growing fleets, growing numbers of entry instances, growing traffic. */
-export interface Series {
-    readonly workers: readonly Point[];
-    readonly instances: readonly Point[];
-    readonly calls: readonly Point[];
-}
-
 /** One line of the page. */
 export interface Estimate {
     readonly role: string;
@@ -24,7 +19,10 @@
     readonly atTarget: number;
     /** What one process, or the platform, may spend; absent where nothing is set. */
     readonly limit?: number;
-    readonly note: string;
+    /** What carries the role at the target's size. */
+    readonly mechanism: string;
+    /** What would carry it where today's mechanism does not. */
+    readonly next?: string;
 }
 
 /** Entry instances at the target, as many as keep a scheduler below its memory. */
@@ -63,6 +61,7 @@
     const schedulerCores = byWorkers(point => point.scheduler.processorShare);
     const schedulerMemory = byWorkers(point => point.scheduler.residentBytes);
     const gatewayMemory = byWorkers(point => point.gateway.residentBytes);
+    const gatewayIdle = byWorkers(point => point.gateway.processorShare);
     const gatewayCores = byCalls(point => point.gateway.processorShare);
     const writes = byWorkers(point => point.store.writes);
     const readsByInstances = byInstances(point => point.store.reads);
@@ -83,7 +82,8 @@
             per: "worker",
             line: schedulerCores,
             atTarget: schedulerCores.slope * target.workers + schedulerCores.base * entryInstances,
-            note: "one owner per cell; decisions, renewals and reports are batched per worker and cell",
+            mechanism:
+                "cells, each with one owner chosen by rendezvous hashing; decisions, renewals and reports are batched per worker",
         },
         {
             role: "scheduler",
@@ -93,7 +93,30 @@
             line: schedulerMemory,
             atTarget: at(schedulerMemory, workersPerInstance),
             limit: nodeLimits.residentBytes,
-            note: `with ${workersPerInstance} workers each; a cell's ledger is only with its owner`,
+            mechanism: `with ${workersPerInstance} workers each; a cell's ledger is only with its owner`,
+            next: "more entry instances, each with fewer cells",
+        },
+        {
+            role: "scheduler",
+            measure: "processor time of one process",
+            unit: "cores",
+            per: "worker",
+            line: schedulerCores,
+            atTarget: at(schedulerCores, workersPerInstance),
+            limit: nodeLimits.coreShare,
+            mechanism: `with ${workersPerInstance} workers each; one commit, one renewal and one report an interval`,
+            next: "longer intervals of renewals and reports, and a more compact encoding of them",
+        },
+        {
+            role: "gateway",
+            measure: "processor time of one process without calls",
+            unit: "cores",
+            per: "worker",
+            line: gatewayIdle,
+            atTarget: at(gatewayIdle, target.workers / target.dataCentres),
+            limit: nodeLimits.coreShare,
+            mechanism: "routes and members are compared by revision, and read only where they differ",
+            next: "routes of the gateway's own data centre only",
         },
         {
             role: "gateway",
@@ -103,7 +126,8 @@
             line: gatewayMemory,
             atTarget: at(gatewayMemory, target.workers / target.dataCentres),
             limit: nodeLimits.residentBytes,
-            note: "with the routes of one data centre; today each gateway reads the routes of all cells",
+            mechanism: "with the routes of one data centre; today each gateway reads the routes of all cells",
+            next: "routes of the services that a gateway's callers ask for, read on the first call",
         },
         {
             role: "gateway",
@@ -112,7 +136,9 @@
             per: "answered call a second",
             line: gatewayCores,
             atTarget: gatewayCores.slope,
-            note: "callers' load is not set by the target; a gateway on one core answers 1 / this a second",
+            mechanism:
+                "callers are spread over all gateways by the balancer, and each gateway works by itself; the target sets "
+                + "no load of callers, a gateway on one core answers 1 / this a second",
         },
         {
             role: "store",
@@ -122,7 +148,7 @@
             line: writes,
             atTarget: writes.slope * target.workers + writes.base + writesByInstances.slope * entryInstances,
             limit: storeLimits.writesPerSecond,
-            note: "group commit: a busy cell writes once an interval, however many tasks start",
+            mechanism: "group commit: a busy cell writes once an interval, however many tasks start",
         },
         {
             role: "store",
@@ -132,7 +158,8 @@
             line: readsByInstances,
             atTarget: at(readsByInstances, entryInstances),
             limit: storeLimits.readsPerSecond,
-            note: "one heartbeat per process; ownership and configuration are read by watch or from peers",
+            mechanism: "one heartbeat per process; ownership and configuration are read by watch or from peers",
+            next: "claims and partitions read by a few processes, the others hear from peers",
         },
         {
             role: "store",
@@ -141,7 +168,7 @@
             per: "entry instance",
             line: watches,
             atTarget: at(watches, entryInstances),
-            note: "a few processes watch the rules, the others hear from peers",
+            mechanism: "a few processes watch the rules, the others hear from peers",
         },
         {
             role: "store",
@@ -150,7 +177,7 @@
             per: "worker",
             line: storeIn,
             atTarget: at(storeIn, target.workers),
-            note: "segments hold the tasks that changed, snapshots replace them",
+            mechanism: "segments hold the tasks that changed, snapshots replace them",
         },
         {
             role: "store",
@@ -159,7 +186,7 @@
             per: "worker",
             line: keys,
             atTarget: at(keys, target.workers),
-            note: "a head, a snapshot and its segments per cell",
+            mechanism: "a head, a snapshot and its segments per cell",
         },
         {
             role: "instance list",
@@ -168,7 +195,7 @@
             per: "entry instance",
             line: listReads,
             atTarget: at(listReads, entryInstances),
-            note: "each daemon polls it",
+            mechanism: "each daemon polls it",
         },
         {
             role: "instance list",
@@ -178,7 +205,8 @@
             line: listBytes,
             atTarget: at(listBytes, target.workers) * at(listReads, entryInstances),
             limit: nodeLimits.bytesPerSecond * daemons,
-            note: "the whole list with each read; the limit is 14 KB/s for each daemon that reads",
+            mechanism: "the whole list with each read; the limit is 14 KB/s for each daemon that reads",
+            next: "a few processes read the list, the others hear of its changes with the heartbeats",
         },
         {
             role: "worker's control traffic",
@@ -188,7 +216,7 @@
             line: workerBytes,
             atTarget: at(workerBytes, 0),
             limit: nodeLimits.bytesPerSecond,
-            note: "bodies only; does not grow with the fleet where the slope is near zero",
+            mechanism: "bodies only; does not grow with the fleet where the slope is near zero",
         },
         {
             role: "worker's control traffic",
@@ -197,8 +225,9 @@
             per: "worker",
             line: workerOrders,
             atTarget: at(workerOrders, 0),
-            note: "one renewal and one report an interval, starts and stops batched",
+            mechanism: "one renewal and one report an interval, starts and stops batched",
         },
+        ...estimateChanges(series),
         {
             role: "client",
             measure: "bytes of a list of all tasks",
@@ -206,13 +235,7 @@
             per: "task",
             line: listing,
             atTarget: at(listing, target.runningTasks),
-            note: "the client narrows by rule or team; nothing is listed in pages yet",
+            mechanism: "the client narrows by rule or team; nothing is listed in pages yet",
         },
     ];
 }
-
-const workersOf = (point: Point) => point.size.workers;
-
-function lineOf(points: readonly Point[], size: (point: Point) => number, figure: (point: Point) => number): Line {
-    return fitLine(points.map(point => ({ size: size(point), figure: figure(point) })));
-}
