--- a/src/client/commands/rules-apply.ts
+++ b/src/client/commands/rules-apply.ts
@@ -9,7 +9,7 @@
 import type { Command, CommandContext } from "../command.js";
 import { textOption } from "../command.js";
 import { reportFailure } from "../report.js";
-import { teamOfFile } from "../team.js";
+import { readRulesFile } from "../team.js";
 
 export const rulesApply: Command = {
     name: "rules apply",
@@ -25,20 +25,17 @@
     },
     summary: "put a rules file in force, whole or not at all",
     async run(context) {
-        const [file = ""] = context.positionals;
-        const team = textOption(context, "team") ?? teamOfFile(file);
-        const text = await context.readFile(file);
-        if (text.isErr) {
-            return reportFailure(context, text.error);
+        const read = await readRulesFile(context);
+        if (read.isErr) {
+            return reportFailure(context, read.error);
         }
-        const base = await findBase(context, team, text.value);
+        const { team, text } = read.value;
+        const base = await findBase(context, team, text);
         if (base.isErr) {
             return reportFailure(context, base.error);
         }
         const applied = await callUntilSettled(context, applyRules, {
-            team,
-            file,
-            text: text.value,
+            ...read.value,
             baseRevision: base.value,
             applyId: randomUUID(),
             by: context.by,
--- a/src/client/queries/rules-check.ts
+++ b/src/client/queries/rules-check.ts
@@ -5,7 +5,7 @@
 import type { Command } from "../command.js";
 import { exitCodes } from "../exit.js";
 import { reportFailure, reportRejected } from "../report.js";
-import { teamOfFile } from "../team.js";
+import { readRulesFile } from "../team.js";
 
 export const rulesCheck: Command = {
     name: "rules check",
@@ -13,19 +13,18 @@
     options: {},
     summary: "find every error of a rules file; asks no gateway",
     async run(context) {
-        const [file = ""] = context.positionals;
-        const text = await context.readFile(file);
-        if (text.isErr) {
-            return reportFailure(context, text.error);
+        const read = await readRulesFile(context);
+        if (read.isErr) {
+            return reportFailure(context, read.error);
         }
-        const parsed = safeParseRules(text.value, { team: teamOfFile(file), file });
+        const parsed = safeParseRules(read.value.text, read.value);
         if (!parsed.success) {
             return reportRejected(context, parsed.failures);
         }
         context.print(
             context.json
                 ? JSON.stringify({ outcome: "sound", rules: parsed.rules })
-                : `${parsed.rules.length} rules, no errors`,
+                : `${parsed.rules.length} ${parsed.rules.length === 1 ? "rule" : "rules"}, no errors`,
         );
         return exitCodes.done;
     },
--- a/src/client/queries/rules-plan.ts
+++ b/src/client/queries/rules-plan.ts
@@ -3,10 +3,9 @@
  */
 import { planRules } from "../../operator/messages.js";
 import type { Command } from "../command.js";
-import { textOption } from "../command.js";
 import { exitCodes } from "../exit.js";
 import { printChanges, reportFailure, reportReadFailure, reportRejected } from "../report.js";
-import { teamOfFile } from "../team.js";
+import { readRulesFile } from "../team.js";
 
 export const rulesPlan: Command = {
     name: "rules plan",
@@ -14,13 +13,12 @@
     options: { team: { type: "string", help: "team whose rules these are; by default the file's name" } },
     summary: "check a rules file against everything known and show what an apply would change",
     async run(context) {
-        const [file = ""] = context.positionals;
-        const team = textOption(context, "team") ?? teamOfFile(file);
-        const text = await context.readFile(file);
-        if (text.isErr) {
-            return reportFailure(context, text.error);
+        const read = await readRulesFile(context);
+        if (read.isErr) {
+            return reportFailure(context, read.error);
         }
-        const plan = await context.call(planRules, { team, file, text: text.value });
+        const { file, team } = read.value;
+        const plan = await context.call(planRules, read.value);
         if (plan.isErr) {
             return reportReadFailure(context, plan.error);
         }
@@ -36,7 +34,7 @@
         context.print(
             changes.length === 0
                 ? `${team}: nothing would change`
-                : `${changes.length} changes; apply them with: rules apply ${file} --team ${team} --base ${baseRevision}`,
+                : `changed lines: ${changes.length}; apply with: rules apply ${file} --team ${team} --base ${baseRevision}`,
         );
         return exitCodes.done;
     },
