--- a/features/scheduler/model/time.ts
+++ b/features/scheduler/model/time.ts
@@ -1,6 +1,7 @@
 /**
  * Virtual time: waits end when the test says so, and the same seed gives the same order of events.
  */
+import { defaultMaxListeners, setMaxListeners } from "node:events";
 import { syncBuiltinESMExports } from "node:module";
 import { mock } from "node:test";
 
@@ -21,7 +22,10 @@
 /** Takes over all waits of this process until the end. */
 export function startVirtualTime(onStep: (now: number) => void): VirtualTime {
     let now = START_MILLISECONDS;
+    const listenersAtMost = defaultMaxListeners;
     mock.timers.enable({ apis: ["setTimeout"] });
+    // A mocked wait keeps its listener on the signal after it has ended, so that their number is no sign of a leak.
+    setMaxListeners(0);
     // Modules that imported the wait by name see the replaced one after this.
     syncBuiltinESMExports();
     return {
@@ -38,6 +42,7 @@
         },
         end() {
             mock.timers.reset();
+            setMaxListeners(listenersAtMost);
             syncBuiltinESMExports();
         },
     };
