Gateways tell each other of replicas that are leaving

Each gateway had to be refused itself.

Change: the gateway that a replica refuses as leaving tells all other gateways once over the peers' port; they leave the attempt out. A counter tells who said so (flamingowell_leaving_replicas_total).

Ruled out: through the scheduler's routes, which follow what is committed.

--- a/bench/request/sources.ts
+++ b/bench/request/sources.ts
@@ -48,8 +48,12 @@
     };
 }
 
-/** Creates a membership of a gateway that knows schedulers by their origins. */
-export function createFixedMembership(instance: string, schedulers: readonly string[]): MembershipSource {
+/** Creates a membership of a gateway that knows schedulers, and other gateways if there are any, by their origins. */
+export function createFixedMembership(
+    instance: string,
+    schedulers: readonly string[],
+    listGateways: () => readonly string[] = () => [],
+): MembershipSource {
     const createMember = (name: string, role: "gateway" | "scheduler", origin: string): Member => ({
         instance: name,
         role,
@@ -60,7 +64,10 @@
         configurationRevision: 1,
     });
     return {
-        members: () => schedulers.map((origin, index) => createMember(`entry-${index + 1}`, "scheduler", origin)),
+        members: () => [
+            ...schedulers.map((origin, index) => createMember(`entry-${index + 1}`, "scheduler", origin)),
+            ...listGateways().map((origin, index) => createMember(`other-${index + 1}`, "gateway", origin)),
+        ],
         self: () => createMember(instance, "gateway", "http://127.0.0.1:1"),
         onChange: () => () => undefined,
     };
--- a/features/gateway/support/gateway.ts
+++ b/features/gateway/support/gateway.ts
@@ -113,6 +113,8 @@
     readonly settings?: Partial<RequestSettings>;
     readonly rule?: Partial<ServiceRule>;
     readonly guards?: readonly Guard[];
+    /** Peer origins of the other gateways that it knows. */
+    readonly listPeers?: () => readonly string[];
 }
 
 /** A running gateway. */
@@ -135,7 +137,7 @@
         identity: { instance, dataCentre: options.dataCentre ?? "levi", incarnation: `${instance}-${systemClock()}` },
         settings: RequestSettings.parse({ ...FAST_SETTINGS, ...options.settings }),
         configuration: createFixedConfiguration(options.rule ?? {}),
-        membership: createFixedMembership(instance, options.schedulers),
+        membership: createFixedMembership(instance, options.schedulers, options.listPeers),
         rpc: createRpcClient({ token: PEER_TOKEN, timeoutMilliseconds: 2_000 }),
         guards: options.guards ?? [],
         peerToken: PEER_TOKEN,
@@ -145,7 +147,10 @@
         logger: createLogger("gateway-test"),
     });
     const server = await gateway.listenForCallers({ host: HOST, port: 0 });
-    const peers = await listen(express().use(gateway.peerListener), { host: HOST, port: 0 });
+    const application = express();
+    application.use(gateway.peerListener);
+    application.use(createRpcRouter({ handlers: gateway.handlers, token: PEER_TOKEN }));
+    const peers = await listen(application, { host: HOST, port: 0 });
     const controller = new AbortController();
     const running = Promise.all([gateway.run(controller.signal), server.run(controller.signal)]);
     return {
--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -40,6 +40,13 @@
         When it has said so once
         Then 50 requests one after the other are answered by replica 1
 
+    Scenario: A gateway that has sent a leaving replica nothing learns of it from another gateway
+        Given a service with 2 replicas and two gateways of which the first knows the second
+        And replica 0 says that it is leaving
+        When it has said so once
+        And the second gateway has been told
+        Then 50 requests one after the other through the second gateway are answered by replica 1
+
     Scenario: Routes of a superseded owner change nothing
         Given a service with 2 replicas
         When a scheduler with an older epoch offers no replicas
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -184,6 +184,39 @@
     });
 });
 
+Given("a service with 2 replicas and two gateways of which the first knows the second", async function(
+    this: UpstreamsWorld,
+) {
+    const peers: string[] = [];
+    await startService(this, { replicas: 2, listPeers: () => peers });
+    const schedulers = [firstScheduler(this).origin];
+    const second = await startGateway({ schedulers, instance: "entry-2" });
+    this.gateways.push(second);
+    peers.push(second.peerOrigin);
+    await waitUntil(
+        "the second gateway knows the routes",
+        async () => (await call(`${second.origin}/beacon-check/kits/1`, { body: "x" })).status === 200,
+    );
+});
+
+When("the second gateway has been told", async function(this: UpstreamsWorld) {
+    const [, second] = this.gateways;
+    await waitUntil(
+        "it has been told",
+        async () => await second?.count("flamingowell_leaving_replicas_total", { source: "gateway" }) === 1,
+    );
+});
+
+Then(
+    "{int} requests one after the other through the second gateway are answered by replica 1",
+    async function(this: UpstreamsWorld, count: number) {
+        forgetRequests(this);
+        this.gateways.reverse();
+        assert.deepEqual([...new Set(await callTimes(this, count))], [200]);
+        assert.deepEqual([countRequests(this, 0), countRequests(this, 1)], [0, count]);
+    },
+);
+
 When("a scheduler with an older epoch offers no replicas", async function(this: UpstreamsWorld) {
     const former = await startScheduler();
     this.schedulers.push(former);
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -52,6 +52,8 @@
     budgetOf(service: string): RetryBudget;
     /** Called after a time-out on a replica. */
     onTimeout(route: Route, startedAtMilliseconds: number): void;
+    /** Called where a replica says that it is leaving. */
+    onLeft(route: Route): void;
 }
 
 /** One request with what its attempts depend on. */
@@ -130,6 +132,9 @@
     if (verdict === "timed-out") {
         options.onTimeout(route, lease.startedAtMilliseconds);
     }
+    if (verdict === "left") {
+        options.onLeft(route);
+    }
     return conclude(result);
 }
 
--- a/src/gateway/counters.ts
+++ b/src/gateway/counters.ts
@@ -37,6 +37,8 @@
     countRefusal(reason: string): void;
     countRetry(reason: string): void;
     countBreaker(service: string): void;
+    /** Counts a replica that is known to be leaving, by who said so. */
+    countLeaving(source: "replica" | "gateway"): void;
 }
 
 /** Creates the counters; children are kept, since looking up labels costs more than counting. */
@@ -54,6 +56,11 @@
     const breakers = metrics.counter("flamingowell_breakers_opened_total", "Circuit breakers opened, by service", [
         "service",
     ]);
+    const leaving = metrics.counter(
+        "flamingowell_leaving_replicas_total",
+        "Replicas learned to be leaving, by who said so: the replica, or another gateway",
+        ["source"],
+    );
     const answerCounts = new Map<string, { inc(): void; }>();
     return {
         countAnswer: (service, status) => {
@@ -67,6 +74,7 @@
         },
         countRefusal: reason => refusals.inc({ reason }),
         countBreaker: service => breakers.inc({ service }),
+        countLeaving: source => leaving.inc({ source }),
         countRetry: reason => retries.inc({ reason }),
     };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -29,11 +29,12 @@
 import { createPeerForwarder, FORWARD_PATH, restoreForwarded } from "./forward.js";
 import type { Guard } from "./guard.js";
 import { runRouteReader } from "./routes/reader.js";
-import { createRouteTable } from "./routes/table.js";
+import { createRouteTable, nameAttempt } from "./routes/table.js";
 import { serve } from "./serve.js";
 import type { ServeOptions } from "./serve.js";
 import type { RequestSettings } from "./settings.js";
 import { openBreaker } from "./upstream/health.js";
+import { createLeavingNews } from "./upstream/leaving.js";
 import { createUpstreamPool } from "./upstream/pool.js";
 import { createProber } from "./upstream/probe.js";
 
@@ -137,6 +138,17 @@
             }
         },
     });
+    const news = createLeavingNews({
+        membership: options.membership,
+        rpc: options.rpc,
+        logger,
+        onNews: attempt => {
+            for (const route of table.all().filter(one => nameAttempt(one) === attempt)) {
+                selector.healthOf(route).left = true;
+            }
+            counters.countLeaving("gateway");
+        },
+    });
     const forwarder = createPeerForwarder({
         peerToken: options.peerToken,
         connector: options.peerConnector,
@@ -163,6 +175,10 @@
             random,
             budgetOf,
             onTimeout: (route, startedAt) => prober.suspect(route.worker, startedAt),
+            onLeft: route => {
+                counters.countLeaving("replica");
+                news.tell(nameAttempt(route));
+            },
         },
         forwarder,
         counters,
@@ -189,7 +205,7 @@
     const listener: RequestListener = (incoming, response) =>
         void handle(incoming, response, incoming.url ?? "/", false);
     return {
-        handlers: [],
+        handlers: [news.handler],
         listener,
         listenForCallers: address =>
             listenForCallers({
--- /dev/null
+++ b/src/gateway/upstream/leaving.ts
@@ -0,0 +1,70 @@
+/**
+ * News of replicas that say that they are leaving: the gateway that was told tells the others, so that one which seldom
+ * calls the replica need not be refused first.
+ */
+import { Result } from "true-myth/result";
+import { z } from "zod";
+import { formatFailure } from "../../core/errors.js";
+import type { Logger } from "../../core/log.js";
+import { defineMethod, implement } from "../../core/rpc.js";
+import type { MethodHandler, RpcClient } from "../../core/rpc.js";
+import type { MembershipSource } from "../../membership/member.js";
+
+/** Tells a gateway that a replica takes no new work; it may have learned so already. */
+const replicaLeft = defineMethod("replicas.left", z.strictObject({ attempt: z.string() }), z.strictObject({}));
+
+/** Attempts that are remembered as told. */
+const REMEMBERED_ATTEMPTS = 1_000;
+
+/** Options of the news. */
+export interface LeavingNewsOptions {
+    readonly membership: MembershipSource;
+    readonly rpc: RpcClient;
+    readonly logger: Logger;
+    /** Called with an attempt that another gateway was refused by. */
+    onNews(attempt: string): void;
+}
+
+/** Takes in news and tells it. */
+export interface LeavingNews {
+    readonly handler: MethodHandler;
+    /** Tells all other gateways of an attempt, once; does not wait for them. */
+    tell(attempt: string): void;
+}
+
+/** Creates news of which nothing has been told. */
+export function createLeavingNews(options: LeavingNewsOptions): LeavingNews {
+    const told = new Set<string>();
+    const remember = (attempt: string) => {
+        told.add(attempt);
+        if (told.size > REMEMBERED_ATTEMPTS) {
+            const [oldest = ""] = told;
+            told.delete(oldest);
+        }
+    };
+    return {
+        handler: implement(replicaLeft, async ({ attempt }) => {
+            // Who told it tells all gateways; telling it again would only multiply the messages.
+            remember(attempt);
+            options.onNews(attempt);
+            return Result.ok({});
+        }),
+        tell: attempt => {
+            if (!told.has(attempt)) {
+                remember(attempt);
+                void tellOthers(attempt, options);
+            }
+        },
+    };
+}
+
+/** News that is lost costs one refused request. */
+async function tellOthers(attempt: string, { logger, membership, rpc }: LeavingNewsOptions): Promise<void> {
+    const others = membership.members().filter(({ role, state }) => role === "gateway" && state !== "dead");
+    await Promise.all(others.map(async ({ origin }) => {
+        const answer = await rpc.call(origin, replicaLeft, { attempt });
+        if (answer.isErr) {
+            logger.debug("leaving-not-told", { attempt, failure: formatFailure(answer.error) });
+        }
+    }));
+}
