A scenario shows the circuit breaker by itself

A service with one replica that was given up is now asked for: refused at once as circuit-open, nothing sent.

--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -15,6 +15,15 @@
         When callers have met the silence of replica 0 once
         Then 30 requests one after the other are answered by replica 1
 
+    Scenario: A service whose every replica was given up is refused at once, and nothing is sent
+        Given a service with 1 replica and breakers that open for 60000 ms
+        And replica 0 is silent
+        When callers have met the silence of replica 0 once
+        And what has arrived is forgotten
+        And a caller posts "x" to "/beacon-check/kits/2" and waits at most 100 ms
+        Then the caller gets status 503 with outcome "not-run" and reason "circuit-open"
+        And no request arrived
+
     Scenario: An upstream that was given up gets requests again once it answers
         Given a service with 2 replicas and breakers that open for 50 ms
         And replica 0 is silent
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -63,10 +63,11 @@
 });
 
 Given(
-    "a service with 2 replicas and breakers that open for {int} ms",
-    async function(this: UpstreamsWorld, milliseconds: number) {
+    /^a service with (\d+) replicas? and breakers that open for (\d+) ms$/,
+    async function(this: UpstreamsWorld, count: string, time: string) {
+        const [replicas, milliseconds] = [Number(count), Number(time)];
         const settings = { breakerOpenMilliseconds: milliseconds, breakerLongestMilliseconds: milliseconds };
-        await startService(this, { replicas: 2, settings: { ...settings, probeTimeoutMilliseconds: 100 } });
+        await startService(this, { replicas, settings: { ...settings, probeTimeoutMilliseconds: 100 } });
     },
 );
 
@@ -100,6 +101,10 @@
     await waitUntil("the probe has ended", () => gateway.breakersOpened() > opened);
 });
 
+When("what has arrived is forgotten", function(this: UpstreamsWorld) {
+    forgetRequests(this);
+});
+
 Then(
     "{int} requests one after the other are answered by replica {int}",
     async function(this: UpstreamsWorld, count: number, index: number) {
