The adaptive limit has a scenario of its own

The scenario follows it over answers that slow down and recover; it fails with the limit held still.

--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -38,6 +38,15 @@
         Then some of them are answered, and some are refused as "queue-full"
         And nothing that was refused as not run had arrived
 
+    Scenario: The limit of a service falls where answers slow down, and rises again with them
+        Given a limit of at first 64 requests, all in use
+        When 100 answers take 10 ms each
+        Then the limit has risen
+        When 100 answers take 100 ms each
+        Then the limit has fallen
+        When 200 answers take 10 ms each
+        Then the limit has risen
+
     Scenario: A burst after an idle time waits for connections instead of being refused
         Given a service whose only replica needs 100 ms for each request
         And 64 callers have called at once before, and all connections have been closed since
--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -11,6 +11,8 @@
 import { join } from "node:path";
 import { connect as connectTls } from "node:tls";
 import { pause } from "../../src/core/time.js";
+import { createConcurrencyLimit } from "../../src/gateway/admission/limit.js";
+import type { ConcurrencyLimit } from "../../src/gateway/admission/limit.js";
 import { startGateway } from "./support/gateway.js";
 import { answerWhole } from "./support/upstream.js";
 import { call, firstGateway, startService, waitUntil } from "./support/world.js";
@@ -23,6 +25,7 @@
 const CHECK_MILLISECONDS = 20;
 const CHECKS_WAITED = 5;
 const LEARNING_CALLS = 40;
+const LARGEST_LIMIT = 4_096;
 const IDLE_MILLISECONDS = 50;
 const STEP_LIMIT_MILLISECONDS = 60_000;
 
@@ -33,6 +36,9 @@
     /** Lets the replica answer the request that it holds. */
     answerHeld: () => void;
     waiting: Promise<SeenAnswer>;
+    limit: ConcurrencyLimit;
+    /** The limit after each step. */
+    limits: number[];
 }
 
 const target = "POST /beacon-check/kits/17 HTTP/1.1\r\nhost: gateway\r\n";
@@ -111,6 +117,23 @@
     },
 );
 
+Given("a limit of at first {int} requests, all in use", function(this: LimitsWorld, firstLimit: number) {
+    this.limit = createConcurrencyLimit({ firstLimit, largestLimit: LARGEST_LIMIT });
+    this.limits = [this.limit.current()];
+});
+
+When("{int} answers take {int} ms each", function(this: LimitsWorld, count: number, milliseconds: number) {
+    for (let index = 0; index < count; index += 1) {
+        this.limit.observe(milliseconds, this.limit.current());
+    }
+    this.limits.push(this.limit.current());
+});
+
+Then(/^the limit has (risen|fallen)$/, function(this: LimitsWorld, direction: string) {
+    const [before = 0, after = 0] = this.limits.slice(-2);
+    assert.equal(after > before ? "risen" : after < before ? "fallen" : "stayed", direction);
+});
+
 Given("a service whose only replica needs {int} ms for each request", async function(
     this: LimitsWorld,
     milliseconds: number,
