--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -16,6 +16,7 @@
 import { pause } from "../core/time.js";
 import type { Clock } from "../core/time.js";
 import type { EntryInstance, InstanceList } from "../platform/instances.js";
+import { tellLeaving } from "./leave.js";
 import { nameMember } from "./member.js";
 import type { Member, MembershipSource } from "./member.js";
 import { probeForPeer, probePeer } from "./messages.js";
@@ -41,7 +42,7 @@
 /** The membership: a part of the process and its source of members. */
 export interface Membership extends Part {
     readonly source: MembershipSource;
-    /** Tells peers that this process is going; resolves when some have heard it. */
+    /** Tells peers that this process is going; resolves when enough have heard it, or after the limit in the settings. */
     leave(): Promise<void>;
 }
 
@@ -51,13 +52,16 @@
     current(): Member;
     /** Takes in news of members, of this process as well. */
     hear(news: readonly Member[]): void;
-    /** Counts how a probe went: answered directly, through another peer, or not at all. */
+    /** Tells listeners that the roster has changed. */
+    publish(): void;
+    /** Counts how probes went. */
     readonly probes: Counter<"outcome">;
-    /** What the next heartbeat to a peer says. */
+    /** Counts how further probes of doubted members went. */
+    readonly confirmations: Counter<"outcome">;
+    /** What the next heartbeat to a peer says; a peer that is not believed to be alive is told so, and can refute it. */
     compose(target: Member | undefined): { self: Member; changes: Member[]; };
 }
 
-const LEAVE_FANOUT = 4;
 const INTERVAL_JITTER_SHARE = 0.1;
 
 /** Creates the membership. */
@@ -97,12 +101,17 @@
     const context: MembershipContext = {
         ...options,
         probes: metrics.counter("flamingowell_membership_probes_total", "Probes of peers by outcome", ["outcome"]),
+        confirmations: metrics.counter(
+            "flamingowell_membership_confirmations_total",
+            "Further probes of peers that gave no answer, by outcome",
+            ["outcome"],
+        ),
         roster,
         current,
+        publish,
         hear(news) {
-            const now = options.clock();
             news.filter(member => nameMember(member) === nameMember(options.self)).forEach(refute);
-            const changes = news.map(member => roster.merge(member, now));
+            const changes = news.map(member => roster.merge(member));
             if (changes.includes(true)) {
                 publish();
             }
@@ -132,7 +141,7 @@
             if (list.isErr) {
                 logger.warn("instance list not read", { failure: formatFailure(list.error) });
             }
-            else if (roster.mergeList(list.value.filter(isEntry), options.clock())) {
+            else if (roster.mergeList(list.value.filter(isEntry))) {
                 publish();
             }
             await pause(jitter(settings.listIntervalMilliseconds, INTERVAL_JITTER_SHARE, options.random), signal);
@@ -151,8 +160,7 @@
         },
         async leave() {
             leaving = true;
-            const peers = roster.entries().map(entry => entry.member).filter(member => member.state === "alive");
-            await Promise.all(peers.slice(0, LEAVE_FANOUT).map(peer => exchangeHeartbeat(context, peer)));
+            await tellLeaving(context);
         },
     };
 }
@@ -165,6 +173,7 @@
     return [
         implement(probePeer, async ({ self, changes }) => {
             context.hear([self, ...changes]);
+            context.roster.trust(self);
             return Result.ok(context.compose(context.roster.get(nameMember(self))?.member));
         }),
         implement(probeForPeer, async ({ target }) => {
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -76,6 +76,14 @@
 });
 export type BatchRule = z.infer<typeof BatchRule>;
 
+/** A rule that starts tasks. The names of these are shared by all teams: one team owns a name. */
+export type TaskRule = ServiceRule | BatchRule;
+
+/** Tells whether a rule starts tasks. */
+export function startsTasks(rule: Rule): rule is TaskRule {
+    return rule.kind === "service" || rule.kind === "batch";
+}
+
 /** The most that a team's tasks may take together. The rule's name is the team's. */
 export const QuotaRule = z.strictObject({
     kind: z.literal("quota"),
@@ -90,11 +98,14 @@
 export const RetireRule = z.strictObject({ kind: z.literal("retire"), ...common });
 export type RetireRule = z.infer<typeof RetireRule>;
 
-/** Allows or denies a rule's tasks beside another rule's, or in a data centre. */
+/**
+ * `allow` keeps a rule's tasks to data centres. `deny` keeps them out of data centres or, where a neighbour is named, off
+ * the workers that run the neighbour's tasks, in these data centres or in all.
+ */
 export const PlacementRule = z.strictObject({
     kind: z.enum(["allow", "deny"]),
     ...common,
-    /** The neighbour that is denied, where one is named. */
+    /** The neighbour that is denied, where one is named; only with `deny`. */
     beside: Name.optional(),
     dataCentres: z.array(Name),
 });
@@ -103,6 +114,12 @@
 export const Rule = z.discriminatedUnion("kind", [ServiceRule, BatchRule, QuotaRule, RetireRule, PlacementRule]);
 export type Rule = z.infer<typeof Rule>;
 
+/** A rule with the team that it belongs to. */
+export interface TeamRule {
+    readonly team: string;
+    readonly rule: Rule;
+}
+
 /** All rules of a team, as accepted together. */
 export const RulesDocument = z.strictObject({
     team: Name,
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -5,13 +5,15 @@
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
 import type { Clock } from "../../core/time.js";
+import type { Comparison } from "../../platform/store.js";
 import type { WorkerControl } from "../../platform/worker.js";
 import type { AttemptEnd, Policy, QuotaSlice } from "../../policy/policy.js";
-import type { Configuration, PlacementRule } from "../../rules/rule.js";
+import type { Configuration } from "../../rules/rule.js";
 import type { CellMap } from "../cells.js";
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
-import { planCell } from "../jobs/plan.js";
+import type { Overflow } from "../jobs/overflow.js";
+import { listPlacements } from "../jobs/spec.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -19,19 +21,18 @@
 import type { RouteTable } from "../routes.js";
 import type { CellSettings } from "../settings.js";
 import { createWake } from "../wake.js";
+import { createCommandQueue } from "./commands.js";
+import type { Command } from "./commands.js";
 import { createCrew } from "./crew.js";
-import { applyDecisions } from "./decide.js";
-import type { DecideInput } from "./decide.js";
-import { moveOff, replaceReplicas } from "./drain.js";
+import { takeIn } from "./intake.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
-import { leasesEndAt, observeEvent, observeSilence, wasAskedInVain } from "./observe.js";
 import { createPace } from "./pace.js";
+import { planAndDecide } from "./planning.js";
+import { silenceLimit } from "./renewing.js";
 import { forgetEnded } from "./transitions.js";
-import { buildView, stateOf } from "./view.js";
+import { buildView } from "./view.js";
 import type { ViewInput } from "./view.js";
 
-/** Replicas on a worker that is silent for this share of a lease are replaced by others. */
-const SILENT_SHARE_OF_LEASE = 0.75;
 const SWEEP_INTERVAL_MILLISECONDS = 5_000;
 
 /** Why a cell's task ended. */
@@ -52,14 +53,12 @@
     readonly logger: Logger;
     configuration(): Configuration | undefined;
     readonly assignments: Pick<Assignments, "find" | "version">;
+    readonly overflow: Overflow;
     quotas(ledger: Ledger, configuration: Configuration): readonly QuotaSlice[];
     /** Routes of the cell have changed. */
     onRoutes(): void;
 }
 
-/** A change that an operator has asked for; carried out by the cell's own task. */
-export type Command = (ledger: Ledger, now: number) => void;
-
 /** An owned cell. */
 export interface Cell {
     readonly name: string;
@@ -67,7 +66,10 @@
     readonly ledger: Ledger;
     readonly links: ReadonlyMap<string, WorkerLink>;
     readonly policy: Policy;
+    readonly overflow: Overflow;
     epoch(): number;
+    /** Holds in the store as long as this process owns the cell and commits nothing more. */
+    readonly fence: () => Comparison;
     /** Until when leases may be renewed without the store. */
     horizonMilliseconds(): number;
     view(now: number): ReturnType<typeof buildView>;
@@ -80,19 +82,14 @@
     run(signal: AbortSignal): Promise<CellEnd>;
 }
 
-interface WaitingCommand {
-    readonly command: Command;
-    readonly settle: (committed: boolean) => void;
-}
-
 /** Creates the owner's side of a claimed cell. */
 export function createCell(options: CellOptions): Cell {
-    const { settings, ledger, journal, clock, policy } = options;
+    const { settings, ledger, journal, clock, policy, overflow } = options;
     const name = options.map.cell;
     const takenAt = clock();
     const routes = createRouteTable(name, journal.head().epoch);
     const inbox: WorkerEvent[] = [];
-    const commands: WaitingCommand[] = [];
+    const commands = createCommandQueue();
     const ended = new AbortController();
     setMaxListeners(0, ended.signal);
     const wake = createWake();
@@ -130,78 +127,58 @@
         cell: name,
         ledger,
         links,
-        placements: placementsOf(configuration),
+        placements: configuration === undefined ? [] : listPlacements(configuration, clock()),
         quotas: configuration === undefined ? [] : options.quotas(ledger, configuration),
-        silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds,
+        silentAfterMilliseconds: silenceLimit(settings),
     });
-    const silence = { ledger, silentAfterMilliseconds: 2 * settings.renewIntervalMilliseconds };
 
-    const observe = (now: number) => {
-        const input = {
-            ledger,
-            backOff: settings,
-            onEnd: (attemptEnd: AttemptEnd) => {
-                options.metrics.attemptsEnded.inc({ outcome: attemptEnd.outcome });
-                policy.observeEnd(attemptEnd, now);
+    const observe = (now: number) =>
+        takeIn(
+            {
+                ledger,
+                links,
+                settings,
+                backOff: settings,
+                takenAtMilliseconds: takenAt,
+                predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds,
+                dropWorker: worker => crew.drop(worker),
+                onEnd: (attemptEnd: AttemptEnd) => {
+                    options.metrics.attemptsEnded.inc({ outcome: attemptEnd.outcome });
+                    policy.observeEnd(attemptEnd, now);
+                },
             },
-        };
-        for (const event of inbox.splice(0)) {
-            observeEvent(input, event, now);
-        }
-        const leases = { ...settings, predecessorsEndMilliseconds: journal.head().predecessorsEndMilliseconds };
-        for (const worker of ledger.workers()) {
-            const link = links.get(worker);
-            const isOver = now >= leasesEndAt(leases, link, takenAt);
-            if (isOver && wasAskedInVain(link, settings.workerLeaseMilliseconds)) {
-                observeSilence(input, worker, link, now);
-            }
-        }
-        for (const link of [...links.values()]) {
-            if (!link.listed && ledger.committedOn(link.instance.name).length === 0) {
-                crew.drop(link.instance.name);
-            }
-        }
-    };
+            inbox.splice(0),
+            now,
+        );
 
     const decide = (now: number) => {
-        if (now >= sweepAt) {
-            sweepAt = now + SWEEP_INTERVAL_MILLISECONDS;
-            forgetEnded(ledger, settings, now);
-        }
         configuration = options.configuration();
-        if (configuration === undefined) {
-            return;
+        if (configuration !== undefined) {
+            const hasWaiting = planAndDecide({
+                cell: name,
+                ledger,
+                links,
+                settings,
+                configuration,
+                findAssignment: options.assignments.find,
+                overflow,
+                policy,
+                metrics: options.metrics,
+                buildView: at => buildView(viewInput(), at),
+            }, now);
+            pace.noteDecided(hasWaiting, now);
         }
-        planCell({
-            cell: name,
-            configuration,
-            ledger,
-            findAssignment: options.assignments.find,
-            stopsAtMost: settings.stopsPerInterval,
-        }, now);
-        for (const link of links.values()) {
-            const state = stateOf(silence, link, now);
-            if (state === "leaving" || state === "draining") {
-                moveOff(ledger, link.instance.name, state, now);
-            }
-            else if (now - link.answeredAtMilliseconds >= settings.workerLeaseMilliseconds * SILENT_SHARE_OF_LEASE) {
-                replaceReplicas(ledger, link.instance.name, now);
-            }
+        if (now >= sweepAt) {
+            sweepAt = now + SWEEP_INTERVAL_MILLISECONDS;
+            forgetEnded(ledger, settings, now, overflow.isBound);
         }
-        const decisions = policy.decide(buildView(viewInput(), now), now);
-        const input: DecideInput = {
-            ledger,
-            links,
-            isLive: link => stateOf(silence, link, now) === "live",
-            onRejected: ({ kind }, reason) => options.metrics.decisionsRejected.inc({ kind, reason }),
-        };
-        applyDecisions(input, decisions, now);
     };
 
     const commit = async (): Promise<Failure | undefined> => {
         const now = clock();
         const renewHorizon = now > journal.head().horizonMilliseconds - settings.horizonMilliseconds * 2 / 3;
-        if (!ledger.hasChanges() && !renewHorizon && !releasing) {
+        const alongside = overflow.writes();
+        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !releasing) {
             return undefined;
         }
         const { workers } = ledger.changes();
@@ -210,12 +187,14 @@
             now,
             horizonMilliseconds: settings.horizonMilliseconds,
             release: releasing,
+            alongside,
             signal: ended.signal,
         });
         options.metrics.commits.inc({ outcome: committed.isOk ? "committed" : committed.error.code });
         if (committed.isErr) {
             return committed.error;
         }
+        overflow.markCommitted();
         publish();
         workers.forEach(worker => crew.wake(worker));
         return undefined;
@@ -232,9 +211,10 @@
     const round = async (): Promise<void> => {
         const now = clock();
         observe(now);
-        const taken = commands.splice(0);
-        taken.forEach(({ command }) => command(ledger, now));
-        const version = `${options.assignments.version()}/${options.configuration()?.revision ?? 0}`;
+        commands.carryOut(ledger, now);
+        const version = `${options.assignments.version()}/${overflow.version()}/${
+            options.configuration()?.revision ?? 0
+        }`;
         if (!releasing && pace.isDue({ now, isBusy: ledger.hasChanges(), version })) {
             decide(now);
         }
@@ -243,7 +223,7 @@
         }
         const failure = await commit();
         if (failure === undefined) {
-            taken.forEach(({ settle }) => settle(true));
+            commands.settleCommitted();
             if (releasing) {
                 finish("released");
             }
@@ -251,12 +231,8 @@
         }
         options.logger.warn("commit failed", { cell: name, failure });
         if (failure.code === "conflict" || failure.code === "ambiguous") {
-            taken.forEach(({ settle }) => settle(false));
             finish("fenced");
-            return;
         }
-        // The draft keeps its changes, so the next commit that succeeds settles these commands too.
-        commands.unshift(...taken.map(({ settle }) => ({ command: () => undefined, settle })));
     };
 
     return {
@@ -265,6 +241,8 @@
         ledger,
         links,
         policy,
+        overflow,
+        fence: () => journal.fence(),
         epoch: () => journal.head().epoch,
         horizonMilliseconds: () => journal.head().horizonMilliseconds,
         view: now => buildView(viewInput(), now),
@@ -275,15 +253,7 @@
                 options.credits.updateWorkers(name, map.workers, now);
             }
         },
-        command(command) {
-            return new Promise(settle => {
-                if (end !== undefined) {
-                    settle(false);
-                    return;
-                }
-                commands.push({ command, settle });
-            });
-        },
+        command: command => end === undefined ? commands.push(command) : Promise.resolve(false),
         release() {
             releasing = true;
             wake.wake();
@@ -300,16 +270,10 @@
             }
             signal.removeEventListener("abort", abort);
             finish("aborted");
-            commands.splice(0).forEach(({ settle }) => settle(false));
+            commands.settleLost();
             options.credits.dropCell(name);
             await crew.settled();
             return end ?? "aborted";
         },
     };
 }
-
-function placementsOf(configuration: Configuration | undefined): PlacementRule[] {
-    return configuration?.documents.flatMap(document =>
-        document.rules.flatMap(rule => rule.kind === "allow" || rule.kind === "deny" ? [rule] : [])
-    ) ?? [];
-}
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -8,7 +8,7 @@
 const DEFAULT_STORE_LEASE_SECONDS = 3;
 const DEFAULT_CLAIM_INTERVAL_MILLISECONDS = 1_000;
 const DEFAULT_INSTANCE_INTERVAL_MILLISECONDS = 2_000;
-const DEFAULT_WORKER_LEASE_MILLISECONDS = 8_000;
+const DEFAULT_WORKER_LEASE_MILLISECONDS = 18_000;
 const DEFAULT_RENEW_INTERVAL_MILLISECONDS = 2_000;
 const DEFAULT_REPORT_INTERVAL_MILLISECONDS = 5_000;
 const DEFAULT_HORIZON_MILLISECONDS = 1_800_000;
@@ -19,6 +19,7 @@
 const DEFAULT_SEGMENTS_PER_SNAPSHOT = 64;
 const DEFAULT_BACK_OFF_MILLISECONDS = 1_000;
 const DEFAULT_LONGEST_BACK_OFF_MILLISECONDS = 300_000;
+const DEFAULT_OVERFLOW_AFTER_MILLISECONDS = 30_000;
 const DEFAULT_ENDED_KEPT_MILLISECONDS = 3_600_000;
 const DEFAULT_ENDED_KEPT_AT_MOST = 200;
 
@@ -33,7 +34,9 @@
     instanceIntervalMilliseconds: z.int().min(1).default(DEFAULT_INSTANCE_INTERVAL_MILLISECONDS),
     /** A worker stops a task whose lease was not renewed for this long. */
     workerLeaseMilliseconds: z.int().min(1).default(DEFAULT_WORKER_LEASE_MILLISECONDS),
+    /** Time between two renewals of a worker on which something is under way; a third of a lease on all others. */
     renewIntervalMilliseconds: z.int().min(1).default(DEFAULT_RENEW_INTERVAL_MILLISECONDS),
+    /** A renewal asks for a usage report once the last one is older than this. */
     reportIntervalMilliseconds: z.int().min(1).default(DEFAULT_REPORT_INTERVAL_MILLISECONDS),
     /** How long an owner may go on renewing leases of workers without reaching the store. */
     horizonMilliseconds: z.int().min(1).default(DEFAULT_HORIZON_MILLISECONDS),
@@ -50,6 +53,8 @@
     /** First wait after a failed attempt; doubles with each further one. */
     backOffMilliseconds: z.int().min(1).default(DEFAULT_BACK_OFF_MILLISECONDS),
     longestBackOffMilliseconds: z.int().min(1).default(DEFAULT_LONGEST_BACK_OFF_MILLISECONDS),
+    /** A batch task that has never had a place moves to another cell after this time; an offer nobody takes comes back. */
+    overflowAfterMilliseconds: z.int().min(1).default(DEFAULT_OVERFLOW_AFTER_MILLISECONDS),
     /** Ended tasks stay in a cell's ledger for this long, for operators to see. */
     endedKeptMilliseconds: z.int().min(0).default(DEFAULT_ENDED_KEPT_MILLISECONDS),
     /** Ended tasks that stay in a cell's ledger at most. */
