Histories of full cells: tasks move once while schedulers and the store fail

Twelve seeded histories in virtual time with crashes, pauses, lost and late store answers and outages, checked by the model's invariants; in the end every task has finished and no transfer is left. Reading transfers from before the claim does not show in these histories.

--- a/features/scheduler/jobs-overflow.feature
+++ b/features/scheduler/jobs-overflow.feature
@@ -36,3 +36,7 @@
         And schedulers in both data centres start
         Then 40 tasks of "season-prep" run
         And no task has run in two places at once
+
+    Scenario: Tasks move between cells once while schedulers and the store fail
+        When 12 histories of full cells are played from seed 500
+        Then every task has finished and some were taken by another cell
--- a/features/scheduler/jobs-overflow.steps.ts
+++ b/features/scheduler/jobs-overflow.steps.ts
@@ -2,10 +2,13 @@
  * Steps for tasks that move from a full cell to others.
  */
 import { Given, Then, When } from "@cucumber/cucumber";
+import createDebug from "debug";
 import assert from "node:assert/strict";
 import { createStore } from "../../src/platform/adapters/store.js";
 import type { BatchRule } from "../../src/rules/rule.js";
 import { Transfer } from "../../src/scheduler/jobs/transfer.js";
+import { checkOverflow } from "./model/overflow.js";
+import type { OverflowOutcome } from "./model/overflow.js";
 import { listRunning } from "./support/check.js";
 import { createFleet, waitUntil } from "./support/fleet.js";
 import type { Fleet } from "./support/fleet.js";
@@ -21,6 +24,7 @@
     dataCentres: Record<string, number>;
     fleet?: Fleet;
     startsBefore?: number;
+    outcome?: OverflowOutcome;
 }
 
 function fleetOf(world: OverflowWorld): Fleet {
@@ -151,3 +155,22 @@
 Then("no transfer is left in the store", LIMIT, async function(this: OverflowWorld) {
     await waitUntil("transfers are gone", async () => (await listTransfers(fleetOf(this))).length === 0);
 });
+
+When(
+    "{int} histories of full cells are played from seed {int}",
+    { timeout: 300_000 },
+    async function(this: OverflowWorld, runs: number, seed: number) {
+        const namespaces = createDebug.disable();
+        try {
+            this.outcome = await checkOverflow(seed, runs);
+        }
+        finally {
+            createDebug.enable(namespaces);
+        }
+    },
+);
+
+Then("every task has finished and some were taken by another cell", function(this: OverflowWorld) {
+    assert.ok(this.outcome !== undefined && this.outcome.finished > 0, "nothing was played");
+    assert.ok(this.outcome.moved > 0, "no task moved");
+});
