--- a/src/policy/constraints.ts
+++ b/src/policy/constraints.ts
@@ -3,13 +3,13 @@
  *
  * `deny RULE in DATACENTRES` keeps a rule's tasks out of data centres; `deny RULE beside OTHER` keeps the two off one
  * worker, in the named data centres or everywhere; `allow RULE in DATACENTRES` keeps them to the union of all such
- * data centres; `allow RULE beside OTHER` lifts a denial of the same pair, in the named data centres or everywhere.
+ * data centres. A denial goes before an allowance.
  */
 import type { PlacementRule } from "../rules/rule.js";
 import type { PendingTask, WorkerView } from "./policy.js";
 import type { WorkerRoom } from "./room.js";
 
-/** A neighbour that is denied, or whose denial is lifted. */
+/** A neighbour that is denied. */
 interface Neighbour {
     readonly rule: string;
     /** Empty: everywhere. */
@@ -19,7 +19,6 @@
 /** Placement rules by the rule that they are about. */
 export interface PlacementConstraints {
     readonly deniedNeighbours: ReadonlyMap<string, readonly Neighbour[]>;
-    readonly allowedNeighbours: ReadonlyMap<string, readonly Neighbour[]>;
     readonly deniedDataCentres: ReadonlyMap<string, ReadonlySet<string>>;
     readonly allowedDataCentres: ReadonlyMap<string, ReadonlySet<string>>;
 }
@@ -27,7 +26,6 @@
 /** Sorts placement rules by what they say. A pair means the same whichever of the two comes first. */
 export function readPlacements(placements: readonly PlacementRule[]): PlacementConstraints {
     const deniedNeighbours = new Map<string, Neighbour[]>();
-    const allowedNeighbours = new Map<string, Neighbour[]>();
     const deniedDataCentres = new Map<string, Set<string>>();
     const allowedDataCentres = new Map<string, Set<string>>();
     for (const placement of placements) {
@@ -36,13 +34,12 @@
             const target = placement.kind === "deny" ? deniedDataCentres : allowedDataCentres;
             addAll(target, name, dataCentres);
         }
-        else {
-            const target = placement.kind === "deny" ? deniedNeighbours : allowedNeighbours;
-            push(target, name, { rule: beside, dataCentres });
-            push(target, beside, { rule: name, dataCentres });
+        else if (placement.kind === "deny") {
+            push(deniedNeighbours, name, { rule: beside, dataCentres });
+            push(deniedNeighbours, beside, { rule: name, dataCentres });
         }
     }
-    return { deniedNeighbours, allowedNeighbours, deniedDataCentres, allowedDataCentres };
+    return { deniedNeighbours, deniedDataCentres, allowedDataCentres };
 }
 
 function push<Value>(map: Map<string, Value[]>, key: string, value: Value): void {
@@ -96,10 +93,8 @@
         return undefined;
     }
     const { dataCentre } = room.view.instance;
-    const allowed = constraints.allowedNeighbours.get(rule) ?? [];
     const neighbour = denied.find(entry =>
         holdsIn(entry, dataCentre)
-        && !allowed.some(lifted => lifted.rule === entry.rule && holdsIn(lifted, dataCentre))
         && room.occupants.some(occupant => occupant.rule === entry.rule)
     );
     return neighbour === undefined ? undefined : `a place beside ${neighbour.rule} is denied`;
--- a/src/scheduler/jobs/plan.ts
+++ b/src/scheduler/jobs/plan.ts
@@ -195,6 +195,7 @@
     });
 }
 
-function slotOf(taskId: string): number {
+/** Number of the replica that a task is or replaces. */
+export function slotOf(taskId: string): number {
     return Number(taskId.slice(taskId.lastIndexOf("/") + 1)) % REPLICA_STRIDE;
 }
