The owners of rule names are followed change by change

Cause: each change of rules went through the names of all teams to find names that had changed hands: at 810 teams most of the time of a merge, and its garbage. Change: an index from name to team (src/configuration/owners.ts); only names that two documents hold are looked at, until one has given way.

--- a/src/configuration/catalog.ts
+++ b/src/configuration/catalog.ts
@@ -3,8 +3,8 @@
  * higher revision, so that replayed watches, stale reads and late answers change nothing.
  */
 import type { Failure } from "../core/errors.js";
-import { startsTasks } from "../rules/rule.js";
-import type { Configuration, Rule, RulesDocument } from "../rules/rule.js";
+import type { Configuration, RulesDocument } from "../rules/rule.js";
+import { createNameOwners } from "./owners.js";
 import { toDocument } from "./record.js";
 import type { RevisedRecord } from "./record.js";
 
@@ -40,6 +40,7 @@
 export function createCatalog(): Catalog {
     const records = new Map<string, RevisedRecord>();
     const documents = new Map<string, RulesDocument>();
+    const owners = createNameOwners(team => documents.get(team));
     let complete = 0;
     let configuration: Configuration = { revision: 0, documents: [] };
 
@@ -52,6 +53,7 @@
         if (document.isErr) {
             return document.error;
         }
+        owners.replace(documents.get(revised.record.team), document.value);
         records.set(revised.record.team, revised);
         documents.set(revised.record.team, document.value);
         return "taken";
@@ -64,7 +66,7 @@
             const changed = outcomes.includes("taken");
             if (changed) {
                 const highest = Math.max(...[...documents.values()].map(document => document.revision));
-                configuration = { revision: highest, documents: dropOutdatedNames([...documents.values()]) };
+                configuration = { revision: highest, documents: owners.dropOutdated([...documents.values()]) };
             }
             // A record that cannot be read stays missing, so that it is asked for again.
             if (failures.length === 0) {
@@ -85,22 +87,3 @@
         configuration: () => configuration,
     };
 }
-
-/**
- * A name changes hands in two applies of two teams, which may arrive in either order. The later apply was accepted only
- * because the earlier owner had given the name back, so an older document that still has it is outdated in this.
- */
-function dropOutdatedNames(documents: readonly RulesDocument[]): RulesDocument[] {
-    const owners = new Map<string, number>();
-    for (const { revision, rules } of documents) {
-        for (const { name } of rules.filter(startsTasks)) {
-            owners.set(name, Math.max(revision, owners.get(name) ?? 0));
-        }
-    }
-    return documents.map(document => {
-        const isOwned = (rule: Rule) => !startsTasks(rule) || owners.get(rule.name) === document.revision;
-        return document.rules.every(isOwned)
-            ? document
-            : { ...document, rules: document.rules.filter(isOwned) };
-    });
-}
