Fault runs: a drawn target in trouble gives way to the next one; links exist before their process

Change: where the drawn daemon or worker is in trouble the next free one is hit; the proxy of a daemon's peers' port is there before the daemon and gets its target once it listens; fault runs set a lease of 8 s, as before.

--- a/bench/experiments/faults.ts
+++ b/bench/experiments/faults.ts
@@ -11,7 +11,7 @@
 import type { Check, Experiment, ExperimentContext } from "../support/experiment.js";
 import { createInjector } from "../support/faults/inject.js";
 import { createOperators } from "../support/faults/operators.js";
-import { planFaults } from "../support/faults/plan.js";
+import { planFaults, WORKER_LEASE_MILLISECONDS } from "../support/faults/plan.js";
 import type { PlannedFault } from "../support/faults/plan.js";
 import { plotLatency, plotOutcomes } from "../support/faults/plots.js";
 import { lastingBatch, services } from "../support/faults/rules.js";
@@ -69,6 +69,7 @@
             profiles: { [services.exclusive]: { requestMilliseconds: 25 } },
             unlistedEffectAtMost: 0.5,
         },
+        scheduler: { cells: { workerLeaseMilliseconds: WORKER_LEASE_MILLISECONDS } },
         ...(without === undefined ? {} : { without }),
     });
     context.progress(`${world.proxies.size} links behind proxies, logs in ${world.deployment.directory}`);
--- a/bench/support/faults/inject.ts
+++ b/bench/support/faults/inject.ts
@@ -17,9 +17,9 @@
 const SLOW_WORKER_MILLISECONDS = 300;
 const LAG_MILLISECONDS = 1_500;
 
-/** Faults that act on one daemon at a time; a daemon that is already in trouble is left alone. */
+/** Faults of which one at a time acts on a target; where the drawn daemon or worker is in trouble, the next one is hit. */
 export interface Injector {
-    /** Resolves when the fault is over; false where its target was in trouble already and was left alone. */
+    /** Resolves when the fault is over; false where every target was in trouble already and was left alone. */
     inject(fault: PlannedFault): Promise<boolean>;
 }
 
@@ -34,7 +34,7 @@
     const busy = new Set<string>();
     return {
         async inject(fault) {
-            const action = await createAction(world, fault);
+            const action = await createAction(world, fault, target => !busy.has(target));
             if (busy.has(action.target)) {
                 return false;
             }
@@ -53,7 +53,10 @@
     };
 }
 
-async function createAction(world: World, fault: PlannedFault): Promise<Action> {
+/** Tells whether a target is in no trouble yet. */
+type IsFree = (target: string) => boolean;
+
+async function createAction(world: World, fault: PlannedFault, isFree: IsFree): Promise<Action> {
     const { kind } = fault;
     if (kind.startsWith("store-")) {
         return switchFaults(world, fault, "store", world.deployment.storeOrigin, storeFaults[kind]);
@@ -62,12 +65,12 @@
         return switchFaults(world, fault, "instances", world.deployment.instancesOrigin, listFaults[kind]);
     }
     if (kind.startsWith("gateway-") || kind.startsWith("scheduler-")) {
-        return createDaemonAction(world, fault);
+        return createDaemonAction(world, fault, isFree);
     }
     if (kind.startsWith("links-")) {
         return createLinksAction(world, fault);
     }
-    return createWorkerAction(world, fault);
+    return createWorkerAction(world, fault, isFree);
 }
 
 type Faults = Partial<Record<FaultKind, { readonly begin: object; readonly end: object; }>>;
@@ -119,16 +122,17 @@
     };
 }
 
-function createDaemonAction(world: World, fault: PlannedFault): Action {
+function createDaemonAction(world: World, fault: PlannedFault, isFree: IsFree): Action {
     const role: DaemonRole = fault.kind.startsWith("gateway-") ? "gateway" : "scheduler";
-    const instance = choose(world.deployment.instances, fault.choice);
+    const nameTarget = ({ name }: DeployedInstance) => `${name}/${role}`;
+    const instance = chooseFree(world.deployment.instances, fault.choice, one => isFree(nameTarget(one)));
     const runs: Record<string, () => Promise<void>> = {
         killed: () => killDaemon(world, instance, role),
         paused: () => pauseDaemon(instance, role, fault.durationMilliseconds),
         stopped: () => stopDaemon(world, instance, role),
     };
     const [, how = ""] = fault.kind.split("-");
-    return { target: `${instance.name}/${role}`, run: runs[how] ?? (async () => undefined) };
+    return { target: nameTarget(instance), run: runs[how] ?? (async () => undefined) };
 }
 
 async function killDaemon(world: World, instance: DeployedInstance, role: DaemonRole): Promise<void> {
@@ -173,18 +177,18 @@
     return 0;
 }
 
-async function createWorkerAction(world: World, fault: PlannedFault): Promise<Action> {
+async function createWorkerAction(world: World, fault: PlannedFault, isFree: IsFree): Promise<Action> {
     if (fault.kind.startsWith("answers-")) {
         return createAnswersAction(world, fault);
     }
-    const worker = await chooseBusyWorker(world, fault);
+    const worker = await chooseBusyWorker(world, fault, isFree);
     return fault.kind === "worker-leaving" || fault.kind === "worker-refuses-and-leaves"
         ? createLeaveAction(world, fault, worker)
         : switchFaults(world, fault, worker.name, worker.controlOrigin, workerFaults[fault.kind]);
 }
 
 /** A worker that runs batch work, so that its trouble matters; any worker where none does. */
-async function chooseBusyWorker(world: World, fault: PlannedFault): Promise<WorkerInstance> {
+async function chooseBusyWorker(world: World, fault: PlannedFault, isFree: IsFree): Promise<WorkerInstance> {
     const active = new Map<string, string>();
     for (const record of await world.readWorkerRecords()) {
         if (record.event === "attempt-started" && record.kind === "batch") {
@@ -196,7 +200,7 @@
     }
     const names = new Set(active.values());
     const busy = world.workers.filter(worker => names.has(worker.name));
-    return choose(busy.length > 0 ? busy : world.workers, fault.choice);
+    return chooseFree(busy.length > 0 ? busy : world.workers, fault.choice, ({ name }) => isFree(name));
 }
 
 function createLeaveAction(world: World, fault: PlannedFault, worker: WorkerInstance): Action {
@@ -267,6 +271,13 @@
     return Array.from({ length: count }, (unused, index) => names[(first + index * step) % names.length] ?? "");
 }
 
+/** Chooses a value that is free, the drawn one or one after it; the drawn one where none is. */
+function chooseFree<Value>(values: readonly Value[], choice: number, isFree: (value: Value) => boolean): Value {
+    const first = Math.floor(choice * values.length);
+    const turned = [...values.slice(first), ...values.slice(0, first)];
+    return turned.find(isFree) ?? choose(values, choice);
+}
+
 function choose<Value>(values: readonly Value[], choice: number): Value {
     const value = values[Math.floor(choice * values.length)];
     if (value === undefined) {
--- a/bench/support/faults/plan.ts
+++ b/bench/support/faults/plan.ts
@@ -52,8 +52,8 @@
 
 const SHORTEST_MILLISECONDS = 1_000;
 const LONGEST_MILLISECONDS = 7_000;
-/** Workers are out of reach for longer than the leases of what they run. */
-const LEASE_MILLISECONDS = 8_000;
+/** Lease of workers in fault runs: shorter than by default, so that it lapses within a run. */
+export const WORKER_LEASE_MILLISECONDS = 8_000;
 /** A leave is long enough to be judged. */
 const LEAVE_MILLISECONDS = 9_000;
 /** The list is never away for so long that nobody could know of a leaving worker in time. */
@@ -100,7 +100,8 @@
             return LEAVE_MILLISECONDS;
         case "worker-silent":
         case "worker-orders-cut":
-            return drawn + LEASE_MILLISECONDS;
+            // Workers are out of reach for longer than the leases of what they run.
+            return drawn + WORKER_LEASE_MILLISECONDS;
         case "list-down":
         case "list-lags":
             return Math.min(drawn, LONGEST_LIST_OUTAGE_MILLISECONDS);
--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -1,10 +1,7 @@
 /**
  * A whole deployment of real processes: the development platform, and a gateway and a scheduler on each entry instance.
  */
-import { once } from "node:events";
 import { mkdtemp } from "node:fs/promises";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { request } from "undici";
@@ -12,6 +9,8 @@
 import type { RunningProcess } from "./processes.js";
 
 const LOOPBACK = "127.0.0.1";
+/** Target of a link whose process does not listen yet; connections to it are refused. */
+const NOWHERE = `http://${LOOPBACK}:1`;
 const SCRIPTS = {
     platform: "dist/stand-ins/platform.js",
     gateway: "dist/src/binaries/gateway.js",
@@ -185,18 +184,16 @@
         start: async (instance, dataCentre, role, ports = {}) => {
             const from = `${instance}/${role}`;
             const anyPort = { host: LOOPBACK, port: 0 };
-            // Peers tell one another their origins, so a link that is routed needs its port before the process runs.
-            const peers = ports["peers"] ?? (options.route === undefined ? anyPort : await findFreePort());
-            const origin = `http://${peers.host}:${peers.port}`;
+            const routePeers = (origin: string) => options.route?.({ from: "peers", to: from }, origin);
+            // Peers tell one another their origins, so a link that is routed exists before the process runs.
+            const advertisedOrigin = await routePeers(NOWHERE);
             const settings = {
                 instance,
                 dataCentre,
                 store: { origins: [await route({ from, to: "store" }, storeOrigin)] },
                 instanceList: { origin: await route({ from, to: "instances" }, instancesOrigin) },
-                peers,
-                ...(options.route === undefined
-                    ? {}
-                    : { advertisedOrigin: await options.route({ from: "peers", to: from }, origin) }),
+                peers: ports["peers"] ?? anyPort,
+                ...(advertisedOrigin === undefined ? {} : { advertisedOrigin }),
                 metrics: ports["metrics"] ?? anyPort,
                 peerToken: PEER_TOKEN,
                 ...(role === "gateway"
@@ -208,27 +205,19 @@
                     : {}),
                 ...options[role],
             };
-            return startProcess({
+            const started = await startProcess({
                 name: `${instance}-${role}`,
                 script: SCRIPTS[role],
                 settings,
                 directory: options.directory,
                 nodeFlags: options.nodeFlags ?? [],
             });
+            await routePeers(readOrigin(started, "peers"));
+            return started;
         },
     };
 }
 
-async function findFreePort(): Promise<Ports[string]> {
-    const server = createServer();
-    server.listen(0, LOOPBACK);
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    server.close();
-    await once(server, "close");
-    return { host: LOOPBACK, port };
-}
-
 async function startInstance(index: number, options: DeploymentOptions, launcher: Launcher): Promise<DeployedInstance> {
     const name = `entry-${index + 1}`;
     const dataCentre = options.dataCentres[index % options.dataCentres.length]?.name ?? "nowhere";
