A deployment that does not come up leaves no process behind

Cause: a fault run whose daemon ended at its start went on for as long as its other processes lived. Change: what had been started is ended before the failure is passed on.

--- a/stand-ins/deployment.ts
+++ b/stand-ins/deployment.ts
@@ -7,6 +7,7 @@
 import { request } from "undici";
 import { startProcess } from "./processes.js";
 import type { RunningProcess } from "./processes.js";
+import { settleAll } from "./support/settle.js";
 
 const LOOPBACK = "127.0.0.1";
 /** Target of a link whose process does not listen yet; connections to it are refused. */
@@ -119,10 +120,29 @@
     readonly [port: string]: { readonly host: string; readonly port: number; };
 }
 
-/** Starts a deployment; resolves when all processes listen and the instance list knows them. */
+/** Starts a deployment; resolves when all processes listen and the instance list knows them. None is left where it fails. */
 export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
+    const started: RunningProcess[] = [];
+    const launch: Launch = async process => {
+        const running = await startProcess(process);
+        started.push(running);
+        return running;
+    };
+    try {
+        return await launchDeployment(options, launch);
+    }
+    catch (thrown) {
+        await Promise.all(started.map(running => running.kill()));
+        throw thrown;
+    }
+}
+
+/** Starts a process and notes it. */
+type Launch = typeof startProcess;
+
+async function launchDeployment(options: DeploymentOptions, launch: Launch): Promise<Deployment> {
     const directory = options.directory ?? await mkdtemp(join(tmpdir(), "flamingowell-"));
-    const platform = await startProcess({
+    const platform = await launch({
         name: "platform",
         script: SCRIPTS.platform,
         settings: { dataCentres: options.dataCentres, ...options.platform },
@@ -130,8 +150,8 @@
     });
     const storeOrigin = readOrigin(platform, "store");
     const instancesOrigin = readOrigin(platform, "instances");
-    const launcher = createLauncher({ ...options, directory }, storeOrigin, instancesOrigin);
-    const instances = await Promise.all(
+    const launcher = createLauncher({ ...options, directory }, storeOrigin, instancesOrigin, launch);
+    const instances = await settleAll(
         [...Array(options.instances).keys()].map(index => startInstance(index, options, launcher)),
     );
     await Promise.all(instances.map(instance => register(instance, instancesOrigin, options)));
@@ -178,6 +198,7 @@
     options: DeploymentOptions & { readonly directory: string; },
     storeOrigin: string,
     instancesOrigin: string,
+    launch: Launch,
 ): Launcher {
     const route = options.route ?? (async (link: Link, origin: string) => origin);
     return {
@@ -205,7 +226,7 @@
                     : {}),
                 ...options[role],
             };
-            const started = await startProcess({
+            const started = await launch({
                 name: `${instance}-${role}`,
                 script: SCRIPTS[role],
                 settings,
@@ -221,7 +242,7 @@
 async function startInstance(index: number, options: DeploymentOptions, launcher: Launcher): Promise<DeployedInstance> {
     const name = `entry-${index + 1}`;
     const dataCentre = options.dataCentres[index % options.dataCentres.length]?.name ?? "nowhere";
-    const [gateway, scheduler] = await Promise.all([
+    const [gateway, scheduler] = await settleAll([
         launcher.start(name, dataCentre, "gateway"),
         launcher.start(name, dataCentre, "scheduler"),
     ]);
