Capacity: batch work that is placed, and points that begin when starts follow ends

Cause: tasks of 9 cores beside replicas were never placed (336 of 336 'waits for a place' on 24 workers after 16 s), so the old points had 0 starts a second; tasks of 4 cores are (144 running, 6 on a worker). A point that began 5 s after the first starts had 0.4 starts a second at 24 workers, since the first tasks had not ended. Change: 4 cores, 24 s, 28 tasks a worker: a start of each worker in 4 s, as at the target. The window begins when two starts of each worker have followed ends.

--- a/bench/support/capacity/load.ts
+++ b/bench/support/capacity/load.ts
@@ -15,8 +15,13 @@
 const DAYS_IN_FORCE = 90;
 const TEAM = "capacity";
 const SERVICE = "counter";
-const BATCH_TASKS_PER_WORKER = 14;
-const READY_LIMIT_MILLISECONDS = 30_000;
+const BATCH_TASKS_PER_WORKER = 28;
+/** Six tasks run on a worker beside its replicas: a start of each worker in 4 s, as at the target. */
+const BATCH_CORES = 4;
+const BATCH_SECONDS = 24;
+/** The first six starts of a worker come at once; two more show that starts follow ends, as they do from then on. */
+const BATCH_STARTS_BEFORE_WINDOW = 8;
+const READY_LIMIT_MILLISECONDS = 90_000;
 const POLL_MILLISECONDS = 200;
 const RULE_DEADLINE = "3s";
 const RPC_TIMEOUT_MILLISECONDS = 20_000;
@@ -48,8 +53,8 @@
         return running >= size.workers * REPLICAS_PER_WORKER;
     });
     if (size.batch) {
-        const wanted = size.workers * (REPLICAS_PER_WORKER + 1);
-        await waitFor("batch work runs", async () => await countStarted() > wanted);
+        const wanted = size.workers * (REPLICAS_PER_WORKER + BATCH_STARTS_BEFORE_WINDOW);
+        await waitFor("batch work runs", async () => await countStarted() >= wanted);
     }
     if (size.callsPerSecond > 0) {
         await waitFor("calls are answered", async () => {
@@ -82,7 +87,7 @@
             ? [
                 `batch ${BATCH} --tasks ${
                     size.workers * BATCH_TASKS_PER_WORKER
-                } --cores 9 --memory 4GiB --seconds 12 --until ${until} # Budi`,
+                } --cores ${BATCH_CORES} --memory 4GiB --seconds ${BATCH_SECONDS} --until ${until} # Budi`,
             ]
             : [],
         "",
