Worker stand-in refuses orders that are meant for a former incarnation

Cause: the port says that such orders are fenced; the stand-in carried them out, so an order under way during a restart could start what its owner had already given up. Test: fails without the check.

--- a/features/platform/renewals.feature
+++ b/features/platform/renewals.feature
@@ -33,3 +33,10 @@
         And a renewal by 600000 milliseconds names the last version
         Then the renewal is refused as "conflict"
         And the worker says that attempt 1 of "prep-1" is "lapsed"
+
+    Scenario: An order for a worker's former incarnation is refused
+        Given attempt 1 of batch task "prep-1" with 900 seconds of work is started
+        When the worker stand-in has the faults '{"restart": true}'
+        And attempt 2 of "prep-1" is ordered to start on the incarnation of before
+        Then the order fails as "fenced"
+        And the records show 1 start of "prep-1"
--- a/features/platform/renewals.steps.ts
+++ b/features/platform/renewals.steps.ts
@@ -10,7 +10,7 @@
 import { createRenewals } from "../../src/platform/adapters/renewals.js";
 import { workerPaths } from "../../src/platform/adapters/worker.js";
 
-import { findStatus, header } from "./world.js";
+import { findStatus, header, start } from "./world.js";
 import type { WorkerWorld } from "./world.js";
 
 interface RenewalsWorld extends WorkerWorld {
@@ -87,3 +87,13 @@
 Then("the renewal is refused as {string}", function(this: RenewalsWorld, code: string) {
     assert.equal(this.refusal, code);
 });
+
+When("attempt {int} of {string} is ordered to start on the incarnation of before", async function(
+    this: RenewalsWorld,
+    attempt: number,
+    taskId: string,
+) {
+    const [before] = this.records.flatMap(record => record.event === "worker" ? [record.incarnation] : []);
+    assert.ok(before !== undefined);
+    await start(this, taskId, attempt, {}, before);
+});
--- a/features/platform/world.ts
+++ b/features/platform/world.ts
@@ -45,9 +45,16 @@
 }
 
 /** Starts an attempt; the answer is kept. */
-export async function start(world: WorkerWorld, taskId: string, attempt: number, order: Start): Promise<void> {
+export async function start(
+    world: WorkerWorld,
+    taskId: string,
+    attempt: number,
+    order: Start,
+    workerIncarnation?: string,
+): Promise<void> {
     world.started = await control.start(world.standIn.instance.controlOrigin, {
         ...header(world),
+        ...(workerIncarnation === undefined ? {} : { workerIncarnation }),
         starts: [{
             taskId,
             attempt,
--- a/stand-ins/worker/orders.ts
+++ b/stand-ins/worker/orders.ts
@@ -40,7 +40,7 @@
     readonly epochs: Map<string, number>;
     readonly faults: WorkerFaults;
     readonly counts: OrderCounts;
-    incarnation(): string;
+    readonly incarnation: () => string;
     readReport(now: number): WorkerReport;
 }
 
@@ -97,7 +97,10 @@
     serve(workerPaths.renew, RenewOrder, renewals.carryOut, renewals.findConflict);
 }
 
-function checkEpoch(order: OrderHeader, { epochs }: OrdersOptions): Failure | undefined {
+function checkEpoch(order: OrderHeader, { epochs, incarnation }: OrdersOptions): Failure | undefined {
+    if (order.workerIncarnation !== undefined && order.workerIncarnation !== incarnation()) {
+        return createFailure("fenced", "order", `it is meant for the incarnation ${order.workerIncarnation}`);
+    }
     const newest = epochs.get(order.cell) ?? 0;
     if (order.epoch < newest) {
         return createFailure("fenced", "order", `cell ${order.cell} is at epoch ${newest}, not ${order.epoch}`);
