--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -63,10 +63,11 @@
 });
 
 Given(
-    "a service with 2 replicas and breakers that open for {int} ms",
-    async function(this: UpstreamsWorld, milliseconds: number) {
+    /^a service with (\d+) replicas? and breakers that open for (\d+) ms$/,
+    async function(this: UpstreamsWorld, count: string, time: string) {
+        const [replicas, milliseconds] = [Number(count), Number(time)];
         const settings = { breakerOpenMilliseconds: milliseconds, breakerLongestMilliseconds: milliseconds };
-        await startService(this, { replicas: 2, settings: { ...settings, probeTimeoutMilliseconds: 100 } });
+        await startService(this, { replicas, settings: { ...settings, probeTimeoutMilliseconds: 100 } });
     },
 );
 
@@ -100,6 +101,10 @@
     await waitUntil("the probe has ended", () => gateway.breakersOpened() > opened);
 });
 
+When("what has arrived is forgotten", function(this: UpstreamsWorld) {
+    forgetRequests(this);
+});
+
 Then(
     "{int} requests one after the other are answered by replica {int}",
     async function(this: UpstreamsWorld, count: number, index: number) {
@@ -184,6 +189,39 @@
     });
 });
 
+Given("a service with 2 replicas and two gateways of which the first knows the second", async function(
+    this: UpstreamsWorld,
+) {
+    const peers: string[] = [];
+    await startService(this, { replicas: 2, listPeers: () => peers });
+    const schedulers = [firstScheduler(this).origin];
+    const second = await startGateway({ schedulers, instance: "entry-2" });
+    this.gateways.push(second);
+    peers.push(second.peerOrigin);
+    await waitUntil(
+        "the second gateway knows the routes",
+        async () => (await call(`${second.origin}/beacon-check/kits/1`, { body: "x" })).status === 200,
+    );
+});
+
+When("the second gateway has been told", async function(this: UpstreamsWorld) {
+    const [, second] = this.gateways;
+    await waitUntil(
+        "it has been told",
+        async () => await second?.count("flamingowell_leaving_replicas_total", { source: "gateway" }) === 1,
+    );
+});
+
+Then(
+    "{int} requests one after the other through the second gateway are answered by replica 1",
+    async function(this: UpstreamsWorld, count: number) {
+        forgetRequests(this);
+        this.gateways.reverse();
+        assert.deepEqual([...new Set(await callTimes(this, count))], [200]);
+        assert.deepEqual([countRequests(this, 0), countRequests(this, 1)], [0, count]);
+    },
+);
+
 When("a scheduler with an older epoch offers no replicas", async function(this: UpstreamsWorld) {
     const former = await startScheduler();
     this.schedulers.push(former);
--- a/src/client/commands/rules-apply.ts
+++ b/src/client/commands/rules-apply.ts
@@ -9,32 +9,33 @@
 import type { Command, CommandContext } from "../command.js";
 import { textOption } from "../command.js";
 import { reportFailure } from "../report.js";
-import { teamOfFile } from "../team.js";
+import { readRulesFile } from "../team.js";
 
 export const rulesApply: Command = {
     name: "rules apply",
     positionals: ["FILE"],
     options: {
         team: { type: "string", help: "team whose rules these are; by default the file's name" },
-        base: { type: "string", help: "revision that the file was made from; by default the one in force" },
+        base: {
+            type: "string",
+            number: true,
+            help: "revision that the file was made from; by default the one in force",
+        },
         wait: spreadWaitOption,
     },
     summary: "put a rules file in force, whole or not at all",
     async run(context) {
-        const [file = ""] = context.positionals;
-        const team = textOption(context, "team") ?? teamOfFile(file);
-        const text = await context.readFile(file);
-        if (text.isErr) {
-            return reportFailure(context, text.error);
+        const read = await readRulesFile(context);
+        if (read.isErr) {
+            return reportFailure(context, read.error);
         }
-        const base = await findBase(context, team, text.value);
+        const { team, text } = read.value;
+        const base = await findBase(context, team, text);
         if (base.isErr) {
             return reportFailure(context, base.error);
         }
         const applied = await callUntilSettled(context, applyRules, {
-            team,
-            file,
-            text: text.value,
+            ...read.value,
             baseRevision: base.value,
             applyId: randomUUID(),
             by: context.by,
@@ -45,7 +46,7 @@
 
 async function findBase(context: CommandContext, team: string, text: string): Promise<Result<number, Failure>> {
     const given = textOption(context, "base");
-    if (given !== undefined && /^\d+$/.test(given)) {
+    if (given !== undefined) {
         return Result.ok(Number(given));
     }
     const plan = await context.call(planRules, { team, text });
