A replica's word that it is leaving lapses; near replicas first, shown by a test that can fail

Cause: one refusal as leaving took a replica out on every gateway until its attempt changed; a worker that refused for a while and went on would have stayed without requests. Read in the code, with a new scenario. Change: requests.leavingMilliseconds (60 s); a replica that refuses again is left out and told of again. The scenario fails where the word never lapses (it could not pass before). Cause 2: 'Replicas of the gateway's own data centre go first' made the far replica slow, so that it passed without any preference. Now both need 20 ms and spill is at 10 times the cost.

--- a/features/gateway/upstreams.feature
+++ b/features/gateway/upstreams.feature
@@ -49,6 +49,13 @@
         When it has said so once
         Then 50 requests one after the other are answered by replica 1
 
+    Scenario: A replica that was not leaving after all gets requests again
+        Given a service with 2 replicas whose word that they are leaving counts for 300 ms
+        And replica 0 says that it is leaving
+        When it has said so once
+        And replica 0 answers again
+        Then requests reach replica 0 again
+
     Scenario: A gateway that has sent a leaving replica nothing learns of it from another gateway
         Given a service with 2 replicas and two gateways of which the first knows the second
         And replica 0 says that it is leaving
@@ -67,8 +74,9 @@
         Then 10 requests are answered
 
     Scenario: Replicas of the gateway's own data centre go first
-        Given a service with 2 replicas, the second in another data centre
-        And replica 1 needs 10 ms for each request
+        Given a service with 2 replicas, the second in another data centre that is used at 10 times the cost
+        And replica 0 needs 20 ms for each request
+        And replica 1 needs 20 ms for each request
         When 200 requests have been made
         Then replica 0 got at least 9 of 10
 
--- a/features/gateway/upstreams.steps.ts
+++ b/features/gateway/upstreams.steps.ts
@@ -71,6 +71,13 @@
     },
 );
 
+Given(
+    "a service with {int} replicas whose word that they are leaving counts for {int} ms",
+    async function(this: UpstreamsWorld, replicas: number, leavingMilliseconds: number) {
+        await startService(this, { replicas, settings: { leavingMilliseconds } });
+    },
+);
+
 Given("replica {int} needs {int} ms for each request", function(this: UpstreamsWorld, index: number, delay: number) {
     this.upstreams[index]?.behave((request, socket) => {
         void pause(delay).then(() => answerWhole(request, socket));
@@ -241,6 +248,14 @@
     assert.deepEqual([...new Set(await callTimes(this, count))], [200]);
 });
 
+Given(
+    "a service with 2 replicas, the second in another data centre that is used at {int} times the cost",
+    async function(this: UpstreamsWorld, spillFactor: number) {
+        const dataCentres = ["levi", "rovaniemi"];
+        await startService(this, { replicas: 2, dataCentres, settings: { spillFactor } });
+    },
+);
+
 Given("a service with 2 replicas, the second in another data centre", async function(this: UpstreamsWorld) {
     await startService(this, { replicas: 2, dataCentres: ["levi", "rovaniemi"] });
 });
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -33,7 +33,7 @@
 import { serve } from "./serve.js";
 import type { ServeOptions } from "./serve.js";
 import type { RequestSettings } from "./settings.js";
-import { openBreaker } from "./upstream/health.js";
+import { markLeaving, openBreaker } from "./upstream/health.js";
 import { createLeavingNews } from "./upstream/leaving.js";
 import { createUpstreamPool } from "./upstream/pool.js";
 import { createProber } from "./upstream/probe.js";
@@ -141,10 +141,12 @@
     const news = createLeavingNews({
         membership: options.membership,
         rpc: options.rpc,
+        clock,
+        leavingMilliseconds: settings.leavingMilliseconds,
         logger,
         onNews: attempt => {
             for (const route of table.all().filter(one => nameAttempt(one) === attempt)) {
-                selector.healthOf(route).left = true;
+                markLeaving(selector.healthOf(route), settings, clock());
             }
             counters.countLeaving("gateway");
         },
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -29,6 +29,7 @@
 const DEFAULT_BREAKER_FAILURES = 3;
 const DEFAULT_BREAKER_OPEN_MILLISECONDS = 1_000;
 const DEFAULT_BREAKER_LONGEST_MILLISECONDS = 30_000;
+const DEFAULT_LEAVING_MILLISECONDS = 60_000;
 const DEFAULT_PROBE_TIMEOUT_MILLISECONDS = 1_000;
 const DEFAULT_EJECTED_SHARE = 0.3;
 const DEFAULT_SPILL_FACTOR = 2;
@@ -91,6 +92,8 @@
     breakerOpenMilliseconds: z.int().min(1).default(DEFAULT_BREAKER_OPEN_MILLISECONDS),
     /** Longest time for which a circuit breaker stays open. */
     breakerLongestMilliseconds: z.int().min(1).default(DEFAULT_BREAKER_LONGEST_MILLISECONDS),
+    /** Time for which a replica that says that it is leaving gets no requests, unless its routes change before. */
+    leavingMilliseconds: z.int().min(0).default(DEFAULT_LEAVING_MILLISECONDS),
     /** Time within which a probe on a new connection has to be answered. */
     probeTimeoutMilliseconds: z.int().min(1).default(DEFAULT_PROBE_TIMEOUT_MILLISECONDS),
     /** Largest share of a service's replicas that is left out for failing more than the others. */
--- a/src/gateway/upstream/health.ts
+++ b/src/gateway/upstream/health.ts
@@ -19,11 +19,12 @@
     /** Nothing was learned. */
     | "unused";
 
-/** Limits of the circuit breaker. */
+/** Limits of the circuit breaker, and of what a replica's word that it is leaving is good for. */
 export interface BreakerLimits {
     readonly breakerFailures: number;
     readonly breakerOpenMilliseconds: number;
     readonly breakerLongestMilliseconds: number;
+    readonly leavingMilliseconds: number;
 }
 
 /** State of one replica. */
@@ -37,7 +38,8 @@
     failuresInARow: number;
     openUntilMilliseconds: number;
     nextOpenMilliseconds: number;
-    left: boolean;
+    /** Its word that it is leaving counts until then. */
+    leavingUntilMilliseconds: number;
 }
 
 const DECAY = 0.1;
@@ -59,7 +61,7 @@
         failuresInARow: 0,
         openUntilMilliseconds: 0,
         nextOpenMilliseconds: limits.breakerOpenMilliseconds,
-        left: false,
+        leavingUntilMilliseconds: 0,
     };
 }
 
@@ -72,7 +74,7 @@
     now: number,
 ): boolean {
     if (verdict === "left") {
-        health.left = true;
+        markLeaving(health, limits, now);
     }
     if (verdict === "unused" || verdict === "left") {
         return false;
@@ -100,6 +102,11 @@
     return true;
 }
 
+/** Leaves a replica out for a time; one that was not leaving after all gets requests again then. */
+export function markLeaving(health: ReplicaHealth, limits: BreakerLimits, now: number): void {
+    health.leavingUntilMilliseconds = now + limits.leavingMilliseconds;
+}
+
 /**
  * Lets news fade with time, called at each sweep: failures are forgiven, and latency moves to the service's mean, so
  * that a replica that is left out gets another chance.
@@ -121,7 +128,7 @@
 
 /** Tells whether a replica may be given a request: after the breaker's time one request at a time tries it. */
 export function mayTry(health: ReplicaHealth, limits: BreakerLimits, now: number): boolean {
-    if (health.left || health.openUntilMilliseconds > now) {
+    if (Math.max(health.leavingUntilMilliseconds, health.openUntilMilliseconds) > now) {
         return false;
     }
     return health.failuresInARow < limits.breakerFailures || health.inFlight === 0;
--- a/src/gateway/upstream/leaving.ts
+++ b/src/gateway/upstream/leaving.ts
@@ -8,6 +8,7 @@
 import type { Logger } from "../../core/log.js";
 import { defineMethod, implement } from "../../core/rpc.js";
 import type { MethodHandler, RpcClient } from "../../core/rpc.js";
+import type { Clock } from "../../core/time.js";
 import type { MembershipSource } from "../../membership/member.js";
 
 /** Tells a gateway that a replica takes no new work; it may have learned so already. */
@@ -20,6 +21,9 @@
 export interface LeavingNewsOptions {
     readonly membership: MembershipSource;
     readonly rpc: RpcClient;
+    readonly clock: Clock;
+    /** Time for which the news counts; an attempt that refuses again after it is told of again. */
+    readonly leavingMilliseconds: number;
     readonly logger: Logger;
     /** Called with an attempt that another gateway was refused by. */
     onNews(attempt: string): void;
@@ -28,20 +32,23 @@
 /** Takes in news and tells it. */
 export interface LeavingNews {
     readonly handler: MethodHandler;
-    /** Tells all other gateways of an attempt, once; does not wait for them. */
+    /** Tells all other gateways of an attempt, once while the news counts; does not wait for them. */
     tell(attempt: string): void;
 }
 
 /** Creates news of which nothing has been told. */
 export function createLeavingNews(options: LeavingNewsOptions): LeavingNews {
-    const told = new Set<string>();
+    const toldAt = new Map<string, number>();
     const remember = (attempt: string) => {
-        told.add(attempt);
-        if (told.size > REMEMBERED_ATTEMPTS) {
-            const [oldest = ""] = told;
-            told.delete(oldest);
+        toldAt.delete(attempt);
+        toldAt.set(attempt, options.clock());
+        if (toldAt.size > REMEMBERED_ATTEMPTS) {
+            const [oldest = ""] = toldAt.keys();
+            toldAt.delete(oldest);
         }
     };
+    const isTold = (attempt: string) =>
+        options.clock() < (toldAt.get(attempt) ?? Number.NEGATIVE_INFINITY) + options.leavingMilliseconds;
     return {
         handler: implement(replicaLeft, async ({ attempt }) => {
             // Who told it tells all gateways; telling it again would only multiply the messages.
@@ -50,7 +57,7 @@
             return Result.ok({});
         }),
         tell: attempt => {
-            if (!told.has(attempt)) {
+            if (!isTold(attempt)) {
                 remember(attempt);
                 void tellOthers(attempt, options);
             }
