--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -44,6 +44,10 @@
         Then the commit gives a revision
         And the store's counts show 1 "lostAnswers"
 
+    Scenario: A commit that was lost while another of its conditions ceased to hold ends as ambiguous
+        When a commit of "r/1" on condition that "n/1" does not exist is lost while "n/1" is written
+        Then the commit fails as "ambiguous"
+
     Scenario: A store that is down for good answers nothing as written
         Given the store has the faults '{"down": "unavailable"}'
         Then a write of "a/1" fails as "ambiguous"
--- a/features/platform/store.steps.ts
+++ b/features/platform/store.steps.ts
@@ -5,6 +5,7 @@
 import assert from "node:assert/strict";
 import type { Result } from "true-myth/result";
 import { request } from "undici";
+import { fail } from "../../src/core/errors.js";
 import type { Failure } from "../../src/core/errors.js";
 import { pause } from "../../src/core/time.js";
 import { createStore } from "../../src/platform/adapters/store.js";
@@ -152,6 +153,34 @@
     this.committed = await commitRecord(this.store, { key, body: { count: 1 }, expectedRevision: 0 });
 });
 
+When(
+    "a commit of {string} on condition that {string} does not exist is lost while {string} is written",
+    async function(this: StoreWorld, key: string, absent: string, written: string) {
+        let isLost = false;
+        const losing: Store = {
+            ...this.store,
+            transact: async transaction => {
+                if (isLost) {
+                    return this.store.transact(transaction);
+                }
+                isLost = true;
+                unwrap(await put(this.store, written, "x"));
+                return fail("ambiguous", "transact", "the message was lost");
+            },
+        };
+        this.committed = await commitRecord(losing, {
+            key,
+            body: { count: 1 },
+            expectedRevision: 0,
+            comparisons: [{ key: absent, target: "modRevision", relation: "equal", value: 0 }],
+        });
+    },
+);
+
+Then("the commit fails as {string}", function(this: StoreWorld, code: string) {
+    assert.equal(codeOf(this.committed), code);
+});
+
 Then("the commit gives a revision", function(this: StoreWorld) {
     assert.ok(unwrap(this.committed) > 1);
 });
--- a/src/platform/commit.ts
+++ b/src/platform/commit.ts
@@ -42,7 +42,8 @@
 
 /**
  * Commits a record and gives its new revision. Codes: `conflict` (someone else wrote it), `unavailable` or `refused`
- * (nothing was written), `ambiguous` (aborted before the outcome could be read).
+ * (nothing was written), `ambiguous` (aborted before the outcome could be read, or lost while a
+ * further condition ceased to hold).
  */
 export async function commitRecord(store: Store, commit: RecordCommit): Promise<Result<number, Failure>> {
     const writeId = randomUUID();
@@ -123,6 +124,13 @@
     if (answer.isOk && answer.value.succeeded) {
         return Result.ok(answer.value.revision);
     }
+    // Where another condition no longer holds, repeating shuts nothing out: the first write may have come, or may come yet.
+    const failsElsewhere = answer.isOk && (commit.comparisons ?? []).length > 0;
+    if (failsElsewhere) {
+        const found = await store.read({ key: commit.key });
+        const outcome = found.isOk ? readOutcome(found.value.entries[0], commit, writeId) : undefined;
+        return outcome ?? Result.err(ambiguity);
+    }
     if (commit.signal?.aborted === true) {
         return Result.err(ambiguity);
     }
