A scheduler without a liveness record announces itself again; a claim has a time limit

Ruled out by reading: the store stand-in's leases, failed claims (they are logged). Two ways into such a state were found in the code: a record taken away while its lease lives was never written again, and a claim that is not settled held up all later looks. Change: both are mended.

--- a/features/scheduler/cells.feature
+++ b/features/scheduler/cells.feature
@@ -40,3 +40,11 @@
         Then 2 replicas of "beacon-check" run
         And nothing of "season-prep" runs or waits
         And the store has refused no write for its size
+
+    Scenario: A scheduler whose liveness record was taken away announces itself again
+        Given data centres "levi" with 2 workers and "rovaniemi" with 1 workers
+        And a scheduler "entry-1" in "levi"
+        When the rules are "beacon-check" with 2 replicas and "season-prep" with 1 tasks
+        Then 2 replicas of "beacon-check" and 1 tasks of "season-prep" run
+        When the liveness record of "entry-1" is deleted
+        Then the store has the liveness record of "entry-1" again
--- a/features/scheduler/cells.steps.ts
+++ b/features/scheduler/cells.steps.ts
@@ -5,6 +5,9 @@
 import assert from "node:assert/strict";
 import { readRoutes } from "../../src/core/messages/routes.js";
 import type { Route } from "../../src/core/messages/routes.js";
+import { createStore } from "../../src/platform/adapters/store.js";
+import type { Store } from "../../src/platform/store.js";
+import { keyOfLive } from "../../src/scheduler/ledger/head.js";
 import type { WorkerBehaviour } from "../../stand-ins/worker/index.js";
 import { findOverlaps, listRunning } from "./support/check.js";
 import { createFleet, waitUntil } from "./support/fleet.js";
@@ -12,6 +15,7 @@
 import { createBatch, createService } from "./support/rules.js";
 
 const FAST_WORK_SPEED = 600;
+const STORE_TIMEOUT_MILLISECONDS = 5_000;
 /** Steps wait for conditions; the limit only ends a step that waits in vain. */
 const LIMIT = { timeout: 60_000 };
 
@@ -115,6 +119,21 @@
     );
 });
 
+When("the liveness record of {string} is deleted", LIMIT, async function(this: CellsWorld, instance: string) {
+    const answer = await connectStore(this).transact({
+        comparisons: [{ key: keyOfLive(instance), target: "modRevision", relation: "greater", value: 0 }],
+        writes: [{ kind: "delete", key: keyOfLive(instance) }],
+    });
+    assert.ok(answer.isOk && answer.value.succeeded, "there was no record to delete");
+});
+
+Then("the store has the liveness record of {string} again", LIMIT, async function(this: CellsWorld, instance: string) {
+    await waitUntil("the record is back", async () => {
+        const found = await connectStore(this).read({ key: keyOfLive(instance) });
+        return found.isOk && found.value.entries.length === 1;
+    });
+});
+
 When("the store hangs and the worker {string} is leaving", LIMIT, async function(this: CellsWorld, name: string) {
     const fleet = fleetOf(this);
     // Once the routes have it, the ledger has it as running.
@@ -229,6 +248,11 @@
     await this.fleet?.close();
 });
 
+function connectStore(world: CellsWorld): Store {
+    const { origin } = fleetOf(world).store;
+    return createStore({ origins: [origin], timeoutMilliseconds: STORE_TIMEOUT_MILLISECONDS });
+}
+
 function fleetOf(world: CellsWorld): Fleet {
     if (world.fleet === undefined) {
         throw new Error("no fleet has been started");
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -4,7 +4,7 @@
 import { Result } from "true-myth/result";
 import type { Failure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
-import { pause } from "../core/time.js";
+import { createTimeout, pause } from "../core/time.js";
 import type { Clock } from "../core/time.js";
 import type { PlatformInstance } from "../platform/instances.js";
 import type { Store } from "../platform/store.js";
@@ -25,6 +25,9 @@
 /** A cell that another scheduler should own is handed over after this time. */
 const MISPLACED_GRACE_MILLISECONDS = 5_000;
 
+/** Time within which a claim has to be settled. */
+const CLAIM_LIMIT_MILLISECONDS = 10_000;
+
 /** A process that has stood still for this long may have lost its cells meanwhile. */
 const STANDSTILL_LIMIT_MILLISECONDS = 1_500;
 const TICK_MILLISECONDS = 250;
@@ -46,6 +49,8 @@
     createCell(map: CellMap, journal: Journal, ledger: Ledger): Cell;
     /** The set of owned cells has changed. */
     onChange(): void;
+    /** The store has no liveness record of this scheduler. */
+    onAbsence(): void;
 }
 
 /** The cells that a scheduler owns. */
@@ -127,7 +132,9 @@
 
     const claim = async (action: ClaimCellAction, signal: AbortSignal): Promise<void> => {
         const claimedAt = clock();
-        const opened = await open(action, signal);
+        // A claim that cannot be settled must not hold up the claims of other cells; it is decided anew at the next look.
+        const limited = AbortSignal.any([signal, createTimeout(CLAIM_LIMIT_MILLISECONDS)]);
+        const opened = await open(action, limited);
         metrics.claims.inc({ outcome: opened.isOk ? "claimed" : opened.error.code });
         if (opened.isErr) {
             logger.warn("cell not claimed", { cell: action.map.cell, failure: opened.error });
@@ -211,6 +218,9 @@
                 }
             }
             const isAnnounced = live.value.some(({ incarnation }) => incarnation === self.incarnation);
+            if (live.value.every(({ instance }) => instance !== self.instance)) {
+                options.onAbsence();
+            }
             if (isAnnounced && !isReleasing && maps.length > 0) {
                 const actions = listActions(directory);
                 await Promise.all(
--- a/src/scheduler/presence.ts
+++ b/src/scheduler/presence.ts
@@ -15,6 +15,8 @@
     readonly self: LiveScheduler;
     readonly leaseSeconds: number;
     readonly logger: Logger;
+    /** Tells, once for each time, that the store was seen without the record though its lease may be alive. */
+    takeAbsence(): boolean;
     /** Hears after each call whether the store answered. */
     onStore(reachable: boolean): void;
 }
@@ -24,7 +26,9 @@
     const interval = options.leaseSeconds * MILLISECONDS_PER_SECOND / HEARTBEATS_PER_LEASE;
     let leaseId: string | undefined;
     while (!signal.aborted) {
-        leaseId = leaseId === undefined ? await announce(options) : await renew(options, leaseId);
+        // A write of an earlier process that came late may have bound the record to another lease, and taken it away.
+        const isAbsent = options.takeAbsence();
+        leaseId = isAbsent || leaseId === undefined ? await announce(options) : await renew(options, leaseId);
         await pause(interval, signal);
     }
     if (leaseId !== undefined) {
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -109,6 +109,7 @@
     let transfersReadAt = 0;
     const leaving = new AbortController();
     let isReachable = false;
+    let isAbsent = false;
     const transfers = createTransfers(store, logger);
     const balance = createBalance(store, logger);
     const shares = new Map<string, CellBalance>();
@@ -120,6 +121,9 @@
         metrics,
         logger,
         onChange: announceRoutes,
+        onAbsence: () => {
+            isAbsent = true;
+        },
         createCell: (map, journal, ledger) => {
             shares.set(map.cell, balance.join(map.cell));
             return createCell({
@@ -249,6 +253,11 @@
                 self,
                 leaseSeconds: settings.storeLeaseSeconds,
                 logger,
+                takeAbsence: () => {
+                    const wasAbsent = isAbsent;
+                    isAbsent = false;
+                    return wasAbsent;
+                },
                 onStore: answered => {
                     isReachable = answered;
                 },
