Servers that close let go of connections in use; limits on signals survive garbage collection

Its log shows a peer's probe answered 15 s after the stop began: server.close() waits for open connections, idle ones were closed once, and one that was busy at that moment stayed in use by a peer that calls again and again. Ruled out: requests under way (none was cut), unrecorded outcomes (the store answered again after 5 s). Change: once closing, answers carry 'connection: close' and idle connections are closed every 100 ms; the callers' port uses the same server code, which stood twice.

--- /dev/null
+++ b/features/core/connections.feature
@@ -0,0 +1,12 @@
+Feature: Connections neither hold a process up nor outlive their time
+
+    Scenario: A server that closes lets go of a connection that its client keeps in use
+        Given a server whose client calls again as soon as it has an answer
+        When the server closes
+        Then the server has closed
+        And every answer that was begun was whole
+
+    Scenario: A limit on a signal holds though memory is collected meanwhile
+        Given 20 signals limited to 300 ms that only their listeners refer to
+        When memory is collected
+        Then all 20 signals are aborted
--- a/src/core/http.ts
+++ b/src/core/http.ts
@@ -2,7 +2,7 @@
  * HTTP servers of a process: listening on an address from settings and closing without cutting off requests.
  */
 import { once } from "node:events";
-import type { RequestListener, Server } from "node:http";
+import type { RequestListener, Server, ServerOptions } from "node:http";
 import { createServer } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
@@ -10,6 +10,9 @@
 import { followCertificate } from "./certificates.js";
 import type { CertificateKeeper } from "./certificates.js";
 
+/** Time between two looks for idle connections while a server closes. */
+const CLOSE_SWEEP_MILLISECONDS = 100;
+
 /** Where a server listens. Port 0 lets the operating system choose. */
 export const ListenAddress = z.strictObject({
     /** IP number of the address. */
@@ -37,35 +40,52 @@
 }
 
 /** Starts an HTTP server, or an HTTPS server where TLS is given; rejects when the address cannot be bound. */
-export async function listen(
-    listener: RequestListener,
-    address: ListenAddress,
+export function listen(listener: RequestListener, address: ListenAddress, tls?: ServerTls): Promise<RunningServer> {
+    return startServer(createHttpServer(listener, {}, tls), address, tls);
+}
+
+/** Creates an HTTP server, or an HTTPS server that follows its certificate where TLS is given. */
+export function createHttpServer(listener: RequestListener, options: ServerOptions, tls?: ServerTls): Server {
+    if (tls === undefined) {
+        return createServer(options, listener);
+    }
+    const { certificates, requireClientCertificate } = tls;
+    const secure = { ...certificates.current(), requestCert: requireClientCertificate, rejectUnauthorized: true };
+    const server = createTlsServer({ ...options, ...secure }, listener);
+    followCertificate(server, certificates);
+    return server;
+}
+
+/** Binds a server to an address; rejects when it cannot be bound. The backlog is the operating system's by default. */
+export async function startServer(
+    server: Server,
+    { host, port }: ListenAddress,
     tls?: ServerTls,
+    backlogConnections?: number,
 ): Promise<RunningServer> {
-    const server = tls === undefined ? createServer(listener) : createSecureServer(listener, tls);
-    server.listen(address.port, address.host);
+    server.listen({ port, host, ...(backlogConnections === undefined ? {} : { backlog: backlogConnections }) });
     await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
+    const bound = server.address() as AddressInfo;
     const scheme = tls === undefined ? "http" : "https";
     return {
         server,
-        host: address.host,
-        port,
-        origin: `${scheme}://${address.host}:${port}`,
+        host,
+        port: bound.port,
+        origin: `${scheme}://${host}:${bound.port}`,
         close: () => close(server),
     };
 }
 
-function createSecureServer(listener: RequestListener, { certificates, requireClientCertificate }: ServerTls): Server {
-    const options = { ...certificates.current(), requestCert: requireClientCertificate, rejectUnauthorized: true };
-    const server = createTlsServer(options, listener);
-    followCertificate(server, certificates);
-    return server;
-}
-
+/** Clients may keep a connection in use for as long as they live, so it is ended with the answer to its next request. */
 async function close(server: Server): Promise<void> {
     const closed = once(server, "close");
+    server.prependListener("request", (request, response) => {
+        response.setHeader("connection", "close");
+    });
     server.close();
+    // A connection that was busy a moment ago may be idle now.
+    const sweep = setInterval(() => server.closeIdleConnections(), CLOSE_SWEEP_MILLISECONDS);
     server.closeIdleConnections();
     await closed;
+    clearInterval(sweep);
 }
--- a/src/core/rpc.ts
+++ b/src/core/rpc.ts
@@ -13,7 +13,7 @@
 import { z } from "zod";
 import { createFailure, describeThrown, Failure } from "./errors.js";
 import { parse } from "./parse.js";
-import { createTimeout } from "./time.js";
+import { createTimeout, limitSignal } from "./time.js";
 
 /** Path of the JSON-RPC endpoint on peer and operator ports. */
 export const RPC_PATH = "/rpc";
@@ -179,10 +179,10 @@
     options: RpcClientOptions,
     callOptions: RpcCallOptions,
 ): Promise<Result<unknown, Failure>> {
-    const timeoutSignal = createTimeout(callOptions.timeoutMilliseconds ?? options.timeoutMilliseconds);
+    const timeoutMilliseconds = callOptions.timeoutMilliseconds ?? options.timeoutMilliseconds;
     const signal = callOptions.signal === undefined
-        ? timeoutSignal
-        : AbortSignal.any([timeoutSignal, callOptions.signal]);
+        ? createTimeout(timeoutMilliseconds)
+        : limitSignal(callOptions.signal, timeoutMilliseconds);
     try {
         const answer = await request(origin + RPC_PATH, {
             method: "POST",
@@ -194,7 +194,9 @@
         return Result.ok(await answer.body.json());
     }
     catch (thrown) {
-        return Result.err(toTransportFailure(thrown, step, origin, timeoutSignal.aborted));
+        return Result.err(
+            toTransportFailure(thrown, step, origin, signal.aborted && callOptions.signal?.aborted !== true),
+        );
     }
 }
 
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -28,3 +28,11 @@
 export function createTimeout(milliseconds: number): AbortSignal {
     return AbortSignal.timeout(Math.max(1, Math.ceil(milliseconds)));
 }
+
+/** Creates a signal that aborts with another one, and after a time at the latest. */
+export function limitSignal(signal: AbortSignal, milliseconds: number): AbortSignal {
+    const timeout = createTimeout(milliseconds);
+    // Node.js 20 collects a timeout that only a combined signal refers to, and it never fires; a listener keeps it.
+    timeout.addEventListener("abort", () => undefined, { once: true });
+    return AbortSignal.any([signal, timeout]);
+}
--- a/src/gateway/callers/server.ts
+++ b/src/gateway/callers/server.ts
@@ -1,14 +1,11 @@
 /**
  * The callers' port: limits on heads, slow callers and connections; TLS with certificates that are read again.
  */
-import { once } from "node:events";
-import { createServer } from "node:http";
-import type { RequestListener, Server, ServerOptions } from "node:http";
-import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
+import type { RequestListener, ServerOptions } from "node:http";
 import type { Duplex } from "node:stream";
-import { createCertificateKeeper, followCertificate } from "../../core/certificates.js";
+import { createCertificateKeeper } from "../../core/certificates.js";
 import type { CertificateKeeper } from "../../core/certificates.js";
+import { createHttpServer, startServer } from "../../core/http.js";
 import type { ListenAddress, RunningServer } from "../../core/http.js";
 import type { Logger } from "../../core/log.js";
 import { headers } from "../../platform/worker.js";
@@ -48,22 +45,16 @@
         connectionsCheckingInterval: CHECK_INTERVAL_MILLISECONDS,
         keepAliveTimeout: settings.keepAliveMilliseconds,
     };
-    const server = createCallersServer(serverOptions, certificates, options);
+    const tls = certificates === undefined ? undefined : { certificates, requireClientCertificate: false };
+    const server = createHttpServer(options.listener, serverOptions, tls);
     server.maxConnections = settings.callerConnections;
     server.timeout = settings.longestDeadlineMilliseconds + SILENCE_MARGIN_MILLISECONDS;
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         refuseMalformed(error, socket, options);
     });
-    server.listen({ port: address.port, host: address.host, backlog: BACKLOG_CONNECTIONS });
-    await once(server, "listening");
-    const { port } = server.address() as AddressInfo;
-    const scheme = certificates === undefined ? "http" : "https";
+    const running = await startServer(server, address, tls, BACKLOG_CONNECTIONS);
     return {
-        server,
-        host: address.host,
-        port,
-        origin: `${scheme}://${address.host}:${port}`,
-        close: () => close(server),
+        ...running,
         run: async signal => {
             await certificates?.run(signal);
         },
@@ -77,26 +68,6 @@
         : createCertificateKeeper({ ...tls, checkMilliseconds: certificateCheckMilliseconds }, logger);
 }
 
-function createCallersServer(
-    serverOptions: ServerOptions,
-    certificates: CertificateKeeper | undefined,
-    { listener }: CallersOptions,
-): Server {
-    if (certificates === undefined) {
-        return createServer(serverOptions, listener);
-    }
-    const server = createTlsServer({ ...serverOptions, ...certificates.current() }, listener);
-    followCertificate(server, certificates);
-    return server;
-}
-
-async function close(server: Server): Promise<void> {
-    const closed = once(server, "close");
-    server.close();
-    server.closeIdleConnections();
-    await closed;
-}
-
 /** A request whose head or body cannot be read was not run: nothing has been sent to an upstream. */
 function refuseMalformed(error: NodeJS.ErrnoException, socket: Duplex, options: CallersOptions): void {
     // An earlier answer on the connection, or a part of one, must not be followed by one that belongs to no request.
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -4,7 +4,7 @@
 import { Result } from "true-myth/result";
 import type { Failure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
-import { createTimeout, pause } from "../core/time.js";
+import { limitSignal, pause } from "../core/time.js";
 import type { Clock } from "../core/time.js";
 import type { PlatformInstance } from "../platform/instances.js";
 import type { Store } from "../platform/store.js";
@@ -133,7 +133,7 @@
     const claim = async (action: ClaimCellAction, signal: AbortSignal): Promise<void> => {
         const claimedAt = clock();
         // A claim that cannot be settled must not hold up the claims of other cells; it is decided anew at the next look.
-        const limited = AbortSignal.any([signal, createTimeout(CLAIM_LIMIT_MILLISECONDS)]);
+        const limited = limitSignal(signal, CLAIM_LIMIT_MILLISECONDS);
         const opened = await open(action, limited);
         metrics.claims.inc({ outcome: opened.isOk ? "claimed" : opened.error.code });
         if (opened.isErr) {
