A stop does not wait for peers' connections that have gone silent; its steps are logged

With each step logged the stop is seen to hang in closing the peers' port: a link had gone silent in the middle of a request, and server.close() waits for such a connection for as long as it stays open. Ruled out by the log: drain, hand-over, outcomes to record, callers' port, all parts (ended after 12 ms). Change: what is left 2 s after a server began to close is cut off; callers' requests have ended before (drain). Stops log their steps with times. Forwarded requests' connections are destroyed rather than waited for.

--- a/features/core/connections.steps.ts
+++ b/features/core/connections.steps.ts
@@ -3,6 +3,8 @@
  */
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import { connect } from "node:net";
+import type { Socket } from "node:net";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { Agent, request } from "undici";
@@ -19,6 +21,7 @@
 interface ConnectionsWorld {
     server: RunningServer;
     client: Agent;
+    silent: Socket;
     clientStopped: boolean;
     calling: Promise<void>;
     answers: string[];
@@ -29,6 +32,7 @@
 
 After(async function(this: Partial<ConnectionsWorld>) {
     this.clientStopped = true;
+    this.silent?.destroy();
     await this.client?.destroy();
     this.server?.server.closeAllConnections();
     await this.calling;
@@ -47,6 +51,20 @@
     }
 });
 
+Given("a server with a connection that has sent half a request", limit, async function(this: ConnectionsWorld) {
+    let hasBegun = false;
+    this.server = await listen(incoming => {
+        hasBegun = true;
+        incoming.resume();
+    }, { host: "127.0.0.1", port: 0 });
+    this.silent = connect({ host: "127.0.0.1", port: this.server.port });
+    this.silent.on("error", () => undefined);
+    this.silent.write("POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 100\r\n\r\nhalf");
+    while (!hasBegun) {
+        await pause(POLL_MILLISECONDS);
+    }
+});
+
 async function callOn(world: ConnectionsWorld): Promise<void> {
     while (!world.clientStopped) {
         try {
--- a/src/core/http.ts
+++ b/src/core/http.ts
@@ -13,6 +13,9 @@
 /** Time between two looks for idle connections while a server closes. */
 const CLOSE_SWEEP_MILLISECONDS = 100;
 
+/** Time that answers get to end once a server closes; callers' requests have ended before, see the gateway's drain. */
+const CLOSE_LIMIT_MILLISECONDS = 2_000;
+
 /** Where a server listens. Port 0 lets the operating system choose. */
 export const ListenAddress = z.strictObject({
     /** IP number of the address. */
@@ -28,7 +31,7 @@
     readonly host: string;
     readonly port: number;
     readonly origin: string;
-    /** Stops accepting, waits for the answers under way, then closes what is left idle. */
+    /** Stops accepting, waits a while for the answers under way, and closes all connections. */
     close(): Promise<void>;
 }
 
@@ -76,7 +79,10 @@
     };
 }
 
-/** Clients may keep a connection in use for as long as they live, so it is ended with the answer to its next request. */
+/**
+ * Clients may keep a connection in use for as long as they live, so it is ended with the answer to its next request. One
+ * that has gone silent in the middle of a request is cut off after a time.
+ */
 async function close(server: Server): Promise<void> {
     const closed = once(server, "close");
     server.prependListener("request", (request, response) => {
@@ -86,6 +92,8 @@
     // A connection that was busy a moment ago may be idle now.
     const sweep = setInterval(() => server.closeIdleConnections(), CLOSE_SWEEP_MILLISECONDS);
     server.closeIdleConnections();
+    const limit = setTimeout(() => server.closeAllConnections(), CLOSE_LIMIT_MILLISECONDS);
     await closed;
     clearInterval(sweep);
+    clearTimeout(limit);
 }
--- a/src/gateway/forward.ts
+++ b/src/gateway/forward.ts
@@ -45,7 +45,8 @@
         bodyTimeout: 0,
     });
     return {
-        close: () => agent.close(),
+        // Nothing is passed on any more; waiting for a silent peer would hold the stop up.
+        close: () => agent.destroy(),
         async forward(origin, request, sink) {
             const { requestId } = request.guarded;
             const { authorization } = request.headers;
--- a/src/wiring.ts
+++ b/src/wiring.ts
@@ -17,6 +17,7 @@
 import { createRandom, hashText } from "./core/random.js";
 import { createRpcClient, createRpcRouter } from "./core/rpc.js";
 import type { MethodHandler } from "./core/rpc.js";
+import { createStopSteps } from "./core/stop.js";
 import { answerErrors, mountMetrics, openSurface } from "./core/surface.js";
 import type { Surface } from "./core/surface.js";
 import { systemClock } from "./core/time.js";
@@ -30,13 +31,11 @@
 import { createInstanceList } from "./platform/adapters/instances.js";
 import { createStore } from "./platform/adapters/store.js";
 import { createWorkerControl } from "./platform/adapters/worker.js";
-import type { WorkerInstance } from "./platform/instances.js";
 import { observeStore } from "./platform/reach.js";
 import { shareInstanceList } from "./platform/sharing.js";
 import { createPolicy } from "./policy/create.js";
 import { createCreditBank } from "./scheduler/credits/bank.js";
-import type { CreditBank } from "./scheduler/credits/bank.js";
-import type { CreditHooks } from "./scheduler/hooks.js";
+import { createCreditHooks } from "./scheduler/credits/hooks.js";
 import { createScheduler } from "./scheduler/scheduler.js";
 import type { GatewaySettings } from "./settings/gateway.js";
 import type { SchedulerSettings } from "./settings/scheduler.js";
@@ -97,8 +96,10 @@
     operators.app.use(answerErrors);
     foundation.peers.app.use(gateway.peerListener);
     const callers = await gateway.listenForCallers(settings.callers);
-    const callersPart: Part = { handlers: [], run: signal => callers.run(signal) };
-    const running = await foundation.run([gateway, operator, exclusive, callersPart], {
+    const running = await foundation.run([gateway, operator, exclusive, {
+        handlers: [],
+        run: signal => callers.run(signal),
+    }], {
         ready: () => gateway.ready(),
         ownedCells: () => [],
         storeReachable: () => store.isReachable(),
@@ -106,11 +107,15 @@
     return {
         announcement: { ...running.announcement, callers: callers.origin, operators: operators.running.origin },
         stop: async () => {
-            const limit = settings.stopLimitMilliseconds;
-            await Promise.all([gateway.drain(limit), membership.leave(), exclusive.handOver()]);
-            await idempotency.settle(limit);
-            await callers.close();
-            await operators.running.close();
+            const [limit, steps] = [settings.stopLimitMilliseconds, createStopSteps(logger)];
+            await Promise.all([
+                steps.take("drain", gateway.drain(limit)),
+                steps.take("leave", membership.leave()),
+                steps.take("hand-over", exclusive.handOver()),
+            ]);
+            await steps.take("record outcomes", idempotency.settle(limit));
+            await steps.take("close callers", callers.close());
+            await steps.take("close operators", operators.running.close());
             await running.stop();
         },
     };
@@ -158,18 +163,6 @@
     };
 }
 
-/** Lets the credit bank follow the cells of a scheduler. */
-function createCreditHooks(bank: CreditBank): CreditHooks {
-    const toCapacities = (workers: readonly WorkerInstance[]) =>
-        workers.map(({ name, shape }) => ({ worker: name, connections: shape.connections }));
-    return {
-        takeCell: (cell, epoch, workers, now) => bank.takeCell(cell, epoch, toCapacities(workers), now),
-        updateWorkers: (cell, workers, now) => bank.updateWorkers(cell, toCapacities(workers), now),
-        dropCell: cell => bank.dropCell(cell),
-        observeConnections: (cell, report) => bank.observeConnections(report),
-    };
-}
-
 /** Opens the ports and constructs what both daemons have. */
 async function layFoundation(role: Role, settings: Settings, logger: Logger) {
     const clock = systemClock;
@@ -229,6 +222,7 @@
             peers,
             settings,
             metrics,
+            logger,
             ready: () => state.ready(),
         });
     return {
@@ -265,6 +259,7 @@
     readonly peers: Surface;
     readonly settings: Settings;
     readonly metrics: Metrics;
+    readonly logger: Logger;
     ready(): boolean;
 }
 
@@ -283,10 +278,11 @@
     return {
         announcement: { peers: peers.running.origin, metrics: metricsSurface.running.origin },
         stop: async () => {
+            const steps = createStopSteps(options.logger);
             stopping.abort();
-            await Promise.all(runs);
-            await peers.running.close();
-            await metricsSurface.running.close();
+            await Promise.all(runs.map((run, index) => steps.take(`part ${index + 1}`, run)));
+            await steps.take("close peers", peers.running.close());
+            await steps.take("close metrics", metricsSurface.running.close());
         },
     };
 }
