--- a/features/core/connections.steps.ts
+++ b/features/core/connections.steps.ts
@@ -19,9 +19,9 @@
 const limit = { timeout: 60_000 };
 
 interface ConnectionsWorld {
-    server: RunningServer;
-    client: Agent;
-    silent: Socket;
+    closingServer: RunningServer;
+    busyClient: Agent;
+    halfSentSocket: Socket;
     clientStopped: boolean;
     calling: Promise<void>;
     answers: string[];
@@ -32,17 +32,17 @@
 
 After(async function(this: Partial<ConnectionsWorld>) {
     this.clientStopped = true;
-    this.silent?.destroy();
-    await this.client?.destroy();
-    this.server?.server.closeAllConnections();
+    this.halfSentSocket?.destroy();
+    await this.busyClient?.destroy();
+    this.closingServer?.server.closeAllConnections();
     await this.calling;
 });
 
 Given("a server whose client calls again as soon as it has an answer", limit, async function(this: ConnectionsWorld) {
-    this.server = await listen((incoming, response) => {
+    this.closingServer = await listen((incoming, response) => {
         void pause(ANSWER_MILLISECONDS).then(() => response.end(ANSWER));
     }, { host: "127.0.0.1", port: 0 });
-    this.client = new Agent({ connections: 1 });
+    this.busyClient = new Agent({ connections: 1 });
     this.clientStopped = false;
     this.answers = [];
     this.calling = callOn(this);
@@ -53,13 +53,13 @@
 
 Given("a server with a connection that has sent half a request", limit, async function(this: ConnectionsWorld) {
     let hasBegun = false;
-    this.server = await listen(incoming => {
+    this.closingServer = await listen(incoming => {
         hasBegun = true;
         incoming.resume();
     }, { host: "127.0.0.1", port: 0 });
-    this.silent = connect({ host: "127.0.0.1", port: this.server.port });
-    this.silent.on("error", () => undefined);
-    this.silent.write("POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 100\r\n\r\nhalf");
+    this.halfSentSocket = connect({ host: "127.0.0.1", port: this.closingServer.port });
+    this.halfSentSocket.on("error", () => undefined);
+    this.halfSentSocket.write("POST / HTTP/1.1\r\nhost: test\r\ncontent-length: 100\r\n\r\nhalf");
     while (!hasBegun) {
         await pause(POLL_MILLISECONDS);
     }
@@ -68,7 +68,7 @@
 async function callOn(world: ConnectionsWorld): Promise<void> {
     while (!world.clientStopped) {
         try {
-            const answer = await request(world.server.origin, { dispatcher: world.client });
+            const answer = await request(world.closingServer.origin, { dispatcher: world.busyClient });
             world.answers.push(await answer.body.text());
         }
         catch {
@@ -79,7 +79,7 @@
 }
 
 When("the server closes", function(this: ConnectionsWorld) {
-    this.closing = this.server.close();
+    this.closing = this.closingServer.close();
 });
 
 Then("the server has closed", limit, async function(this: ConnectionsWorld) {
