--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "eslint.config.js"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "eslint.config.js"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/src/client/apply.ts
+++ b/src/client/apply.ts
@@ -4,7 +4,7 @@
 import type { Result } from "true-myth/result";
 import type { z } from "zod";
 import type { Failure } from "../core/errors.js";
-import type { Method } from "../core/rpc.js";
+import type { Method } from "../core/method.js";
 import { MILLISECONDS_PER_SECOND, pause } from "../core/time.js";
 import { readSpread } from "../operator/messages.js";
 import type { ApplyAnswer } from "../operator/messages.js";
--- a/src/client/command.ts
+++ b/src/client/command.ts
@@ -5,7 +5,8 @@
 import type { Result } from "true-myth/result";
 import type { z } from "zod";
 import type { Failure } from "../core/errors.js";
-import type { Method, RpcCallOptions } from "../core/rpc.js";
+import type { Method } from "../core/method.js";
+import type { RpcCallOptions } from "../core/rpc.js";
 import type { Clock } from "../core/time.js";
 import type { ExitCode } from "./exit.js";
 
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -3,7 +3,7 @@
  */
 import { z } from "zod";
 import { Name, Origin } from "../core/messages/identity.js";
-import { defineMethod } from "../core/rpc.js";
+import { defineMethod } from "../core/method.js";
 import { RevisedRecord } from "./record.js";
 
 /** What a process knows: every record up to `complete`, and those beyond it. */
--- a/src/core/messages/credits.ts
+++ b/src/core/messages/credits.ts
@@ -2,7 +2,7 @@
  * Connection credits: a gateway opens a connection to a worker only under a credit leased by the cell's owner.
  */
 import { z } from "zod";
-import { defineMethod } from "../rpc.js";
+import { defineMethod } from "../method.js";
 import { Name } from "./identity.js";
 
 /** Credits that a gateway holds on one worker. */
--- a/src/core/messages/operator.ts
+++ b/src/core/messages/operator.ts
@@ -2,7 +2,7 @@
  * What operators ask of schedulers, through any gateway: tasks, workers, cancellations and reasons.
  */
 import { z } from "zod";
-import { defineMethod } from "../rpc.js";
+import { defineMethod } from "../method.js";
 import { Name, Origin } from "./identity.js";
 
 /** State of a task in its cell's ledger. */
--- a/src/core/messages/routes.ts
+++ b/src/core/messages/routes.ts
@@ -2,7 +2,7 @@
  * Routes: which replicas of a service run where. Gateways read them from the owners of cells.
  */
 import { z } from "zod";
-import { defineMethod } from "../rpc.js";
+import { defineMethod } from "../method.js";
 import { Name, Origin } from "./identity.js";
 
 /** One replica that a gateway may send requests to. */
--- a/src/core/part.ts
+++ b/src/core/part.ts
@@ -1,7 +1,7 @@
 /**
  * Parts: what the wiring joins into a process.
  */
-import type { MethodHandler } from "./rpc.js";
+import type { MethodHandler } from "./method.js";
 
 /** A part of a process: methods that it serves, and the work that it does by itself. */
 export interface Part {
--- a/src/core/rpc.ts
+++ b/src/core/rpc.ts
@@ -1,70 +1,25 @@
 /**
  * JSON-RPC 2.0 over HTTP between the system's own processes and from operators.
- *
- * A method is declared once with the schemas of its parameters and answer; both ends check against them.
  */
 import express from "express";
 import type { RequestHandler, Router } from "express";
-import { JSONRPCErrorCode, JSONRPCErrorException, JSONRPCServer } from "json-rpc-2.0";
+import { JSONRPCErrorCode, JSONRPCServer } from "json-rpc-2.0";
 import { timingSafeEqual } from "node:crypto";
 import { Result } from "true-myth/result";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
 import { z } from "zod";
 import { createFailure, describeThrown, Failure } from "./errors.js";
+import { RPC_FAILURE_CODE } from "./method.js";
+import type { Method, MethodHandler } from "./method.js";
 import { parse } from "./parse.js";
 import { createTimeout, limitSignal } from "./time.js";
 
 /** Path of the JSON-RPC endpoint on peer and operator ports. */
 export const RPC_PATH = "/rpc";
 
-/** JSON-RPC error code of every failure that carries `Failure` as its data. */
-export const RPC_FAILURE_CODE = -32_000;
-
 const DEFAULT_BODY_LIMIT_BYTES = 8 * 1024 * 1024;
 
-/** A method that both ends agree on. */
-export interface Method<Params extends z.ZodType, Answer extends z.ZodType> {
-    readonly name: string;
-    readonly params: Params;
-    readonly answer: Answer;
-}
-
-/** Declares a method. */
-export function defineMethod<Params extends z.ZodType, Answer extends z.ZodType>(
-    name: string,
-    params: Params,
-    answer: Answer,
-): Method<Params, Answer> {
-    return { name, params, answer };
-}
-
-/** A method with the function that carries it out. */
-export interface MethodHandler {
-    readonly name: string;
-    handle(params: unknown): Promise<unknown>;
-}
-
-/** Joins a method and its function; parameters are checked before the function sees them. */
-export function implement<Params extends z.ZodType, Answer extends z.ZodType>(
-    method: Method<Params, Answer>,
-    handle: (params: z.output<Params>) => Promise<Result<z.input<Answer>, Failure>>,
-): MethodHandler {
-    return {
-        name: method.name,
-        handle: async params => {
-            const checked = parse(method.params, params, method.name);
-            const answer = checked.isOk
-                ? await handle(checked.value)
-                : Result.err<z.input<Answer>, Failure>(checked.error);
-            if (answer.isErr) {
-                throw new JSONRPCErrorException(answer.error.message, RPC_FAILURE_CODE, answer.error);
-            }
-            return answer.value;
-        },
-    };
-}
-
 /** Options of the server side. */
 export interface RpcRouterOptions {
     readonly handlers: readonly MethodHandler[];
--- a/src/core/time.ts
+++ b/src/core/time.ts
@@ -24,6 +24,11 @@
     }
 }
 
+/** Whether a signal has been aborted; a call, so that the compiler does not take an earlier answer for the present one. */
+export function isAborted(signal: AbortSignal): boolean {
+    return signal.aborted;
+}
+
 /** Creates a signal that aborts after a time; unlike the platform's own function it takes fractions and times past. */
 export function createTimeout(milliseconds: number): AbortSignal {
     return AbortSignal.timeout(Math.max(1, Math.ceil(milliseconds)));
--- a/src/gateway/exclusive/exclusive.ts
+++ b/src/gateway/exclusive/exclusive.ts
@@ -3,10 +3,10 @@
  */
 import { Result } from "true-myth/result";
 import type { Logger } from "../../core/log.js";
+import { implement } from "../../core/method.js";
 import type { Metrics } from "../../core/metrics.js";
 import type { Part } from "../../core/part.js";
 import { rankByRendezvous } from "../../core/random.js";
-import { implement } from "../../core/rpc.js";
 import type { RpcClient } from "../../core/rpc.js";
 import type { Clock } from "../../core/time.js";
 import { pause } from "../../core/time.js";
--- a/src/gateway/exclusive/partition.ts
+++ b/src/gateway/exclusive/partition.ts
@@ -3,8 +3,8 @@
  */
 import { z } from "zod";
 import { Name, Origin } from "../../core/messages/identity.js";
+import { defineMethod } from "../../core/method.js";
 import { hashText } from "../../core/random.js";
-import { defineMethod } from "../../core/rpc.js";
 
 /** Keys of the store under which the partitions are kept. */
 export const PARTITION_PREFIX = "/flamingowell/partitions/";
--- a/src/gateway/upstream/leaving.ts
+++ b/src/gateway/upstream/leaving.ts
@@ -6,8 +6,9 @@
 import { z } from "zod";
 import { formatFailure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
-import { defineMethod, implement } from "../../core/rpc.js";
-import type { MethodHandler, RpcClient } from "../../core/rpc.js";
+import { defineMethod, implement } from "../../core/method.js";
+import type { MethodHandler } from "../../core/method.js";
+import type { RpcClient } from "../../core/rpc.js";
 import type { Clock } from "../../core/time.js";
 import type { MembershipSource } from "../../membership/member.js";
 
--- /dev/null
+++ b/src/jobs/board/create.ts
@@ -0,0 +1,98 @@
+/**
+ * Construction of jobs and of the tasks of their occurrences.
+ */
+import type { Submission } from "../model/job.js";
+import { formatTaskKey } from "../model/task-key.js";
+import type { JobEntry, Occurrence, StepProgress } from "./job.js";
+import type { Task } from "./task.js";
+
+/** What is known of a job when it is taken in. */
+export interface NewJob {
+    readonly id: string;
+    readonly queue: string;
+    readonly submission: Submission;
+    readonly acceptedAtMilliseconds: number;
+}
+
+/** Creates a job without any occurrence. */
+export function createJobEntry(job: NewJob, isInherited: boolean): JobEntry {
+    return {
+        ...job,
+        isCommitted: isInherited,
+        isInherited,
+        state: "queued",
+        shownState: "queued",
+        endedAtMilliseconds: undefined,
+        occurrences: new Map(),
+        nextOccurrence: 0,
+        completedOccurrences: 0,
+    };
+}
+
+/** How many times a job's steps run. */
+export function countOccurrences({ submission }: JobEntry): number {
+    return submission.schedule?.occurrences ?? 1;
+}
+
+/** When an occurrence is due, in milliseconds since the Unix epoch. */
+export function dueTime({ submission, acceptedAtMilliseconds }: JobEntry, occurrence: number): number {
+    const { schedule } = submission;
+    return schedule === undefined
+        ? acceptedAtMilliseconds
+        : schedule.firstAtMilliseconds + occurrence * schedule.intervalMilliseconds;
+}
+
+/** Creates an occurrence with all its tasks, none of them ready. */
+export function createOccurrence(entry: JobEntry, number: number): Occurrence {
+    const occurrence: Occurrence = {
+        number,
+        entry,
+        dueAtMilliseconds: dueTime(entry, number),
+        steps: [],
+        doneSteps: 0,
+    };
+    entry.submission.steps.forEach((_, index) => occurrence.steps.push(createStep(occurrence, index)));
+    return occurrence;
+}
+
+function createStep(occurrence: Occurrence, stepIndex: number): StepProgress {
+    const step = occurrence.entry.submission.steps[stepIndex];
+    if (step === undefined) {
+        throw new RangeError(`job ${occurrence.entry.id} has no step ${stepIndex}`);
+    }
+    const progress: StepProgress = {
+        step,
+        index: stepIndex,
+        tasks: [],
+        doneCount: 0,
+        blockers: new Set(step.after).size,
+    };
+    for (let index = 0; index < step.taskCount; index++) {
+        progress.tasks.push(createTask(occurrence, progress, index));
+    }
+    return progress;
+}
+
+function createTask(occurrence: Occurrence, { step, index: stepIndex }: StepProgress, index: number): Task {
+    const { entry, number } = occurrence;
+    return {
+        key: formatTaskKey({ job: entry.id, occurrence: number, step: stepIndex, index }),
+        entry,
+        occurrence,
+        step,
+        stepIndex,
+        index,
+        phase: "waiting",
+        attempts: [],
+        lastAttempt: 0,
+        failedAttempts: [],
+        checkpoint: "",
+        readyAtMilliseconds: 0,
+        avoidedWorkers: [],
+    };
+}
+
+/** All tasks of the occurrences that are open. */
+export function listTasks(entry: JobEntry): Task[] {
+    return [...entry.occurrences.values()].flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks));
+}
--- /dev/null
+++ b/src/jobs/cell/cell.ts
@@ -0,0 +1,230 @@
+/**
+ * A cell as its owner runs it: callers' requests, workers' sessions, starts and commits.
+ */
+import { Result } from "true-myth/result";
+import { createFailure } from "../../core/errors.js";
+import type { Failure } from "../../core/errors.js";
+import type { EventLog } from "../../core/event-log.js";
+import { pause } from "../../core/time.js";
+import type { Clock } from "../../core/time.js";
+import type { WriteOperation } from "../../platform/store.js";
+import { createBoard } from "../board/board.js";
+import { acceptJob, cancelJob, confirmJob, forgetEndedJobs } from "../board/intake.js";
+import { replaySegment } from "../board/restore.js";
+import type { Journal } from "../ledger/journal.js";
+import type { Changes, Segment } from "../ledger/segment.js";
+import type { JobsMetrics } from "../metrics.js";
+import type { Catalog } from "../model/catalog.js";
+import { FINAL_STATES } from "../model/job.js";
+import type { JobReference, PendingAnswer, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
+import type { WorkerList, WorkerOrders } from "../model/worker.js";
+import type { CellSettings } from "../settings.js";
+import { createCommits } from "./commits.js";
+import type { CellContext } from "./context.js";
+import { createCrew } from "./crew.js";
+import { createDispatcher } from "./dispatch.js";
+import { createRecovery } from "./recovery.js";
+
+/** Time between two looks for jobs and workers that can be forgotten. */
+const TIDY_MILLISECONDS = 1_000;
+
+/** What the owner of a cell needs. */
+export interface CellOptions {
+    readonly name: string;
+    readonly settings: CellSettings;
+    readonly workerList: WorkerList;
+    readonly orders: WorkerOrders;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: JobsMetrics;
+    catalog(): Catalog;
+}
+
+/** A claim of a cell with what its predecessors left. */
+export interface ClaimedCell {
+    readonly journal: Journal;
+    readonly segments: readonly Segment[];
+    readonly claimedAtMilliseconds: number;
+    /** The predecessor's process has certainly ended. */
+    readonly isPredecessorGone: boolean;
+}
+
+/** An owned cell. */
+export interface Cell {
+    readonly name: string;
+    readonly epoch: number;
+    submit(request: SubmitRequest): Promise<Result<SubmitAnswer, Failure>>;
+    state(reference: JobReference): StateAnswer;
+    cancel(reference: JobReference): Promise<Result<StateAnswer, Failure>>;
+    pending(queue: string): PendingAnswer;
+    /** Writes along with the next commit, under the cell's fence. */
+    attach(write: WriteOperation): void;
+    noteConfirmation(at: number): void;
+    /** Since when commits have failed; absent while they work. */
+    failingSinceMilliseconds(): number | undefined;
+    /** Gives the cell up with a last commit; false where that did not work. */
+    release(): Promise<boolean>;
+    /** Stops at once, without any further order or commit. */
+    abandon(reason: string): void;
+    /** Runs until the cell is given up, taken over, or the signal is aborted. */
+    run(signal: AbortSignal): Promise<void>;
+}
+
+/** Creates the owner's side of a claimed cell. */
+export function createCell(options: CellOptions, claimed: ClaimedCell): Cell {
+    const { clock, log, name, settings } = options;
+    const { journal } = claimed;
+    const { epoch, predecessor } = journal;
+    const ended = new AbortController();
+    const workersInUse = new Set<string>();
+    const board = createBoard({
+        epoch,
+        maximumAttempts: queue => options.catalog().queues.get(queue)?.maximumAttempts ?? Infinity,
+    });
+    claimed.segments.forEach(segment => replaySegment(board, segment, workersInUse, clock()));
+    const recovery = createRecovery({
+        workers: workersInUse,
+        claimedAtMilliseconds: claimed.claimedAtMilliseconds,
+        predecessorMilliseconds: claimed.isPredecessorGone || predecessor?.isReleased !== false
+            ? 0
+            : settings.horizonMilliseconds,
+        longestLeaseMilliseconds: settings.leaseMilliseconds,
+    });
+    const workers: CellContext["workers"] = new Map();
+
+    const abandon = (reason: string): void => {
+        if (!ended.signal.aborted) {
+            log.write("cell-lost", { cell: name, epoch, reason }, "vital");
+            ended.abort();
+        }
+    };
+
+    const onCommitted = (changes: Changes, now: number): void => {
+        for (const { id } of changes.accepted) {
+            confirmJob(board, id, now);
+        }
+        for (const { id, queue, state } of changes.ended) {
+            const entry = board.jobs.get(id);
+            if (entry !== undefined) {
+                entry.shownState = state;
+            }
+            options.metrics.jobsEnded.inc({ state });
+            log.write("job-ended", {
+                job: id,
+                queue,
+                state,
+                milliseconds: entry === undefined ? undefined : Math.round(now - entry.acceptedAtMilliseconds),
+            });
+        }
+        for (const id of changes.workersUsed) {
+            const worker = workers.get(id);
+            if (worker !== undefined) {
+                worker.isRecorded = true;
+            }
+        }
+        dispatcher.wake();
+    };
+
+    const commits = createCommits({
+        board,
+        journal,
+        workers,
+        workersInUse,
+        settings,
+        clock,
+        log,
+        metrics: options.metrics,
+        signal: ended.signal,
+        onCommitted,
+        onConflict: message => abandon(message),
+    });
+    const context: CellContext = {
+        ...options,
+        epoch,
+        board,
+        workers,
+        commits,
+        signal: ended.signal,
+        mayOrder: now =>
+            !ended.signal.aborted && now - commits.confirmedAtMilliseconds() < settings.horizonMilliseconds,
+        depose: (reason, peer) => abandon(`${peer}: ${reason}`),
+        wakeDispatch: () => dispatcher.wake(),
+    };
+    const dispatcher = createDispatcher(context, recovery);
+    const crew = createCrew({ cell: context, recovery, workersInUse, workerList: options.workerList });
+
+    const committed = async (): Promise<Result<void, Failure>> => {
+        const isCommitted = commits.settled();
+        commits.request(true);
+        return await isCommitted
+            ? Result.ok(undefined)
+            : Result.err(createFailure("ambiguous", "commit", `cell ${name} has lost its owner meanwhile`));
+    };
+
+    const tidy = async (): Promise<void> => {
+        while (!ended.signal.aborted) {
+            forgetEndedJobs(board, clock() - settings.keepEndedMilliseconds);
+            await pause(TIDY_MILLISECONDS, ended.signal);
+        }
+    };
+
+    return {
+        name,
+        epoch,
+        async submit({ id, queue, submission }) {
+            const known = board.jobs.get(id);
+            if (known?.isCommitted === true) {
+                return Result.ok({ kind: "accepted", isNew: false });
+            }
+            acceptJob(board, { id, queue, submission, acceptedAtMilliseconds: clock() });
+            const outcome = await committed();
+            return outcome.map(() => ({ kind: "accepted", isNew: known === undefined }));
+        },
+        state({ id }) {
+            const entry = board.jobs.get(id);
+            return entry?.isCommitted === true ? { state: entry.shownState } : {};
+        },
+        async cancel({ id }) {
+            const entry = board.jobs.get(id);
+            if (entry === undefined) {
+                return Result.ok({});
+            }
+            cancelJob(board, id, clock());
+            dispatcher.wake();
+            // A job that had ended is answered as it ended, once that is committed.
+            const outcome = FINAL_STATES.has(entry.shownState)
+                ? Result.ok<void, Failure>(undefined)
+                : await committed();
+            return outcome.map(() => ({ state: entry.shownState }));
+        },
+        pending(queue) {
+            let pending = 0;
+            for (const entry of board.jobs.values()) {
+                pending += entry.queue === queue && entry.state === "queued" && entry.isCommitted ? 1 : 0;
+            }
+            return { pending };
+        },
+        attach: write => commits.attach(write),
+        noteConfirmation: at => commits.noteConfirmation(at),
+        failingSinceMilliseconds: () => commits.failingSinceMilliseconds(),
+        release: () => commits.release(),
+        abandon,
+        async run(signal) {
+            const stop = (): void => ended.abort();
+            signal.addEventListener("abort", stop, { once: true });
+            log.write("cell-owned", {
+                cell: name,
+                epoch,
+                jobs: board.jobs.size,
+                unheardWorkers: recovery.unheard().length,
+                predecessor: predecessor?.owner,
+                isPredecessorGone: claimed.isPredecessorGone,
+            }, "vital");
+            const running = [crew.run(), dispatcher.run(), tidy()];
+            await commits.run();
+            ended.abort();
+            signal.removeEventListener("abort", stop);
+            await Promise.all(running);
+        },
+    };
+}
--- /dev/null
+++ b/src/jobs/cell/commits.ts
@@ -0,0 +1,226 @@
+/**
+ * Group commit: all changes of a short time go to the ledger in one write, and whoever waits for one of them is told.
+ */
+import { formatFailure } from "../../core/errors.js";
+import type { EventLog } from "../../core/event-log.js";
+import { isAborted, pause } from "../../core/time.js";
+import type { Clock } from "../../core/time.js";
+import type { WriteOperation } from "../../platform/store.js";
+import { returnChanges, takeChanges } from "../board/board.js";
+import type { Board } from "../board/board.js";
+import { describeBoard } from "../board/restore.js";
+import { splitChanges, VALUE_LIMIT_BYTES } from "../ledger/journal.js";
+import type { Journal } from "../ledger/journal.js";
+import { isEmpty } from "../ledger/segment.js";
+import type { Changes } from "../ledger/segment.js";
+import type { JobsMetrics } from "../metrics.js";
+import type { CellSettings } from "../settings.js";
+import type { CellWorker } from "./worker.js";
+
+/** What group commit needs. */
+export interface CommitsOptions {
+    readonly board: Board;
+    readonly journal: Journal;
+    readonly workers: ReadonlyMap<string, CellWorker>;
+    readonly workersInUse: ReadonlySet<string>;
+    readonly settings: CellSettings;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: JobsMetrics;
+    readonly signal: AbortSignal;
+    /** The ledger holds these changes. */
+    onCommitted(changes: Changes, now: number): void;
+    /** The cell has another owner. */
+    onConflict(message: string): void;
+}
+
+/** Commits changes of the books. */
+export interface Commits {
+    /** There are changes; urgent ones have somebody waiting for them. */
+    request(isUrgent: boolean): void;
+    /** Resolves once what is in the books now has been committed; false where it never will be by this owner. */
+    settled(): Promise<boolean>;
+    /** Writes that go along with the next commit. */
+    attach(write: WriteOperation): void;
+    /** When the store last confirmed that the cell is this owner's: the time before that commit was sent. */
+    confirmedAtMilliseconds(): number;
+    /** Whether the last commit failed, and since when. */
+    failingSinceMilliseconds(): number | undefined;
+    /** Notes a confirmation by other means. */
+    noteConfirmation(at: number): void;
+    /** Gives the cell up with a last commit. */
+    release(): Promise<boolean>;
+    run(): Promise<void>;
+}
+
+interface Batch {
+    readonly promise: Promise<boolean>;
+    resolve(isCommitted: boolean): void;
+}
+
+/** Creates the group commit of a cell. */
+export function createCommits(options: CommitsOptions): Commits {
+    const { board, clock, journal, log, metrics, settings, signal } = options;
+    const released = createBatch();
+    let batch = createBatch();
+    let attached: WriteOperation[] = [];
+    let isUrgent = false;
+    let isRequested = false;
+    let isReleasing = false;
+    let wake: () => void = () => undefined;
+    let confirmedAt = clock();
+    let failingSince: number | undefined;
+    let startedAt = 0;
+
+    /** Workers whose ends are in the books up to here; acknowledged once the books are committed. */
+    const noteSequences = () =>
+        [...options.workers.values()]
+            .filter(worker => worker.notedSequence > worker.committedSequence)
+            .map(worker => ({ worker, incarnation: worker.incarnation, sequence: worker.notedSequence }));
+
+    const acknowledge = (noted: ReturnType<typeof noteSequences>): void => {
+        for (const { worker, incarnation, sequence } of noted) {
+            if (worker.incarnation === incarnation) {
+                worker.committedSequence = Math.max(worker.committedSequence, sequence);
+            }
+        }
+    };
+
+    const commitOnce = async (isRelease: boolean): Promise<boolean> => {
+        const noted = noteSequences();
+        const taken = takeChanges(board);
+        if (isEmpty(taken) && attached.length === 0 && !isRelease) {
+            acknowledge(noted);
+            batch.resolve(true);
+            batch = createBatch();
+            return true;
+        }
+        const current = batch;
+        batch = createBatch();
+        const writes = attached;
+        attached = [];
+        // A part that fits is committed first, the rest right after it.
+        const [changes = taken, ...rest] = splitChanges(taken, VALUE_LIMIT_BYTES);
+        rest.reverse().forEach(part => returnChanges(board, part));
+        startedAt = clock();
+        const committed = await journal.commit({
+            changes,
+            whole: () => describeBoard(board, options.workersInUse),
+            isRelease,
+            alongside: writes,
+        });
+        const now = clock();
+        if (committed.isErr) {
+            const { code } = committed.error;
+            returnChanges(board, changes);
+            // A lease that has ended takes its record with it; whoever keeps the record attaches it anew.
+            attached = code === "not-found" ? attached : [...writes, ...attached];
+            const next = batch;
+            void next.promise.then(isCommitted => current.resolve(isCommitted));
+            failingSince ??= startedAt;
+            log.write("commit-failed", {
+                epoch: journal.epoch,
+                failure: formatFailure(committed.error),
+                failingMilliseconds: Math.round(now - failingSince),
+            }, "vital");
+            if (code === "conflict") {
+                options.onConflict(formatFailure(committed.error));
+            }
+            return false;
+        }
+        if (failingSince !== undefined) {
+            log.write("commits-regained", {
+                epoch: journal.epoch,
+                failedMilliseconds: Math.round(now - failingSince),
+            }, "vital");
+            failingSince = undefined;
+        }
+        confirmedAt = Math.max(confirmedAt, startedAt);
+        metrics.commitSeconds.observe((now - startedAt) / 1_000);
+        options.onCommitted(changes, now);
+        if (rest.length > 0) {
+            isUrgent = true;
+            isRequested = true;
+            void batch.promise.then(isCommitted => current.resolve(isCommitted));
+            return true;
+        }
+        acknowledge(noted);
+        current.resolve(true);
+        return true;
+    };
+
+    /** Waits until a commit is due. */
+    const waitForWork = async (): Promise<void> => {
+        if (!isRequested && attached.length === 0 && !isReleasing) {
+            await new Promise<void>(resolve => {
+                wake = resolve;
+            });
+        }
+        while (!signal.aborted && !isReleasing) {
+            const gap = isUrgent ? settings.urgentCommitMilliseconds : settings.lazyCommitMilliseconds;
+            const left = startedAt + gap - clock();
+            if (left <= 0) {
+                return;
+            }
+            const limit = new AbortController();
+            wake = () => limit.abort();
+            await pause(left, limit.signal);
+        }
+    };
+
+    const hasToRelease = (): boolean => isReleasing && !isAborted(signal);
+
+    signal.addEventListener("abort", () => wake(), { once: true });
+
+    return {
+        request(urgent) {
+            const isNews = !isRequested || urgent && !isUrgent;
+            isRequested = true;
+            isUrgent ||= urgent;
+            if (isNews) {
+                wake();
+            }
+        },
+        settled: () => batch.promise,
+        attach(write) {
+            attached.push(write);
+            isUrgent = true;
+            wake();
+        },
+        confirmedAtMilliseconds: () => confirmedAt,
+        failingSinceMilliseconds: () => failingSince,
+        noteConfirmation(at) {
+            confirmedAt = Math.max(confirmedAt, at);
+        },
+        release() {
+            isReleasing = true;
+            wake();
+            return released.promise;
+        },
+        async run() {
+            while (!signal.aborted && !isReleasing) {
+                await waitForWork();
+                if (isAborted(signal) || hasToRelease()) {
+                    break;
+                }
+                isUrgent = false;
+                isRequested = false;
+                if (!await commitOnce(false)) {
+                    isRequested = true;
+                    isUrgent = true;
+                    await pause(settings.commitRetryMilliseconds, signal);
+                }
+            }
+            released.resolve(hasToRelease() && await commitOnce(true));
+            batch.resolve(false);
+        },
+    };
+}
+
+function createBatch(): Batch {
+    let settle: (isCommitted: boolean) => void = () => undefined;
+    const promise = new Promise<boolean>(resolve => {
+        settle = resolve;
+    });
+    return { promise, resolve: isCommitted => settle(isCommitted) };
+}
--- /dev/null
+++ b/src/jobs/cell/context.ts
@@ -0,0 +1,35 @@
+/**
+ * What the parts of an owned cell share.
+ */
+import type { EventLog } from "../../core/event-log.js";
+import type { Clock } from "../../core/time.js";
+import type { Board } from "../board/board.js";
+import type { JobsMetrics } from "../metrics.js";
+import type { Catalog } from "../model/catalog.js";
+import type { WorkerOrders } from "../model/worker.js";
+import type { CellSettings } from "../settings.js";
+import type { Commits } from "./commits.js";
+import type { CellWorker } from "./worker.js";
+
+/** An owned cell, as its parts see it. */
+export interface CellContext {
+    readonly name: string;
+    readonly epoch: number;
+    readonly settings: CellSettings;
+    readonly board: Board;
+    readonly workers: Map<string, CellWorker>;
+    readonly orders: WorkerOrders;
+    readonly commits: Commits;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly metrics: JobsMetrics;
+    /** Aborted when the cell is given up or taken over. */
+    readonly signal: AbortSignal;
+    catalog(): Catalog;
+    /** Whether orders may still be given: the store has confirmed the claim within the horizon. */
+    mayOrder(now: number): boolean;
+    /** Another owner has taken the cell. */
+    depose(reason: string, peer: string): void;
+    /** Something may be startable now. */
+    wakeDispatch(): void;
+}
--- /dev/null
+++ b/src/jobs/cell/dispatch.ts
@@ -0,0 +1,144 @@
+/**
+ * Gives ready tasks to workers and stops what is unwanted, whenever something has changed.
+ */
+import { isAborted, pause } from "../../core/time.js";
+import { orderAttempt } from "../board/attempts.js";
+import { companionsOf } from "../board/board.js";
+import { openDueOccurrences } from "../board/intake.js";
+import { nextAttemptNumber } from "../board/task.js";
+import type { Attempt, Task } from "../board/task.js";
+import { orderTasks } from "../policy/order.js";
+import { choosePlace } from "../policy/placement.js";
+import type { Candidate } from "../policy/placement.js";
+import type { CellContext } from "./context.js";
+import type { Recovery } from "./recovery.js";
+import { startAttempt } from "./starting.js";
+import { stopAttempt } from "./stopping.js";
+import type { CellWorker } from "./worker.js";
+
+/** Longest time between two looks: conditions that only time brings about are seen after this. */
+const LOOK_MILLISECONDS = 250;
+
+/** Starts and stops of a cell. */
+export interface Dispatcher {
+    wake(): void;
+    run(): Promise<void>;
+}
+
+/** Creates the dispatcher of a cell. */
+export function createDispatcher(cell: CellContext, recovery: Recovery): Dispatcher {
+    const { board, clock, signal } = cell;
+    const stopping = new Set<Attempt>();
+    let isAwake = true;
+    let wakeUp = new AbortController();
+
+    const stopUnwanted = (): void => {
+        for (const attempt of board.unwanted) {
+            const worker = cell.workers.get(attempt.worker);
+            if (worker !== undefined && attempt.phase !== "stopping" && !stopping.has(attempt)) {
+                stopping.add(attempt);
+                void stopAttempt(cell, worker, attempt).finally(() => stopping.delete(attempt));
+            }
+        }
+    };
+
+    const place = (task: Task, candidates: readonly Candidate[], now: number): boolean => {
+        const members = companionsOf(task);
+        const placed: Attempt[] = [];
+        const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
+        for (const member of members) {
+            const candidate = choosePlace(member, candidates);
+            if (candidate === undefined) {
+                break;
+            }
+            placed.push(orderAttempt(board, member, candidate.worker.id, number, now));
+        }
+        if (placed.length < members.length) {
+            // A gang starts whole or not at all.
+            placed.forEach(attempt => unbook(attempt, now));
+            return false;
+        }
+        for (const attempt of placed) {
+            const worker = cell.workers.get(attempt.worker);
+            if (worker !== undefined) {
+                cell.log.write("start-ordered", {
+                    job: attempt.task.entry.id,
+                    task: attempt.task.key,
+                    attempt: attempt.number,
+                    worker: attempt.worker,
+                    waitedMilliseconds: Math.round(now - attempt.task.readyAtMilliseconds),
+                    answerAgeMilliseconds: Math.round(now - worker.lastAnswerAtMilliseconds),
+                });
+                void startAttempt(cell, worker, attempt, undefined);
+            }
+        }
+        return true;
+    };
+
+    const unbook = (attempt: Attempt, now: number): void => {
+        const { attempts } = attempt.task;
+        attempts.splice(attempts.indexOf(attempt), 1);
+        board.occupancy.remove(attempt);
+        attempt.task.phase = "ready";
+        attempt.task.readyAtMilliseconds = Math.min(attempt.task.readyAtMilliseconds, now);
+        board.ready.add(attempt.task);
+    };
+
+    const dispatch = (now: number): void => {
+        openDueOccurrences(board, now);
+        stopUnwanted();
+        if (board.ready.size === 0 || !cell.mayOrder(now)) {
+            return;
+        }
+        const { queues } = cell.catalog();
+        const candidates = listCandidates(cell, now);
+        const startable = [...board.ready].filter(task => recovery.mayStart(task));
+        for (const task of orderTasks(startable, { priority: ({ entry }) => queues.get(entry.queue)?.priority ?? 0 })) {
+            const pool = queues.get(task.entry.queue)?.pool;
+            const open = pool === undefined ? undefined : candidates.get(pool);
+            if (open !== undefined && board.ready.has(task)) {
+                place(task, open, now);
+            }
+        }
+    };
+
+    return {
+        wake() {
+            isAwake = true;
+            wakeUp.abort();
+        },
+        async run() {
+            while (!signal.aborted) {
+                if (!isAwake) {
+                    wakeUp = new AbortController();
+                    await pause(LOOK_MILLISECONDS, AbortSignal.any([signal, wakeUp.signal]));
+                }
+                isAwake = false;
+                if (!isAborted(signal)) {
+                    dispatch(clock());
+                }
+            }
+        },
+    };
+}
+
+/** Workers that may get tasks now, by pool. */
+function listCandidates(cell: CellContext, now: number): Map<string, Candidate[]> {
+    const pools = new Map<string, Candidate[]>();
+    for (const worker of cell.workers.values()) {
+        if (!mayStartOn(worker, now, cell.settings.unlistedGraceMilliseconds)) {
+            continue;
+        }
+        const candidates = pools.get(worker.listed.pool) ?? [];
+        candidates.push({ worker: worker.listed, load: cell.board.occupancy.load(worker.listed.id) });
+        pools.set(worker.listed.pool, candidates);
+    }
+    return pools;
+}
+
+function mayStartOn(worker: CellWorker, now: number, graceMilliseconds: number): boolean {
+    const isListed = worker.unlistedSinceMilliseconds === undefined
+        || now - worker.unlistedSinceMilliseconds < graceMilliseconds;
+    return worker.contact === "answering" && worker.isRecorded && isListed && !worker.listed.isDraining
+        && now >= worker.startsFromMilliseconds && now >= worker.health.quarantinedUntilMilliseconds;
+}
--- /dev/null
+++ b/src/jobs/cell/recovery.ts
@@ -0,0 +1,54 @@
+/**
+ * After a takeover: which workers may still run what the predecessor started, and so which tasks have to wait.
+ *
+ * Starts are not committed. A worker that has answered under the new epoch has told all that it runs, and takes no order of
+ * the predecessor any more. One that has not may run any task of the predecessor's jobs that nobody has seen elsewhere,
+ * until the last lease that it may have been given has lapsed.
+ */
+import type { Task } from "../board/task.js";
+
+/** How much slower than ours a worker's clock may go; from the platform's pages, 2 %. */
+const SLOWEST_CLOCK_RATE = 0.98;
+
+/** Terms of a takeover. */
+export interface RecoveryOptions {
+    /** Workers that may run attempts, by the ledger. */
+    readonly workers: Iterable<string>;
+    readonly claimedAtMilliseconds: number;
+    /** How long the predecessor may have gone on giving orders after the claim; 0 where it certainly did not. */
+    readonly predecessorMilliseconds: number;
+    readonly longestLeaseMilliseconds: number;
+}
+
+/** Workers that have not answered since the takeover. */
+export interface Recovery {
+    /** Time after which nothing of the predecessor runs on a worker that has not answered. */
+    readonly overAtMilliseconds: number;
+    unheard(): readonly string[];
+    /** The worker has answered; true where it was the last one. */
+    noteHeard(worker: string): boolean;
+    /** Time has passed; true where that ended the recovery. */
+    notePassed(now: number): boolean;
+    /** Whether the task can be started without risk that it runs elsewhere. */
+    mayStart(task: Task): boolean;
+}
+
+/** Begins a recovery. */
+export function createRecovery(options: RecoveryOptions): Recovery {
+    const unheard = new Set(options.workers);
+    const overAtMilliseconds = options.claimedAtMilliseconds
+        + (options.predecessorMilliseconds + options.longestLeaseMilliseconds) / SLOWEST_CLOCK_RATE;
+    return {
+        overAtMilliseconds,
+        unheard: () => [...unheard],
+        noteHeard: worker => unheard.delete(worker) && unheard.size === 0,
+        notePassed(now) {
+            if (unheard.size === 0 || now < overAtMilliseconds) {
+                return false;
+            }
+            unheard.clear();
+            return true;
+        },
+        mayStart: ({ entry, step }) => unheard.size === 0 || !entry.isInherited || step.allowsCopies,
+    };
+}
--- /dev/null
+++ b/src/jobs/cell/report.ts
@@ -0,0 +1,91 @@
+/**
+ * What a worker's report means for the books.
+ */
+import { loseAttempt, noteEnd, noteRunning } from "../board/attempts.js";
+import type { Board } from "../board/board.js";
+import type { Attempt } from "../board/task.js";
+import type { EndedAttempt, RunningAttempt, WorkerReport } from "../model/worker.js";
+import type { CellWorker } from "./worker.js";
+
+/** What a report has brought. */
+export interface ReportOutcome {
+    /** The worker has started anew: all that it ran before is over. */
+    readonly isReborn: boolean;
+    /** Runs that belong to no task of the cell. */
+    readonly foreign: readonly RunningAttempt[];
+    /** Ends that had not been in the books. */
+    readonly ended: readonly EndedAttempt[];
+    /** Attempts that the worker no longer knows. */
+    readonly lost: readonly Attempt[];
+    /** Attempts that nobody had told the books of. */
+    readonly adopted: number;
+}
+
+/** Takes a report in. */
+export function takeReport(
+    board: Board,
+    worker: CellWorker,
+    report: WorkerReport,
+    sentAt: number,
+    now: number,
+): ReportOutcome {
+    const { id } = worker.listed;
+    const lost: Attempt[] = [];
+    const lose = (attempt: Attempt): void => {
+        lost.push(attempt);
+        loseAttempt(board, attempt, now);
+    };
+    const isReborn = worker.incarnation !== undefined && report.incarnation !== undefined
+        && report.incarnation !== worker.incarnation;
+    if (isReborn) {
+        forgetLife(worker);
+        [...board.occupancy.load(id).attempts].forEach(lose);
+    }
+    worker.incarnation = report.incarnation ?? worker.incarnation;
+    if (worker.clock === undefined || report.clockMilliseconds >= worker.clock.workerMilliseconds) {
+        // Counted from the sending, so that the estimate is never behind what the worker's clock may show.
+        worker.clock = { workerMilliseconds: report.clockMilliseconds, atMilliseconds: now };
+    }
+    worker.contact = "answering";
+    worker.lastAnswerAtMilliseconds = Math.max(worker.lastAnswerAtMilliseconds, sentAt);
+    worker.health.unansweredInARow = 0;
+
+    const ended = report.ended.filter(({ sequence }) => sequence > worker.notedSequence);
+    for (const end of ended) {
+        noteEnd(board, id, end, now);
+        worker.notedSequence = end.sequence;
+    }
+    const before = new Set(board.occupancy.load(id).attempts);
+    const listed = new Set<Attempt>();
+    const foreign: RunningAttempt[] = [];
+    let adopted = 0;
+    for (const running of report.running) {
+        const attempt = noteRunning(board, id, running, now);
+        if (attempt === undefined) {
+            foreign.push(running);
+            continue;
+        }
+        listed.add(attempt);
+        adopted += before.has(attempt) ? 0 : 1;
+    }
+    for (const attempt of before) {
+        const { confirmedClockMilliseconds } = attempt;
+        // A start may have been confirmed after the worker wrote this report.
+        const isMissing = !listed.has(attempt) && confirmedClockMilliseconds !== undefined
+            && confirmedClockMilliseconds < report.clockMilliseconds;
+        if (isMissing) {
+            lose(attempt);
+        }
+    }
+    return { isReborn, foreign, ended, lost, adopted };
+}
+
+/** What was known of a worker's earlier life no longer holds. */
+function forgetLife(worker: CellWorker): void {
+    worker.notedSequence = 0;
+    worker.committedSequence = 0;
+    worker.leaseUntilMilliseconds = 0;
+    worker.clock = undefined;
+    worker.health.failuresInARow = 0;
+    worker.health.quarantinedUntilMilliseconds = 0;
+}
--- /dev/null
+++ b/src/jobs/cell/session.ts
@@ -0,0 +1,175 @@
+/**
+ * The conversation with one worker: it is held, it reports, its ends are booked and acknowledged.
+ */
+import { formatFailure } from "../../core/errors.js";
+import type { Failure } from "../../core/errors.js";
+import { isAborted, pause } from "../../core/time.js";
+import { loseAttempt } from "../board/attempts.js";
+import type { RunningAttempt } from "../model/worker.js";
+import type { CellContext } from "./context.js";
+import { takeReport } from "./report.js";
+import { orderStop } from "./stopping.js";
+import { certainLapse, grantLease } from "./worker.js";
+import type { CellWorker } from "./worker.js";
+
+/** Unanswered reports after which a worker counts as silent: one may just have lost its connection. */
+const SILENT_AFTER = 2;
+
+/** Wait before a worker is asked again that did not answer. */
+const SILENT_RETRY_MILLISECONDS = 150;
+
+/** Time without starts after a report that listed foreign runs; the next report comes before it ends. */
+const FOREIGN_ROOM_WAIT_MILLISECONDS = 1_500;
+
+/** Holds a worker and takes its reports, until the signal is aborted. */
+export async function runSession(cell: CellContext, worker: CellWorker, signal: AbortSignal): Promise<void> {
+    const { clock, settings } = cell;
+    const stopsUnderWay = new Set<string>();
+    let failures = 0;
+    let isLeased = false;
+    while (!signal.aborted) {
+        const sentAt = clock();
+        // An order without an answer may have been carried out; prolonging the lease of a worker that may hear but cannot
+        // be heard would never let it lapse.
+        const lease = failures === 0 && cell.mayOrder(sentAt)
+            ? grantLease(worker, sentAt, settings.leaseMilliseconds)
+            : undefined;
+        const answer = await cell.orders.hold(worker.listed, {
+            epoch: cell.epoch,
+            acknowledged: worker.committedSequence,
+            ...(lease === undefined ? {} : { leaseUntilMilliseconds: lease }),
+            // The first answer is wanted at once: it brings the clock and the lists.
+            waitMilliseconds: isLeased && failures === 0 ? settings.holdWaitMilliseconds : 0,
+        });
+        if (isAborted(signal)) {
+            return;
+        }
+        const now = clock();
+        if (answer.isErr) {
+            failures += 1;
+            if (answer.error.code === "fenced") {
+                cell.depose(formatFailure(answer.error), worker.listed.id);
+                return;
+            }
+            takeSilence(cell, worker, answer.error, failures, now);
+            await pause(SILENT_RETRY_MILLISECONDS, signal);
+            continue;
+        }
+        failures = 0;
+        isLeased = lease !== undefined;
+        noteContact(cell, worker);
+        const outcome = takeReport(cell.board, worker, answer.value, sentAt, now);
+        if (outcome.isReborn) {
+            isLeased = false;
+        }
+        logOutcome(cell, worker, outcome, now);
+        if (outcome.foreign.length > 0) {
+            // Nobody knows how much room they take up.
+            worker.startsFromMilliseconds = now + FOREIGN_ROOM_WAIT_MILLISECONDS;
+            outcome.foreign.forEach(running => void stopForeign(cell, worker, running, stopsUnderWay));
+        }
+        if (outcome.ended.length > 0 || outcome.lost.length > 0) {
+            const isAwaited = cell.board.changes.ended.length > 0;
+            cell.commits.request(isAwaited);
+        }
+        cell.wakeDispatch();
+        if (isLeased) {
+            await pause(settings.holdGapMilliseconds, signal);
+        }
+    }
+}
+
+function noteContact(cell: CellContext, worker: CellWorker): void {
+    if (worker.contact !== "answering") {
+        cell.log.write("worker-answers", {
+            worker: worker.listed.id,
+            before: worker.contact,
+            silentMilliseconds: Math.round(cell.clock() - worker.lastAnswerAtMilliseconds),
+        }, "vital");
+    }
+}
+
+/** What a silent worker may run is given up only once no lease of it can hold any more. */
+function takeSilence(cell: CellContext, worker: CellWorker, failure: Failure, failures: number, now: number): void {
+    const { id } = worker.listed;
+    if (failures >= SILENT_AFTER && worker.contact !== "silent") {
+        worker.contact = "silent";
+        cell.log.write("worker-silent", {
+            worker: id,
+            answeredMillisecondsAgo: Math.round(now - worker.lastAnswerAtMilliseconds),
+            attempts: cell.board.occupancy.load(id).attempts.length,
+            failure: formatFailure(failure),
+        }, "vital");
+        cell.wakeDispatch();
+    }
+    const attempts = [...cell.board.occupancy.load(id).attempts];
+    if (attempts.length > 0 && worker.contact === "silent" && now > certainLapse(worker)) {
+        attempts.forEach(attempt => loseAttempt(cell.board, attempt, now));
+        cell.log.write("worker-lapsed", {
+            worker: id,
+            attempts: attempts.length,
+            answeredMillisecondsAgo: Math.round(now - worker.lastAnswerAtMilliseconds),
+        }, "vital");
+        cell.commits.request(false);
+        cell.wakeDispatch();
+    }
+}
+
+/** A run that belongs to no task of the cell: its job was forgotten, or an earlier owner's order came late. */
+async function stopForeign(
+    cell: CellContext,
+    worker: CellWorker,
+    running: RunningAttempt,
+    stopsUnderWay: Set<string>,
+): Promise<void> {
+    const name = `${running.task}#${running.attempt}`;
+    if (stopsUnderWay.has(name) || !cell.mayOrder(cell.clock())) {
+        return;
+    }
+    stopsUnderWay.add(name);
+    cell.log.write("foreign-run", { worker: worker.listed.id, task: running.task, attempt: running.attempt }, "vital");
+    await orderStop(cell, worker, running.task, running.attempt);
+    stopsUnderWay.delete(name);
+}
+
+function logOutcome(
+    cell: CellContext,
+    worker: CellWorker,
+    { adopted, ended, isReborn, lost }: ReturnType<typeof takeReport>,
+    now: number,
+): void {
+    const { id } = worker.listed;
+    if (isReborn) {
+        cell.log.write("worker-reborn", { worker: id, incarnation: worker.incarnation, lost: lost.length }, "vital");
+    }
+    if (adopted > 0) {
+        cell.log.write("runs-adopted", { worker: id, attempts: adopted });
+    }
+    for (const attempt of lost) {
+        cell.log.write("attempt-lost", {
+            job: attempt.task.entry.id,
+            task: attempt.task.key,
+            attempt: attempt.number,
+            worker: id,
+            isReborn,
+        });
+    }
+    for (const end of ended) {
+        const { health } = worker;
+        health.failuresInARow = end.end === "failed"
+            ? health.failuresInARow + 1
+            : end.end === "done"
+            ? 0
+            : health.failuresInARow;
+        cell.metrics.ends.inc({ end: end.end });
+        cell.log.write("attempt-ended", {
+            job: end.task.slice(0, end.task.indexOf(".")),
+            task: end.task,
+            attempt: end.attempt,
+            worker: id,
+            end: end.end,
+            sequence: end.sequence,
+            at: Math.round(now),
+        });
+    }
+}
--- /dev/null
+++ b/src/jobs/cell/worker.ts
@@ -0,0 +1,90 @@
+/**
+ * What the owner of a cell knows of a worker: its clock, its lease, and what of its ends has been taken note of.
+ */
+import type { ListedWorker } from "../model/worker.js";
+
+/** Whether a worker answers. */
+export type WorkerContact = "unknown" | "answering" | "silent";
+
+/** A worker of a cell. */
+export interface CellWorker {
+    /** Latest entry of the platform's list. */
+    listed: ListedWorker;
+    /** Since when the list no longer has it; absent while it has. */
+    unlistedSinceMilliseconds: number | undefined;
+    /** The ledger says that it may run attempts; nothing is started on it before. */
+    isRecorded: boolean;
+    contact: WorkerContact;
+    /** The incarnation that answered last. */
+    incarnation: number | undefined;
+    /** The worker's clock as it last said, and when that was. */
+    clock: { readonly workerMilliseconds: number; readonly atMilliseconds: number; } | undefined;
+    lastAnswerAtMilliseconds: number;
+    /** Latest end of a lease that may have been given, on the worker's clock. */
+    leaseUntilMilliseconds: number;
+    /** Sequence of the last end that is in the books. */
+    notedSequence: number;
+    /** Sequence of the last end that the ledger holds; may be acknowledged. */
+    committedSequence: number;
+    /** No starts before this time: the worker refused one for want of room, or could not take it. */
+    startsFromMilliseconds: number;
+    readonly health: WorkerHealth;
+}
+
+/** Signs of a worker's health. */
+export interface WorkerHealth {
+    /** Failed attempts since the last that was done. */
+    failuresInARow: number;
+    /** No new tasks before this time. */
+    quarantinedUntilMilliseconds: number;
+    /** Orders that got no answer since the last that did. */
+    unansweredInARow: number;
+}
+
+/** How much slower than ours a worker's clock may go; from the platform's pages, 2 %. */
+const SLOWEST_CLOCK_RATE = 0.98;
+
+/** Creates a worker that has not been asked yet. */
+export function createCellWorker(listed: ListedWorker, isRecorded: boolean, now: number): CellWorker {
+    return {
+        listed,
+        unlistedSinceMilliseconds: undefined,
+        isRecorded,
+        contact: "unknown",
+        incarnation: undefined,
+        clock: undefined,
+        lastAnswerAtMilliseconds: now,
+        leaseUntilMilliseconds: 0,
+        notedSequence: 0,
+        committedSequence: 0,
+        startsFromMilliseconds: 0,
+        health: { failuresInARow: 0, quarantinedUntilMilliseconds: 0, unansweredInARow: 0 },
+    };
+}
+
+/** The worker's clock now, as far as it can be told. */
+export function estimateClock(worker: CellWorker, now: number): number | undefined {
+    return worker.clock === undefined
+        ? undefined
+        : worker.clock.workerMilliseconds + Math.max(0, now - worker.clock.atMilliseconds);
+}
+
+/** When a lease that is given now ends, on the worker's clock; absent while its clock is unknown. */
+export function grantLease(worker: CellWorker, now: number, leaseMilliseconds: number): number | undefined {
+    const clock = estimateClock(worker, now);
+    if (clock === undefined) {
+        return undefined;
+    }
+    const until = Math.floor(clock + leaseMilliseconds);
+    worker.leaseUntilMilliseconds = Math.max(worker.leaseUntilMilliseconds, until);
+    return until;
+}
+
+/** Time after which every lease that this owner gave has certainly lapsed, though the worker's clock be slow. */
+export function certainLapse({ clock, leaseUntilMilliseconds }: CellWorker): number {
+    if (clock === undefined) {
+        return 0;
+    }
+    const left = Math.max(0, leaseUntilMilliseconds - clock.workerMilliseconds);
+    return clock.atMilliseconds + left / SLOWEST_CLOCK_RATE;
+}
--- /dev/null
+++ b/src/jobs/front/front.ts
@@ -0,0 +1,131 @@
+/**
+ * Callers' requests: each is carried to the owner of its cell, and again where the owner changes meanwhile.
+ */
+import Emittery from "emittery";
+import { Result } from "true-myth/result";
+import type { z } from "zod";
+import { createFailure } from "../../core/errors.js";
+import type { Failure } from "../../core/errors.js";
+import type { Method } from "../../core/method.js";
+import { pause } from "../../core/time.js";
+import type { Clock } from "../../core/time.js";
+import type { Cell } from "../cell/cell.js";
+import { cancelMethod, pendingMethod, stateMethod, submitMethod } from "../model/requests.js";
+import type { JobReference, PendingAnswer, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
+import type { OwnerLinks } from "./owner-links.js";
+
+/** Longest wait for news of an owner before a request is tried again. */
+const RETRY_MILLISECONDS = 100;
+
+/** An owner that has not answered for this long is asked once more, over whatever link there is by then. */
+const CALL_LIMIT_MILLISECONDS = 1_200;
+
+/** Retry-After of a request that found no owner: a takeover takes about as long. */
+const NO_OWNER_RETRY_MILLISECONDS = 1_000;
+
+/** What the front needs. */
+export interface FrontOptions {
+    readonly cell: string;
+    readonly links: OwnerLinks;
+    readonly clock: Clock;
+    owned(cell: string): Cell | undefined;
+}
+
+/** Callers' requests. Failures: `ambiguous` (it may have been carried out), `unavailable` (it certainly was not). */
+export interface Front {
+    submit(request: SubmitRequest, deadline: number): Promise<Result<SubmitAnswer, Failure>>;
+    state(reference: JobReference, deadline: number): Promise<Result<StateAnswer, Failure>>;
+    cancel(reference: JobReference, deadline: number): Promise<Result<StateAnswer, Failure>>;
+    pending(queue: string, deadline: number): Promise<Result<PendingAnswer, Failure>>;
+    /** Whether the owner of the cell can be reached. */
+    isConnected(): boolean;
+    /** An owner has come or gone: requests that wait are tried again. */
+    noteChange(): void;
+}
+
+/** Creates the front of an instance. */
+export function createFront(options: FrontOptions): Front {
+    const { cell: name, clock, links } = options;
+    const events = new Emittery<{ changed: undefined; }>();
+
+    /** Tries until there is an answer or the deadline passes; tells whether any try may have been carried out. */
+    const carry = async <Params extends z.ZodType, Answer extends z.ZodType>(
+        method: Method<Params, Answer>,
+        params: z.input<Params>,
+        local: (cell: Cell) => Promise<Result<z.output<Answer>, Failure>>,
+        deadline: number,
+    ): Promise<Result<z.output<Answer>, Failure>> => {
+        let doubt: Failure | undefined;
+        for (;;) {
+            const left = deadline - clock();
+            if (left <= 0) {
+                return Result.err(
+                    doubt ?? createFailure("unavailable", method.name, `cell ${name} has no owner in reach`),
+                );
+            }
+            const own = options.owned(name);
+            const link = links.find(name);
+            const answer = own !== undefined
+                ? await limit(local(own), left, method.name)
+                : link === undefined
+                ? undefined
+                : await link.call(method, params, Math.min(left, CALL_LIMIT_MILLISECONDS));
+            if (answer?.isOk === true) {
+                return answer;
+            }
+            if (answer !== undefined && (answer.error.code === "ambiguous" || answer.error.code === "timeout")) {
+                doubt = createFailure("ambiguous", method.name, answer.error.message, { peer: name });
+            }
+            await Promise.race([
+                events.once("changed"),
+                pause(Math.min(RETRY_MILLISECONDS, Math.max(1, deadline - clock()))),
+            ]);
+        }
+    };
+
+    return {
+        submit: async (request, deadline) => {
+            const answer = await carry(
+                submitMethod,
+                { ...request, cell: name },
+                cell => cell.submit(request),
+                deadline,
+            );
+            return answer.orElse((failure): Result<SubmitAnswer, Failure> =>
+                failure.code === "unavailable"
+                    ? Result.ok({
+                        kind: "refused",
+                        reason: failure.message,
+                        retryAfterMilliseconds: NO_OWNER_RETRY_MILLISECONDS,
+                    })
+                    : Result.err(failure)
+            );
+        },
+        state: (reference, deadline) =>
+            carry(stateMethod, { ...reference, cell: name }, async cell => Result.ok(cell.state(reference)), deadline),
+        cancel: (reference, deadline) =>
+            carry(cancelMethod, { ...reference, cell: name }, cell => cell.cancel(reference), deadline),
+        pending: (queue, deadline) =>
+            carry(pendingMethod, { queue, cell: name }, async cell => Result.ok(cell.pending(queue)), deadline),
+        isConnected: () => options.owned(name) !== undefined || links.find(name) !== undefined,
+        noteChange: () => void events.emit("changed"),
+    };
+}
+
+/** The owner goes on with what it was asked, but the caller is answered. */
+async function limit<Value>(
+    answer: Promise<Result<Value, Failure>>,
+    milliseconds: number,
+    step: string,
+): Promise<Result<Value, Failure>> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<Result<Value, Failure>>(resolve => {
+        timer = setTimeout(
+            () => resolve(Result.err(createFailure("ambiguous", step, "no answer within the caller's deadline"))),
+            milliseconds,
+        );
+    });
+    const first = await Promise.race([answer, late]);
+    clearTimeout(timer);
+    return first;
+}
--- /dev/null
+++ b/src/jobs/front/owner-links.ts
@@ -0,0 +1,112 @@
+/**
+ * Connections to the owners of cells.
+ */
+import type { EventLog } from "../../core/event-log.js";
+import { pause } from "../../core/time.js";
+import { openLink } from "../link/link.js";
+import type { Link } from "../link/link.js";
+import { helloMethod } from "../model/requests.js";
+import type { Directory } from "../ownership/directory.js";
+import type { OwnerRecord } from "../ownership/records.js";
+
+/** Wait before an owner is tried again that could not be reached. */
+const RETRY_MILLISECONDS = 100;
+
+/** A new connection has to answer within this time; four round trips between distant data centres. */
+const HELLO_LIMIT_MILLISECONDS = 500;
+
+/** What the links need. */
+export interface OwnerLinksOptions {
+    readonly directory: Directory;
+    readonly cells: readonly string[];
+    /** Incarnation of this process, which needs no link to itself. */
+    readonly incarnation: string;
+    readonly log: EventLog;
+    /** The process of an owner has certainly ended. */
+    onDeath(owner: OwnerRecord): void;
+    /** A link has opened or closed. */
+    onChange(): void;
+}
+
+/** Links to owners. */
+export interface OwnerLinks {
+    /** The open link to a cell's owner. */
+    find(cell: string): Link | undefined;
+    run(signal: AbortSignal): Promise<void>;
+}
+
+/** Creates the links; one task a cell keeps them open. */
+export function createOwnerLinks(options: OwnerLinksOptions): OwnerLinks {
+    const { directory, log } = options;
+    const links = new Map<string, { readonly link: Link; readonly owner: OwnerRecord; }>();
+
+    const keepLink = async (cell: string, signal: AbortSignal): Promise<void> => {
+        while (!signal.aborted) {
+            const owner = directory.owner(cell);
+            const current = links.get(cell);
+            if (current !== undefined && (!current.link.isOpen() || current.owner.incarnation !== owner?.incarnation)) {
+                links.delete(cell);
+                current.link.close();
+                log.write("owner-link-closed", { cell, peer: current.link.peer }, "vital");
+                options.onChange();
+            }
+            if (owner === undefined || owner.incarnation === options.incarnation || links.has(cell)) {
+                const waits: Promise<unknown>[] = [directory.changed(), pause(RETRY_MILLISECONDS, signal)];
+                const closing = links.has(cell) ? closed.get(cell) : undefined;
+                await Promise.race(closing === undefined ? waits : [...waits, closing.promise]);
+                continue;
+            }
+            if (!await open(cell, owner)) {
+                await pause(RETRY_MILLISECONDS, signal);
+            }
+        }
+        links.get(cell)?.link.close();
+    };
+
+    const closed = new Map<string, { promise: Promise<void>; resolve(): void; }>();
+
+    const open = async (cell: string, owner: OwnerRecord): Promise<boolean> => {
+        const closing = createSignal();
+        closed.set(cell, closing);
+        const opened = await openLink({ host: owner.host, port: owner.port }, () => closing.resolve());
+        if (opened.isErr) {
+            const { message, refusal } = opened.error;
+            log.write("owner-link-failed", { cell, instance: owner.instance, refusal, message }, "vital");
+            if (refusal === "refused") {
+                options.onDeath(owner);
+            }
+            return false;
+        }
+        const link = opened.value;
+        const hello = await link.call(helloMethod, {}, HELLO_LIMIT_MILLISECONDS);
+        if (hello.isErr || hello.value.incarnation !== owner.incarnation) {
+            link.close();
+            if (hello.isOk && hello.value.instance === owner.instance) {
+                options.onDeath(owner);
+            }
+            return false;
+        }
+        links.set(cell, { link, owner });
+        log.write("owner-link-opened", { cell, instance: owner.instance, epoch: owner.epoch }, "vital");
+        options.onChange();
+        return true;
+    };
+
+    return {
+        find: cell => {
+            const found = links.get(cell);
+            return found?.link.isOpen() === true ? found.link : undefined;
+        },
+        async run(signal) {
+            await Promise.all(options.cells.map(cell => keepLink(cell, signal)));
+        },
+    };
+}
+
+function createSignal(): { promise: Promise<void>; resolve(): void; } {
+    let settle: () => void = () => undefined;
+    const promise = new Promise<void>(resolve => {
+        settle = resolve;
+    });
+    return { promise, resolve: () => settle() };
+}
--- /dev/null
+++ b/src/jobs/ledger/journal.ts
@@ -0,0 +1,296 @@
+/**
+ * The ledger of a cell in the store: claim, group commit, compaction and load.
+ *
+ * Each commit replaces the head by compare-and-swap together with its segment, and so does a claim, which raises the epoch:
+ * whatever a former owner believes, its next commit fails.
+ */
+import { Result } from "true-myth/result";
+import { z } from "zod";
+import type { Failure } from "../../core/errors.js";
+import { createFailure } from "../../core/errors.js";
+import { parseJson } from "../../core/parse.js";
+import { commitRecord, readRecord } from "../../platform/commit.js";
+import type { StoredRecord } from "../../platform/commit.js";
+import type { KeyValue, Store, WriteOperation } from "../../platform/store.js";
+import { Segment } from "./segment.js";
+import type { Changes } from "./segment.js";
+
+/** Segments after which a snapshot takes their place: a takeover reads at most this many, in one or two pages. */
+const SEGMENTS_PER_SNAPSHOT = 100;
+
+/** Bytes of JSON of one value; the store takes 1 MB, and base64 and the envelope need room. */
+export const VALUE_LIMIT_BYTES = 600_000;
+
+/** Old segments that a commit removes; a transaction of the store takes 32 entries in all. */
+const REMOVALS_PER_COMMIT = 24;
+
+/** Entries that a read asks for at once. */
+const PAGE_ENTRIES = 500;
+
+/** Longest wait between attempts to settle a commit whose answer was lost; callers wait for it. */
+const LONGEST_SETTLE_WAIT_MILLISECONDS = 200;
+
+/** Who owns a cell. */
+export const CellOwner = z.object({
+    instance: z.string(),
+    /** Differs with each start of the process. */
+    incarnation: z.string(),
+});
+export type CellOwner = z.infer<typeof CellOwner>;
+
+/** The record that each commit compares and swaps. */
+export const Head = z.object({
+    epoch: z.int(),
+    owner: CellOwner,
+    /** The owner has given the cell up, and orders nothing any more. */
+    isReleased: z.boolean(),
+    /** Sequence of the last segment. */
+    sequence: z.int(),
+    /** Sequence that the snapshot includes; 0 without one. */
+    snapshotSequence: z.int(),
+    snapshotChunks: z.int(),
+});
+export type Head = z.infer<typeof Head>;
+
+/** What a claim needs. */
+export interface ClaimOptions {
+    readonly store: Store;
+    readonly cell: string;
+    readonly owner: CellOwner;
+    readonly signal: AbortSignal;
+}
+
+/** Ledger of an owned cell. */
+export interface Journal {
+    readonly epoch: number;
+    /** The head as its predecessor left it; absent for a cell that nobody has owned. */
+    readonly predecessor: Head | undefined;
+    /** Segments of all former owners, the snapshot first. */
+    load(): Promise<Result<Segment[], Failure>>;
+    /**
+     * Commits changes. Failures: `conflict` (the cell has another owner), `unavailable` or `refused` (nothing was written),
+     * `ambiguous` (stopped before the outcome was known).
+     */
+    commit(commit: Commit): Promise<Result<void, Failure>>;
+}
+
+/** A commit to a ledger. */
+export interface Commit {
+    readonly changes: Changes;
+    /** Describes the books with the changes, for a snapshot. */
+    whole(): Changes;
+    /** Gives the cell up. */
+    readonly isRelease?: boolean;
+    /** Writes outside the ledger that take effect together with the commit; at most four. */
+    readonly alongside?: readonly WriteOperation[];
+}
+
+/** Prefix of a cell's keys. */
+function prefixOf(cell: string): string {
+    return `/flamingowell/cells/${cell}/`;
+}
+
+/** Reads the head of a cell's ledger. */
+export function readHead(store: Store, cell: string): Promise<Result<StoredRecord<Head> | undefined, Failure>> {
+    return readRecord(store, `${prefixOf(cell)}head`, Head);
+}
+
+/** Claims a cell. Fails with `conflict` where someone else was faster. */
+export async function claimCell(
+    options: ClaimOptions,
+    found: StoredRecord<Head> | undefined,
+): Promise<Result<Journal, Failure>> {
+    const former = found?.body;
+    const head: Head = {
+        epoch: (former?.epoch ?? 0) + 1,
+        owner: options.owner,
+        isReleased: false,
+        sequence: former?.sequence ?? 0,
+        snapshotSequence: former?.snapshotSequence ?? 0,
+        snapshotChunks: former?.snapshotChunks ?? 0,
+    };
+    const committed = await commitRecord(options.store, {
+        key: `${prefixOf(options.cell)}head`,
+        body: head,
+        expectedRevision: found?.revision ?? 0,
+        signal: options.signal,
+        longestSettleWaitMilliseconds: LONGEST_SETTLE_WAIT_MILLISECONDS,
+    });
+    return committed.map(revision => createJournal(options, head, revision, former));
+}
+
+function createJournal(
+    { store, cell, signal }: ClaimOptions,
+    claimed: Head,
+    claimedRevision: number,
+    predecessor: Head | undefined,
+): Journal {
+    const prefix = prefixOf(cell);
+    const keyOfSegment = (sequence: number) => `${prefix}log/${String(sequence).padStart(12, "0")}`;
+    const keyOfChunk = (sequence: number, chunk: number) =>
+        `${prefix}snapshot/${String(sequence).padStart(12, "0")}/${String(chunk).padStart(4, "0")}`;
+    let head = claimed;
+    let revision = claimedRevision;
+    let oldKeys: string[] = [];
+
+    /** Chunks take no effect before a head refers to them; an earlier attempt's are overwritten. */
+    const writeSnapshot = async (sequence: number, whole: Changes): Promise<Result<number, Failure>> => {
+        const chunks = splitChanges(whole, VALUE_LIMIT_BYTES);
+        for (const [index, chunk] of chunks.entries()) {
+            const written = await store.transact({
+                comparisons: [{
+                    key: `${prefix}head`,
+                    target: "modRevision",
+                    relation: "equal",
+                    value: revision,
+                }],
+                writes: [{
+                    kind: "put",
+                    key: keyOfChunk(sequence, index),
+                    value: JSON.stringify({ ...chunk, sequence }),
+                }],
+            });
+            if (written.isErr) {
+                // A chunk without a head does no harm, so it does not matter whether it has been written.
+                return Result.err({ ...written.error, code: "unavailable" });
+            }
+            if (!written.value.succeeded) {
+                return Result.err(createFailure("conflict", "snapshot", `cell ${cell} has another owner`));
+            }
+        }
+        return Result.ok(chunks.length);
+    };
+
+    const listSuperseded = ({ sequence, snapshotChunks, snapshotSequence }: Head): string[] => [
+        ...Array.from(
+            { length: sequence - snapshotSequence },
+            (_, index) => keyOfSegment(snapshotSequence + 1 + index),
+        ),
+        ...Array.from({ length: snapshotChunks }, (_, index) => keyOfChunk(snapshotSequence, index)),
+    ];
+
+    const readAll = async (keys: string): Promise<Result<KeyValue[], Failure>> => {
+        const entries: KeyValue[] = [];
+        for (let after: string | undefined;;) {
+            const page = await store.read({
+                key: keys,
+                prefix: true,
+                limit: PAGE_ENTRIES,
+                ...(after === undefined ? {} : { after }),
+            });
+            if (page.isErr) {
+                return Result.err(page.error);
+            }
+            entries.push(...page.value.entries);
+            after = page.value.entries.at(-1)?.key;
+            if (!page.value.more || after === undefined) {
+                return Result.ok(entries);
+            }
+        }
+    };
+
+    return {
+        epoch: claimed.epoch,
+        predecessor,
+        async load() {
+            const { sequence, snapshotChunks, snapshotSequence } = claimed;
+            const snapshot = snapshotSequence === 0
+                ? Result.ok<KeyValue[], Failure>([])
+                : await readAll(keyOfChunk(snapshotSequence, 0).slice(0, -"0000".length));
+            if (snapshot.isErr) {
+                return Result.err(snapshot.error);
+            }
+            const log = await readAll(`${prefix}log/`);
+            if (log.isErr) {
+                return Result.err(log.error);
+            }
+            const segments: Segment[] = [];
+            for (const entry of [...snapshot.value.slice(0, snapshotChunks), ...log.value]) {
+                const segment = parseJson(Segment, entry.value, `ledger ${entry.key}`);
+                if (segment.isErr) {
+                    return Result.err(segment.error);
+                }
+                const isChunk = entry.key.startsWith(`${prefix}snapshot/`);
+                // Segments that a snapshot has taken in may be left over.
+                if (isChunk || segment.value.sequence > snapshotSequence && segment.value.sequence <= sequence) {
+                    segments.push(segment.value);
+                }
+                else if (segment.value.sequence <= snapshotSequence) {
+                    oldKeys.push(entry.key);
+                }
+            }
+            return Result.ok(segments);
+        },
+        async commit(commit) {
+            const { alongside: others = [], changes, isRelease = false } = commit;
+            const sequence = head.sequence + 1;
+            const isCompact = sequence - head.snapshotSequence > SEGMENTS_PER_SNAPSHOT;
+            let next: Head = { ...head, sequence, isReleased: isRelease };
+            const removed = oldKeys.slice(0, REMOVALS_PER_COMMIT);
+            const alongside: WriteOperation[] = [...others, ...removed.map(key => ({ kind: "delete", key } as const))];
+            if (isCompact) {
+                const chunks = await writeSnapshot(sequence, commit.whole());
+                if (chunks.isErr) {
+                    return Result.err(chunks.error);
+                }
+                next = { ...next, snapshotSequence: sequence, snapshotChunks: chunks.value };
+            }
+            else {
+                alongside.push({
+                    kind: "put",
+                    key: keyOfSegment(sequence),
+                    value: JSON.stringify({ ...changes, sequence }),
+                });
+            }
+            const committed = await commitRecord(store, {
+                key: `${prefix}head`,
+                body: next,
+                expectedRevision: revision,
+                alongside,
+                signal,
+                longestSettleWaitMilliseconds: LONGEST_SETTLE_WAIT_MILLISECONDS,
+            });
+            return committed.map(written => {
+                oldKeys = [...oldKeys.slice(removed.length), ...isCompact ? listSuperseded(head) : []];
+                head = next;
+                revision = written;
+            });
+        },
+    };
+}
+
+/** Splits changes into parts whose JSON fits into one value each; the order of changes stays. */
+export function splitChanges(changes: Changes, limitBytes: number): Changes[] {
+    const text = JSON.stringify(changes);
+    if (text.length <= limitBytes) {
+        return [changes];
+    }
+    const first = { ...changes };
+    const second = { ...changes };
+    // Jobs come before what happened to them, so everything else goes into the later part.
+    const half = Math.ceil(changes.accepted.length / 2);
+    first.accepted = changes.accepted.slice(0, half);
+    second.accepted = changes.accepted.slice(half);
+    if (changes.accepted.length > 1) {
+        for (const key of ["begun", "done", "failed", "checkpoints", "ended", "forgotten"] as const) {
+            first[key] = [];
+        }
+        first.workersUsed = [];
+        first.workersLeft = [];
+        return [...splitChanges(first, limitBytes), ...splitChanges(second, limitBytes)];
+    }
+    return splitLists(changes);
+}
+
+/** Without several jobs, the lists themselves are halved. */
+function splitLists(changes: Changes): Changes[] {
+    const first = { ...changes };
+    const second = { ...changes, accepted: [], begun: [] };
+    first.done = changes.done.slice(0, changes.done.length / 2);
+    second.done = changes.done.slice(changes.done.length / 2);
+    first.failed = [];
+    first.checkpoints = [];
+    first.ended = [];
+    first.forgotten = [];
+    return [first, second];
+}
--- /dev/null
+++ b/src/jobs/metrics.ts
@@ -0,0 +1,54 @@
+/**
+ * Counters and histograms of the jobs daemon.
+ */
+import type { Metrics } from "../core/metrics.js";
+
+/** Bounds of latency buckets in seconds: from a store's answer to the longest wait of a caller. */
+const LATENCY_BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30];
+
+/** Counters and histograms of the jobs daemon. */
+export type JobsMetrics = ReturnType<typeof createJobsMetrics>;
+
+/** Creates the metrics. */
+export function createJobsMetrics(metrics: Metrics) {
+    return {
+        requests: metrics.counter("flamingowell_job_requests_total", "Callers' requests by call and outcome", [
+            "call",
+            "outcome",
+        ]),
+        refusals: metrics.counter("flamingowell_job_refusals_total", "Requests refused, by reason", ["reason"]),
+        requestSeconds: metrics.histogram(
+            "flamingowell_job_request_seconds",
+            "Time from a caller's request to its answer",
+            LATENCY_BUCKETS,
+            ["call"],
+        ),
+        commitSeconds: metrics.histogram("flamingowell_cell_commit_seconds", "Time of a commit", LATENCY_BUCKETS),
+        waitSeconds: metrics.histogram(
+            "flamingowell_task_wait_seconds",
+            "Time from when a task could start to its order",
+            LATENCY_BUCKETS,
+            ["queue"],
+        ),
+        startSeconds: metrics.histogram(
+            "flamingowell_task_start_seconds",
+            "Time from an order to its confirmation",
+            LATENCY_BUCKETS,
+        ),
+        takeoverSeconds: metrics.histogram(
+            "flamingowell_cell_takeover_seconds",
+            "Time from a claim to the first order",
+            LATENCY_BUCKETS,
+        ),
+        orders: metrics.counter("flamingowell_worker_orders_total", "Orders to workers by kind and outcome", [
+            "order",
+            "outcome",
+        ]),
+        retries: metrics.counter("flamingowell_order_retries_total", "Orders that were repeated, by reason", [
+            "reason",
+        ]),
+        ends: metrics.counter("flamingowell_task_ends_total", "Ends of attempts", ["end"]),
+        jobsEnded: metrics.counter("flamingowell_jobs_ended_total", "Jobs that ended, by state", ["state"]),
+        logLinesLeftOut: metrics.counter("flamingowell_log_lines_left_out_total", "Log lines left out", ["event"]),
+    };
+}
--- /dev/null
+++ b/src/jobs/ownership/ownership.ts
@@ -0,0 +1,266 @@
+/**
+ * Claims cells that have no owner, runs them, and gives them up.
+ *
+ * The record of an owner lives under a short lease; it only tells others where to go and when to claim. What keeps two
+ * owners apart is the epoch: in the head of the ledger, and in every order to a worker.
+ */
+import { formatFailure } from "../../core/errors.js";
+import type { EventLog } from "../../core/event-log.js";
+import { pause } from "../../core/time.js";
+import type { Clock } from "../../core/time.js";
+import type { Store } from "../../platform/store.js";
+import { createCell } from "../cell/cell.js";
+import type { Cell, CellOptions } from "../cell/cell.js";
+import { claimCell, readHead } from "../ledger/journal.js";
+import type { OwnershipSettings } from "../settings.js";
+import { waitOfCandidate } from "./candidate.js";
+import type { Directory } from "./directory.js";
+import { keepLease } from "./lease.js";
+import { keyOfMember, keyOfOwner } from "./records.js";
+import type { Member, OwnerRecord } from "./records.js";
+
+/** What ownership needs. */
+export interface OwnershipOptions {
+    readonly self: Member;
+    readonly cells: readonly string[];
+    readonly settings: OwnershipSettings;
+    readonly cellOptions: Omit<CellOptions, "name">;
+    readonly store: Store;
+    readonly directory: Directory;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    /** Connections that other members have to this instance. */
+    connections(): number;
+    /** Whether a cell can be run: the workers and the catalog are known. */
+    isPrepared(): boolean;
+}
+
+/** Cells of this instance. */
+export interface Ownership {
+    owned(cell: string): Cell | undefined;
+    /** The process of an owner has certainly ended, whatever its record says. */
+    noteDeath(owner: OwnerRecord): void;
+    /** Gives all cells up, within the limit, and claims no more. */
+    handOver(limitMilliseconds: number): Promise<void>;
+    run(signal: AbortSignal): Promise<void>;
+}
+
+/** Time without claims after a cell was given up for want of connections. */
+const ISOLATION_REST_MILLISECONDS = 3_000;
+
+/** Creates the ownership of an instance. */
+export function createOwnership(options: OwnershipOptions): Ownership {
+    const { clock, directory, log, self, settings, store } = options;
+    const owned = new Map<string, Cell>();
+    const running = new Map<string, Promise<void>>();
+    const vacantSince = new Map<string, number>();
+    const lastOwners = new Map<string, OwnerRecord>();
+    const dead = new Set<string>();
+    const leaving = new AbortController();
+    let restsUntil = 0;
+    let isolatedSince: number | undefined;
+
+    /** Whether a cell has no owner; `certain` where none can come back. */
+    const findVacancy = (cell: string): "none" | "likely" | "certain" => {
+        const owner = directory.owner(cell);
+        if (owner === undefined) {
+            return lastOwners.has(cell) ? "likely" : "certain";
+        }
+        lastOwners.set(cell, owner);
+        const isFormerLife = owner.instance === self.instance && owner.incarnation !== self.incarnation;
+        return owner.isReleased || isFormerLife || dead.has(owner.incarnation) ? "certain" : "none";
+    };
+
+    const claim = async (name: string, signal: AbortSignal): Promise<void> => {
+        const former = directory.owner(name);
+        const startedAt = clock();
+        const found = await readHead(store, name);
+        if (found.isErr) {
+            log.write("claim-failed", { cell: name, failure: formatFailure(found.error) }, "vital");
+            return;
+        }
+        const claimed = await claimCell({
+            store,
+            cell: name,
+            owner: { instance: self.instance, incarnation: self.incarnation },
+            signal,
+        }, found.value);
+        if (claimed.isErr) {
+            log.write("claim-failed", { cell: name, failure: formatFailure(claimed.error) }, "vital");
+            return;
+        }
+        const claimedAtMilliseconds = clock();
+        const journal = claimed.value;
+        const segments = await journal.load();
+        if (segments.isErr) {
+            log.write("claim-failed", { cell: name, failure: formatFailure(segments.error) }, "vital");
+            return;
+        }
+        const head = found.value?.body;
+        const cell = createCell({ ...options.cellOptions, name }, {
+            journal,
+            segments: segments.value,
+            claimedAtMilliseconds,
+            isPredecessorGone: head === undefined || dead.has(head.owner.incarnation)
+                || head.owner.instance === self.instance,
+        });
+        log.write("cell-claimed", {
+            cell: name,
+            epoch: journal.epoch,
+            former: former?.instance,
+            milliseconds: Math.round(clock() - startedAt),
+        }, "vital");
+        await runCell(cell, signal);
+    };
+
+    const runCell = async (cell: Cell, signal: AbortSignal): Promise<void> => {
+        const over = new AbortController();
+        owned.set(cell.name, cell);
+        const record: OwnerRecord = {
+            cell: cell.name,
+            epoch: cell.epoch,
+            instance: self.instance,
+            incarnation: self.incarnation,
+            host: self.host,
+            port: self.port,
+            isReleased: false,
+        };
+        let announcedAt = clock();
+        const lease = keepLease({
+            store,
+            clock,
+            log,
+            name: `owner of ${cell.name}`,
+            ttlMilliseconds: settings.ownerLeaseMilliseconds,
+            renewMilliseconds: settings.renewMilliseconds,
+            onGranted: async leaseId => {
+                announcedAt = clock();
+                cell.attach({ kind: "put", key: keyOfOwner(cell.name), value: JSON.stringify(record), leaseId });
+                return true;
+            },
+            isMissing: now =>
+                directory.owner(cell.name)?.incarnation !== self.incarnation
+                && now - announcedAt > settings.renewMilliseconds,
+            onConfirmed: sentAt => cell.noteConfirmation(sentAt),
+        }, AbortSignal.any([signal, over.signal]));
+        await cell.run(signal);
+        over.abort();
+        owned.delete(cell.name);
+        await lease;
+    };
+
+    const start = (name: string, signal: AbortSignal): void => {
+        const task = claim(name, signal).finally(() => {
+            running.delete(name);
+            vacantSince.delete(name);
+        });
+        running.set(name, task);
+    };
+
+    const release = (cell: Cell): Promise<boolean> => {
+        const owner = directory.owner(cell.name);
+        if (owner?.incarnation === self.incarnation) {
+            const value = JSON.stringify({ ...owner, isReleased: true });
+            cell.attach({ kind: "put", key: keyOfOwner(cell.name), value });
+        }
+        return cell.release();
+    };
+
+    /** An owner that others cannot reach serves nobody. */
+    const checkIsolation = (now: number): void => {
+        const others = directory.members().length - 1;
+        const isIsolated = owned.size > 0 && others > 0 && options.connections() < others / 2;
+        isolatedSince = isIsolated ? isolatedSince ?? now : undefined;
+        if (isolatedSince !== undefined && now - isolatedSince > settings.isolationMilliseconds) {
+            log.write("owner-isolated", { connections: options.connections(), members: others + 1 }, "vital");
+            restsUntil = now + ISOLATION_REST_MILLISECONDS;
+            isolatedSince = undefined;
+            owned.forEach(cell => void release(cell));
+        }
+    };
+
+    const look = (signal: AbortSignal): void => {
+        const now = clock();
+        checkIsolation(now);
+        for (const name of options.cells) {
+            const cell = owned.get(name);
+            const owner = directory.owner(name);
+            if (cell !== undefined) {
+                if (owner !== undefined && owner.epoch > cell.epoch) {
+                    cell.abandon(`${owner.instance} owns it in epoch ${owner.epoch}`);
+                }
+                continue;
+            }
+            const vacancy = findVacancy(name);
+            const mayClaim = !running.has(name) && !leaving.signal.aborted && options.isPrepared() && now >= restsUntil;
+            if (vacancy === "none" || !mayClaim) {
+                vacantSince.delete(name);
+                continue;
+            }
+            const since = vacantSince.get(name) ?? now;
+            vacantSince.set(name, since);
+            // A former owner that still lives takes its cell back by itself.
+            const candidates = directory.members().filter(({ incarnation }) =>
+                incarnation === self.incarnation || incarnation !== lastOwners.get(name)?.incarnation
+            );
+            const wait = waitOfCandidate(name, candidates, self.instance, settings);
+            if (wait !== undefined && now - since >= wait + (vacancy === "likely" ? settings.vacancyMilliseconds : 0)) {
+                start(name, signal);
+            }
+        }
+    };
+
+    return {
+        owned: cell => owned.get(cell),
+        noteDeath(owner) {
+            if (!dead.has(owner.incarnation)) {
+                dead.add(owner.incarnation);
+                log.write("owner-dead", { cell: owner.cell, instance: owner.instance, epoch: owner.epoch }, "vital");
+            }
+        },
+        async handOver(limitMilliseconds) {
+            leaving.abort();
+            await Promise.race([
+                Promise.all([...owned.values()].map(release)),
+                pause(limitMilliseconds),
+            ]);
+        },
+        async run(signal) {
+            let announcedAt = clock();
+            const membership = keepLease({
+                store,
+                clock,
+                log,
+                name: "member",
+                ttlMilliseconds: settings.memberLeaseMilliseconds,
+                renewMilliseconds: settings.memberLeaseMilliseconds / 4,
+                onGranted: async leaseId => {
+                    const written = await store.transact({
+                        comparisons: [],
+                        writes: [{
+                            kind: "put",
+                            key: keyOfMember(self.instance),
+                            value: JSON.stringify(self),
+                            leaseId,
+                        }],
+                    });
+                    announcedAt = clock();
+                    if (written.isErr) {
+                        log.write("member-not-announced", { failure: formatFailure(written.error) }, "vital");
+                    }
+                    return written.isOk;
+                },
+                isMissing: now =>
+                    now - announcedAt > settings.memberLeaseMilliseconds / 4
+                    && !directory.members().some(({ incarnation }) => incarnation === self.incarnation),
+            }, AbortSignal.any([signal, leaving.signal]));
+            while (!signal.aborted) {
+                if (directory.mirror.isRead()) {
+                    look(signal);
+                }
+                await pause(settings.lookMilliseconds, signal);
+            }
+            await Promise.all([membership, ...running.values()]);
+        },
+    };
+}
--- /dev/null
+++ b/src/jobs/ownership/records.ts
@@ -0,0 +1,44 @@
+/**
+ * Records by which instances find each other and the owners of cells.
+ */
+import { z } from "zod";
+
+/** Everything below is followed by all instances, so it holds only what changes rarely. */
+export const DIRECTORY_PREFIX = "/flamingowell/directory/";
+
+/** An instance that takes part. */
+export const Member = z.object({
+    instance: z.string(),
+    /** Differs with each start of the process. */
+    incarnation: z.string(),
+    dataCentre: z.string(),
+    /** Where other instances connect. */
+    host: z.string(),
+    port: z.int(),
+    /** Share of a processor. */
+    processorShare: z.number(),
+});
+export type Member = z.infer<typeof Member>;
+
+/** The owner of a cell. */
+export const OwnerRecord = z.object({
+    cell: z.string(),
+    epoch: z.int(),
+    instance: z.string(),
+    incarnation: z.string(),
+    host: z.string(),
+    port: z.int(),
+    /** The owner has given the cell up; anybody may claim it. */
+    isReleased: z.boolean(),
+});
+export type OwnerRecord = z.infer<typeof OwnerRecord>;
+
+/** Key of a member's record. */
+export function keyOfMember(instance: string): string {
+    return `${DIRECTORY_PREFIX}members/${instance}`;
+}
+
+/** Key of the record that names a cell's owner. */
+export function keyOfOwner(cell: string): string {
+    return `${DIRECTORY_PREFIX}owners/${cell}`;
+}
--- /dev/null
+++ b/src/jobs/wiring.ts
@@ -0,0 +1,142 @@
+/**
+ * Joins the parts of the jobs daemon. The other daemons' wiring is apart, so that neither process loads what it does not
+ * run.
+ */
+import { setMaxListeners } from "node:events";
+import { Result } from "true-myth/result";
+import { fail } from "../core/errors.js";
+import type { EventLog } from "../core/event-log.js";
+import type { Logger } from "../core/log.js";
+import { implement } from "../core/method.js";
+import type { MethodHandler } from "../core/method.js";
+import type { Clock } from "../core/time.js";
+import type { Store } from "../platform/store.js";
+import type { Cell } from "./cell/cell.js";
+import { createFront } from "./front/front.js";
+import type { Front } from "./front/front.js";
+import { createOwnerLinks } from "./front/owner-links.js";
+import { serveLinks } from "./link/link.js";
+import type { JobsMetrics } from "./metrics.js";
+import type { CatalogSource } from "./model/catalog-source.js";
+import type { Catalog } from "./model/catalog.js";
+import { cancelMethod, helloMethod, pendingMethod, stateMethod, submitMethod } from "./model/requests.js";
+import type { WorkerList, WorkerOrders } from "./model/worker.js";
+import { createDirectory } from "./ownership/directory.js";
+import { createOwnership } from "./ownership/ownership.js";
+import type { JobsSettings } from "./settings.js";
+
+/** All workers are in one cell; more cells come with more workers than one owner can serve, see decision 0600. */
+const CELLS = ["main"];
+
+const NO_CATALOG: Catalog = { version: 0, queues: new Map(), guardedPools: new Set() };
+
+/** What the daemon is joined from. */
+export interface JobsOptions {
+    readonly settings: JobsSettings;
+    readonly incarnation: string;
+    readonly store: Store;
+    readonly workerList: WorkerList;
+    readonly orders: WorkerOrders;
+    readonly catalog: CatalogSource;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly logger: Logger;
+    readonly metrics: JobsMetrics;
+}
+
+/** The jobs daemon. */
+export interface JobsDaemon {
+    readonly front: Front;
+    /** Whether callers' requests can be served here. */
+    isReady(): boolean;
+    /** Cells that this instance owns now. */
+    ownedCells(): Cell[];
+    /** Gives all cells up. */
+    handOver(limitMilliseconds: number): Promise<void>;
+    /** Ends everything. */
+    stop(): Promise<void>;
+}
+
+/** Starts the daemon's parts; what the ports need to run is the caller's. */
+export async function startJobs(options: JobsOptions): Promise<JobsDaemon> {
+    const { catalog, clock, incarnation, log, settings, store } = options;
+    const stopping = new AbortController();
+    // Each wait of each part listens to the one signal; their number says nothing about a leak.
+    setMaxListeners(0, stopping.signal);
+    const findCell = (name: string): Cell | undefined => ownership.owned(name);
+    const server = await serveLinks(settings.links, [
+        implement(helloMethod, async () => Result.ok({ instance: settings.instance, incarnation })),
+        ...implementCalls(findCell),
+    ]);
+    const directory = createDirectory(store, clock, log, options.logger);
+    const ownership = createOwnership({
+        self: {
+            instance: settings.instance,
+            incarnation,
+            dataCentre: settings.dataCentre,
+            host: server.address.host,
+            port: server.address.port,
+            processorShare: settings.processorShare,
+        },
+        cells: CELLS,
+        settings: settings.ownership,
+        cellOptions: {
+            settings: settings.cell,
+            workerList: options.workerList,
+            orders: options.orders,
+            clock,
+            log,
+            metrics: options.metrics,
+            catalog: () => catalog.current() ?? NO_CATALOG,
+        },
+        store,
+        directory,
+        clock,
+        log,
+        connections: () => server.connections(),
+        isPrepared: () => catalog.current() !== undefined && options.workerList.isSettled(clock()),
+    });
+    const links = createOwnerLinks({
+        directory,
+        cells: CELLS,
+        incarnation,
+        log,
+        onDeath: owner => ownership.noteDeath(owner),
+        onChange: () => front.noteChange(),
+    });
+    const front = createFront({ cell: CELLS[0] ?? "main", links, clock, owned: findCell });
+    directory.onChange(() => front.noteChange());
+    const running = Promise.all([
+        directory.run(stopping.signal),
+        ownership.run(stopping.signal),
+        links.run(stopping.signal),
+    ]);
+    return {
+        front,
+        isReady: () => catalog.current() !== undefined && front.isConnected(),
+        ownedCells: () => CELLS.flatMap(name => findCell(name) ?? []),
+        handOver: limitMilliseconds => ownership.handOver(limitMilliseconds),
+        async stop() {
+            stopping.abort();
+            await running;
+            await server.close();
+        },
+    };
+}
+
+/** Methods that an owner answers for the fronts of other instances. */
+function implementCalls(findCell: (name: string) => Cell | undefined): MethodHandler[] {
+    const notOwned = (cell: string) => fail<never>("conflict", "cell", `this instance does not own cell ${cell}`);
+    return [
+        implement(submitMethod, async request => findCell(request.cell)?.submit(request) ?? notOwned(request.cell)),
+        implement(cancelMethod, async request => findCell(request.cell)?.cancel(request) ?? notOwned(request.cell)),
+        implement(stateMethod, async request => {
+            const cell = findCell(request.cell);
+            return cell === undefined ? notOwned(request.cell) : Result.ok(cell.state(request));
+        }),
+        implement(pendingMethod, async request => {
+            const cell = findCell(request.cell);
+            return cell === undefined ? notOwned(request.cell) : Result.ok(cell.pending(request.queue));
+        }),
+    ];
+}
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -3,7 +3,7 @@
  */
 import { z } from "zod";
 import { Origin } from "../core/messages/identity.js";
-import { defineMethod } from "../core/rpc.js";
+import { defineMethod } from "../core/method.js";
 import { Member } from "./member.js";
 
 const heartbeat = {
--- a/src/operator/forward.ts
+++ b/src/operator/forward.ts
@@ -12,8 +12,8 @@
     listWorkers as listSchedulerWorkers,
     readStatus,
 } from "../core/messages/operator.js";
-import { implement } from "../core/rpc.js";
-import type { Method, MethodHandler } from "../core/rpc.js";
+import { implement } from "../core/method.js";
+import type { Method, MethodHandler } from "../core/method.js";
 import { nameMember } from "../membership/member.js";
 import type { Member } from "../membership/member.js";
 import { cancelTasks, drainWorkers, explainTasks, listStatus, listTasks, listWorkers } from "./messages.js";
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -12,8 +12,8 @@
     listWorkers as listSchedulerWorkers,
     readStatus,
 } from "../core/messages/operator.js";
-import { defineMethod } from "../core/rpc.js";
-import type { Method } from "../core/rpc.js";
+import { defineMethod } from "../core/method.js";
+import type { Method } from "../core/method.js";
 import { Member } from "../membership/member.js";
 import { RuleChange } from "../rules/diff.js";
 import { ExportedState } from "../scheduler/queries/export.js";
--- a/src/operator/state.ts
+++ b/src/operator/state.ts
@@ -3,8 +3,8 @@
  */
 import { Result } from "true-myth/result";
 import type { Failure } from "../core/errors.js";
-import { implement } from "../core/rpc.js";
-import type { MethodHandler } from "../core/rpc.js";
+import { implement } from "../core/method.js";
+import type { MethodHandler } from "../core/method.js";
 import type { WorkerInstance } from "../platform/instances.js";
 import { exportState } from "../scheduler/queries/export.js";
 import type { Verification } from "../scheduler/queries/verify.js";
--- a/src/operator/status.ts
+++ b/src/operator/status.ts
@@ -4,8 +4,8 @@
 import { Result } from "true-myth/result";
 import type { Role } from "../core/messages/identity.js";
 import { readStatus } from "../core/messages/operator.js";
-import { implement } from "../core/rpc.js";
-import type { MethodHandler } from "../core/rpc.js";
+import { implement } from "../core/method.js";
+import type { MethodHandler } from "../core/method.js";
 import type { ConfigurationSource } from "../rules/rule.js";
 
 /** What a daemon says of itself beside its identity. */
--- a/src/platform/commit.ts
+++ b/src/platform/commit.ts
@@ -31,6 +31,8 @@
     readonly alongside?: readonly WriteOperation[];
     /** Ends the attempts to settle an ambiguous write; its outcome then stays `ambiguous`. */
     readonly signal?: AbortSignal;
+    /** Longest time between two attempts to settle an ambiguous write; 2 s where it is left out. */
+    readonly longestSettleWaitMilliseconds?: number;
 }
 
 /** A record as read. */
@@ -93,7 +95,7 @@
             return outcome ?? shutOut(store, commit, writeId, ambiguity);
         }
         await pause(wait, commit.signal);
-        wait = Math.min(wait * 2, SETTLE_LONGEST_WAIT_MILLISECONDS);
+        wait = Math.min(wait * 2, commit.longestSettleWaitMilliseconds ?? SETTLE_LONGEST_WAIT_MILLISECONDS);
     }
     return Result.err(ambiguity);
 }
