Fillers beside serving tasks: pressure learnt per pair of images, pace and place by it

Serving tasks keep 900 to 1,060 of 1,232 cores, so fillers have to run beside them, but more than half of the pairs do no harm. Change: recursive least squares per serving image on pressure = 1 - lowest / tail; fillers go only where the model expects room, give way by pace or by moving on, and serving tasks of one image are packed together. Fewer idle wake-ups in every instance.

--- a/src/core/event-log.ts
+++ b/src/core/event-log.ts
@@ -39,7 +39,7 @@
 export type EventSink = (text: string, done: (error: Error | null) => void) => void;
 
 /** Routine lines of one event a second: all starts of a small deployment at its peak, and 20 KB/s. */
-const DEFAULT_LINES_PER_SECOND = 100;
+const DEFAULT_LINES_PER_SECOND = 400;
 
 /** What waits for a slow reader: some seconds of lines. */
 const DEFAULT_BUFFERED_CHARACTERS = 262_144;
--- a/src/jobs/board/attempts.ts
+++ b/src/jobs/board/attempts.ts
@@ -26,7 +26,7 @@
         progressedAtMilliseconds: now,
         measure: 0,
         pacePercent: 100,
-        overObjectiveSinceMilliseconds: undefined,
+        pacedAtMilliseconds: 0,
     };
     task.lastAttempt = Math.max(task.lastAttempt, number);
     task.attempts.push(attempt);
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -3,8 +3,9 @@
  */
 import { isAborted, pause } from "../../core/time.js";
 import { orderAttempt } from "../board/attempts.js";
-import { companionsOf } from "../board/board.js";
+import { companionsOf, progressOf } from "../board/board.js";
 import { openDueOccurrences } from "../board/intake.js";
+import type { StepProgress } from "../board/job.js";
 import { nextAttemptNumber } from "../board/task.js";
 import type { Attempt, Task } from "../board/task.js";
 import { orderTasks } from "../policy/order.js";
@@ -19,6 +20,9 @@
 /** Longest time between two looks: conditions that only time brings about are seen after this. */
 const LOOK_MILLISECONDS = 250;
 
+/** One look serves all that has changed within this time; a short job has some hundred milliseconds of slack. */
+const GATHER_MILLISECONDS = 5;
+
 /** Starts and stops of a cell. */
 export interface Dispatcher {
     wake(): void;
@@ -47,7 +51,7 @@
         const placed: Attempt[] = [];
         const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
         for (const member of members) {
-            const candidate = choosePlace(member, candidates);
+            const candidate = choosePlace(member, candidates, cell.interference);
             if (candidate === undefined) {
                 break;
             }
@@ -63,6 +67,7 @@
             if (worker !== undefined) {
                 cell.log.write("start-ordered", {
                     job: attempt.task.entry.id,
+                    queue: attempt.task.entry.queue,
                     task: attempt.task.key,
                     attempt: attempt.number,
                     worker: attempt.worker,
@@ -93,11 +98,17 @@
         const { queues } = cell.catalog();
         const candidates = listCandidates(cell, now);
         const startable = [...board.ready].filter(task => recovery.mayStart(task));
+        // Tasks of one step are alike: where one has found no place, the others need not look.
+        const hopeless = new Set<StepProgress>();
         for (const task of orderTasks(startable, { priority: ({ entry }) => queues.get(entry.queue)?.priority ?? 0 })) {
             const pool = queues.get(task.entry.queue)?.pool;
             const open = pool === undefined ? undefined : candidates.get(pool);
-            if (open !== undefined && board.ready.has(task)) {
-                place(task, open, now);
+            const step = progressOf(task);
+            if (open === undefined || !board.ready.has(task) || hopeless.has(step)) {
+                continue;
+            }
+            if (!place(task, open, now)) {
+                hopeless.add(step);
             }
         }
     };
@@ -113,6 +124,8 @@
                     wakeUp = new AbortController();
                     await pause(LOOK_MILLISECONDS, AbortSignal.any([signal, wakeUp.signal]));
                 }
+                // What comes within a few milliseconds is looked at together.
+                await pause(GATHER_MILLISECONDS, signal);
                 isAwake = false;
                 if (!isAborted(signal)) {
                     dispatch(clock());
--- /dev/null
+++ b/src/jobs/cell/pacing.ts
@@ -0,0 +1,45 @@
+/**
+ * Tells workers to let fillers work at another pace.
+ */
+import { formatFailure } from "../../core/errors.js";
+import type { Attempt } from "../board/task.js";
+import type { CellContext } from "./context.js";
+import type { CellWorker } from "./worker.js";
+
+/** Orders a pace; where that fails, the next report decides anew. */
+export async function paceAttempt(
+    cell: CellContext,
+    worker: CellWorker,
+    attempt: Attempt,
+    percent: number,
+): Promise<void> {
+    if (!cell.mayOrder(cell.clock())) {
+        return;
+    }
+    const former = attempt.pacePercent;
+    attempt.pacePercent = percent;
+    attempt.pacedAtMilliseconds = cell.clock();
+    const { key, entry } = attempt.task;
+    const answer = await cell.orders.pace(worker.listed, {
+        epoch: cell.epoch,
+        task: key,
+        attempt: attempt.number,
+        percent,
+    });
+    cell.metrics.orders.inc({ order: "pace", outcome: answer.isOk ? "confirmed" : answer.error.code });
+    cell.log.write("pace-ordered", {
+        job: entry.id,
+        task: key,
+        attempt: attempt.number,
+        worker: worker.listed.id,
+        percent,
+        former,
+        ...(answer.isErr ? { failure: formatFailure(answer.error) } : {}),
+    });
+    if (answer.isErr) {
+        attempt.pacePercent = former;
+        if (answer.error.code === "fenced") {
+            cell.depose(formatFailure(answer.error), worker.listed.id);
+        }
+    }
+}
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -6,7 +6,9 @@
 import { isAborted, pause } from "../../core/time.js";
 import { loseAttempt } from "../board/attempts.js";
 import type { RunningAttempt } from "../model/worker.js";
+import { choosePaces } from "../policy/pacing.js";
 import type { CellContext } from "./context.js";
+import { paceAttempt } from "./pacing.js";
 import { takeReport } from "./report.js";
 import { orderStop } from "./stopping.js";
 import { certainLapse, grantLease } from "./worker.js";
@@ -18,6 +20,9 @@
 /** Wait before a worker is asked again that did not answer. */
 const SILENT_RETRY_MILLISECONDS = 150;
 
+/** The workers' figures cover the last half second. */
+const MIXED_WAIT_MILLISECONDS = 400;
+
 /** Time without starts after a report that listed foreign runs; the next report comes before it ends. */
 const FOREIGN_ROOM_WAIT_MILLISECONDS = 1_500;
 
@@ -39,7 +44,7 @@
             acknowledged: worker.committedSequence,
             ...(lease === undefined ? {} : { leaseUntilMilliseconds: lease }),
             // The first answer is wanted at once: it brings the clock and the lists.
-            waitMilliseconds: isLeased && failures === 0 ? settings.holdWaitMilliseconds : 0,
+            waitMilliseconds: isLeased && failures === 0 ? chooseWait(cell, worker) : 0,
         });
         if (isAborted(signal)) {
             return;
@@ -63,6 +68,7 @@
             isLeased = false;
         }
         logOutcome(cell, worker, outcome, now);
+        adjustPaces(cell, worker, now);
         if (outcome.foreign.length > 0) {
             // Nobody knows how much room they take up.
             worker.startsFromMilliseconds = now + FOREIGN_ROOM_WAIT_MILLISECONDS;
@@ -79,6 +85,31 @@
     }
 }
 
+/** Tasks that serve beside fillers are looked at as often as their figures change. */
+function chooseWait({ board, settings }: CellContext, { listed }: CellWorker): number {
+    const load = board.occupancy.load(listed.id);
+    return load.servingCount > 0 && load.fillerMillicores > 0
+        ? Math.min(settings.holdWaitMilliseconds, MIXED_WAIT_MILLISECONDS)
+        : settings.holdWaitMilliseconds;
+}
+
+/** Learns from the latest figures, and lets fillers give way or come back. */
+function adjustPaces(cell: CellContext, worker: CellWorker, now: number): void {
+    const { board, interference } = cell;
+    const { capacity, id } = worker.listed;
+    const load = board.occupancy.load(id);
+    if (load.servingCount > 0) {
+        interference.observe(id, load, capacity.millicores, now);
+    }
+    for (const { attempt, percent } of choosePaces(load, capacity.millicores, interference, now)) {
+        void paceAttempt(cell, worker, attempt, percent);
+        if (percent === 0 && attempt.task.step.savesProgress) {
+            board.unwanted.add(attempt);
+            cell.wakeDispatch();
+        }
+    }
+}
+
 function noteContact(cell: CellContext, worker: CellWorker): void {
     if (worker.contact !== "answering") {
         cell.log.write("worker-answers", {
--- a/src/jobs/front/owner-links.ts
+++ b/src/jobs/front/owner-links.ts
@@ -12,6 +12,9 @@
 /** Wait before an owner is tried again that could not be reached. */
 const RETRY_MILLISECONDS = 100;
 
+/** Longest wait for news of an owner. */
+const NEWS_MILLISECONDS = 1_000;
+
 /** A new connection has to answer within this time; four round trips between distant data centres. */
 const HELLO_LIMIT_MILLISECONDS = 500;
 
@@ -51,9 +54,7 @@
                 options.onChange();
             }
             if (owner === undefined || owner.incarnation === options.incarnation || links.has(cell)) {
-                const waits: Promise<unknown>[] = [directory.changed(), pause(RETRY_MILLISECONDS, signal)];
-                const closing = links.has(cell) ? closed.get(cell) : undefined;
-                await Promise.race(closing === undefined ? waits : [...waits, closing.promise]);
+                await waitForNews(cell, signal);
                 continue;
             }
             if (!await open(cell, owner)) {
@@ -63,6 +64,14 @@
         links.get(cell)?.link.close();
     };
 
+    const waitForNews = async (cell: string, signal: AbortSignal): Promise<void> => {
+        const news = new AbortController();
+        const closing = links.has(cell) ? closed.get(cell)?.promise : undefined;
+        void Promise.race([directory.changed(), ...closing === undefined ? [] : [closing]]).then(() => news.abort());
+        await pause(NEWS_MILLISECONDS, AbortSignal.any([signal, news.signal]));
+        news.abort();
+    };
+
     const closed = new Map<string, { promise: Promise<void>; resolve(): void; }>();
 
     const open = async (cell: string, owner: OwnerRecord): Promise<boolean> => {
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -258,7 +258,9 @@
                 if (directory.mirror.isRead()) {
                     look(signal);
                 }
-                await pause(settings.lookMilliseconds, signal);
+                const news = new AbortController();
+                void directory.changed().then(() => news.abort());
+                await pause(settings.lookMilliseconds, AbortSignal.any([signal, news.signal]));
             }
             await Promise.all([membership, ...running.values()]);
         },
--- /dev/null
+++ b/src/jobs/policy/interference.ts
@@ -0,0 +1,192 @@
+/**
+ * How much fillers slow the tasks that serve beside them, learnt from the workers' figures.
+ *
+ * The load that this answers: some images that fill make some images that serve many times slower, others leave them alone,
+ * and nobody says which beforehand. Tail latency grows as that of a queue, 1 / (1 - pressure), and the pressure as the share
+ * of the worker that fillers of an image use. Per serving image the shares' weights are fitted by recursive least squares.
+ */
+import type { WorkerLoad } from "../board/occupancy.js";
+import { isServing } from "../board/occupancy.js";
+import type { Attempt } from "../board/task.js";
+
+/** Model of the pairs of images seen so far. Pressures run from 0 to 1; 1 is a queue that grows without end. */
+export interface Interference {
+    /** Takes in the latest figures of a worker. */
+    observe(worker: string, load: Readonly<WorkerLoad>, capacityMillicores: number, now: number): void;
+    /** Pressure that a tail latency shows on a serving image. */
+    pressure(serving: string, tailMilliseconds: number): number;
+    /** Pressure that a filler image adds to a serving image by using this share of its worker. */
+    expect(serving: string, filler: string, share: number): number;
+    /** Pressure that a serving image is under by itself. */
+    ownPressure(serving: string): number;
+}
+
+/** Figures cover the last half second. */
+const WINDOW_MILLISECONDS = 500;
+
+/** A serving task's first figures are of its start. */
+const WARM_UP_MILLISECONDS = 1_200;
+
+/** Pressure by a whole worker of a filler of which nothing has been seen: one filler of a tenth may be tried. */
+const UNKNOWN_WEIGHT = 1.5;
+const UNKNOWN_VARIANCE = 6;
+
+/** Own pressure of a serving image before it was seen: a quarter of its objective's latency. */
+const UNKNOWN_OWN_PRESSURE = 0.25;
+const UNKNOWN_OWN_VARIANCE = 0.03;
+
+/** Variance of a figure around the model: a serving task's own load swings by half. */
+const FIGURE_VARIANCE = 0.02;
+
+/** Growth of a weight's variance with each figure: what disturbs whom changes within seconds. */
+const DRIFT_VARIANCE = 0.002;
+
+/** Share by which the lowest latency of a serving image is forgotten with each figure. */
+const LOWEST_DRIFT = 0.002;
+
+/** A latency far over any objective says no more than that the pressure is near 1. */
+const HIGHEST_PRESSURE = 0.97;
+
+/** Weights of one serving image: its own pressure first, then a weight for each filler image. */
+interface Fit {
+    lowestMilliseconds: number | undefined;
+    readonly index: Map<string, number>;
+    weights: number[];
+    covariance: number[][];
+}
+
+/** Creates a model that has seen nothing. */
+export function createInterference(): Interference {
+    const fits = new Map<string, Fit>();
+    const seen = new Map<string, { readonly atMilliseconds: number; readonly shares: Map<Attempt, number>; }>();
+
+    const fitOf = (serving: string): Fit => {
+        const found = fits.get(serving);
+        if (found !== undefined) {
+            return found;
+        }
+        const fit: Fit = {
+            lowestMilliseconds: undefined,
+            index: new Map(),
+            weights: [UNKNOWN_OWN_PRESSURE],
+            covariance: [[UNKNOWN_OWN_VARIANCE]],
+        };
+        fits.set(serving, fit);
+        return fit;
+    };
+
+    const pressureOf = (serving: string, tailMilliseconds: number): number => {
+        const lowest = fits.get(serving)?.lowestMilliseconds ?? tailMilliseconds;
+        return Math.min(HIGHEST_PRESSURE, Math.max(0, 1 - lowest / Math.max(tailMilliseconds, lowest)));
+    };
+
+    return {
+        observe(worker, load, capacityMillicores, now) {
+            const former = seen.get(worker);
+            const current = currentShares(load, capacityMillicores);
+            seen.set(worker, { atMilliseconds: now, shares: current });
+            const shares = averageShares(former, current, now);
+            for (const { measure, runningSinceMilliseconds = now, task: { step } } of load.attempts) {
+                if (!isServing(step) || measure <= 0 || now - runningSinceMilliseconds < WARM_UP_MILLISECONDS) {
+                    continue;
+                }
+                const fit = fitOf(step.image);
+                const lowest = fit.lowestMilliseconds ?? measure;
+                fit.lowestMilliseconds = Math.min(measure, lowest * (1 + LOWEST_DRIFT));
+                update(fit, shares, pressureOf(step.image, measure));
+            }
+        },
+        pressure: pressureOf,
+        expect(serving, filler, share) {
+            const fit = fits.get(serving);
+            const at = fit?.index.get(filler);
+            return share * (at === undefined ? UNKNOWN_WEIGHT : Math.max(0, fit?.weights[at] ?? UNKNOWN_WEIGHT));
+        },
+        ownPressure: serving => Math.max(0, fits.get(serving)?.weights[0] ?? UNKNOWN_OWN_PRESSURE),
+    };
+}
+
+/** Share of the worker that a filler uses. */
+export function shareOf({ pacePercent, task: { step } }: Attempt, capacityMillicores: number): number {
+    return step.isFiller ? step.size.millicores * pacePercent / 100 / capacityMillicores : 0;
+}
+
+function currentShares(load: Readonly<WorkerLoad>, capacityMillicores: number): Map<Attempt, number> {
+    return new Map(
+        load.attempts.filter(({ phase, task }) => task.step.isFiller && phase !== "ordered")
+            .map(attempt => [attempt, shareOf(attempt, capacityMillicores)]),
+    );
+}
+
+/** Shares by image over the window that the figures cover: a filler that came or went within it counts in part. */
+function averageShares(
+    former: { readonly atMilliseconds: number; readonly shares: ReadonlyMap<Attempt, number>; } | undefined,
+    current: ReadonlyMap<Attempt, number>,
+    now: number,
+): Map<string, number> {
+    const average = new Map<string, number>();
+    const add = (attempt: Attempt, share: number): void => {
+        const { image } = attempt.task.step;
+        average.set(image, (average.get(image) ?? 0) + share);
+    };
+    for (const [attempt, share] of current) {
+        const since = Math.max(attempt.runningSinceMilliseconds ?? now, attempt.pacedAtMilliseconds);
+        const part = clamp((now - since) / WINDOW_MILLISECONDS);
+        add(attempt, share * part + (former?.shares.get(attempt) ?? 0) * (1 - part));
+    }
+    for (const [attempt, share] of former?.shares ?? []) {
+        if (!current.has(attempt)) {
+            // It went somewhere between the two reports.
+            const ago = (now - (former?.atMilliseconds ?? now)) / 2;
+            add(attempt, share * clamp(1 - ago / WINDOW_MILLISECONDS));
+        }
+    }
+    return average;
+}
+
+/** One step of recursive least squares, with weights that drift. */
+function update(fit: Fit, shares: ReadonlyMap<string, number>, pressure: number): void {
+    for (const image of shares.keys()) {
+        grow(fit, image);
+    }
+    const { covariance, index, weights } = fit;
+    const size = weights.length;
+    const inputs = new Array<number>(size).fill(0);
+    inputs[0] = 1;
+    shares.forEach((share, image) => {
+        inputs[index.get(image) ?? 0] = share;
+    });
+    const spread = covariance.map(row => dot(row, inputs));
+    const variance = FIGURE_VARIANCE + dot(inputs, spread);
+    const error = pressure - dot(weights, inputs);
+    for (let row = 0; row < size; row++) {
+        const gain = (spread[row] ?? 0) / variance;
+        weights[row] = (weights[row] ?? 0) + gain * error;
+        const line = covariance[row] ?? [];
+        for (let column = 0; column < size; column++) {
+            line[column] = (line[column] ?? 0) - gain * (spread[column] ?? 0);
+        }
+        // Only what was there can have changed; a weight that is not looked at keeps what is known of it.
+        if ((inputs[row] ?? 0) !== 0 && row > 0) {
+            line[row] = (line[row] ?? 0) + DRIFT_VARIANCE;
+        }
+    }
+}
+
+function grow(fit: Fit, image: string): void {
+    if (fit.index.has(image)) {
+        return;
+    }
+    fit.index.set(image, fit.weights.length);
+    fit.weights.push(UNKNOWN_WEIGHT);
+    fit.covariance.forEach(row => row.push(0));
+    fit.covariance.push([...new Array<number>(fit.weights.length - 1).fill(0), UNKNOWN_VARIANCE]);
+}
+
+function dot(left: readonly number[], right: readonly number[]): number {
+    return left.reduce((sum, value, index) => sum + value * (right[index] ?? 0), 0);
+}
+
+function clamp(value: number): number {
+    return Math.min(1, Math.max(0, value));
+}
--- /dev/null
+++ b/src/jobs/policy/pacing.ts
@@ -0,0 +1,149 @@
+/**
+ * Pace of fillers beside tasks that serve.
+ *
+ * The load that this answers: a serving task's own load swings within seconds, and what was harmless beside it is not any
+ * more. Fillers give way at once where a task that serves nears its objective, and come back step by step.
+ */
+import type { WorkerLoad } from "../board/occupancy.js";
+import { isServing } from "../board/occupancy.js";
+import type { Attempt } from "../board/task.js";
+import type { Interference } from "./interference.js";
+import { shareOf } from "./interference.js";
+
+/** A new pace of an attempt; at 0 it had better go on elsewhere, where it saves its progress. */
+export interface PaceChange {
+    readonly attempt: Attempt;
+    readonly percent: number;
+}
+
+/** Share of the pressure at the objective at which a task that serves counts as in danger. */
+const DANGER_SHARE = 0.9;
+
+/** Share of it to which fillers give way, and up to which they are planned. */
+const PLANNED_SHARE = 0.75;
+
+/** A change of pace shows in the figures after the worker has applied it and half a second has passed. */
+const EFFECT_MILLISECONDS = 650;
+
+/** Steps of the way back to full pace, in percent. */
+const RETURN_STEP_PERCENT = 50;
+
+/** A pace below this is no work worth its memory: the filler stands still instead. */
+const LEAST_PERCENT = 15;
+
+/** Pressure that makes no difference to a task that serves. */
+const NEGLIGIBLE_PRESSURE = 0.03;
+
+/** Pressure that cannot be put down to any filler is shared out as if each weighed this much. */
+const LEAST_WEIGHT = 0.3;
+
+/** Decides the fillers' paces on one worker from its latest figures. */
+export function choosePaces(
+    load: Readonly<WorkerLoad>,
+    capacityMillicores: number,
+    model: Interference,
+    now: number,
+): PaceChange[] {
+    const fillers = load.attempts.filter(({ phase, task }) => task.step.isFiller && phase === "running");
+    const serving = load.attempts.filter(({ task }) => isServing(task.step));
+    if (
+        fillers.length === 0
+        || fillers.some(({ pacedAtMilliseconds }) => now - pacedAtMilliseconds < EFFECT_MILLISECONDS)
+    ) {
+        return [];
+    }
+    const inDanger = serving.filter(attempt =>
+        presentPressure(attempt, model) > limitOf(attempt, model) * DANGER_SHARE
+    );
+    return inDanger.length > 0
+        ? giveWay(fillers, inDanger, capacityMillicores, model)
+        : comeBack(load, fillers, capacityMillicores, model);
+}
+
+/** Whether a filler is expected to leave all tasks that serve on a worker within their objectives. */
+export function isHarmless(
+    image: string,
+    share: number,
+    load: Readonly<WorkerLoad>,
+    capacityMillicores: number,
+    model: Interference,
+): boolean {
+    return load.attempts.every(attempt => {
+        const { step } = attempt.task;
+        if (!isServing(step)) {
+            return true;
+        }
+        const planned = load.attempts.reduce(
+            (sum, other) => sum + model.expect(step.image, other.task.step.image, shareOf(other, capacityMillicores)),
+            model.ownPressure(step.image),
+        );
+        const present = Math.max(planned, presentPressure(attempt, model));
+        const extra = model.expect(step.image, image, share);
+        const limit = limitOf(attempt, model);
+        return present + extra <= limit * PLANNED_SHARE || extra <= NEGLIGIBLE_PRESSURE && present < limit;
+    });
+}
+
+/** Pressure that a task shows that serves; its own image's as long as it has shown none. */
+function presentPressure({ measure, task: { step } }: Attempt, model: Interference): number {
+    return measure > 0 ? model.pressure(step.image, measure) : model.ownPressure(step.image);
+}
+
+/** Pressure at which a task that serves reaches its objective. */
+function limitOf({ task: { step } }: Attempt, model: Interference): number {
+    return model.pressure(step.image, step.latencyObjectiveMilliseconds);
+}
+
+/** The fillers that press most on those in danger slow down, by as much as is too much. */
+function giveWay(
+    fillers: readonly Attempt[],
+    inDanger: readonly Attempt[],
+    capacityMillicores: number,
+    model: Interference,
+): PaceChange[] {
+    const isOver = inDanger.some(attempt => presentPressure(attempt, model) >= limitOf(attempt, model));
+    let excess = Math.max(
+        ...inDanger.map(attempt => presentPressure(attempt, model) - limitOf(attempt, model) * PLANNED_SHARE),
+    );
+    const working = fillers.filter(({ pacePercent }) => pacePercent > 0)
+        .map(attempt => {
+            const share = shareOf(attempt, capacityMillicores);
+            const expected = inDanger.map(({ task }) => model.expect(task.step.image, attempt.task.step.image, share));
+            // Over the objective, fillers are slowed down though none is known to press.
+            return { attempt, press: Math.max(...expected, excess > 0 && isOver ? share * LEAST_WEIGHT : 0) };
+        })
+        .filter(({ press }) => press > NEGLIGIBLE_PRESSURE)
+        .sort((left, right) => right.press - left.press);
+    const changes: PaceChange[] = [];
+    for (const { attempt, press } of working) {
+        if (excess <= 0) {
+            break;
+        }
+        const kept = Math.max(0, 1 - excess / press);
+        const percent = Math.floor(attempt.pacePercent * kept);
+        excess -= press;
+        changes.push({ attempt, percent: percent < LEAST_PERCENT ? 0 : percent });
+    }
+    return changes;
+}
+
+/** The one that is expected to press least comes back first. */
+function comeBack(
+    load: Readonly<WorkerLoad>,
+    fillers: readonly Attempt[],
+    capacityMillicores: number,
+    model: Interference,
+): PaceChange[] {
+    for (const attempt of fillers) {
+        if (attempt.pacePercent >= 100) {
+            continue;
+        }
+        const { image, size } = attempt.task.step;
+        const percent = Math.min(100, attempt.pacePercent + RETURN_STEP_PERCENT);
+        const extra = size.millicores * (percent - attempt.pacePercent) / 100 / capacityMillicores;
+        if (load.servingCount === 0 || isHarmless(image, extra, load, capacityMillicores, model)) {
+            return [{ attempt, percent: load.servingCount === 0 ? 100 : percent }];
+        }
+    }
+    return [];
+}
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -10,6 +10,8 @@
 import type { Task } from "../board/task.js";
 import { addSize, fitsInto } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
+import type { Interference } from "./interference.js";
+import { isHarmless } from "./pacing.js";
 
 /** A worker that may get tasks. */
 export interface Candidate {
@@ -21,14 +23,14 @@
 const SERVING_USE_SHARE = 0.6;
 
 /** Chooses a worker for a task, or none where it has to wait. */
-export function choosePlace(task: Task, candidates: Iterable<Candidate>): Candidate | undefined {
+export function choosePlace(task: Task, candidates: Iterable<Candidate>, model: Interference): Candidate | undefined {
     let best: Candidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
         if (!isEligible(task, candidate)) {
             continue;
         }
-        const score = rate(task, candidate);
+        const score = rate(task, candidate, model);
         if (score > bestScore) {
             best = candidate;
             bestScore = score;
@@ -62,8 +64,16 @@
     return worker.capacity.millicores - others - load.servingMillicores * SERVING_USE_SHARE - load.fillerMillicores;
 }
 
+/** The most that a filler is expected to press on any task that serves there. */
+function expectedPressure({ step }: Task, { load, worker }: Candidate, model: Interference): number {
+    const share = step.size.millicores / worker.capacity.millicores;
+    const pressures = load.attempts.filter(({ task }) => isServing(task.step))
+        .map(({ task }) => model.expect(task.step.image, step.image, share));
+    return Math.max(0, ...pressures);
+}
+
 /** The higher the better; -Infinity where it is better to wait. */
-function rate(task: Task, candidate: Candidate): number {
+function rate(task: Task, candidate: Candidate, model: Interference): number {
     const { load, worker } = candidate;
     const { avoidedWorkers, step } = task;
     const idle = idleMillicores(candidate);
@@ -71,17 +81,42 @@
     const penalty = isAvoided ? AVOIDED_PENALTY : 0;
     const near = step.dataRack === undefined || worker.labels.includes(step.dataRack) ? 0 : FAR_PENALTY;
     if (isServing(step)) {
-        return load.servingMillicores * 2 - load.fillerMillicores - penalty - near;
+        // Like beside like: fillers can then go where they do no harm.
+        const alike = load.attempts.filter(({ task: { step: other } }) => other.image === step.image).length;
+        const others = load.servingCount - alike;
+        return alike * ALIKE_BONUS - others * OTHER_IMAGE_PENALTY - load.fillerMillicores - penalty - near;
     }
     if (step.isFiller) {
         if (idle < step.size.millicores * LEAST_FILLER_SHARE) {
             return -Infinity;
         }
-        return idle - (load.servingCount > 0 ? BESIDE_SERVING_PENALTY : 0) - penalty - near;
+        if (load.servingCount > 0) {
+            if (
+                !isHarmless(
+                    step.image,
+                    step.size.millicores / worker.capacity.millicores,
+                    load,
+                    worker.capacity.millicores,
+                    model,
+                )
+            ) {
+                return -Infinity;
+            }
+            return idle - BESIDE_SERVING_PENALTY - expectedPressure(task, candidate, model) * PRESSURE_PENALTY
+                - penalty - near;
+        }
+        return idle - penalty - near;
     }
     return idle - load.servingMillicores - penalty - near;
 }
 
+/** In thousandths of a core, as the figures that they are weighed against. */
+const ALIKE_BONUS = 1_000;
+const OTHER_IMAGE_PENALTY = 100_000;
+
+/** Weighs the whole of a serving task's bearable pressure against three workers' idle cores. */
+const PRESSURE_PENALTY = 100_000;
+
 /** A filler waits where it would get less than this share of its cores. */
 const LEAST_FILLER_SHARE = 0.6;
 
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -47,7 +47,7 @@
     /** By how much each further candidate waits longer; covers a claim and its news. */
     candidateStepMilliseconds: Milliseconds.default(350),
     /** Time between two looks at who owns what. */
-    lookMilliseconds: Milliseconds.default(100),
+    lookMilliseconds: Milliseconds.default(200),
     /** An owner to which less than half of the members are connected for this long gives its cell up. */
     isolationMilliseconds: Milliseconds.default(1_500),
 });
