Waits without abort signals; a claim names its owner in the same write; best fit for tasks that count

Cause: the owner spent most of its share of a core on abort signals (each abort builds an error with a stack); three instances claimed the same cell one after the other, as the record of the new owner came 300 ms after its claim; tasks that count against a worker's cores were spread, so that no hole was left for the larger ones.

--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../../core/event-log.js";
 import { isAborted, pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
+import { createWake } from "../../core/wake.js";
 import type { WriteOperation } from "../../platform/store.js";
 import { returnChanges, takeChanges } from "../board/board.js";
 import type { Board } from "../board/board.js";
@@ -53,6 +54,9 @@
     run(): Promise<void>;
 }
 
+/** Longest wait for changes; they wake the wait. */
+const IDLE_MILLISECONDS = 10_000;
+
 interface Batch {
     readonly promise: Promise<boolean>;
     resolve(isCommitted: boolean): void;
@@ -67,7 +71,7 @@
     let isUrgent = false;
     let isRequested = false;
     let isReleasing = false;
-    let wake: () => void = () => undefined;
+    const news = createWake();
     let confirmedAt = clock();
     let failingSince: number | undefined;
     let startedAt = 0;
@@ -151,10 +155,8 @@
 
     /** Waits until a commit is due. */
     const waitForWork = async (): Promise<void> => {
-        if (!isRequested && attached.length === 0 && !isReleasing) {
-            await new Promise<void>(resolve => {
-                wake = resolve;
-            });
+        while (!isRequested && attached.length === 0 && !isReleasing && !signal.aborted) {
+            await news.wait(IDLE_MILLISECONDS, signal);
         }
         while (!signal.aborted && !isReleasing) {
             const gap = isUrgent ? settings.urgentCommitMilliseconds : settings.lazyCommitMilliseconds;
@@ -162,30 +164,26 @@
             if (left <= 0) {
                 return;
             }
-            const limit = new AbortController();
-            wake = () => limit.abort();
-            await pause(left, limit.signal);
+            await news.wait(left, signal);
         }
     };
 
     const hasToRelease = (): boolean => isReleasing && !isAborted(signal);
 
-    signal.addEventListener("abort", () => wake(), { once: true });
-
     return {
         request(urgent) {
             const isNews = !isRequested || urgent && !isUrgent;
             isRequested = true;
             isUrgent ||= urgent;
             if (isNews) {
-                wake();
+                news.wake();
             }
         },
         settled: () => batch.promise,
         attach(write) {
             attached.push(write);
             isUrgent = true;
-            wake();
+            news.wake();
         },
         confirmedAtMilliseconds: () => confirmedAt,
         failingSinceMilliseconds: () => failingSince,
@@ -194,7 +192,7 @@
         },
         release() {
             isReleasing = true;
-            wake();
+            news.wake();
             return released.promise;
         },
         async run() {
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -2,6 +2,7 @@
  * Gives ready tasks to workers and stops what is unwanted, whenever something has changed.
  */
 import { isAborted, pause } from "../../core/time.js";
+import { createWake } from "../../core/wake.js";
 import { orderAttempt } from "../board/attempts.js";
 import { companionsOf, progressOf } from "../board/board.js";
 import { openDueOccurrences } from "../board/intake.js";
@@ -33,8 +34,7 @@
 export function createDispatcher(cell: CellContext, recovery: Recovery): Dispatcher {
     const { board, clock, signal } = cell;
     const stopping = new Set<Attempt>();
-    let isAwake = true;
-    let wakeUp = new AbortController();
+    const news = createWake();
 
     const stopUnwanted = (): void => {
         for (const attempt of board.unwanted) {
@@ -114,22 +114,15 @@
     };
 
     return {
-        wake() {
-            isAwake = true;
-            wakeUp.abort();
-        },
+        wake: () => news.wake(),
         async run() {
             while (!signal.aborted) {
-                if (!isAwake) {
-                    wakeUp = new AbortController();
-                    await pause(LOOK_MILLISECONDS, AbortSignal.any([signal, wakeUp.signal]));
-                }
                 // What comes within a few milliseconds is looked at together.
-                await pause(GATHER_MILLISECONDS, signal);
-                isAwake = false;
+                await pause(GATHER_MILLISECONDS);
                 if (!isAborted(signal)) {
                     dispatch(clock());
                 }
+                await news.wait(LOOK_MILLISECONDS, signal);
             }
         },
     };
--- a/src/jobs/front/owner-links.ts
+++ b/src/jobs/front/owner-links.ts
@@ -3,6 +3,7 @@
  */
 import type { EventLog } from "../../core/event-log.js";
 import { pause } from "../../core/time.js";
+import { createWake } from "../../core/wake.js";
 import { openLink } from "../link/link.js";
 import type { Link } from "../link/link.js";
 import { helloMethod } from "../model/requests.js";
@@ -44,6 +45,8 @@
     const links = new Map<string, { readonly link: Link; readonly owner: OwnerRecord; }>();
 
     const keepLink = async (cell: string, signal: AbortSignal): Promise<void> => {
+        const news = createWake();
+        directory.onChange(() => news.wake());
         while (!signal.aborted) {
             const owner = directory.owner(cell);
             const current = links.get(cell);
@@ -54,30 +57,18 @@
                 options.onChange();
             }
             if (owner === undefined || owner.incarnation === options.incarnation || links.has(cell)) {
-                await waitForNews(cell, signal);
+                await news.wait(NEWS_MILLISECONDS, signal);
                 continue;
             }
-            if (!await open(cell, owner)) {
+            if (!await open(cell, owner, () => news.wake())) {
                 await pause(RETRY_MILLISECONDS, signal);
             }
         }
         links.get(cell)?.link.close();
     };
 
-    const waitForNews = async (cell: string, signal: AbortSignal): Promise<void> => {
-        const news = new AbortController();
-        const closing = links.has(cell) ? closed.get(cell)?.promise : undefined;
-        void Promise.race([directory.changed(), ...closing === undefined ? [] : [closing]]).then(() => news.abort());
-        await pause(NEWS_MILLISECONDS, AbortSignal.any([signal, news.signal]));
-        news.abort();
-    };
-
-    const closed = new Map<string, { promise: Promise<void>; resolve(): void; }>();
-
-    const open = async (cell: string, owner: OwnerRecord): Promise<boolean> => {
-        const closing = createSignal();
-        closed.set(cell, closing);
-        const opened = await openLink({ host: owner.host, port: owner.port }, () => closing.resolve());
+    const open = async (cell: string, owner: OwnerRecord, onClose: () => void): Promise<boolean> => {
+        const opened = await openLink({ host: owner.host, port: owner.port }, onClose);
         if (opened.isErr) {
             const { message, refusal } = opened.error;
             log.write("owner-link-failed", { cell, instance: owner.instance, refusal, message }, "vital");
@@ -111,11 +102,3 @@
         },
     };
 }
-
-function createSignal(): { promise: Promise<void>; resolve(): void; } {
-    let settle: () => void = () => undefined;
-    const promise = new Promise<void>(resolve => {
-        settle = resolve;
-    });
-    return { promise, resolve: () => settle() };
-}
--- a/src/jobs/ledger/journal.ts
+++ b/src/jobs/ledger/journal.ts
@@ -57,6 +57,8 @@
     readonly store: Store;
     readonly cell: string;
     readonly owner: CellOwner;
+    /** Writes that take effect together with the claim, such as the record that names the owner. */
+    alongside(epoch: number): readonly WriteOperation[];
     readonly signal: AbortSignal;
 }
 
@@ -113,6 +115,7 @@
         key: `${prefixOf(options.cell)}head`,
         body: head,
         expectedRevision: found?.revision ?? 0,
+        alongside: options.alongside(head.epoch),
         signal: options.signal,
         longestSettleWaitMilliseconds: LONGEST_SETTLE_WAIT_MILLISECONDS,
     });
--- a/src/jobs/ownership/directory.ts
+++ b/src/jobs/ownership/directory.ts
@@ -20,8 +20,6 @@
     readonly mirror: Mirror;
     members(): readonly Member[];
     owner(cell: string): OwnerRecord | undefined;
-    /** Resolves at the next change. */
-    changed(): Promise<unknown>;
     /** Calls a function after each change. */
     onChange(listener: () => void): void;
     run(signal: AbortSignal): Promise<void>;
@@ -65,7 +63,6 @@
         mirror,
         members: () => [...members.values()],
         owner: cell => owners.get(keyOfOwner(cell)),
-        changed: () => events.once("changed"),
         onChange: listener => void events.on("changed", listener),
         run: signal => mirror.run(signal),
     };
--- a/src/jobs/ownership/lease.ts
+++ b/src/jobs/ownership/lease.ts
@@ -15,6 +15,8 @@
     readonly name: string;
     readonly ttlMilliseconds: number;
     readonly renewMilliseconds: number;
+    /** A lease that the record is bound to already. */
+    readonly leaseId?: string;
     /** Called with each new lease, to bind the record to it; false where that failed and has to be tried again. */
     onGranted(leaseId: string): Promise<boolean>;
     /** Whether the record is missing from the store although its lease is said to hold. */
@@ -26,7 +28,7 @@
 /** Renews a lease, or takes a new one where it has lapsed, until the signal is aborted; then ends it. */
 export async function keepLease(options: KeptLeaseOptions, signal: AbortSignal): Promise<void> {
     const { clock, log, name, store } = options;
-    let leaseId: string | undefined;
+    let leaseId = options.leaseId;
     while (!signal.aborted) {
         const sentAt = clock();
         if (leaseId === undefined) {
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -8,10 +8,12 @@
 import type { EventLog } from "../../core/event-log.js";
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
+import { createWake } from "../../core/wake.js";
 import type { Store } from "../../platform/store.js";
 import { createCell } from "../cell/cell.js";
 import type { Cell, CellOptions } from "../cell/cell.js";
 import { claimCell, readHead } from "../ledger/journal.js";
+import type { Head } from "../ledger/journal.js";
 import type { OwnershipSettings } from "../settings.js";
 import { waitOfCandidate } from "./candidate.js";
 import type { Directory } from "./directory.js";
@@ -54,6 +56,8 @@
     const owned = new Map<string, Cell>();
     const running = new Map<string, Promise<void>>();
     const vacantSince = new Map<string, number>();
+    /** Newest epochs that were found in the heads of cells. */
+    const seenEpochs = new Map<string, number>();
     const lastOwners = new Map<string, OwnerRecord>();
     const dead = new Set<string>();
     const leaving = new AbortController();
@@ -72,17 +76,36 @@
     };
 
     const claim = async (name: string, signal: AbortSignal): Promise<void> => {
-        const former = directory.owner(name);
+        const former = lastOwners.get(name);
         const startedAt = clock();
         const found = await readHead(store, name);
         if (found.isErr) {
             log.write("claim-failed", { cell: name, failure: formatFailure(found.error) }, "vital");
             return;
         }
+        const head = found.value?.body;
+        if (head !== undefined && head.epoch > (seenEpochs.get(name) ?? 0) && !isKnownOwner(head, former)) {
+            // Somebody has just claimed the cell, and the news of it is on its way.
+            seenEpochs.set(name, head.epoch);
+            log.write("claim-deferred", { cell: name, owner: head.owner.instance, epoch: head.epoch }, "vital");
+            return;
+        }
+        const lease = await store.grantLease(settings.ownerLeaseMilliseconds / 1_000);
+        if (lease.isErr) {
+            log.write("claim-failed", { cell: name, failure: formatFailure(lease.error) }, "vital");
+            return;
+        }
+        const { leaseId } = lease.value;
         const claimed = await claimCell({
             store,
             cell: name,
             owner: { instance: self.instance, incarnation: self.incarnation },
+            alongside: epoch => [{
+                kind: "put",
+                key: keyOfOwner(name),
+                value: JSON.stringify(describeOwner(name, epoch)),
+                leaseId,
+            }],
             signal,
         }, found.value);
         if (claimed.isErr) {
@@ -96,7 +119,6 @@
             log.write("claim-failed", { cell: name, failure: formatFailure(segments.error) }, "vital");
             return;
         }
-        const head = found.value?.body;
         const cell = createCell({ ...options.cellOptions, name }, {
             journal,
             segments: segments.value,
@@ -110,21 +132,26 @@
             former: former?.instance,
             milliseconds: Math.round(clock() - startedAt),
         }, "vital");
-        await runCell(cell, signal);
+        await runCell(cell, leaseId, signal);
     };
 
-    const runCell = async (cell: Cell, signal: AbortSignal): Promise<void> => {
+    const isKnownOwner = ({ owner }: Head, former: OwnerRecord | undefined): boolean =>
+        owner.incarnation === former?.incarnation || dead.has(owner.incarnation) || owner.instance === self.instance;
+
+    const describeOwner = (cell: string, epoch: number): OwnerRecord => ({
+        cell,
+        epoch,
+        instance: self.instance,
+        incarnation: self.incarnation,
+        host: self.host,
+        port: self.port,
+        isReleased: false,
+    });
+
+    const runCell = async (cell: Cell, leaseId: string, signal: AbortSignal): Promise<void> => {
         const over = new AbortController();
         owned.set(cell.name, cell);
-        const record: OwnerRecord = {
-            cell: cell.name,
-            epoch: cell.epoch,
-            instance: self.instance,
-            incarnation: self.incarnation,
-            host: self.host,
-            port: self.port,
-            isReleased: false,
-        };
+        const record = describeOwner(cell.name, cell.epoch);
         let announcedAt = clock();
         const lease = keepLease({
             store,
@@ -133,9 +160,11 @@
             name: `owner of ${cell.name}`,
             ttlMilliseconds: settings.ownerLeaseMilliseconds,
             renewMilliseconds: settings.renewMilliseconds,
-            onGranted: async leaseId => {
+            leaseId,
+            onGranted: async granted => {
                 announcedAt = clock();
-                cell.attach({ kind: "put", key: keyOfOwner(cell.name), value: JSON.stringify(record), leaseId });
+                const value = JSON.stringify(record);
+                cell.attach({ kind: "put", key: keyOfOwner(cell.name), value, leaseId: granted });
                 return true;
             },
             isMissing: now =>
@@ -226,6 +255,8 @@
             ]);
         },
         async run(signal) {
+            const news = createWake();
+            directory.onChange(() => news.wake());
             let announcedAt = clock();
             const membership = keepLease({
                 store,
@@ -258,9 +289,7 @@
                 if (directory.mirror.isRead()) {
                     look(signal);
                 }
-                const news = new AbortController();
-                void directory.changed().then(() => news.abort());
-                await pause(settings.lookMilliseconds, AbortSignal.any([signal, news.signal]));
+                await news.wait(settings.lookMilliseconds, signal);
             }
             await Promise.all([membership, ...running.values()]);
         },
--- a/src/jobs/policy/interference.ts
+++ b/src/jobs/policy/interference.ts
@@ -41,6 +41,10 @@
 /** Growth of a weight's variance with each figure: what disturbs whom changes within seconds. */
 const DRIFT_VARIANCE = 0.002;
 
+/** How far the fit follows a figure that is worse, or better, than expected. */
+const RISE = 1;
+const FALL = 1;
+
 /** Share by which the lowest latency of a serving image is forgotten with each figure. */
 const LOWEST_DRIFT = 0.002;
 
@@ -86,6 +90,7 @@
             const current = currentShares(load, capacityMillicores);
             seen.set(worker, { atMilliseconds: now, shares: current });
             const shares = averageShares(former, current, now);
+            const pressures = new Map<string, { sum: number; count: number; }>();
             for (const { measure, runningSinceMilliseconds = now, task: { step } } of load.attempts) {
                 if (!isServing(step) || measure <= 0 || now - runningSinceMilliseconds < WARM_UP_MILLISECONDS) {
                     continue;
@@ -93,8 +98,12 @@
                 const fit = fitOf(step.image);
                 const lowest = fit.lowestMilliseconds ?? measure;
                 fit.lowestMilliseconds = Math.min(measure, lowest * (1 + LOWEST_DRIFT));
-                update(fit, shares, pressureOf(step.image, measure));
+                const total = pressures.get(step.image) ?? { sum: 0, count: 0 };
+                pressures.set(step.image, total);
+                total.sum += pressureOf(step.image, measure);
+                total.count += 1;
             }
+            pressures.forEach(({ count, sum }, image) => update(fitOf(image), shares, sum / count));
         },
         pressure: pressureOf,
         expect(serving, filler, share) {
@@ -159,9 +168,11 @@
     const spread = covariance.map(row => dot(row, inputs));
     const variance = FIGURE_VARIANCE + dot(inputs, spread);
     const error = pressure - dot(weights, inputs);
+    // Harm comes and goes within seconds: what was seen once is believed longer than that it is over.
+    const trust = error > 0 ? RISE : FALL;
     for (let row = 0; row < size; row++) {
         const gain = (spread[row] ?? 0) / variance;
-        weights[row] = (weights[row] ?? 0) + gain * error;
+        weights[row] = (weights[row] ?? 0) + gain * error * trust;
         const line = covariance[row] ?? [];
         for (let column = 0; column < size; column++) {
             line[column] = (line[column] ?? 0) - gain * (spread[column] ?? 0);
@@ -184,7 +195,11 @@
 }
 
 function dot(left: readonly number[], right: readonly number[]): number {
-    return left.reduce((sum, value, index) => sum + value * (right[index] ?? 0), 0);
+    let sum = 0;
+    for (let index = 0; index < left.length; index++) {
+        sum += (left[index] ?? 0) * (right[index] ?? 0);
+    }
+    return sum;
 }
 
 function clamp(value: number): number {
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -77,6 +77,7 @@
     const { load, worker } = candidate;
     const { avoidedWorkers, step } = task;
     const idle = idleMillicores(candidate);
+    const room = worker.capacity.millicores - load.used.millicores;
     const isAvoided = avoidedWorkers.includes(worker.id);
     const penalty = isAvoided ? AVOIDED_PENALTY : 0;
     const near = step.dataRack === undefined || worker.labels.includes(step.dataRack) ? 0 : FAR_PENALTY;
@@ -84,7 +85,7 @@
         // Like beside like: fillers can then go where they do no harm.
         const alike = load.attempts.filter(({ task: { step: other } }) => other.image === step.image).length;
         const others = load.servingCount - alike;
-        return alike * ALIKE_BONUS - others * OTHER_IMAGE_PENALTY - load.fillerMillicores - penalty - near;
+        return alike * ALIKE_BONUS - others * OTHER_IMAGE_PENALTY - load.fillerMillicores - room - penalty - near;
     }
     if (step.isFiller) {
         if (idle < step.size.millicores * LEAST_FILLER_SHARE) {
@@ -107,7 +108,8 @@
         }
         return idle - penalty - near;
     }
-    return idle - load.servingMillicores - penalty - near;
+    // The smallest hole that fits, so that larger ones are left for larger tasks; but not where fillers would starve it.
+    return -room - Math.max(0, -idle) * STARVING_WEIGHT - penalty - near;
 }
 
 /** In thousandths of a core, as the figures that they are weighed against. */
@@ -117,6 +119,9 @@
 /** Weighs the whole of a serving task's bearable pressure against three workers' idle cores. */
 const PRESSURE_PENALTY = 100_000;
 
+/** A task that fillers leave too few cores works slower than planned. */
+const STARVING_WEIGHT = 2;
+
 /** A filler waits where it would get less than this share of its cores. */
 const LEAST_FILLER_SHARE = 0.6;
 
--- a/src/scheduler/cell/crew.ts
+++ b/src/scheduler/cell/crew.ts
@@ -1,9 +1,9 @@
 /**
  * The workers of an owned cell: one link and one task for each.
  */
+import { createWake } from "../../core/wake.js";
+import type { Wake } from "../../core/wake.js";
 import type { WorkerInstance } from "../../platform/instances.js";
-import { createWake } from "../wake.js";
-import type { Wake } from "../wake.js";
 import { createLink } from "./link.js";
 import type { WorkerLink } from "./link.js";
 import { runWorker } from "./worker.js";
--- a/src/scheduler/cell/worker.ts
+++ b/src/scheduler/cell/worker.ts
@@ -2,11 +2,11 @@
  * One task per worker: carries out what has been committed, and renews leases in one batch, which brings usage reports.
  */
 import type { Clock } from "../../core/time.js";
+import type { Wake } from "../../core/wake.js";
 import type { AttemptStatus, OrderHeader, StartOrder, WorkerControl, WorkerReport } from "../../platform/worker.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { Task } from "../ledger/task.js";
 import type { CellSettings } from "../settings.js";
-import type { Wake } from "../wake.js";
 import { nameAttempt } from "./link.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
 import { renewIntervalOf } from "./renewing.js";
