--- a/src/jobs/board/attempts.ts
+++ b/src/jobs/board/attempts.ts
@@ -26,6 +26,7 @@
         progressedAtMilliseconds: now,
         measure: 0,
         pacePercent: 100,
+        overObjectiveSinceMilliseconds: undefined,
         pacedAtMilliseconds: 0,
     };
     task.lastAttempt = Math.max(task.lastAttempt, number);
@@ -58,6 +59,10 @@
     }
     attempt.percent = running.percent;
     attempt.measure = running.measure;
+    const { latencyObjectiveMilliseconds: objective } = task.step;
+    attempt.overObjectiveSinceMilliseconds = objective > 0 && running.measure >= objective
+        ? attempt.overObjectiveSinceMilliseconds ?? now
+        : undefined;
     if (running.checkpoint !== "") {
         attempt.checkpoint = running.checkpoint;
     }
@@ -67,11 +72,11 @@
     return attempt;
 }
 
-/** The worker says how an attempt ended. Ends that are listed again change nothing. */
-export function noteEnd(board: Board, worker: string, ended: EndedAttempt, now: number): void {
+/** The worker says how an attempt ended; gives the attempt where it was booked. Ends that are listed again change nothing. */
+export function noteEnd(board: Board, worker: string, ended: EndedAttempt, now: number): Attempt | undefined {
     const task = findOrOpenTask(board, ended.task, now);
     if (task === undefined) {
-        return;
+        return undefined;
     }
     const attempt = findAttempt(task, worker, ended.attempt);
     if (attempt !== undefined) {
@@ -80,12 +85,12 @@
     const isLatest = ended.attempt >= task.lastAttempt;
     task.lastAttempt = Math.max(task.lastAttempt, ended.attempt);
     if (FINAL_STATES.has(task.entry.state) || task.phase === "done") {
-        return;
+        return attempt;
     }
     beginJob(board, task.entry);
     if (ended.end === "done") {
         finishTask(board, task, now);
-        return;
+        return attempt;
     }
     if (isLatest) {
         keepCheckpoint(board, task, ended.checkpoint);
@@ -94,6 +99,7 @@
         noteFailure(board, task, worker, ended.attempt, now);
     }
     requeueTask(board, task, now);
+    return attempt;
 }
 
 /** An attempt certainly does not run and never will, but nobody knows how it ended. */
--- a/src/jobs/board/task.ts
+++ b/src/jobs/board/task.ts
@@ -32,6 +32,8 @@
     measure: number;
     /** Share of its speed that it was last told to work at. */
     pacePercent: number;
+    /** Since when a task that serves has been over its latency objective; absent while it is below. */
+    overObjectiveSinceMilliseconds: number | undefined;
     /** When it was last told another pace. */
     pacedAtMilliseconds: number;
 }
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -18,6 +18,7 @@
 import { FINAL_STATES } from "../model/job.js";
 import type { JobReference, PendingAnswer, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
 import type { WorkerList, WorkerOrders } from "../model/worker.js";
+import { createDurations } from "../policy/durations.js";
 import { createInterference } from "../policy/interference.js";
 import type { CellSettings } from "../settings.js";
 import { createCommits } from "./commits.js";
@@ -146,6 +147,7 @@
         workers,
         commits,
         interference: createInterference(),
+        durations: createDurations(),
         signal: ended.signal,
         mayOrder: now =>
             !ended.signal.aborted && now - commits.confirmedAtMilliseconds() < settings.horizonMilliseconds,
--- a/src/jobs/cell/context.ts
+++ b/src/jobs/cell/context.ts
@@ -7,6 +7,7 @@
 import type { JobsMetrics } from "../metrics.js";
 import type { Catalog } from "../model/catalog.js";
 import type { WorkerOrders } from "../model/worker.js";
+import type { Durations } from "../policy/durations.js";
 import type { Interference } from "../policy/interference.js";
 import type { CellSettings } from "../settings.js";
 import type { Commits } from "./commits.js";
@@ -22,6 +23,7 @@
     readonly orders: WorkerOrders;
     readonly commits: Commits;
     readonly interference: Interference;
+    readonly durations: Durations;
     readonly clock: Clock;
     readonly log: EventLog;
     readonly metrics: JobsMetrics;
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -7,6 +7,7 @@
 import { companionsOf, progressOf } from "../board/board.js";
 import { openDueOccurrences } from "../board/intake.js";
 import type { StepProgress } from "../board/job.js";
+import { isServing } from "../board/occupancy.js";
 import { nextAttemptNumber } from "../board/task.js";
 import type { Attempt, Task } from "../board/task.js";
 import { orderTasks } from "../policy/order.js";
@@ -51,10 +52,11 @@
         const placed: Attempt[] = [];
         const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
         for (const member of members) {
-            const candidate = choosePlace(member, candidates, cell.interference);
+            const candidate = choosePlace(member, candidates, cell.interference, now);
             if (candidate === undefined) {
                 break;
             }
+            noteTrials(cell, member, candidate, now);
             placed.push(orderAttempt(board, member, candidate.worker.id, number, now));
         }
         if (placed.length < members.length) {
@@ -100,7 +102,8 @@
         const startable = [...board.ready].filter(task => recovery.mayStart(task));
         // Tasks of one step are alike: where one has found no place, the others need not look.
         const hopeless = new Set<StepProgress>();
-        for (const task of orderTasks(startable, { priority: ({ entry }) => queues.get(entry.queue)?.priority ?? 0 })) {
+        const terms = { queue: ({ entry }: Task) => queues.get(entry.queue), durations: cell.durations };
+        for (const task of orderTasks(startable, terms, now)) {
             const pool = queues.get(task.entry.queue)?.pool;
             const open = pool === undefined ? undefined : candidates.get(pool);
             const step = progressOf(task);
@@ -128,6 +131,14 @@
     };
 }
 
+/** What a filler does to those beside it shows within a second. */
+function noteTrials({ interference }: CellContext, { step }: Task, { load }: Candidate, now: number): void {
+    if (step.isFiller) {
+        load.attempts.filter(({ task }) => isServing(task.step))
+            .forEach(({ task }) => interference.noteTrial(task.step.image, step.image, now));
+    }
+}
+
 /** Workers that may get tasks now, by pool. */
 function listCandidates(cell: CellContext, now: number): Map<string, Candidate[]> {
     const pools = new Map<string, Candidate[]>();
--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -14,7 +14,7 @@
     /** Runs that belong to no task of the cell. */
     readonly foreign: readonly RunningAttempt[];
     /** Ends that had not been in the books. */
-    readonly ended: readonly EndedAttempt[];
+    readonly ended: readonly { readonly end: EndedAttempt; readonly attempt: Attempt | undefined; }[];
     /** Attempts that the worker no longer knows. */
     readonly lost: readonly Attempt[];
     /** Attempts that nobody had told the books of. */
@@ -50,11 +50,10 @@
     worker.lastAnswerAtMilliseconds = Math.max(worker.lastAnswerAtMilliseconds, sentAt);
     worker.health.unansweredInARow = 0;
 
-    const ended = report.ended.filter(({ sequence }) => sequence > worker.notedSequence);
-    for (const end of ended) {
-        noteEnd(board, id, end, now);
+    const ended = report.ended.filter(({ sequence }) => sequence > worker.notedSequence).map(end => {
         worker.notedSequence = end.sequence;
-    }
+        return { end, attempt: noteEnd(board, id, end, now) };
+    });
     const before = new Set(board.occupancy.load(id).attempts);
     const listed = new Set<Attempt>();
     const foreign: RunningAttempt[] = [];
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -185,8 +185,11 @@
             isReborn,
         });
     }
-    for (const end of ended) {
+    for (const { attempt, end } of ended) {
         const { health } = worker;
+        if (end.end === "done" && attempt?.runningSinceMilliseconds !== undefined) {
+            cell.durations.note(attempt, now - attempt.runningSinceMilliseconds);
+        }
         health.failuresInARow = end.end === "failed"
             ? health.failuresInARow + 1
             : end.end === "done"
--- a/src/jobs/policy/interference.ts
+++ b/src/jobs/policy/interference.ts
@@ -16,7 +16,11 @@
     /** Pressure that a tail latency shows on a serving image. */
     pressure(serving: string, tailMilliseconds: number): number;
     /** Pressure that a filler image adds to a serving image by using this share of its worker. */
-    expect(serving: string, filler: string, share: number): number;
+    expect(serving: string, filler: string, share: number, now: number): number;
+    /** Whether a filler may be put beside a serving image: the pair has been seen lately, or it is time to try it again. */
+    mayTry(serving: string, filler: string, now: number): boolean;
+    /** A filler has been put beside a serving image. */
+    noteTrial(serving: string, filler: string, now: number): void;
     /** Pressure that a serving image is under by itself. */
     ownPressure(serving: string): number;
 }
@@ -28,7 +32,7 @@
 const WARM_UP_MILLISECONDS = 1_200;
 
 /** Pressure by a whole worker of a filler of which nothing has been seen: one filler of a tenth may be tried. */
-const UNKNOWN_WEIGHT = 1.5;
+const UNKNOWN_WEIGHT = 0.8;
 const UNKNOWN_VARIANCE = 6;
 
 /** Own pressure of a serving image before it was seen: a quarter of its objective's latency. */
@@ -42,12 +46,27 @@
 const DRIFT_VARIANCE = 0.002;
 
 /** How far the fit follows a figure that is worse, or better, than expected. */
-const RISE = 1;
-const FALL = 1;
+const RISE = 1.4;
+const FALL = 0.6;
 
 /** Share by which the lowest latency of a serving image is forgotten with each figure. */
 const LOWEST_DRIFT = 0.002;
 
+/** A weight that has not been seen for this long is half forgotten: what disturbs whom changes. */
+const FORGETTING_MILLISECONDS = 6_000;
+
+/** A pair seen within this time need not be tried with care. */
+const TRUSTED_MILLISECONDS = 5_000;
+
+/** Time between two trials of a pair: the first one has shown its effect by then. */
+const TRIAL_MILLISECONDS = 900;
+
+/** A filler that uses less of its worker shows nothing. */
+const LEAST_SHARE = 0.03;
+
+/** Most that one figure moves a weight, so that a neighbour's harm is not believed at once. */
+const LARGEST_MOVE = 1.2;
+
 /** A latency far over any objective says no more than that the pressure is near 1. */
 const HIGHEST_PRESSURE = 0.97;
 
@@ -55,6 +74,9 @@
 interface Fit {
     lowestMilliseconds: number | undefined;
     readonly index: Map<string, number>;
+    /** When each filler image was last seen at work beside this one. */
+    readonly seenAt: Map<string, number>;
+    readonly triedAt: Map<string, number>;
     weights: number[];
     covariance: number[][];
 }
@@ -72,6 +94,8 @@
         const fit: Fit = {
             lowestMilliseconds: undefined,
             index: new Map(),
+            seenAt: new Map(),
+            triedAt: new Map(),
             weights: [UNKNOWN_OWN_PRESSURE],
             covariance: [[UNKNOWN_OWN_VARIANCE]],
         };
@@ -103,14 +127,22 @@
                 total.sum += pressureOf(step.image, measure);
                 total.count += 1;
             }
-            pressures.forEach(({ count, sum }, image) => update(fitOf(image), shares, sum / count));
+            pressures.forEach(({ count, sum }, image) => update(fitOf(image), shares, sum / count, now));
         },
         pressure: pressureOf,
-        expect(serving, filler, share) {
+        expect(serving, filler, share, now) {
             const fit = fits.get(serving);
             const at = fit?.index.get(filler);
-            return share * (at === undefined ? UNKNOWN_WEIGHT : Math.max(0, fit?.weights[at] ?? UNKNOWN_WEIGHT));
+            const weight = at === undefined ? UNKNOWN_WEIGHT : Math.max(0, fit?.weights[at] ?? UNKNOWN_WEIGHT);
+            const unseen = now - (fit?.seenAt.get(filler) ?? 0);
+            return share * (UNKNOWN_WEIGHT + (weight - UNKNOWN_WEIGHT) * 0.5 ** (unseen / FORGETTING_MILLISECONDS));
+        },
+        mayTry(serving, filler, now) {
+            const fit = fits.get(serving);
+            return now - (fit?.seenAt.get(filler) ?? 0) < TRUSTED_MILLISECONDS
+                || now - (fit?.triedAt.get(filler) ?? 0) > TRIAL_MILLISECONDS;
         },
+        noteTrial: (serving, filler, now) => void fitOf(serving).triedAt.set(filler, now),
         ownPressure: serving => Math.max(0, fits.get(serving)?.weights[0] ?? UNKNOWN_OWN_PRESSURE),
     };
 }
@@ -154,9 +186,12 @@
 }
 
 /** One step of recursive least squares, with weights that drift. */
-function update(fit: Fit, shares: ReadonlyMap<string, number>, pressure: number): void {
-    for (const image of shares.keys()) {
+function update(fit: Fit, shares: ReadonlyMap<string, number>, pressure: number, now: number): void {
+    for (const [image, share] of shares) {
         grow(fit, image);
+        if (share >= LEAST_SHARE) {
+            fit.seenAt.set(image, now);
+        }
     }
     const { covariance, index, weights } = fit;
     const size = weights.length;
@@ -172,7 +207,8 @@
     const trust = error > 0 ? RISE : FALL;
     for (let row = 0; row < size; row++) {
         const gain = (spread[row] ?? 0) / variance;
-        weights[row] = (weights[row] ?? 0) + gain * error * trust;
+        const move = Math.min(LARGEST_MOVE, Math.max(-LARGEST_MOVE, gain * error * trust));
+        weights[row] = (weights[row] ?? 0) + move;
         const line = covariance[row] ?? [];
         for (let column = 0; column < size; column++) {
             line[column] = (line[column] ?? 0) - gain * (spread[column] ?? 0);
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -1,27 +1,77 @@
 /**
  * Order in which ready tasks get room.
  *
- * The load that this answers: short jobs that people wait for, beside long batch work that fills the workers for seconds.
+ * The load that this answers: short jobs that people wait for beside batch work of some seconds, more of both than there is
+ * room for during a burst. A job that can still be on time goes before one that cannot; among those the one that is due
+ * first. What is late already comes after, so that it does not make the others late too.
  */
+import type { Occurrence } from "../board/job.js";
 import type { Task } from "../board/task.js";
+import type { Queue } from "../model/catalog.js";
+import type { Durations } from "./durations.js";
 
 /** What decides a task's turn. */
 export interface TurnTerms {
-    /** Priority of the task's queue; 0 comes first. */
-    priority(task: Task): number;
+    /** The task's queue; absent where the configuration no longer has it. */
+    queue(task: Task): Queue | undefined;
+    readonly durations: Durations;
 }
 
-/** Sorts ready tasks: by priority, lasting tasks first among equals, then the job that has waited longest. */
-export function orderTasks(ready: Iterable<Task>, terms: TurnTerms): Task[] {
-    return [...ready]
-        .map(task => ({ task, priority: terms.priority(task) }))
-        .sort((left, right) => left.priority - right.priority || compare(left.task, right.task))
-        .map(({ task }) => task);
+/** Jobs beyond this many times their objective are as late as can be. */
+const LATE_FACTOR = 3;
+
+/** Whether something of an occurrence can still be of use, from best to worst. */
+type Band = 0 | 1 | 2;
+
+interface Turn {
+    readonly task: Task;
+    readonly priority: number;
+    readonly band: Band;
+    readonly dueAtMilliseconds: number;
+}
+
+/** Sorts ready tasks: by priority, tasks that end before those that last, then as said above. */
+export function orderTasks(ready: Iterable<Task>, terms: TurnTerms, now: number): Task[] {
+    const known = new Map<Occurrence, { band: Band; dueAtMilliseconds: number; }>();
+    const turns = [...ready].map((task): Turn => {
+        const queue = terms.queue(task);
+        const found = known.get(task.occurrence) ?? judge(task.occurrence, queue, terms.durations, now);
+        known.set(task.occurrence, found);
+        return { task, priority: queue?.priority ?? 0, ...found };
+    });
+    return turns.sort(compare).map(({ task }) => task);
+}
+
+function compare(left: Turn, right: Turn): number {
+    return left.priority - right.priority
+        || Number(left.task.step.isLasting) - Number(right.task.step.isLasting)
+        || left.band - right.band
+        || left.dueAtMilliseconds - right.dueAtMilliseconds
+        || left.task.stepIndex - right.task.stepIndex
+        || left.task.index - right.task.index;
 }
 
-function compare(left: Task, right: Task): number {
-    return Number(right.step.isLasting) - Number(left.step.isLasting)
-        || left.occurrence.dueAtMilliseconds - right.occurrence.dueAtMilliseconds
-        || left.stepIndex - right.stepIndex
-        || left.index - right.index;
+/** When an occurrence is due, and whether it can still make it. */
+function judge(
+    { dueAtMilliseconds: startedAt, steps }: Occurrence,
+    queue: Queue | undefined,
+    durations: Durations,
+    now: number,
+): { band: Band; dueAtMilliseconds: number; } {
+    const whole: number[] = [];
+    const left: number[] = [];
+    for (const { doneCount, step, tasks } of steps) {
+        const duration = step.isLasting ? 0 : durations.expect(step);
+        const longest = (ends: readonly number[]) => Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0));
+        whole.push(longest(whole) + duration);
+        left.push(doneCount === tasks.length ? 0 : longest(left) + duration);
+    }
+    const objective = Math.max(...whole) * (queue?.stretchFactor ?? 1) + (queue?.latencyObjectiveMilliseconds ?? 0);
+    const finish = now + Math.max(...left);
+    const dueAt = startedAt + objective;
+    if (finish <= dueAt) {
+        return { band: 0, dueAtMilliseconds: dueAt };
+    }
+    const lateAt = startedAt + objective * LATE_FACTOR;
+    return finish <= lateAt ? { band: 1, dueAtMilliseconds: lateAt } : { band: 2, dueAtMilliseconds: startedAt };
 }
--- a/src/jobs/policy/pacing.ts
+++ b/src/jobs/policy/pacing.ts
@@ -20,11 +20,17 @@
 const DANGER_SHARE = 0.9;
 
 /** Share of it to which fillers give way, and up to which they are planned. */
-const PLANNED_SHARE = 0.75;
+const PLANNED_SHARE = 0.85;
+
+/** How far a serving task's own pressure swings above its mean. */
+const OWN_SWING = 0.15;
 
 /** A change of pace shows in the figures after the worker has applied it and half a second has passed. */
 const EFFECT_MILLISECONDS = 650;
 
+/** A task that serves stays over its objective for no longer before all fillers beside it stop. */
+const LONGEST_OVER_MILLISECONDS = 1_300;
+
 /** Steps of the way back to full pace, in percent. */
 const RETURN_STEP_PERCENT = 50;
 
@@ -46,6 +52,13 @@
 ): PaceChange[] {
     const fillers = load.attempts.filter(({ phase, task }) => task.step.isFiller && phase === "running");
     const serving = load.attempts.filter(({ task }) => isServing(task.step));
+    const isLong = serving.some(({ overObjectiveSinceMilliseconds: since = now }) =>
+        now - since >= LONGEST_OVER_MILLISECONDS
+    );
+    if (isLong) {
+        // Whatever the model says: nothing else is left that could make room.
+        return fillers.filter(({ pacePercent }) => pacePercent > 0).map(attempt => ({ attempt, percent: 0 }));
+    }
     if (
         fillers.length === 0
         || fillers.some(({ pacedAtMilliseconds }) => now - pacedAtMilliseconds < EFFECT_MILLISECONDS)
@@ -56,8 +69,8 @@
         presentPressure(attempt, model) > limitOf(attempt, model) * DANGER_SHARE
     );
     return inDanger.length > 0
-        ? giveWay(fillers, inDanger, capacityMillicores, model)
-        : comeBack(load, fillers, capacityMillicores, model);
+        ? giveWay(fillers, inDanger, capacityMillicores, model, now)
+        : comeBack(load, fillers, capacityMillicores, model, now);
 }
 
 /** Whether a filler is expected to leave all tasks that serve on a worker within their objectives. */
@@ -67,20 +80,28 @@
     load: Readonly<WorkerLoad>,
     capacityMillicores: number,
     model: Interference,
+    now: number,
 ): boolean {
     return load.attempts.every(attempt => {
         const { step } = attempt.task;
         if (!isServing(step)) {
             return true;
         }
-        const planned = load.attempts.reduce(
-            (sum, other) => sum + model.expect(step.image, other.task.step.image, shareOf(other, capacityMillicores)),
-            model.ownPressure(step.image),
-        );
-        const present = Math.max(planned, presentPressure(attempt, model));
-        const extra = model.expect(step.image, image, share);
+        const extra = model.expect(step.image, image, share, now);
         const limit = limitOf(attempt, model);
-        return present + extra <= limit * PLANNED_SHARE || extra <= NEGLIGIBLE_PRESSURE && present < limit;
+        if (extra <= NEGLIGIBLE_PRESSURE) {
+            return presentPressure(attempt, model) < limit;
+        }
+        if (!model.mayTry(step.image, image, now)) {
+            return false;
+        }
+        const others = load.attempts.reduce(
+            (sum, other) =>
+                sum + model.expect(step.image, other.task.step.image, shareOf(other, capacityMillicores), now),
+            0,
+        );
+        const planned = model.ownPressure(step.image) + OWN_SWING + others;
+        return Math.max(planned, presentPressure(attempt, model)) + extra <= limit * PLANNED_SHARE;
     });
 }
 
@@ -100,6 +121,7 @@
     inDanger: readonly Attempt[],
     capacityMillicores: number,
     model: Interference,
+    now: number,
 ): PaceChange[] {
     const isOver = inDanger.some(attempt => presentPressure(attempt, model) >= limitOf(attempt, model));
     let excess = Math.max(
@@ -108,7 +130,9 @@
     const working = fillers.filter(({ pacePercent }) => pacePercent > 0)
         .map(attempt => {
             const share = shareOf(attempt, capacityMillicores);
-            const expected = inDanger.map(({ task }) => model.expect(task.step.image, attempt.task.step.image, share));
+            const expected = inDanger.map(({ task }) =>
+                model.expect(task.step.image, attempt.task.step.image, share, now)
+            );
             // Over the objective, fillers are slowed down though none is known to press.
             return { attempt, press: Math.max(...expected, excess > 0 && isOver ? share * LEAST_WEIGHT : 0) };
         })
@@ -133,6 +157,7 @@
     fillers: readonly Attempt[],
     capacityMillicores: number,
     model: Interference,
+    now: number,
 ): PaceChange[] {
     for (const attempt of fillers) {
         if (attempt.pacePercent >= 100) {
@@ -141,7 +166,7 @@
         const { image, size } = attempt.task.step;
         const percent = Math.min(100, attempt.pacePercent + RETURN_STEP_PERCENT);
         const extra = size.millicores * (percent - attempt.pacePercent) / 100 / capacityMillicores;
-        if (load.servingCount === 0 || isHarmless(image, extra, load, capacityMillicores, model)) {
+        if (load.servingCount === 0 || isHarmless(image, extra, load, capacityMillicores, model, now)) {
             return [{ attempt, percent: load.servingCount === 0 ? 100 : percent }];
         }
     }
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -23,14 +23,19 @@
 const SERVING_USE_SHARE = 0.6;
 
 /** Chooses a worker for a task, or none where it has to wait. */
-export function choosePlace(task: Task, candidates: Iterable<Candidate>, model: Interference): Candidate | undefined {
+export function choosePlace(
+    task: Task,
+    candidates: Iterable<Candidate>,
+    model: Interference,
+    now: number,
+): Candidate | undefined {
     let best: Candidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
         if (!isEligible(task, candidate)) {
             continue;
         }
-        const score = rate(task, candidate, model);
+        const score = rate(task, candidate, model, now);
         if (score > bestScore) {
             best = candidate;
             bestScore = score;
@@ -65,15 +70,15 @@
 }
 
 /** The most that a filler is expected to press on any task that serves there. */
-function expectedPressure({ step }: Task, { load, worker }: Candidate, model: Interference): number {
+function expectedPressure({ step }: Task, { load, worker }: Candidate, model: Interference, now: number): number {
     const share = step.size.millicores / worker.capacity.millicores;
     const pressures = load.attempts.filter(({ task }) => isServing(task.step))
-        .map(({ task }) => model.expect(task.step.image, step.image, share));
+        .map(({ task }) => model.expect(task.step.image, step.image, share, now));
     return Math.max(0, ...pressures);
 }
 
 /** The higher the better; -Infinity where it is better to wait. */
-function rate(task: Task, candidate: Candidate, model: Interference): number {
+function rate(task: Task, candidate: Candidate, model: Interference, now: number): number {
     const { load, worker } = candidate;
     const { avoidedWorkers, step } = task;
     const idle = idleMillicores(candidate);
@@ -99,11 +104,12 @@
                     load,
                     worker.capacity.millicores,
                     model,
+                    now,
                 )
             ) {
                 return -Infinity;
             }
-            return idle - BESIDE_SERVING_PENALTY - expectedPressure(task, candidate, model) * PRESSURE_PENALTY
+            return idle - BESIDE_SERVING_PENALTY - expectedPressure(task, candidate, model, now) * PRESSURE_PENALTY
                 - penalty - near;
         }
         return idle - penalty - near;
