Failing, still and slow workers; evacuation; copies; refusals while the store is away; an owner that cannot commit gives way

Change: quarantine by different jobs' failures, standstill and slowness; tasks leave draining workers while there is a place; second copies where allowed; submissions that were not handed to the store are withdrawn and refused after 0.4 s; an owner says in its answers to pings how long commits have failed, after 0.7 s others claim.

--- a/src/jobs/board/attempts.ts
+++ b/src/jobs/board/attempts.ts
@@ -23,6 +23,7 @@
         runningSinceMilliseconds: undefined,
         checkpoint: task.checkpoint,
         percent: 0,
+        percentAtStart: -1,
         progressedAtMilliseconds: now,
         measure: 0,
         pacePercent: 100,
@@ -54,6 +55,9 @@
     const attempt = findAttempt(task, worker, running.attempt)
         ?? orderAttempt(board, task, worker, running.attempt, now);
     noteWork(board, attempt, now);
+    if (attempt.percentAtStart < 0) {
+        attempt.percentAtStart = attempt.checkpoint === "" ? 0 : running.percent;
+    }
     if (running.percent > attempt.percent) {
         attempt.progressedAtMilliseconds = now;
     }
--- a/src/jobs/board/intake.ts
+++ b/src/jobs/board/intake.ts
@@ -17,6 +17,17 @@
     return true;
 }
 
+/** Takes a job back that has not been handed over to be committed; false where it is too late for that. */
+export function withdrawJob(board: Board, id: string): boolean {
+    const at = board.changes.accepted.findIndex(job => job.id === id);
+    if (at < 0 || board.jobs.get(id)?.isCommitted !== false) {
+        return false;
+    }
+    board.changes.accepted.splice(at, 1);
+    board.jobs.delete(id);
+    return true;
+}
+
 /** The ledger holds the job: its tasks may start. */
 export function confirmJob(board: Board, id: string, now: number): void {
     const entry = board.jobs.get(id);
--- a/src/jobs/board/task.ts
+++ b/src/jobs/board/task.ts
@@ -26,6 +26,8 @@
     runningSinceMilliseconds: number | undefined;
     checkpoint: string;
     percent: number;
+    /** Share of the work that an earlier attempt had done, as first seen. */
+    percentAtStart: number;
     /** When the percentage last rose. */
     progressedAtMilliseconds: number;
     /** Latest figure of the worker, see `RunningAttempt.measure`. */
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -1,21 +1,19 @@
 /**
  * A cell as its owner runs it: callers' requests, workers' sessions, starts and commits.
  */
-import { Result } from "true-myth/result";
-import { createFailure } from "../../core/errors.js";
+import type { Result } from "true-myth/result";
 import type { Failure } from "../../core/errors.js";
 import type { EventLog } from "../../core/event-log.js";
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import type { WriteOperation } from "../../platform/store.js";
 import { createBoard } from "../board/board.js";
-import { acceptJob, cancelJob, confirmJob, forgetEndedJobs } from "../board/intake.js";
+import { confirmJob, forgetEndedJobs } from "../board/intake.js";
 import { replaySegment } from "../board/restore.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Changes, Segment } from "../ledger/segment.js";
 import type { JobsMetrics } from "../metrics.js";
 import type { Catalog } from "../model/catalog.js";
-import { FINAL_STATES } from "../model/job.js";
 import type { JobReference, PendingAnswer, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
 import type { WorkerList, WorkerOrders } from "../model/worker.js";
 import { createDurations } from "../policy/durations.js";
@@ -25,6 +23,7 @@
 import type { CellContext } from "./context.js";
 import { createCrew } from "./crew.js";
 import { createDispatcher } from "./dispatch.js";
+import { createIntake } from "./intake.js";
 import { createRecovery } from "./recovery.js";
 
 /** Time between two looks for jobs and workers that can be forgotten. */
@@ -62,8 +61,8 @@
     /** Writes along with the next commit, under the cell's fence. */
     attach(write: WriteOperation): void;
     noteConfirmation(at: number): void;
-    /** Since when commits have failed; absent while they work. */
-    failingSinceMilliseconds(): number | undefined;
+    /** How long commits have failed; 0 while they work. */
+    failingMilliseconds(now: number): number;
     /** Gives the cell up with a last commit; false where that did not work. */
     release(): Promise<boolean>;
     /** Stops at once, without any further order or commit. */
@@ -127,6 +126,14 @@
         dispatcher.wake();
     };
 
+    const intake = createIntake({
+        board,
+        clock,
+        log,
+        epoch,
+        commits: () => commits,
+        wakeDispatch: () => dispatcher.wake(),
+    });
     const commits = createCommits({
         board,
         journal,
@@ -139,6 +146,7 @@
         signal: ended.signal,
         onCommitted,
         onConflict: message => abandon(message),
+        onFailed: milliseconds => intake.noteFailing(milliseconds),
     });
     const context: CellContext = {
         ...options,
@@ -157,14 +165,6 @@
     const dispatcher = createDispatcher(context, recovery);
     const crew = createCrew({ cell: context, recovery, workersInUse, workerList: options.workerList });
 
-    const committed = async (): Promise<Result<void, Failure>> => {
-        const isCommitted = commits.settled();
-        commits.request(true);
-        return await isCommitted
-            ? Result.ok(undefined)
-            : Result.err(createFailure("ambiguous", "commit", `cell ${name} has lost its owner meanwhile`));
-    };
-
     const tidy = async (): Promise<void> => {
         while (!ended.signal.aborted) {
             forgetEndedJobs(board, clock() - settings.keepEndedMilliseconds);
@@ -175,32 +175,12 @@
     return {
         name,
         epoch,
-        async submit({ id, queue, submission }) {
-            const known = board.jobs.get(id);
-            if (known?.isCommitted === true) {
-                return Result.ok({ kind: "accepted", isNew: false });
-            }
-            acceptJob(board, { id, queue, submission, acceptedAtMilliseconds: clock() });
-            const outcome = await committed();
-            return outcome.map(() => ({ kind: "accepted", isNew: known === undefined }));
-        },
+        submit: request => intake.submit(request),
         state({ id }) {
             const entry = board.jobs.get(id);
             return entry?.isCommitted === true ? { state: entry.shownState } : {};
         },
-        async cancel({ id }) {
-            const entry = board.jobs.get(id);
-            if (entry === undefined) {
-                return Result.ok({});
-            }
-            cancelJob(board, id, clock());
-            dispatcher.wake();
-            // A job that had ended is answered as it ended, once that is committed.
-            const outcome = FINAL_STATES.has(entry.shownState)
-                ? Result.ok<void, Failure>(undefined)
-                : await committed();
-            return outcome.map(() => ({ state: entry.shownState }));
-        },
+        cancel: reference => intake.cancel(reference),
         pending(queue) {
             let pending = 0;
             for (const entry of board.jobs.values()) {
@@ -210,7 +190,7 @@
         },
         attach: write => commits.attach(write),
         noteConfirmation: at => commits.noteConfirmation(at),
-        failingSinceMilliseconds: () => commits.failingSinceMilliseconds(),
+        failingMilliseconds: now => now - (commits.failingSinceMilliseconds(now) ?? now),
         release: () => commits.release(),
         abandon,
         async run(signal) {
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -31,6 +31,8 @@
     readonly signal: AbortSignal;
     /** The ledger holds these changes. */
     onCommitted(changes: Changes, now: number): void;
+    /** The store has not taken a commit; commits have failed for so long. */
+    onFailed(failingMilliseconds: number): void;
     /** The cell has another owner. */
     onConflict(message: string): void;
 }
@@ -45,8 +47,8 @@
     attach(write: WriteOperation): void;
     /** When the store last confirmed that the cell is this owner's: the time before that commit was sent. */
     confirmedAtMilliseconds(): number;
-    /** Whether the last commit failed, and since when. */
-    failingSinceMilliseconds(): number | undefined;
+    /** Since when commits have failed, or the present one has waited for its outcome; absent while all is well. */
+    failingSinceMilliseconds(now: number): number | undefined;
     /** Notes a confirmation by other means. */
     noteConfirmation(at: number): void;
     /** Gives the cell up with a last commit. */
@@ -57,6 +59,9 @@
 /** Longest wait for changes; they wake the wait. */
 const IDLE_MILLISECONDS = 10_000;
 
+/** A commit that waits longer for its outcome is in trouble: a slow store takes some hundred milliseconds. */
+const SLOW_COMMIT_MILLISECONDS = 700;
+
 interface Batch {
     readonly promise: Promise<boolean>;
     resolve(isCommitted: boolean): void;
@@ -75,6 +80,7 @@
     let confirmedAt = clock();
     let failingSince: number | undefined;
     let startedAt = 0;
+    let isCommitting = false;
 
     /** Workers whose ends are in the books up to here; acknowledged once the books are committed. */
     const noteSequences = () =>
@@ -107,12 +113,14 @@
         const [changes = taken, ...rest] = splitChanges(taken, VALUE_LIMIT_BYTES);
         rest.reverse().forEach(part => returnChanges(board, part));
         startedAt = clock();
+        isCommitting = true;
         const committed = await journal.commit({
             changes,
             whole: () => describeBoard(board, options.workersInUse),
             isRelease,
             alongside: writes,
         });
+        isCommitting = false;
         const now = clock();
         if (committed.isErr) {
             const { code } = committed.error;
@@ -127,6 +135,7 @@
                 failure: formatFailure(committed.error),
                 failingMilliseconds: Math.round(now - failingSince),
             }, "vital");
+            options.onFailed(now - failingSince);
             if (code === "conflict") {
                 options.onConflict(formatFailure(committed.error));
             }
@@ -186,7 +195,8 @@
             news.wake();
         },
         confirmedAtMilliseconds: () => confirmedAt,
-        failingSinceMilliseconds: () => failingSince,
+        failingSinceMilliseconds: now =>
+            failingSince ?? (isCommitting && now - startedAt > SLOW_COMMIT_MILLISECONDS ? startedAt : undefined),
         noteConfirmation(at) {
             confirmedAt = Math.max(confirmedAt, at);
         },
--- a/src/jobs/cell/crew.ts
+++ b/src/jobs/cell/crew.ts
@@ -6,7 +6,7 @@
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { runSession } from "./session.js";
-import { createCellWorker } from "./worker.js";
+import { createCellWorker, takeListing } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Time between two looks at workers that are gone and at the recovery. */
@@ -29,6 +29,7 @@
     const employ = (listed: ListedWorker, now: number): void => {
         const isRecorded = workersInUse.has(listed.id);
         const worker = createCellWorker(listed, isRecorded, now);
+        takeListing(worker, listed, now);
         workers.set(listed.id, worker);
         if (!isRecorded) {
             workersInUse.add(listed.id);
@@ -68,7 +69,7 @@
                 );
             }
             else {
-                noteListed(worker, entry);
+                noteListed(worker, entry, now);
             }
         }
         for (const worker of workers.values()) {
@@ -79,7 +80,7 @@
         cell.wakeDispatch();
     };
 
-    const noteListed = (worker: CellWorker, entry: ListedWorker): void => {
+    const noteListed = (worker: CellWorker, entry: ListedWorker, now: number): void => {
         if (entry.isDraining && !worker.listed.isDraining) {
             cell.log.write("worker-draining", {
                 worker: entry.id,
@@ -87,8 +88,7 @@
                 attempts: board.occupancy.load(entry.id).attempts.length,
             }, "vital");
         }
-        worker.listed = entry;
-        worker.unlistedSinceMilliseconds = undefined;
+        takeListing(worker, entry, now);
     };
 
     /** While the list's source is away, its entries may lapse although their workers live. */
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -8,8 +8,11 @@
 import { openDueOccurrences } from "../board/intake.js";
 import type { StepProgress } from "../board/job.js";
 import { isServing } from "../board/occupancy.js";
+import { requeueTask } from "../board/progress.js";
 import { nextAttemptNumber } from "../board/task.js";
 import type { Attempt, Task } from "../board/task.js";
+import { needsCopy } from "../policy/copies.js";
+import { chooseLeavers } from "../policy/evacuation.js";
 import { orderTasks } from "../policy/order.js";
 import { choosePlace } from "../policy/placement.js";
 import type { Candidate } from "../policy/placement.js";
@@ -22,6 +25,9 @@
 /** Longest time between two looks: conditions that only time brings about are seen after this. */
 const LOOK_MILLISECONDS = 250;
 
+/** Time between two looks at what runs where it should not stay. */
+const REVIEW_MILLISECONDS = 200;
+
 /** One look serves all that has changed within this time; a short job has some hundred milliseconds of slack. */
 const GATHER_MILLISECONDS = 5;
 
@@ -36,6 +42,7 @@
     const { board, clock, signal } = cell;
     const stopping = new Set<Attempt>();
     const news = createWake();
+    let reviewedAt = 0;
 
     const stopUnwanted = (): void => {
         for (const attempt of board.unwanted) {
@@ -86,31 +93,78 @@
         const { attempts } = attempt.task;
         attempts.splice(attempts.indexOf(attempt), 1);
         board.occupancy.remove(attempt);
-        attempt.task.phase = "ready";
-        attempt.task.readyAtMilliseconds = Math.min(attempt.task.readyAtMilliseconds, now);
-        board.ready.add(attempt.task);
+        requeueTask(board, attempt.task, now);
+    };
+
+    const candidatesFor = (task: Task, candidates: ReadonlyMap<string, Candidate[]>): readonly Candidate[] => {
+        const pool = cell.catalog().queues.get(task.entry.queue)?.pool;
+        return pool === undefined ? [] : candidates.get(pool) ?? [];
+    };
+
+    /** Tasks leave workers that are about to go, if there is a place for them. */
+    const evacuate = (candidates: ReadonlyMap<string, Candidate[]>, now: number): void => {
+        for (const worker of cell.workers.values()) {
+            const { drainingSinceMilliseconds: since, leavesAtMilliseconds: leavesAt } = worker;
+            if (since === undefined || worker.contact !== "answering") {
+                continue;
+            }
+            const load = board.occupancy.load(worker.listed.id);
+            for (const attempt of chooseLeavers(load, leavesAt, since, cell.durations, now)) {
+                if (choosePlace(attempt.task, candidatesFor(attempt.task, candidates), cell.interference, now)) {
+                    board.unwanted.add(attempt);
+                    cell.log.write("attempt-moved", {
+                        job: attempt.task.entry.id,
+                        task: attempt.task.key,
+                        attempt: attempt.number,
+                        worker: attempt.worker,
+                        reason: "worker is draining",
+                        leavesInMilliseconds: leavesAt === undefined ? undefined : Math.round(leavesAt - now),
+                    });
+                }
+            }
+        }
+        stopUnwanted();
+    };
+
+    const startCopies = (candidates: ReadonlyMap<string, Candidate[]>, now: number): void => {
+        for (const worker of cell.workers.values()) {
+            const isDoubtful = worker.contact === "silent" || now < worker.health.quarantinedUntilMilliseconds;
+            for (const attempt of board.occupancy.load(worker.listed.id).attempts) {
+                if (needsCopy(attempt, isDoubtful, cell.durations, now) && !board.unwanted.has(attempt)) {
+                    const others = candidatesFor(attempt.task, candidates)
+                        .filter(candidate => candidate.worker.id !== worker.listed.id);
+                    place(attempt.task, others, now);
+                }
+            }
+        }
     };
 
     const dispatch = (now: number): void => {
         openDueOccurrences(board, now);
         stopUnwanted();
-        if (board.ready.size === 0 || !cell.mayOrder(now)) {
+        if (!cell.mayOrder(now)) {
             return;
         }
         const { queues } = cell.catalog();
         const candidates = listCandidates(cell, now);
+        if (now - reviewedAt >= REVIEW_MILLISECONDS) {
+            reviewedAt = now;
+            evacuate(candidates, now);
+            startCopies(candidates, now);
+        }
+        if (board.ready.size === 0) {
+            return;
+        }
         const startable = [...board.ready].filter(task => recovery.mayStart(task));
         // Tasks of one step are alike: where one has found no place, the others need not look.
         const hopeless = new Set<StepProgress>();
         const terms = { queue: ({ entry }: Task) => queues.get(entry.queue), durations: cell.durations };
         for (const task of orderTasks(startable, terms, now)) {
-            const pool = queues.get(task.entry.queue)?.pool;
-            const open = pool === undefined ? undefined : candidates.get(pool);
             const step = progressOf(task);
-            if (open === undefined || !board.ready.has(task) || hopeless.has(step)) {
+            if (!board.ready.has(task) || hopeless.has(step)) {
                 continue;
             }
-            if (!place(task, open, now)) {
+            if (!place(task, candidatesFor(task, candidates), now)) {
                 hopeless.add(step);
             }
         }
--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -5,6 +5,7 @@
 import type { Board } from "../board/board.js";
 import type { Attempt } from "../board/task.js";
 import type { EndedAttempt, RunningAttempt, WorkerReport } from "../model/worker.js";
+import { noteSuccess } from "../policy/health.js";
 import type { CellWorker } from "./worker.js";
 
 /** What a report has brought. */
@@ -48,7 +49,6 @@
     }
     worker.contact = "answering";
     worker.lastAnswerAtMilliseconds = Math.max(worker.lastAnswerAtMilliseconds, sentAt);
-    worker.health.unansweredInARow = 0;
 
     const ended = report.ended.filter(({ sequence }) => sequence > worker.notedSequence).map(end => {
         worker.notedSequence = end.sequence;
@@ -65,6 +65,7 @@
             continue;
         }
         listed.add(attempt);
+        attempt.confirmedClockMilliseconds ??= report.clockMilliseconds;
         adopted += before.has(attempt) ? 0 : 1;
     }
     for (const attempt of before) {
@@ -85,6 +86,6 @@
     worker.committedSequence = 0;
     worker.leaseUntilMilliseconds = 0;
     worker.clock = undefined;
-    worker.health.failuresInARow = 0;
+    noteSuccess(worker.health);
     worker.health.quarantinedUntilMilliseconds = 0;
 }
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -6,6 +6,7 @@
 import { isAborted, pause } from "../../core/time.js";
 import { loseAttempt } from "../board/attempts.js";
 import type { RunningAttempt } from "../model/worker.js";
+import { isSlow, listStill, noteFailedJob, noteSuccess, quarantine } from "../policy/health.js";
 import { choosePaces } from "../policy/pacing.js";
 import type { CellContext } from "./context.js";
 import { paceAttempt } from "./pacing.js";
@@ -68,6 +69,7 @@
             isLeased = false;
         }
         logOutcome(cell, worker, outcome, now);
+        reviewHealth(cell, worker, outcome.ended, now);
         adjustPaces(cell, worker, now);
         if (outcome.foreign.length > 0) {
             // Nobody knows how much room they take up.
@@ -93,6 +95,48 @@
         : settings.holdWaitMilliseconds;
 }
 
+/** Learns from how attempts ended, and takes tasks away from a worker on which they stand still. */
+function reviewHealth(
+    cell: CellContext,
+    worker: CellWorker,
+    ended: ReturnType<typeof takeReport>["ended"],
+    now: number,
+): void {
+    const { board, durations } = cell;
+    const { id } = worker.listed;
+    const quarantined = (reason: string, evidence: object): void =>
+        cell.log.write("worker-quarantined", {
+            worker: id,
+            reason,
+            ...evidence,
+            milliseconds: Math.round(worker.health.quarantinedUntilMilliseconds - now),
+        }, "vital");
+    for (const { attempt, end } of ended) {
+        if (end.end === "done") {
+            noteSuccess(worker.health);
+            if (attempt?.runningSinceMilliseconds !== undefined && attempt.percentAtStart === 0) {
+                durations.note(attempt, now - attempt.runningSinceMilliseconds);
+            }
+        }
+        const job = end.task.slice(0, end.task.indexOf("."));
+        if (end.end === "failed" && noteFailedJob(worker.health, job, now)) {
+            quarantined("failures", { jobs: [...worker.health.failedJobs] });
+        }
+    }
+    const load = board.occupancy.load(id);
+    const still = listStill(load, now);
+    if (still.length > 0) {
+        still.forEach(attempt => board.unwanted.add(attempt));
+        cell.wakeDispatch();
+        if (quarantine(worker.health, now)) {
+            quarantined("standstill", { attempts: still.length });
+        }
+    }
+    if (isSlow(load, durations, now) && quarantine(worker.health, now)) {
+        quarantined("slow", { attempts: load.attempts.length });
+    }
+}
+
 /** Learns from the latest figures, and lets fillers give way or come back. */
 function adjustPaces(cell: CellContext, worker: CellWorker, now: number): void {
     const { board, interference } = cell;
@@ -185,16 +229,7 @@
             isReborn,
         });
     }
-    for (const { attempt, end } of ended) {
-        const { health } = worker;
-        if (end.end === "done" && attempt?.runningSinceMilliseconds !== undefined) {
-            cell.durations.note(attempt, now - attempt.runningSinceMilliseconds);
-        }
-        health.failuresInARow = end.end === "failed"
-            ? health.failuresInARow + 1
-            : end.end === "done"
-            ? 0
-            : health.failuresInARow;
+    for (const { end } of ended) {
         cell.metrics.ends.inc({ end: end.end });
         cell.log.write("attempt-ended", {
             job: end.task.slice(0, end.task.indexOf(".")),
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -78,11 +78,9 @@
             // Nothing was done, and no earlier order may still be on its way.
             withdrawAttempt(board, attempt, now);
             worker.startsFromMilliseconds = now + TURNED_AWAY_WAIT_MILLISECONDS;
-            worker.health.unansweredInARow += 1;
             cell.wakeDispatch();
             return;
         }
-        worker.health.unansweredInARow += 1;
         if (tries >= START_TRIES) {
             // Stopping it shuts the order out, wherever it may still be.
             board.unwanted.add(attempt);
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -2,6 +2,8 @@
  * What the owner of a cell knows of a worker: its clock, its lease, and what of its ends has been taken note of.
  */
 import type { ListedWorker } from "../model/worker.js";
+import { createWorkerHealth } from "../policy/health.js";
+import type { WorkerHealth } from "../policy/health.js";
 
 /** Whether a worker answers. */
 export type WorkerContact = "unknown" | "answering" | "silent";
@@ -12,6 +14,10 @@
     listed: ListedWorker;
     /** Since when the list no longer has it; absent while it has. */
     unlistedSinceMilliseconds: number | undefined;
+    /** Since when it has said that it is going; absent while it stays. */
+    drainingSinceMilliseconds: number | undefined;
+    /** When it goes at the earliest, where it has said so. */
+    leavesAtMilliseconds: number | undefined;
     /** The ledger says that it may run attempts; nothing is started on it before. */
     isRecorded: boolean;
     contact: WorkerContact;
@@ -31,16 +37,6 @@
     readonly health: WorkerHealth;
 }
 
-/** Signs of a worker's health. */
-export interface WorkerHealth {
-    /** Failed attempts since the last that was done. */
-    failuresInARow: number;
-    /** No new tasks before this time. */
-    quarantinedUntilMilliseconds: number;
-    /** Orders that got no answer since the last that did. */
-    unansweredInARow: number;
-}
-
 /** How much slower than ours a worker's clock may go; from the platform's pages, 2 %. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
@@ -49,6 +45,8 @@
     return {
         listed,
         unlistedSinceMilliseconds: undefined,
+        drainingSinceMilliseconds: undefined,
+        leavesAtMilliseconds: undefined,
         isRecorded,
         contact: "unknown",
         incarnation: undefined,
@@ -58,10 +56,23 @@
         notedSequence: 0,
         committedSequence: 0,
         startsFromMilliseconds: 0,
-        health: { failuresInARow: 0, quarantinedUntilMilliseconds: 0, unansweredInARow: 0 },
+        health: createWorkerHealth(),
     };
 }
 
+/** Takes in a new entry of the platform's list. */
+export function takeListing(worker: CellWorker, listed: ListedWorker, now: number): void {
+    const { isDraining, leavesInMilliseconds } = listed;
+    if (
+        isDraining && leavesInMilliseconds !== undefined && leavesInMilliseconds !== worker.listed.leavesInMilliseconds
+    ) {
+        worker.leavesAtMilliseconds = now + leavesInMilliseconds;
+    }
+    worker.drainingSinceMilliseconds = isDraining ? worker.drainingSinceMilliseconds ?? now : undefined;
+    worker.listed = listed;
+    worker.unlistedSinceMilliseconds = undefined;
+}
+
 /** The worker's clock now, as far as it can be told. */
 export function estimateClock(worker: CellWorker, now: number): number | undefined {
     return worker.clock === undefined
--- a/src/jobs/front/owner-links.ts
+++ b/src/jobs/front/owner-links.ts
@@ -28,6 +28,8 @@
     readonly log: EventLog;
     /** The process of an owner has certainly ended. */
     onDeath(owner: OwnerRecord): void;
+    /** An owner has been unable to commit anything for so long. */
+    onTrouble(owner: OwnerRecord, milliseconds: number): void;
     /** A link has opened or closed. */
     onChange(): void;
 }
@@ -68,7 +70,10 @@
     };
 
     const open = async (cell: string, owner: OwnerRecord, onClose: () => void): Promise<boolean> => {
-        const opened = await openLink({ host: owner.host, port: owner.port }, onClose);
+        const opened = await openLink({ host: owner.host, port: owner.port }, {
+            onClose,
+            onTrouble: milliseconds => options.onTrouble(owner, milliseconds),
+        });
         if (opened.isErr) {
             const { message, refusal } = opened.error;
             log.write("owner-link-failed", { cell, instance: owner.instance, refusal, message }, "vital");
--- a/src/jobs/link/link.ts
+++ b/src/jobs/link/link.ts
@@ -28,8 +28,6 @@
 export interface Link {
     readonly peer: string;
     isOpen(): boolean;
-    /** Time since the peer last said something. */
-    silentMilliseconds(): number;
     /**
      * Calls a method of the peer. Codes besides the method's own: `unavailable` (nothing was sent), `timeout` and
      * `ambiguous` (it may have run), `internal` (the answer does not fit the schema).
@@ -50,17 +48,25 @@
     close(): Promise<void>;
 }
 
+/** What happens to an open link. */
+export interface LinkEvents {
+    onClose(): void;
+    /** The peer says that it has been unable to do its work for so long. */
+    onTrouble(milliseconds: number): void;
+}
+
 /** Why a link could not be opened. */
 export type LinkRefusal = "refused" | "silent" | "broken";
 
-/** Serves methods to peers that connect. */
+/** Serves methods to peers that connect; pings are answered with how long this instance has been in trouble. */
 export async function serveLinks(
     address: ListenAddress,
     handlers: readonly MethodHandler[],
+    troubleMilliseconds: () => number,
 ): Promise<LinkServer> {
     const server = new JSONRPCServer({ errorListener: () => undefined });
     handlers.forEach(handler => server.addMethod(handler.name, params => handler.handle(params)));
-    server.addMethod(PING_METHOD, () => null);
+    server.addMethod(PING_METHOD, troubleMilliseconds);
     const sockets = new Set<Socket>();
     const listener = createServer(socket => {
         sockets.add(socket);
@@ -95,7 +101,7 @@
 /** Opens a connection to a peer; the refusal tells whether anybody listens there. */
 export async function openLink(
     address: ListenAddress,
-    onClose: () => void,
+    events: LinkEvents,
 ): Promise<Result<Link, { refusal: LinkRefusal; message: string; }>> {
     const peer = `${address.host}:${address.port}`;
     const socket = connect({ host: address.host, port: address.port });
@@ -121,18 +127,23 @@
             socket.destroy();
             return;
         }
-        void client.request(PING_METHOD, undefined).then(() => undefined, () => undefined);
+        client.request(PING_METHOD, undefined).then((trouble: unknown) => {
+            if (typeof trouble === "number" && trouble > 0) {
+                events.onTrouble(trouble);
+            }
+        }, () => {
+            // The silence of the connection tells, not the single ping.
+        });
     }, PING_MILLISECONDS);
     socket.on("error", () => undefined).on("close", () => {
         isOpen = false;
         clearInterval(pings);
         client.rejectAllPendingRequests("the connection ended");
-        onClose();
+        events.onClose();
     });
     return Result.ok({
         peer,
         isOpen: () => isOpen,
-        silentMilliseconds: () => performance.now() - heardAt,
         close: () => socket.destroy(),
         async call(method, params, timeoutMilliseconds) {
             if (!isOpen) {
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -42,11 +42,16 @@
     owned(cell: string): Cell | undefined;
     /** The process of an owner has certainly ended, whatever its record says. */
     noteDeath(owner: OwnerRecord): void;
+    /** An owner has been unable to commit for so long; others may be able to. */
+    noteTrouble(owner: OwnerRecord, milliseconds: number, now: number): void;
     /** Gives all cells up, within the limit, and claims no more. */
     handOver(limitMilliseconds: number): Promise<void>;
     run(signal: AbortSignal): Promise<void>;
 }
 
+/** An owner's word that it cannot commit holds for this long; it is repeated with each ping. */
+const TROUBLE_MEMORY_MILLISECONDS = 800;
+
 /** Time without claims after a cell was given up for want of connections. */
 const ISOLATION_REST_MILLISECONDS = 3_000;
 
@@ -60,18 +65,25 @@
     const seenEpochs = new Map<string, number>();
     const lastOwners = new Map<string, OwnerRecord>();
     const dead = new Set<string>();
+    /** Owners that cannot commit, and when they last said so. */
+    const troubled = new Map<string, number>();
+    const news = createWake();
     const leaving = new AbortController();
     let restsUntil = 0;
     let isolatedSince: number | undefined;
 
     /** Whether a cell has no owner; `certain` where none can come back. */
-    const findVacancy = (cell: string): "none" | "likely" | "certain" => {
+    const findVacancy = (cell: string, now: number): "none" | "likely" | "certain" => {
         const owner = directory.owner(cell);
         if (owner === undefined) {
             return lastOwners.has(cell) ? "likely" : "certain";
         }
         lastOwners.set(cell, owner);
         const isFormerLife = owner.instance === self.instance && owner.incarnation !== self.incarnation;
+        if (now - (troubled.get(owner.incarnation) ?? 0) < TROUBLE_MEMORY_MILLISECONDS) {
+            // Whoever can claim the cell can commit as well.
+            return "certain";
+        }
         return owner.isReleased || isFormerLife || dead.has(owner.incarnation) ? "certain" : "none";
     };
 
@@ -220,7 +232,7 @@
                 }
                 continue;
             }
-            const vacancy = findVacancy(name);
+            const vacancy = findVacancy(name, now);
             const mayClaim = !running.has(name) && !leaving.signal.aborted && options.isPrepared() && now >= restsUntil;
             if (vacancy === "none" || !mayClaim) {
                 vacantSince.delete(name);
@@ -247,6 +259,12 @@
                 log.write("owner-dead", { cell: owner.cell, instance: owner.instance, epoch: owner.epoch }, "vital");
             }
         },
+        noteTrouble(owner, milliseconds, now) {
+            if (milliseconds >= settings.troubleMilliseconds) {
+                troubled.set(owner.incarnation, now);
+                news.wake();
+            }
+        },
         async handOver(limitMilliseconds) {
             leaving.abort();
             await Promise.race([
@@ -255,7 +273,6 @@
             ]);
         },
         async run(signal) {
-            const news = createWake();
             directory.onChange(() => news.wake());
             let announcedAt = clock();
             const membership = keepLease({
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -48,6 +48,8 @@
     candidateStepMilliseconds: Milliseconds.default(350),
     /** Time between two looks at who owns what. */
     lookMilliseconds: Milliseconds.default(200),
+    /** An owner that could not commit for this long is replaced by an instance that can. */
+    troubleMilliseconds: Milliseconds.default(700),
     /** An owner to which less than half of the members are connected for this long gives its cell up. */
     isolationMilliseconds: Milliseconds.default(1_500),
 });
--- a/src/jobs/wiring.ts
+++ b/src/jobs/wiring.ts
@@ -67,7 +67,7 @@
     const server = await serveLinks(settings.links, [
         implement(helloMethod, async () => Result.ok({ instance: settings.instance, incarnation })),
         ...implementCalls(findCell),
-    ]);
+    ], () => Math.max(0, ...CELLS.map(name => findCell(name)?.failingMilliseconds(clock()) ?? 0)));
     const directory = createDirectory(store, clock, log, options.logger);
     const ownership = createOwnership({
         self: {
@@ -102,6 +102,7 @@
         incarnation,
         log,
         onDeath: owner => ownership.noteDeath(owner),
+        onTrouble: (owner, milliseconds) => ownership.noteTrouble(owner, milliseconds, clock()),
         onChange: () => front.noteChange(),
     });
     const front = createFront({ cell: CELLS[0] ?? "main", links, clock, owned: findCell });
