--- a/src/core/metrics.ts
+++ b/src/core/metrics.ts
@@ -3,11 +3,23 @@
  */
 import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
 
+/** What is told of the process itself. */
+export type ProcessDetail =
+    /** Everything that prom-client knows of, event loop and garbage collection among it. */
+    | "all"
+    /** Processor time and memory, read when they are asked for: watching the garbage collector takes 2 % of a busy process. */
+    | "usage";
+
 /** Creates the metrics of one process. */
-export function createMetrics(labels: Record<string, string>): Metrics {
+export function createMetrics(labels: Record<string, string>, detail: ProcessDetail = "all"): Metrics {
     const registry = new Registry();
     registry.setDefaultLabels(labels);
-    collectDefaultMetrics({ register: registry });
+    if (detail === "all") {
+        collectDefaultMetrics({ register: registry });
+    }
+    else {
+        addUsage(registry);
+    }
     return {
         registry,
         counter: (name, help, labelNames = []) => new Counter({ name, help, labelNames, registers: [registry] }),
@@ -30,3 +42,25 @@
         labelNames?: Label[],
     ): Histogram<Label>;
 }
+
+function addUsage(registry: Registry): void {
+    new Gauge({
+        name: "process_cpu_seconds",
+        help: "Processor time of the process since its start",
+        registers: [registry],
+        collect() {
+            const { system, user } = process.cpuUsage();
+            this.set((system + user) / MICROSECONDS_PER_SECOND);
+        },
+    });
+    new Gauge({
+        name: "process_resident_memory_bytes",
+        help: "Resident memory of the process",
+        registers: [registry],
+        collect() {
+            this.set(process.memoryUsage.rss());
+        },
+    });
+}
+
+const MICROSECONDS_PER_SECOND = 1_000_000;
--- a/src/jobs/board/attempts.ts
+++ b/src/jobs/board/attempts.ts
@@ -48,12 +48,11 @@
 
 /** The worker lists an attempt as running. An attempt that nobody knew of is booked, and unwanted where its task is over. */
 export function noteRunning(board: Board, worker: string, running: RunningAttempt, now: number): Attempt | undefined {
-    const task = findOrOpenTask(board, running.task, now);
-    if (task === undefined) {
+    const attempt = findBooked(board, worker, running) ?? adoptRunning(board, worker, running, now);
+    if (attempt === undefined) {
         return undefined;
     }
-    const attempt = findAttempt(task, worker, running.attempt)
-        ?? orderAttempt(board, task, worker, running.attempt, now);
+    const { task } = attempt;
     noteWork(board, attempt, now);
     if (attempt.percentAtStart < 0) {
         attempt.percentAtStart = attempt.checkpoint === "" ? 0 : running.percent;
@@ -131,6 +130,18 @@
     beginJob(board, attempt.task.entry);
 }
 
+/** Nearly all that a worker lists is booked there already; this saves reading the task's name. */
+function findBooked(board: Board, worker: string, running: RunningAttempt): Attempt | undefined {
+    return board.occupancy.load(worker).attempts.find(({ number, task }) =>
+        number === running.attempt && task.key === running.task
+    );
+}
+
+function adoptRunning(board: Board, worker: string, running: RunningAttempt, now: number): Attempt | undefined {
+    const task = findOrOpenTask(board, running.task, now);
+    return task === undefined ? undefined : orderAttempt(board, task, worker, running.attempt, now);
+}
+
 function findAttempt(task: Task, worker: string, number: number): Attempt | undefined {
     return task.attempts.find(attempt => attempt.number === number && attempt.worker === worker);
 }
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -24,6 +24,9 @@
 /** The workers' figures cover the last half second. */
 const MIXED_WAIT_MILLISECONDS = 400;
 
+/** Longest wait for ends to be committed before a worker is asked for the next ones; a commit takes a third of it. */
+const LONGEST_GAP_MILLISECONDS = 100;
+
 /** Time without starts after a report that listed foreign runs; the next report comes before it ends. */
 const FOREIGN_ROOM_WAIT_MILLISECONDS = 1_500;
 
@@ -82,7 +85,13 @@
         }
         cell.wakeDispatch();
         if (isLeased) {
-            await pause(settings.holdGapMilliseconds, signal);
+            // Ends that have not been acknowledged are told again at once, so the next report is not asked for before.
+            await Promise.race([
+                worker.committedSequence < worker.notedSequence
+                    ? cell.commits.settled()
+                    : pause(settings.holdGapMilliseconds),
+                pause(LONGEST_GAP_MILLISECONDS),
+            ]);
         }
     }
 }
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -19,8 +19,8 @@
     orderRetryMilliseconds: Milliseconds.default(100),
     /** Wait between commits that somebody waits for; bounds writes to the store at 50 a second. */
     urgentCommitMilliseconds: Milliseconds.default(15),
-    /** Wait between commits that nobody waits for. */
-    lazyCommitMilliseconds: Milliseconds.default(200),
+    /** Wait between commits that no caller waits for; a worker tells nothing new before its ends are committed. */
+    lazyCommitMilliseconds: Milliseconds.default(60),
     /** Wait after a commit that the store did not take. */
     commitRetryMilliseconds: Milliseconds.default(100),
     /** How long an owner goes on giving orders although the store does not confirm that the cell is its own. */
