--- a/bench/experiments/capacity.ts
+++ b/bench/experiments/capacity.ts
@@ -3,7 +3,7 @@
  */
 import { readFile, writeFile } from "node:fs/promises";
 import { loadavg } from "node:os";
-import { z } from "zod";
+import * as z from "zod";
 import { estimateAll } from "../support/capacity/estimate.js";
 import type { Size } from "../support/capacity/load.js";
 import { measurePoint } from "../support/capacity/measure.js";
--- a/bench/request/settings.ts
+++ b/bench/request/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the processes that benches of the request path run.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { RequestSettings } from "../../src/gateway/settings.js";
 
 /** Upstreams with a scheduler that routes to them and leases their connections. */
--- a/bench/support/capacity/measure.ts
+++ b/bench/support/capacity/measure.ts
@@ -2,7 +2,7 @@
  * One point of the capacity measurements: a deployment of real processes at one size, watched for some seconds.
  */
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { systemClock } from "../../../src/core/time.js";
 import { startDeployment } from "../../../stand-ins/deployment.js";
 import type { Deployment } from "../../../stand-ins/deployment.js";
--- a/bench/support/faults/without.ts
+++ b/bench/support/faults/without.ts
@@ -1,7 +1,7 @@
 /**
  * Runs with one mechanism switched off, to show that the checker finds what the mechanism prevents.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { PlannedFault } from "./plan.js";
 
 /** Names of the mechanisms that can be switched off. */
--- a/features/membership/node.ts
+++ b/features/membership/node.ts
@@ -10,7 +10,7 @@
 import type { RequestHandler } from "express";
 import { parseArgs } from "node:util";
 import type { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createConfigurationFeed } from "../../src/configuration/feed.js";
 import { ConfigurationSettings } from "../../src/configuration/settings.js";
 import { fail, formatFailure } from "../../src/core/errors.js";
--- a/features/rules/fuzz.steps.ts
+++ b/features/rules/fuzz.steps.ts
@@ -4,7 +4,7 @@
 import { Then } from "@cucumber/cucumber";
 import fastCheck from "fast-check";
 import assert from "node:assert/strict";
-import { z } from "zod";
+import * as z from "zod";
 import { Failure } from "../../src/core/errors.js";
 import { probePeer } from "../../src/membership/messages.js";
 import { applyRules, planRules, readSpread, showRules } from "../../src/operator/messages.js";
--- a/src/binaries/reference.ts
+++ b/src/binaries/reference.ts
@@ -6,7 +6,7 @@
  */
 import { readFile, writeFile } from "node:fs/promises";
 import { parseArgs } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 import { ClientSettings } from "../client/settings.js";
 import { GatewaySettings } from "../settings/gateway.js";
 import { SchedulerSettings } from "../settings/scheduler.js";
--- a/src/client/settings.ts
+++ b/src/client/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the operators' client.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Origin } from "../core/messages/identity.js";
 
 const DEFAULT_TIMEOUT_MILLISECONDS = 20_000;
--- a/src/configuration/messages.ts
+++ b/src/configuration/messages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages by which peers exchange rules.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name, Origin } from "../core/messages/identity.js";
 import { defineMethod } from "../core/method.js";
 import { RevisedRecord } from "./record.js";
--- a/src/configuration/record.ts
+++ b/src/configuration/record.ts
@@ -2,7 +2,7 @@
  * Records of rules in the store, and the form in which they travel between peers.
  */
 import { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createFailure, formatFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
 import { Name } from "../core/messages/identity.js";
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the distribution of rules.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const ConfigurationSettings = z.strictObject({
     /** Daemons that watch the store; the others hear from peers. */
--- a/src/core/certificates.ts
+++ b/src/core/certificates.ts
@@ -6,7 +6,7 @@
 import type { Server as TlsServer } from "node:https";
 import { createSecureContext } from "node:tls";
 import { buildConnector } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { describeThrown } from "./errors.js";
 import type { Logger } from "./log.js";
 import { pause } from "./time.js";
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -2,7 +2,7 @@
  * Failures as data: what went wrong, at which step, with which peer, and where in the input.
  */
 import { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 
 /** The kinds of failure that callers of a function may need to tell apart. */
 export const FailureCode = z.enum([
--- a/src/core/http.ts
+++ b/src/core/http.ts
@@ -6,7 +6,7 @@
 import { createServer } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { followCertificate } from "./certificates.js";
 import type { CertificateKeeper } from "./certificates.js";
 
--- a/src/core/issue.ts
+++ b/src/core/issue.ts
@@ -1,7 +1,7 @@
 /**
  * What a schema objects to in a value, as failures that name the place and what is allowed there.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { createFailure } from "./errors.js";
 import type { Failure } from "./errors.js";
 
--- a/src/core/messages/credits.ts
+++ b/src/core/messages/credits.ts
@@ -1,7 +1,7 @@
 /**
  * Connection credits: a gateway opens a connection to a worker only under a credit leased by the cell's owner.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { defineMethod } from "../method.js";
 import { Name } from "./identity.js";
 
--- a/src/core/messages/identity.ts
+++ b/src/core/messages/identity.ts
@@ -1,7 +1,7 @@
 /**
  * Names and addresses of the system's own processes and of the platform's workers.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Name of an instance, data centre, rule, team or feature: lower-case words joined by hyphens. */
 export const Name = z.string().regex(/^[a-z0-9]+(?:[-.][a-z0-9]+)*$/, "use lower-case letters, digits and hyphens").max(
--- a/src/core/messages/operator.ts
+++ b/src/core/messages/operator.ts
@@ -1,7 +1,7 @@
 /**
  * What operators ask of schedulers, through any gateway: tasks, workers, cancellations and reasons.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { defineMethod } from "../method.js";
 import { Name, Origin } from "./identity.js";
 
--- a/src/core/messages/routes.ts
+++ b/src/core/messages/routes.ts
@@ -1,7 +1,7 @@
 /**
  * Routes: which replicas of a service run where. Gateways read them from the owners of cells.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { defineMethod } from "../method.js";
 import { Name, Origin } from "./identity.js";
 
--- a/src/core/rpc.ts
+++ b/src/core/rpc.ts
@@ -8,7 +8,7 @@
 import { Result } from "true-myth/result";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { createFailure, describeThrown, Failure } from "./errors.js";
 import { RPC_FAILURE_CODE } from "./method.js";
 import type { Method, MethodHandler } from "./method.js";
--- a/src/gateway/exclusive/partition.ts
+++ b/src/gateway/exclusive/partition.ts
@@ -1,7 +1,7 @@
 /**
  * Partitions of the key space of exclusive requests, as kept in the store.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name, Origin } from "../../core/messages/identity.js";
 import { defineMethod } from "../../core/method.js";
 import { hashText } from "../../core/random.js";
--- a/src/gateway/exclusive/settings.ts
+++ b/src/gateway/exclusive/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of exclusive requests.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Limits and intervals; all times in milliseconds. */
 export const ExclusiveSettings = z.strictObject({
--- a/src/gateway/idempotency/record.ts
+++ b/src/gateway/idempotency/record.ts
@@ -2,7 +2,7 @@
  * Records of requests with an idempotency key, as kept in the store.
  */
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 import type { GuardedRequest } from "../guard.js";
 
 /** Keys of the store under which the records are kept. */
--- a/src/gateway/idempotency/settings.ts
+++ b/src/gateway/idempotency/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of requests with an idempotency key.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Limits and intervals. */
 export const IdempotencySettings = z.strictObject({
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the request path.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_LONGEST_DEADLINE_MILLISECONDS = 60_000;
 const DEFAULT_BODY_LIMIT_BYTES = 1_048_576;
--- a/src/gateway/upstream/leaving.ts
+++ b/src/gateway/upstream/leaving.ts
@@ -3,7 +3,7 @@
  * calls the replica need not be refused first.
  */
 import { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { formatFailure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
 import { defineMethod, implement } from "../../core/method.js";
--- a/src/jobs/ledger/journal.ts
+++ b/src/jobs/ledger/journal.ts
@@ -5,7 +5,7 @@
  * whatever a former owner believes, its next commit fails.
  */
 import { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import type { Failure } from "../../core/errors.js";
 import { createFailure } from "../../core/errors.js";
 import { parseJson } from "../../core/parse.js";
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -1,7 +1,7 @@
 /**
  * Changes of a cell's jobs as they are written to the store; a snapshot has the same shape.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { JobState, Submission } from "../model/job.js";
 
 const Accepted = z.object({
--- a/src/jobs/model/job.ts
+++ b/src/jobs/model/job.ts
@@ -1,7 +1,7 @@
 /**
  * Jobs as callers submit them: steps of tasks, in an order, once or at set times.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Size } from "./size.js";
 
 /** Most tasks that one step may have; a job of more is refused as invalid. */
--- a/src/jobs/model/requests.ts
+++ b/src/jobs/model/requests.ts
@@ -1,7 +1,7 @@
 /**
  * What callers ask for, and what they are answered; also spoken between instances.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { defineMethod } from "../../core/method.js";
 import { JobState, Submission } from "./job.js";
 
--- a/src/jobs/model/size.ts
+++ b/src/jobs/model/size.ts
@@ -1,7 +1,7 @@
 /**
  * What a task takes of a worker, and what a worker has.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Amounts of a worker's resources. */
 export const Size = z.object({
--- a/src/jobs/ownership/directory.ts
+++ b/src/jobs/ownership/directory.ts
@@ -56,7 +56,9 @@
         log.write(isOwner ? "owner-seen" : "member-seen", {
             key,
             revision: entry.modRevision,
-            ...(decoded.isErr ? { failure: formatFailure(decoded.error) } : owners.get(key)),
+            ...(decoded.isErr
+                ? { failure: formatFailure(decoded.error) }
+                : { record: owners.get(key) ?? members.get(key) }),
         }, "vital");
     };
     return {
--- a/src/jobs/ownership/records.ts
+++ b/src/jobs/ownership/records.ts
@@ -1,7 +1,7 @@
 /**
  * Records by which instances find each other and the owners of cells.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Everything below is followed by all instances, so it holds only what changes rarely. */
 export const DIRECTORY_PREFIX = "/flamingowell/directory/";
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the jobs daemon, with their defaults.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const Milliseconds = z.number().min(0);
 
--- a/src/membership/member.ts
+++ b/src/membership/member.ts
@@ -1,7 +1,7 @@
 /**
  * Members: the system's own processes as their peers see them.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name, Origin, Role } from "../core/messages/identity.js";
 
 /** One process. Its name is `INSTANCE/ROLE`. */
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -1,7 +1,7 @@
 /**
  * Messages of the membership.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Origin } from "../core/messages/identity.js";
 import { defineMethod } from "../core/method.js";
 import { Member } from "./member.js";
--- a/src/membership/settings.ts
+++ b/src/membership/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the membership.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const MembershipSettings = z.strictObject({
     /** Interval at which the instance list is read. */
--- a/src/operator/messages.ts
+++ b/src/operator/messages.ts
@@ -1,7 +1,7 @@
 /**
  * Methods of the operators' port.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Failure } from "../core/errors.js";
 import { Name } from "../core/messages/identity.js";
 import {
--- a/src/operator/settings.ts
+++ b/src/operator/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the operators' surface.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 export const OperatorSettings = z.strictObject({
     /** Time limit of a call to one scheduler or gateway. */
--- a/src/platform/adapters/calls.ts
+++ b/src/platform/adapters/calls.ts
@@ -4,7 +4,7 @@
 import { Result } from "true-myth/result";
 import { request } from "undici";
 import type { Dispatcher } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { createFailure, describeThrown, Failure } from "../../core/errors.js";
 import { parse } from "../../core/parse.js";
 import { createTimeout } from "../../core/time.js";
--- a/src/platform/adapters/etcd.ts
+++ b/src/platform/adapters/etcd.ts
@@ -3,7 +3,7 @@
  *
  * Source: https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Paths of the methods in use. */
 export const etcdPaths = {
--- a/src/platform/adapters/instances.ts
+++ b/src/platform/adapters/instances.ts
@@ -4,7 +4,7 @@
  */
 import { Result } from "true-myth/result";
 import { Agent } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { PlatformInstance } from "../instances.js";
 import type { InstanceList } from "../instances.js";
 import { callJsonIfChanged } from "./calls.js";
--- a/src/platform/adapters/renewal.ts
+++ b/src/platform/adapters/renewal.ts
@@ -6,7 +6,7 @@
  * worker has told so far. A renewal that names the version of the last answer renews the same set without listing it; one
  * that names any other version is refused as a whole (`conflict`) and renews nothing.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Attempt, AttemptStatus, AttemptUsage, GatewayConnections, OrderHeader } from "../worker.js";
 
 /** Change of progress (0 to 1) below which a worker does not tell of a running attempt again. */
--- a/src/platform/adapters/worker.ts
+++ b/src/platform/adapters/worker.ts
@@ -2,7 +2,7 @@
  * Worker adapter: orders are JSON posts to the worker's control origin.
  */
 import { Agent } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { AttemptStatus, StartAnswer } from "../worker.js";
 import type { WorkerControl } from "../worker.js";
 import { callJson } from "./calls.js";
--- a/src/platform/commit.ts
+++ b/src/platform/commit.ts
@@ -6,7 +6,7 @@
  */
 import { randomUUID } from "node:crypto";
 import { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import { createFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
 import { parse, parseJson } from "../core/parse.js";
--- a/src/platform/instances.ts
+++ b/src/platform/instances.ts
@@ -2,7 +2,7 @@
  * Port of the platform's instance list: live and leaving instances, lagging behind what is true.
  */
 import type { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import type { Failure } from "../core/errors.js";
 import { Name, Origin } from "../core/messages/identity.js";
 
--- a/src/platform/worker.ts
+++ b/src/platform/worker.ts
@@ -5,7 +5,7 @@
  * the cell (`fenced`), and repeats its answer to an order that it has carried out before.
  */
 import type { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import type { Failure } from "../core/errors.js";
 import { Name } from "../core/messages/identity.js";
 import { Resources } from "../rules/rule.js";
--- a/src/policy/settings.ts
+++ b/src/policy/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the policy.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const MINUTE_MILLISECONDS = 60_000;
 const HOUR_MILLISECONDS = 3_600_000;
--- a/src/rules/diff.ts
+++ b/src/rules/diff.ts
@@ -1,7 +1,7 @@
 /**
  * Differences between two versions of a team's rules.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { printRule } from "./print.js";
 import type { Rule } from "./rule.js";
 
--- a/src/rules/option.ts
+++ b/src/rules/option.ts
@@ -2,7 +2,7 @@
  * Options of rules: which kinds take them and how their values are read.
  */
 import { CronExpressionParser } from "cron-parser";
-import { z } from "zod";
+import * as z from "zod";
 import { Name } from "../core/messages/identity.js";
 import type { Rule } from "./rule.js";
 import { readDuration, readExclusiveKey, readSize, readUntil } from "./words.js";
--- a/src/rules/rule.ts
+++ b/src/rules/rule.ts
@@ -1,7 +1,7 @@
 /**
  * Rules as data: what operators have asked for, who asked, and when it ends.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name } from "../core/messages/identity.js";
 
 /** When a rule ends. At least one of the three is given, the first to come true ends it. */
--- a/src/scheduler/jobs/assignment.ts
+++ b/src/scheduler/jobs/assignment.ts
@@ -4,7 +4,7 @@
  * Homes of tasks follow from the assignment, not from the cells of the moment, so that a cell which appears or vanishes
  * while a task runs cannot make another cell admit the same task.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name } from "../../core/messages/identity.js";
 import type { CellMap } from "../cells.js";
 
--- a/src/scheduler/jobs/shares.ts
+++ b/src/scheduler/jobs/shares.ts
@@ -4,7 +4,7 @@
  * Shares are counted in units of which all cells of a team together have at most `QUOTA_UNITS`. A cell that is short
  * raises its share from what is free and notes what it wants besides; a cell that can do with less lowers its own share.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name } from "../../core/messages/identity.js";
 
 /** Units that make up a whole quota. */
--- a/src/scheduler/jobs/transfer.ts
+++ b/src/scheduler/jobs/transfer.ts
@@ -5,7 +5,7 @@
  * taking cell ends it. A task without a record is where its assignment says; with one it is in the ledger of the cell
  * named in `to`, or about to be taken in there.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { Logger } from "../../core/log.js";
 import { Name } from "../../core/messages/identity.js";
 import { parseJson } from "../../core/parse.js";
--- a/src/scheduler/ledger/head.ts
+++ b/src/scheduler/ledger/head.ts
@@ -1,7 +1,7 @@
 /**
  * What the store keeps of a cell: keys and the records that a claim and a commit replace.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name, Origin } from "../../core/messages/identity.js";
 import { Admission, Drain, Task, TaskSpec } from "./task.js";
 
--- a/src/scheduler/ledger/task.ts
+++ b/src/scheduler/ledger/task.ts
@@ -1,7 +1,7 @@
 /**
  * Records of a cell's ledger: tasks, what they need, and how far each rule's runs have been admitted.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name } from "../../core/messages/identity.js";
 import { TaskState } from "../../core/messages/operator.js";
 import { Resources } from "../../rules/rule.js";
--- a/src/scheduler/queries/export.ts
+++ b/src/scheduler/queries/export.ts
@@ -2,7 +2,7 @@
  * Exports the ledgers of all cells from the store into one document.
  */
 import { Result } from "true-myth/result";
-import { z } from "zod";
+import * as z from "zod";
 import type { Failure } from "../../core/errors.js";
 import { decodeRecord } from "../../platform/commit.js";
 import type { StoredRecord } from "../../platform/commit.js";
--- a/src/scheduler/queries/verify.ts
+++ b/src/scheduler/queries/verify.ts
@@ -1,7 +1,7 @@
 /**
  * Verifies the invariants of exported ledgers.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { WorkerInstance } from "../../platform/instances.js";
 import type { Configuration } from "../../rules/rule.js";
 import { ENDED_STATES, HOLDING_STATES } from "../ledger/task.js";
--- a/src/scheduler/settings.ts
+++ b/src/scheduler/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the scheduler's cells.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const DEFAULT_RACKS_PER_CELL = 16;
 const DEFAULT_COMMIT_INTERVAL_MILLISECONDS = 200;
--- a/src/settings/common.ts
+++ b/src/settings/common.ts
@@ -1,7 +1,7 @@
 /**
  * Settings that both daemons share.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { ConfigurationSettings } from "../configuration/settings.js";
 import { PeerTlsSettings } from "../core/certificates.js";
 import { ListenAddress } from "../core/http.js";
--- a/src/settings/gateway.ts
+++ b/src/settings/gateway.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the gateway.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { ListenAddress } from "../core/http.js";
 import { ExclusiveSettings } from "../gateway/exclusive/settings.js";
 import { IdempotencySettings } from "../gateway/idempotency/settings.js";
--- a/src/settings/scheduler.ts
+++ b/src/settings/scheduler.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of the scheduler.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { PolicySettings } from "../policy/settings.js";
 import { CellSettings } from "../scheduler/settings.js";
 import { commonSettings } from "./common.js";
--- a/stand-ins/instances/server.ts
+++ b/stand-ins/instances/server.ts
@@ -2,7 +2,7 @@
  * The instance list stand-in: `GET /instances` with entity tags, and changes that show after a lag.
  */
 import express from "express";
-import { z } from "zod";
+import * as z from "zod";
 import { listen, ListenAddress } from "../../src/core/http.js";
 import { systemClock } from "../../src/core/time.js";
 import { PlatformInstance } from "../../src/platform/instances.js";
--- a/stand-ins/platform.ts
+++ b/stand-ins/platform.ts
@@ -2,7 +2,7 @@
  * `flamingowell-platform --settings FILE`: store, instance list and workers for development, in one process.
  */
 import { parseArgs } from "node:util";
-import { z } from "zod";
+import * as z from "zod";
 import { describeThrown, formatFailure } from "../src/core/errors.js";
 import { Name } from "../src/core/messages/identity.js";
 import { loadSettings } from "../src/core/settings.js";
--- a/stand-ins/proxy/fleet.ts
+++ b/stand-ins/proxy/fleet.ts
@@ -2,7 +2,7 @@
  * Many named proxies with one control endpoint: `GET /stand-in/proxies`, `POST /stand-in/proxies/NAME`.
  */
 import express from "express";
-import { z } from "zod";
+import * as z from "zod";
 import { listen } from "../../src/core/http.js";
 import { hashText } from "../../src/core/random.js";
 import { readBody } from "../support/control.js";
--- a/stand-ins/proxy/rules.ts
+++ b/stand-ins/proxy/rules.ts
@@ -1,7 +1,7 @@
 /**
  * What a proxy does to the connections that pass through it.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Directions in which bytes disappear without a sign. */
 export const Silence = z.enum(["none", "both", "to-target", "to-client"]);
--- a/stand-ins/store/messages.ts
+++ b/stand-ins/store/messages.ts
@@ -1,7 +1,7 @@
 /**
  * Requests of the JSON gateway of the etcd v3 API, as far as the stand-in serves them.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { KeyChange, KeyRange, StoredKey } from "./keyspace.js";
 
 const NumberText = z.union([z.string(), z.number()]).transform(Number).pipe(z.number());
--- a/stand-ins/store/settings.ts
+++ b/stand-ins/store/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings and faults of the store stand-in.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { ListenAddress } from "../../src/core/http.js";
 
 /** Settings of the stand-in; every key has a default. */
--- a/stand-ins/worker/answer.ts
+++ b/stand-ins/worker/answer.ts
@@ -2,7 +2,7 @@
  * Answers of upstreams: whole and a caller's own, which the caller can verify.
  */
 import { createHash } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** What an answer says. `checksum` covers all other fields, in this order. */
 export const UpstreamAnswer = z.strictObject({
--- a/stand-ins/worker/record.ts
+++ b/stand-ins/worker/record.ts
@@ -2,7 +2,7 @@
  * What a worker writes down of what it ran: the checkers' source, one JSON line per record.
  */
 import { appendFileSync, closeSync, openSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 
 const common = {
     worker: z.string(),
--- a/stand-ins/worker/settings.ts
+++ b/stand-ins/worker/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings and faults of worker stand-ins.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { Name } from "../../src/core/messages/identity.js";
 
 /** How a rule's tasks really behave, as against what they declare. */
