--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -24,6 +24,7 @@
 import { createCrew } from "./crew.js";
 import { createDispatcher } from "./dispatch.js";
 import { createIntake } from "./intake.js";
+import { summarizeLoad } from "./load.js";
 import { createRecovery } from "./recovery.js";
 
 /** Time between two looks for jobs and workers that can be forgotten. */
@@ -167,7 +168,9 @@
 
     const tidy = async (): Promise<void> => {
         while (!ended.signal.aborted) {
-            forgetEndedJobs(board, clock() - settings.keepEndedMilliseconds);
+            const now = clock();
+            forgetEndedJobs(board, now - settings.keepEndedMilliseconds);
+            log.write("cell-load", { cell: name, epoch, ...summarizeLoad(context, now) }, "vital");
             await pause(TIDY_MILLISECONDS, ended.signal);
         }
     };
