--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -28,6 +28,9 @@
 /** Time between two looks at what runs where it should not stay. */
 const REVIEW_MILLISECONDS = 200;
 
+/** Starts whose answers are awaited; more of them would only wait in this process, behind what may become more urgent. */
+const STARTS_IN_FLIGHT = 40;
+
 /** One look serves all that has changed within this time; a short job has some hundred milliseconds of slack. */
 const GATHER_MILLISECONDS = 5;
 
@@ -43,6 +46,7 @@
     const stopping = new Set<Attempt>();
     const news = createWake();
     let reviewedAt = 0;
+    let startsInFlight = 0;
 
     const stopUnwanted = (): void => {
         for (const attempt of board.unwanted) {
@@ -83,7 +87,11 @@
                     waitedMilliseconds: Math.round(now - attempt.task.readyAtMilliseconds),
                     answerAgeMilliseconds: Math.round(now - worker.lastAnswerAtMilliseconds),
                 });
-                void startAttempt(cell, worker, attempt, undefined);
+                startsInFlight += 1;
+                void startAttempt(cell, worker, attempt, undefined).finally(() => {
+                    startsInFlight -= 1;
+                    news.wake();
+                });
             }
         }
         return true;
@@ -160,6 +168,9 @@
         const hopeless = new Set<StepProgress>();
         const terms = { queue: ({ entry }: Task) => queues.get(entry.queue), durations: cell.durations };
         for (const task of orderTasks(startable, terms, now)) {
+            if (startsInFlight >= STARTS_IN_FLIGHT) {
+                break;
+            }
             const step = progressOf(task);
             if (!board.ready.has(task) || hopeless.has(step)) {
                 continue;
