Room is kept for lasting tasks that wait; copies only by an owner whose commits work

Change: a lasting task that has waited 1.5 s goes before tasks that end, and the largest room is kept for it, on three workers at most; copies are started only within 0.7 s of a commit that worked.

--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -47,6 +47,8 @@
     attach(write: WriteOperation): void;
     /** When the store last confirmed that the cell is this owner's: the time before that commit was sent. */
     confirmedAtMilliseconds(): number;
+    /** When the last commit was sent that the store took: nobody else had claimed the cell before. */
+    committedAtMilliseconds(): number;
     /** Since when commits have failed, or the present one has waited for its outcome; absent while all is well. */
     failingSinceMilliseconds(now: number): number | undefined;
     /** Notes a confirmation by other means. */
@@ -78,6 +80,7 @@
     let isReleasing = false;
     const news = createWake();
     let confirmedAt = clock();
+    let committedAt = confirmedAt;
     let failingSince: number | undefined;
     let startedAt = 0;
     let isCommitting = false;
@@ -149,6 +152,7 @@
             failingSince = undefined;
         }
         confirmedAt = Math.max(confirmedAt, startedAt);
+        committedAt = startedAt;
         metrics.commitSeconds.observe((now - startedAt) / 1_000);
         options.onCommitted(changes, now);
         if (rest.length > 0) {
@@ -195,6 +199,7 @@
             news.wake();
         },
         confirmedAtMilliseconds: () => confirmedAt,
+        committedAtMilliseconds: () => committedAt,
         failingSinceMilliseconds: now =>
             failingSince ?? (isCommitting && now - startedAt > SLOW_COMMIT_MILLISECONDS ? startedAt : undefined),
         noteConfirmation(at) {
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -13,8 +13,8 @@
 import type { Attempt, Task } from "../board/task.js";
 import { needsCopy } from "../policy/copies.js";
 import { chooseLeavers } from "../policy/evacuation.js";
-import { orderTasks } from "../policy/order.js";
-import { choosePlace } from "../policy/placement.js";
+import { isOverdue, orderTasks } from "../policy/order.js";
+import { choosePlace, reserveRoom } from "../policy/placement.js";
 import type { Candidate } from "../policy/placement.js";
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
@@ -31,6 +31,15 @@
 /** Starts whose answers are awaited; more of them would only wait in this process, behind what may become more urgent. */
 const STARTS_IN_FLIGHT = 40;
 
+/**
+ * A copy is started only by an owner whose last commit is no older: a successor may know that the task is done. The
+ * platform's pages allow a copy for a second after that.
+ */
+const COPY_CONFIRMATION_MILLISECONDS = 700;
+
+/** Workers whose room is kept at the same time for lasting tasks; the others stay open to short ones. */
+const MOST_RESERVATIONS = 3;
+
 /** One look serves all that has changed within this time; a short job has some hundred milliseconds of slack. */
 const GATHER_MILLISECONDS = 5;
 
@@ -158,7 +167,9 @@
         if (now - reviewedAt >= REVIEW_MILLISECONDS) {
             reviewedAt = now;
             evacuate(candidates, now);
-            startCopies(candidates, now);
+            if (now - cell.commits.committedAtMilliseconds() < COPY_CONFIRMATION_MILLISECONDS) {
+                startCopies(candidates, now);
+            }
         }
         if (board.ready.size === 0) {
             return;
@@ -166,6 +177,7 @@
         const startable = [...board.ready].filter(task => recovery.mayStart(task));
         // Tasks of one step are alike: where one has found no place, the others need not look.
         const hopeless = new Set<StepProgress>();
+        let reservations = 0;
         const terms = { queue: ({ entry }: Task) => queues.get(entry.queue), durations: cell.durations };
         for (const task of orderTasks(startable, terms, now)) {
             if (startsInFlight >= STARTS_IN_FLIGHT) {
@@ -175,8 +187,13 @@
             if (!board.ready.has(task) || hopeless.has(step)) {
                 continue;
             }
-            if (!place(task, candidatesFor(task, candidates), now)) {
+            const suited = candidatesFor(task, candidates);
+            if (!place(task, suited, now)) {
                 hopeless.add(step);
+                if (isOverdue(task, now) && reservations < MOST_RESERVATIONS) {
+                    reservations += 1;
+                    reserveRoom(task, suited);
+                }
             }
         }
     };
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -20,6 +20,12 @@
 /** Jobs beyond this many times their objective are as late as can be. */
 const LATE_FACTOR = 3;
 
+/**
+ * A lasting task that has waited longer goes before tasks that end: those come all the time, and together leave no room that
+ * is large enough for it.
+ */
+export const LASTING_PATIENCE_MILLISECONDS = 1_500;
+
 /** Whether something of an occurrence can still be of use, from best to worst. */
 type Band = 0 | 1 | 2;
 
@@ -39,18 +45,27 @@
         known.set(task.occurrence, found);
         return { task, priority: queue?.priority ?? 0, ...found };
     });
-    return turns.sort(compare).map(({ task }) => task);
+    return turns.sort((left, right) => compare(left, right, now)).map(({ task }) => task);
 }
 
-function compare(left: Turn, right: Turn): number {
+/** Whether a task that lasts has waited for longer than it should. */
+export function isOverdue({ readyAtMilliseconds, step }: Task, now: number): boolean {
+    return step.isLasting && now - readyAtMilliseconds >= LASTING_PATIENCE_MILLISECONDS;
+}
+
+function compare(left: Turn, right: Turn, now: number): number {
     return left.priority - right.priority
-        || Number(left.task.step.isLasting) - Number(right.task.step.isLasting)
+        || rankKind(left.task, now) - rankKind(right.task, now)
         || left.band - right.band
         || left.dueAtMilliseconds - right.dueAtMilliseconds
         || left.task.stepIndex - right.task.stepIndex
         || left.task.index - right.task.index;
 }
 
+function rankKind(task: Task, now: number): number {
+    return isOverdue(task, now) ? 0 : task.step.isLasting ? 2 : 1;
+}
+
 /** When an occurrence is due, and whether it can still make it. */
 function judge(
     { dueAtMilliseconds: startedAt, steps }: Occurrence,
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -8,7 +8,8 @@
 import type { WorkerLoad } from "../board/occupancy.js";
 import { countedSize, isServing } from "../board/occupancy.js";
 import type { Task } from "../board/task.js";
-import { addSize, fitsInto } from "../model/size.js";
+import { addSize, fitsInto, NO_SIZE } from "../model/size.js";
+import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
 import type { Interference } from "./interference.js";
 import { isHarmless } from "./pacing.js";
@@ -17,6 +18,8 @@
 export interface Candidate {
     readonly worker: ListedWorker;
     readonly load: Readonly<WorkerLoad>;
+    /** Room that is kept for a task which has waited long for a worker with enough of it. */
+    reserved?: Size;
 }
 
 /** Share of the cores kept for serving tasks that they are taken to use, before anything has been measured. */
@@ -45,15 +48,41 @@
 }
 
 /** Whether the worker may run the task, and has room for it. */
-export function isEligible({ occurrence, step, stepIndex }: Task, { load, worker }: Candidate): boolean {
-    const { limitPerWorker, requiredLabel } = step;
+export function isEligible(task: Task, { load, reserved = NO_SIZE, worker }: Candidate): boolean {
+    const { step } = task;
+    const { requiredLabel } = step;
     if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel)) {
         return false;
     }
-    const room = addSize(worker.capacity, load.used, -1);
+    const room = addSize(addSize(worker.capacity, load.used, -1), reserved, -1);
     if (!fitsInto(countedSize(step), room)) {
         return false;
     }
+    return isWithinLimit(task, load);
+}
+
+/** Keeps the largest room that there is for a task that fits nowhere, so that it fits there soon. */
+export function reserveRoom(task: Task, candidates: Iterable<Candidate>): Candidate | undefined {
+    const { requiredLabel, size } = task.step;
+    let best: Candidate | undefined;
+    let bestRoom = -Infinity;
+    for (const candidate of candidates) {
+        const { load, reserved, worker } = candidate;
+        const room = worker.capacity.millicores - load.used.millicores;
+        const isSuited = reserved === undefined && fitsInto(size, worker.capacity) && isWithinLimit(task, load)
+            && (requiredLabel === undefined || worker.labels.includes(requiredLabel));
+        if (isSuited && room > bestRoom) {
+            best = candidate;
+            bestRoom = room;
+        }
+    }
+    if (best !== undefined) {
+        best.reserved = size;
+    }
+    return best;
+}
+
+function isWithinLimit({ occurrence, step: { limitPerWorker }, stepIndex }: Task, load: Readonly<WorkerLoad>): boolean {
     if (limitPerWorker > 0) {
         const there = load.attempts.filter(({ task }) =>
             task.occurrence === occurrence && task.stepIndex === stepIndex
