The users' platform in small, and the whole path over it with real processes

Change: stand-ins of the store, the workers and the callers' side with refused, silent, lost and late calls; 14 scenarios with real processes (order, double submission, cancel, capacity, kill of the owner and of all, lost answers, store away, late orders, attempts, history forgotten, graceful stop, reports only after commits).

--- /dev/null
+++ b/features/jobs/path.feature
@@ -0,0 +1,100 @@
+Feature: Submitted jobs on the users' platform, with real processes
+
+    Scenario: A job of two steps is accepted, runs in order, and is shown as completed
+        Given the users' platform with 3 workers and 3 processes
+        When a caller submits job "00000000000000a1" of 2 steps with 3 tasks of 100 ms each
+        Then the caller is told status 200
+        And job "00000000000000a1" is shown as "completed" by every process
+        And no task of step 1 began before all tasks of step 0 had ended
+        And each task of job "00000000000000a1" ran exactly once
+
+    Scenario: The same job handed in again, at another process, stays one job
+        Given the users' platform with 3 workers and 2 processes
+        When a caller submits job "00000000000000a2" of 1 steps with 2 tasks of 100 ms each
+        And the same job is handed in again at the other process
+        Then job "00000000000000a2" is shown as "completed" by every process
+        And each task of job "00000000000000a2" ran exactly once
+
+    Scenario: What nobody submitted is not shown, and what no queue takes is not found
+        Given the users' platform with 1 workers and 1 processes
+        Then a caller who asks for "/checks/00000000000000ff" is told 410
+        And a caller who asks for "/elsewhere/00000000000000ff" is told 404
+        And a caller who submits a job whose step comes after itself is told 400
+
+    Scenario: Workers are never given more than they hold
+        Given the users' platform with 2 workers and 2 processes
+        When a caller submits job "00000000000000a3" of 1 steps with 30 tasks of 60 ms each
+        Then job "00000000000000a3" is shown as "completed" by every process
+        And no worker ever held more than its cores
+
+    Scenario: A cancelled job starts nothing any more
+        Given the users' platform with 1 workers and 2 processes
+        When a caller submits job "00000000000000a4" of 1 steps with 20 tasks of 300 ms each
+        And the caller cancels job "00000000000000a4"
+        Then job "00000000000000a4" is shown as "cancelled" by every process
+        And nothing of job "00000000000000a4" runs or starts any more
+
+    Scenario: All processes are killed in the middle of a job, and it is completed after their return
+        Given the users' platform with 3 workers and 3 processes
+        When a caller submits job "00000000000000a5" of 2 steps with 6 tasks of 400 ms each
+        And all processes are killed and started again
+        Then job "00000000000000a5" is shown as "completed" by every process
+        And no task of job "00000000000000a5" ran again after its end was acknowledged
+        And no task of job "00000000000000a5" ran twice at the same time
+
+    Scenario: The owner is killed in the middle of a job, and another process goes on with it
+        Given the users' platform with 3 workers and 3 processes
+        When a caller submits job "00000000000000a6" of 2 steps with 6 tasks of 400 ms each
+        And the owner of the cell is killed
+        Then job "00000000000000a6" is shown as "completed" by the other processes
+        And no task of job "00000000000000a6" ran again after its end was acknowledged
+        And no task of job "00000000000000a6" ran twice at the same time
+
+    Scenario: Lost answers of the store do not lose an accepted job, nor run a refused one
+        Given the users' platform with 2 workers and 2 processes
+        And the store carries out every third write without an answer
+        When 10 jobs of 1 tasks of 50 ms are submitted
+        Then every job that was accepted is completed, and no job that was refused ever ran
+
+    Scenario: While the store is away a submission is refused soon, and taken once it is back
+        Given the users' platform with 2 workers and 2 processes
+        And the store refuses all calls
+        When a caller submits job "00000000000000a7" of 1 steps with 1 tasks of 50 ms each
+        Then the caller is told status 503, when to come back, and no later than 1500 ms
+        And no task of job "00000000000000a7" ever ran
+        When the store answers again
+        And a caller submits job "00000000000000a7" until it is accepted
+        Then job "00000000000000a7" is shown as "completed" by every process
+
+    Scenario: Orders that a worker carries out late run nothing twice
+        Given the users' platform with 2 workers and 1 processes
+        And the workers carry out every fourth start late and unanswered
+        When a caller submits job "00000000000000a8" of 1 steps with 12 tasks of 100 ms each
+        Then job "00000000000000a8" is shown as "completed" by every process
+        And no task of job "00000000000000a8" ran twice at the same time
+
+    Scenario: A job whose tasks always fail is failed after the queue's attempts
+        Given the users' platform with 3 workers and 1 processes
+        When a caller submits job "00000000000000a9" whose only task always fails
+        Then job "00000000000000a9" is shown as "failed" by every process
+        And the task of job "00000000000000a9" was started 3 times
+
+    Scenario: A worker's ends are asked for again only after they are committed
+        Given the users' platform with 1 workers and 1 processes
+        And the store takes 150 ms for a write
+        When a caller submits job "00000000000000aa" of 1 steps with 20 tasks of 200 ms each
+        Then job "00000000000000aa" is shown as "completed" by every process
+        And the worker's reports told of ends at most 16 times
+
+    Scenario: A new configuration is in force at every process, also after the store forgot its history
+        Given the users' platform with 1 workers and 2 processes
+        When the store forgets its history and a configuration without the queue follows
+        Then every process soon answers 404 for "/checks/00000000000000ff"
+
+    Scenario: A process that is told to stop answers what it has read, and ends by itself
+        Given the users' platform with 2 workers and 2 processes
+        When a caller submits job "00000000000000ab" of 1 steps with 4 tasks of 500 ms each
+        And the owner of the cell is told to stop
+        Then it ends by itself within the time for a stop
+        And job "00000000000000ab" is shown as "completed" by the other processes
+        And each task of job "00000000000000ab" ran exactly once
--- /dev/null
+++ b/stand-ins/users-platform/http.ts
@@ -0,0 +1,99 @@
+/**
+ * A small HTTP server for the stand-ins: JSON in, JSON out, with faults between the two.
+ */
+import { once } from "node:events";
+import { createServer } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A request as a stand-in sees it. */
+export interface StandInRequest {
+    readonly method: string;
+    readonly url: URL;
+    readonly headers: IncomingMessage["headers"];
+    readonly body: Record<string, unknown>;
+}
+
+/** What a stand-in answers. */
+export interface StandInAnswer {
+    readonly status: number;
+    readonly body?: object;
+}
+
+/** What happens to a request on its way. */
+export type RequestFault =
+    | "none"
+    /** Answered with 503 unread. */
+    | "refused"
+    /** Neither carried out nor answered. */
+    | "silent"
+    /** Carried out; the connection is reset in place of an answer. */
+    | "answer-lost"
+    /** Not answered, and carried out after `LATE_MILLISECONDS`. */
+    | "late";
+
+/** A stand-in that listens. */
+export interface StandInServer {
+    /** `HOST:PORT`. */
+    readonly address: string;
+    close(): Promise<void>;
+}
+
+/** Delay of an order that is carried out late. */
+const LATE_MILLISECONDS = 1_500;
+
+const HOST = "127.0.0.1";
+
+/** Starts a server on a free port of the loopback interface. */
+export async function serveJson(
+    answer: (request: StandInRequest) => Promise<StandInAnswer> | StandInAnswer,
+    chooseFault: (request: StandInRequest) => RequestFault,
+): Promise<StandInServer> {
+    const handle = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+        const request = await readRequest(incoming);
+        const fault = chooseFault(request);
+        if (fault === "refused") {
+            response.writeHead(503).end();
+            return;
+        }
+        if (fault === "silent") {
+            return;
+        }
+        if (fault === "late") {
+            setTimeout(() => void answer(request), LATE_MILLISECONDS);
+            return;
+        }
+        const { body, status } = await answer(request);
+        if (fault === "answer-lost") {
+            response.destroy();
+            return;
+        }
+        response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body ?? {}));
+    };
+    const server = createServer((incoming, response) => void handle(incoming, response));
+    server.listen(0, HOST);
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    return {
+        address: `${HOST}:${port}`,
+        close: async () => {
+            server.closeAllConnections();
+            server.close();
+            await once(server, "close");
+        },
+    };
+}
+
+async function readRequest(incoming: IncomingMessage): Promise<StandInRequest> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of incoming as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    const text = Buffer.concat(chunks).toString("utf8");
+    return {
+        method: incoming.method ?? "GET",
+        url: new URL(incoming.url ?? "/", `http://${HOST}`),
+        headers: incoming.headers,
+        body: text === "" ? {} : JSON.parse(text) as Record<string, unknown>,
+    };
+}
--- /dev/null
+++ b/stand-ins/users-platform/worker.ts
@@ -0,0 +1,191 @@
+/**
+ * Stand-in of a users' worker: runs tasks under a lease, and writes down what a judge has to know.
+ */
+import { serveJson } from "./http.js";
+import type { RequestFault, StandInAnswer, StandInRequest } from "./http.js";
+import type { UsersStore } from "./store.js";
+
+/** A run as the judge sees it. */
+export interface RunRecord {
+    readonly task: string;
+    readonly attempt: number;
+    readonly worker: string;
+    readonly startedAt: number;
+    endedAt: number | undefined;
+    how: string | undefined;
+    /** The owner has been told to forget the end. */
+    isAcknowledged: boolean;
+}
+
+interface Run extends RunRecord {
+    readonly millicores: number;
+    readonly timer: NodeJS.Timeout;
+}
+
+/** What a task of the tests does; it stands in the job's `spec`. */
+export interface TaskScript {
+    readonly milliseconds: number;
+    readonly millicores: number;
+    readonly fails?: boolean;
+}
+
+/** A worker that is served. */
+export interface UsersWorker {
+    readonly id: string;
+    readonly runs: readonly RunRecord[];
+    /** Most thousandths of a core that were in use at one time. */
+    readonly peakMillicores: number;
+    /** Reports that told of at least one end. */
+    readonly reportsWithEnds: number;
+    fault: (path: string) => RequestFault;
+    close(): Promise<void>;
+}
+
+const HEARTBEAT_MILLISECONDS = 300;
+export const WORKER_MILLICORES = 8_000;
+
+/** Starts a worker and registers it. */
+export async function startUsersWorker(
+    { id, now, pool, store }: { id: string; now: () => number; pool: string; store: UsersStore; },
+): Promise<UsersWorker> {
+    const born = Math.round(now());
+    const clock = (): number => Math.round(now()) - born + 1_000;
+    const runs: Run[] = [];
+    const known = new Map<string, number>();
+    const ends: { readonly sequence: number; readonly run: Run; }[] = [];
+    let fence = 0;
+    let leaseUntil = 0;
+    let sequence = 0;
+    let peak = 0;
+    let reportsWithEnds = 0;
+
+    const active = (): Run[] => runs.filter(({ endedAt }) => endedAt === undefined);
+    const end = (run: Run, how: string): void => {
+        if (run.endedAt === undefined) {
+            clearTimeout(run.timer);
+            run.endedAt = now();
+            run.how = how;
+            sequence += 1;
+            ends.push({ sequence, run });
+        }
+    };
+    const lapse = setInterval(() => {
+        if (clock() > leaseUntil) {
+            active().forEach(run => end(run, "lapsed"));
+        }
+    }, 20);
+
+    const start = (body: Record<string, unknown>): StandInAnswer => {
+        const { attempt, spec, task } = body as { task: string; attempt: number; spec: string; };
+        if (active().some(run => run.task === task && run.attempt === attempt)) {
+            return { status: 200, body: { clockMs: clock() } };
+        }
+        if (attempt <= (known.get(task) ?? 0)) {
+            return { status: 409, body: { clockMs: clock(), reason: "old" } };
+        }
+        const { fails = false, millicores, milliseconds } = JSON.parse(spec) as TaskScript;
+        known.set(task, attempt);
+        const run: Run = {
+            task,
+            attempt,
+            worker: id,
+            startedAt: now(),
+            endedAt: undefined,
+            how: undefined,
+            isAcknowledged: false,
+            millicores,
+            timer: setTimeout(() => end(run, fails ? "failed" : "done"), milliseconds),
+        };
+        runs.push(run);
+        peak = Math.max(peak, active().reduce((sum, other) => sum + other.millicores, 0));
+        return { status: 200, body: { clockMs: clock() } };
+    };
+
+    const stop = ({ attempt, task }: Record<string, unknown>): StandInAnswer => {
+        known.set(String(task), Math.max(known.get(String(task)) ?? 0, Number(attempt)));
+        active().filter(run => run.task === task && run.attempt === attempt).forEach(run => end(run, "stopped"));
+        return { status: 200, body: { clockMs: clock() } };
+    };
+
+    const hold = async ({ acknowledged, waitMs = 0 }: Record<string, unknown>): Promise<StandInAnswer> => {
+        ends.filter(entry => entry.sequence <= Number(acknowledged)).forEach(entry => {
+            entry.run.isAcknowledged = true;
+        });
+        const open = () => ends.filter(entry => !entry.run.isAcknowledged);
+        const until = now() + Number(waitMs);
+        while (open().length === 0 && now() < until) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        reportsWithEnds += open().length > 0 ? 1 : 0;
+        return {
+            status: 200,
+            body: {
+                clockMs: clock(),
+                born,
+                running: active().map(run => [run.task, run.attempt, "", 50, 0]),
+                finished: open().map(({ run, sequence: number }) => [number, run.task, run.attempt, run.how, ""]),
+            },
+        };
+    };
+
+    const answer = async (request: StandInRequest): Promise<StandInAnswer> => {
+        const { body, headers, url: { pathname: path } } = request;
+        if (headers["target-instance"] !== id) {
+            return { status: 421 };
+        }
+        const token = Number(body["fencingToken"] ?? 0);
+        if (token < fence) {
+            return { status: 409, body: { clockMs: clock(), reason: "fence" } };
+        }
+        fence = token;
+        leaseUntil = Math.max(leaseUntil, Number(body["deadlineMs"] ?? 0));
+        switch (path) {
+            case "/run-start":
+                return start(body);
+            case "/run-stop":
+                return stop(body);
+            case "/hold":
+                return hold(body);
+            default:
+                return { status: 200, body: { clockMs: clock() } };
+        }
+    };
+    const worker = {
+        id,
+        runs,
+        get reportsWithEnds() {
+            return reportsWithEnds;
+        },
+        get peakMillicores() {
+            return peak;
+        },
+        fault: (): RequestFault => "none",
+        async close() {
+            clearInterval(lapse);
+            clearInterval(beat);
+            active().forEach(({ timer }) => clearTimeout(timer));
+            await server.close();
+        },
+    };
+    const started: UsersWorker = worker;
+    const server = await serveJson(answer, ({ url }) => started.fault(url.pathname));
+    const { address } = server;
+    let beats = 0;
+    const register = (): void =>
+        store.write(`servers/${id}`, {
+            service: pool,
+            address,
+            zone: "levi",
+            version: "1",
+            slots: 8,
+            state: "ready",
+            coldLeftMs: 0,
+            sequence: beats++,
+            born,
+            capacity: { cpu: WORKER_MILLICORES, memMb: 64_000, gpu: 0 },
+            labels: ["a", "r1-1"],
+        });
+    register();
+    const beat = setInterval(register, HEARTBEAT_MILLISECONDS);
+    return started;
+}
