--- /dev/null
+++ b/features/jobs/decisions.feature
@@ -0,0 +1,71 @@
+Feature: Decisions on submitted jobs
+
+    Scenario: A lasting task that has waited goes before short ones of the same priority
+        Given ready tasks: a short one that is due soon, and a lasting one that has waited 5000 ms
+        Then the lasting one gets its turn first
+
+    Scenario: A lasting task that has just become ready lets short ones go first
+        Given ready tasks: a short one that is due soon, and a lasting one that has waited 100 ms
+        Then the short one gets its turn first
+
+    Scenario: A job that can still be on time goes before one that is late already
+        Given ready tasks of a job that is late by 10000 ms and of one that is due in 1500 ms
+        Then the one that can be on time gets its turn first
+
+    Scenario: Room is kept for a lasting task, so that short ones cannot fill it for ever
+        Given two workers of 8 cores with 5 and 3 cores free
+        And a lasting task of 6 cores has reserved room
+        Then a short task of 2 cores is placed on the worker without the reservation
+        And a short task of 4 cores is not placed at all
+        And the lasting task is placed once 6 cores are free
+
+    Scenario: Short tasks always fill the room where nothing is kept, which is why it has to be
+        Given two workers of 8 cores with 5 and 3 cores free
+        Then a short task of 4 cores is placed on the first worker
+
+    Scenario: After a takeover, tasks of earlier jobs wait for a worker that has not answered
+        Given a takeover with 2 workers in use and a predecessor that may live
+        When 1 of the workers has answered
+        Then a task of an earlier job may not start after 10000 ms
+        And a task of a later job may start after 0 ms
+        And a task of an earlier job may start after 17000 ms
+
+    Scenario: The wait ends one lease after the predecessor is known to be gone
+        Given a takeover with 2 workers in use and a predecessor that may live
+        When 1 of the workers has answered
+        And the predecessor is found to be gone after 1000 ms
+        Then a task of an earlier job may not start after 5000 ms
+        And a task of an earlier job may start after 6000 ms
+
+    Scenario: Commits that failed do not turn round who is in use
+        Given a commit that takes worker "w" off, and fails
+        When worker "w" is recorded again before the next commit
+        Then the ledger says that "w" is in use
+
+    Scenario: Commits that failed do not keep a worker in use that was taken off after
+        Given a commit that records worker "w", and fails
+        When worker "w" is taken off before the next commit
+        Then the ledger says that "w" is not in use
+
+    Scenario: A worker that fails tasks of different jobs gets none for a while, longer each time
+        Given a worker of which nothing is known
+        When tasks of jobs "a" and "a" fail on it
+        Then it is not in quarantine
+        When tasks of jobs "a" and "b" fail on it
+        Then it is in quarantine for 1500 ms
+        When tasks of jobs "c" and "d" fail on it after that
+        Then it is in quarantine for 3000 ms
+
+    Scenario: A task that stands still is found, one that is paced down is not
+        Given a task that has shown no progress for 2500 ms
+        Then it counts as standing still
+        But it does not when it was told to stand still
+
+    Scenario: A filler gives way within a second where a task that serves nears its objective
+        Given a worker on which a filler presses on a task that serves, at 1.2 of its objective
+        Then the filler is told to slow down
+        And all fillers are told to stop once it has been over for 1400 ms
+
+    Scenario: A second copy of a slow task is started only where the caller allows it
+        Given a task that takes 4 times as long as its like
+        Then a copy is wanted where copies are allowed, and none where they are not
--- /dev/null
+++ b/features/jobs/decisions.steps.ts
@@ -0,0 +1,296 @@
+/**
+ * Steps for decisions on submitted jobs, without any process or network.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { orderAttempt } from "../../src/jobs/board/attempts.js";
+import { noteWorkerLeft, noteWorkerUsed, returnChanges, takeChanges } from "../../src/jobs/board/board.js";
+import type { Board } from "../../src/jobs/board/board.js";
+import { replaySegment } from "../../src/jobs/board/restore.js";
+import type { Attempt, Task } from "../../src/jobs/board/task.js";
+import { createRecovery } from "../../src/jobs/cell/recovery.js";
+import type { Recovery } from "../../src/jobs/cell/recovery.js";
+import { needsCopy } from "../../src/jobs/policy/copies.js";
+import { createDurations } from "../../src/jobs/policy/durations.js";
+import { createWorkerHealth, listStill, noteFailedJob } from "../../src/jobs/policy/health.js";
+import type { WorkerHealth } from "../../src/jobs/policy/health.js";
+import { createInterference } from "../../src/jobs/policy/interference.js";
+import { orderTasks } from "../../src/jobs/policy/order.js";
+import { choosePaces } from "../../src/jobs/policy/pacing.js";
+import { choosePlace, reserveRoom } from "../../src/jobs/policy/placement.js";
+import type { Candidate } from "../../src/jobs/policy/placement.js";
+import { addTask, CORE, describeWorker, NOW, openBoard, QUEUE, runTask } from "./builders.js";
+
+interface DecisionWorld {
+    decisionBoard: Board;
+    readyTasks: Task[];
+    expectedFirst: Task;
+    candidates: Candidate[];
+    lastingTask: Task;
+    takeover: Recovery;
+    isPacedAfter: (overMilliseconds: number) => boolean;
+    workerHealth: WorkerHealth;
+    healthNow: number;
+    watchedAttempt: Attempt;
+}
+
+const LEASE_MILLISECONDS = 4_500;
+const HORIZON_MILLISECONDS = 12_000;
+
+function firstTurn(tasks: readonly Task[]): Task | undefined {
+    return orderTasks(tasks, { queue: () => QUEUE, durations: createDurations() }, NOW)[0];
+}
+
+Given(
+    "ready tasks: a short one that is due soon, and a lasting one that has waited {int} ms",
+    function(this: DecisionWorld, waited: number) {
+        const board = openBoard();
+        const short = addTask(board, "short", {}, NOW - 100);
+        this.lastingTask = addTask(board, "lasting", { isLasting: true, cores: 6 }, NOW - waited);
+        this.readyTasks = [short, this.lastingTask];
+    },
+);
+
+Then("the lasting one gets its turn first", function(this: DecisionWorld) {
+    assert.equal(firstTurn(this.readyTasks), this.lastingTask);
+});
+
+Then("the short one gets its turn first", function(this: DecisionWorld) {
+    assert.notEqual(firstTurn(this.readyTasks), this.lastingTask);
+});
+
+Given(
+    "ready tasks of a job that is late by {int} ms and of one that is due in {int} ms",
+    function(this: DecisionWorld, late: number, left: number) {
+        const board = openBoard();
+        const objective = 1_000 * QUEUE.stretchFactor + QUEUE.latencyObjectiveMilliseconds;
+        const lateTask = addTask(board, "late", {}, NOW - objective - late);
+        this.expectedFirst = addTask(board, "timely", {}, NOW - objective + left);
+        this.readyTasks = [lateTask, this.expectedFirst];
+    },
+);
+
+Then("the one that can be on time gets its turn first", function(this: DecisionWorld) {
+    assert.equal(firstTurn(this.readyTasks), this.expectedFirst);
+});
+
+Given(
+    "two workers of {int} cores with {int} and {int} cores free",
+    function(this: DecisionWorld, cores: number, first: number, second: number) {
+        this.decisionBoard = openBoard();
+        this.candidates = [first, second].map((free, index) => {
+            const worker = describeWorker(`worker-${index}`, cores);
+            const task = addTask(this.decisionBoard, `held-${index}`, { cores: cores - free }, NOW);
+            orderAttempt(this.decisionBoard, task, worker.id, 1, NOW);
+            return { worker, load: this.decisionBoard.occupancy.load(worker.id) };
+        });
+    },
+);
+
+Given("a lasting task of {int} cores has reserved room", function(this: DecisionWorld, cores: number) {
+    this.lastingTask = addTask(this.decisionBoard, "lasting", { cores, isLasting: true }, NOW - 5_000);
+    assert.equal(choosePlace(this.lastingTask, this.candidates, createInterference(), NOW), undefined);
+    assert.equal(reserveRoom(this.lastingTask, this.candidates)?.worker.id, "worker-0");
+});
+
+function placeShort(world: DecisionWorld, cores: number): string | undefined {
+    const task = addTask(world.decisionBoard, `short-${cores}`, { cores }, NOW);
+    return choosePlace(task, world.candidates, createInterference(), NOW)?.worker.id;
+}
+
+Then(
+    "a short task of {int} cores is placed on the worker without the reservation",
+    function(this: DecisionWorld, cores: number) {
+        assert.equal(placeShort(this, cores), "worker-1");
+    },
+);
+
+Then("a short task of {int} cores is not placed at all", function(this: DecisionWorld, cores: number) {
+    assert.equal(placeShort(this, cores), undefined);
+});
+
+Then("a short task of {int} cores is placed on the first worker", function(this: DecisionWorld, cores: number) {
+    assert.equal(placeShort(this, cores), "worker-0");
+});
+
+Then("the lasting task is placed once {int} cores are free", function(this: DecisionWorld, cores: number) {
+    const { decisionBoard: board } = this;
+    const [held] = board.occupancy.load("worker-0").attempts;
+    assert.ok(held !== undefined);
+    board.occupancy.remove(held);
+    // Reservations are made anew with each look.
+    const candidates = this.candidates.map(({ load, worker }) => ({ load, worker }));
+    assert.ok(cores <= 8);
+    assert.equal(choosePlace(this.lastingTask, candidates, createInterference(), NOW)?.worker.id, "worker-0");
+});
+
+Given(
+    "a takeover with {int} workers in use and a predecessor that may live",
+    function(this: DecisionWorld, count: number) {
+        this.takeover = createRecovery({
+            workers: Array.from({ length: count }, (_, index) => `worker-${index}`),
+            claimedAtMilliseconds: NOW,
+            predecessorMilliseconds: HORIZON_MILLISECONDS,
+            longestLeaseMilliseconds: LEASE_MILLISECONDS,
+        });
+    },
+);
+
+When("{int} of the workers has answered", function(this: DecisionWorld, count: number) {
+    for (let index = 0; index < count; index++) {
+        this.takeover.noteHeard(`worker-${index}`);
+    }
+});
+
+When("the predecessor is found to be gone after {int} ms", function(this: DecisionWorld, after: number) {
+    this.takeover.notePredecessorOver(NOW + after);
+});
+
+function mayStart({ takeover }: DecisionWorld, isInherited: boolean, after: number): boolean {
+    const board = openBoard();
+    const task = addTask(board, "job", {}, NOW);
+    takeover.notePassed(NOW + after);
+    return takeover.mayStart({ ...task, entry: { ...task.entry, isInherited } });
+}
+
+Then("a task of an earlier job may not start after {int} ms", function(this: DecisionWorld, after: number) {
+    assert.equal(mayStart(this, true, after), false);
+});
+
+Then("a task of an earlier job may start after {int} ms", function(this: DecisionWorld, after: number) {
+    assert.equal(mayStart(this, true, after), true);
+});
+
+Then("a task of a later job may start after {int} ms", function(this: DecisionWorld, after: number) {
+    assert.equal(mayStart(this, false, after), true);
+});
+
+Given("a commit that takes worker {string} off, and fails", function(this: DecisionWorld, id: string) {
+    this.decisionBoard = openBoard();
+    noteWorkerLeft(this.decisionBoard, id);
+});
+
+Given("a commit that records worker {string}, and fails", function(this: DecisionWorld, id: string) {
+    this.decisionBoard = openBoard();
+    noteWorkerUsed(this.decisionBoard, id);
+});
+
+When("worker {string} is recorded again before the next commit", function(this: DecisionWorld, id: string) {
+    const taken = takeChanges(this.decisionBoard);
+    noteWorkerUsed(this.decisionBoard, id);
+    returnChanges(this.decisionBoard, taken);
+});
+
+When("worker {string} is taken off before the next commit", function(this: DecisionWorld, id: string) {
+    const taken = takeChanges(this.decisionBoard);
+    noteWorkerLeft(this.decisionBoard, id);
+    returnChanges(this.decisionBoard, taken);
+});
+
+function usedAfterReplay({ decisionBoard }: DecisionWorld): Set<string> {
+    const inUse = new Set<string>();
+    replaySegment(openBoard(), takeChanges(decisionBoard), inUse, NOW);
+    return inUse;
+}
+
+Then("the ledger says that {string} is in use", function(this: DecisionWorld, id: string) {
+    assert.ok(usedAfterReplay(this).has(id));
+});
+
+Then("the ledger says that {string} is not in use", function(this: DecisionWorld, id: string) {
+    assert.ok(!usedAfterReplay(this).has(id));
+});
+
+Given("a worker of which nothing is known", function(this: DecisionWorld) {
+    this.workerHealth = createWorkerHealth();
+    this.healthNow = NOW;
+});
+
+When("tasks of jobs {string} and {string} fail on it", function(this: DecisionWorld, first: string, second: string) {
+    noteFailedJob(this.workerHealth, first, this.healthNow);
+    noteFailedJob(this.workerHealth, second, this.healthNow);
+});
+
+When(
+    "tasks of jobs {string} and {string} fail on it after that",
+    function(this: DecisionWorld, first: string, second: string) {
+        this.healthNow = this.workerHealth.quarantinedUntilMilliseconds;
+        noteFailedJob(this.workerHealth, first, this.healthNow);
+        noteFailedJob(this.workerHealth, second, this.healthNow);
+    },
+);
+
+Then("it is not in quarantine", function(this: DecisionWorld) {
+    assert.ok(this.workerHealth.quarantinedUntilMilliseconds <= this.healthNow);
+});
+
+Then("it is in quarantine for {int} ms", function(this: DecisionWorld, milliseconds: number) {
+    assert.equal(this.workerHealth.quarantinedUntilMilliseconds - this.healthNow, milliseconds);
+});
+
+Given("a task that has shown no progress for {int} ms", function(this: DecisionWorld, milliseconds: number) {
+    this.decisionBoard = openBoard();
+    const task = addTask(this.decisionBoard, "still", {}, NOW);
+    this.watchedAttempt = runTask(this.decisionBoard, task, "worker-0", NOW - milliseconds);
+});
+
+Then("it counts as standing still", function(this: DecisionWorld) {
+    const load = this.decisionBoard.occupancy.load("worker-0");
+    assert.deepEqual(listStill(load, NOW), [this.watchedAttempt]);
+});
+
+Then("it does not when it was told to stand still", function(this: DecisionWorld) {
+    this.watchedAttempt.pacePercent = 0;
+    assert.deepEqual(listStill(this.decisionBoard.occupancy.load("worker-0"), NOW), []);
+});
+
+Given(
+    "a worker on which a filler presses on a task that serves, at {float} of its objective",
+    function(this: DecisionWorld, factor: number) {
+        const board = openBoard();
+        const objective = 20;
+        const serving = addTask(board, "serving", {
+            image: "desk",
+            isLasting: true,
+            cores: 4,
+            latencyObjectiveMilliseconds: objective,
+        }, NOW - 10_000);
+        const filler = addTask(board, "filler", { image: "booking", isFiller: true, cores: 4 }, NOW - 5_000);
+        this.decisionBoard = board;
+        this.watchedAttempt = runTask(board, serving, "worker-0", NOW - 10_000, 5, 100);
+        runTask(board, filler, "worker-0", NOW - 5_000, 4 * CORE);
+        const model = createInterference();
+        const load = board.occupancy.load("worker-0");
+        // The image's best figure first, then the one under pressure.
+        model.observe("worker-0", load, 8 * CORE, NOW - 1_000);
+        this.watchedAttempt.measure = objective * factor;
+        model.observe("worker-0", load, 8 * CORE, NOW);
+        this.isPacedAfter = over => {
+            this.watchedAttempt.overObjectiveSinceMilliseconds = NOW - over;
+            const paces = choosePaces(load, 8 * CORE, model, NOW);
+            return paces.length === 1 && (over < 1_000 ? (paces[0]?.percent ?? 100) < 100 : paces[0]?.percent === 0);
+        };
+    },
+);
+
+Then("the filler is told to slow down", function(this: DecisionWorld) {
+    assert.ok(this.isPacedAfter(0));
+});
+
+Then("all fillers are told to stop once it has been over for {int} ms", function(this: DecisionWorld, over: number) {
+    assert.ok(this.isPacedAfter(over));
+});
+
+Given("a task that takes {int} times as long as its like", function(this: DecisionWorld, factor: number) {
+    this.decisionBoard = openBoard();
+    const elapsed = 1_000;
+    const task = addTask(this.decisionBoard, "slow", { allowsCopies: true }, NOW - elapsed);
+    this.watchedAttempt = runTask(this.decisionBoard, task, "worker-0", NOW - elapsed, 0, 100 / factor);
+});
+
+Then("a copy is wanted where copies are allowed, and none where they are not", function(this: DecisionWorld) {
+    const { watchedAttempt: attempt } = this;
+    assert.equal(needsCopy(attempt, false, createDurations(), NOW), true);
+    const task = { ...attempt.task, step: { ...attempt.task.step, allowsCopies: false } };
+    assert.equal(needsCopy({ ...attempt, task }, false, createDurations(), NOW), false);
+});
--- a/src/jobs/board/board.ts
+++ b/src/jobs/board/board.ts
@@ -73,9 +73,24 @@
     return taken;
 }
 
+/** A worker may run attempts from now on. */
+export function noteWorkerUsed({ changes }: Board, id: string): void {
+    changes.workersLeft = changes.workersLeft.filter(other => other !== id);
+    changes.workersUsed.push(id);
+}
+
+/** Nothing runs on a worker any more. */
+export function noteWorkerLeft({ changes }: Board, id: string): void {
+    changes.workersUsed = changes.workersUsed.filter(other => other !== id);
+    changes.workersLeft.push(id);
+}
+
 /** Puts changes back that were not committed, before those that have come since. */
 export function returnChanges(board: Board, taken: Changes): void {
     const later = board.changes;
+    // Within one commit the order of the two lists is lost, so only what was noted last may be in it.
+    const usedBefore = taken.workersUsed.filter(id => !later.workersLeft.includes(id));
+    const leftBefore = taken.workersLeft.filter(id => !later.workersUsed.includes(id));
     board.changes = isEmpty(later) ? taken : {
         accepted: [...taken.accepted, ...later.accepted],
         begun: [...taken.begun, ...later.begun],
@@ -84,7 +99,7 @@
         checkpoints: [...taken.checkpoints, ...later.checkpoints],
         ended: [...taken.ended, ...later.ended],
         forgotten: [...taken.forgotten, ...later.forgotten],
-        workersUsed: [...taken.workersUsed, ...later.workersUsed],
-        workersLeft: [...taken.workersLeft, ...later.workersLeft],
+        workersUsed: [...usedBefore, ...later.workersUsed],
+        workersLeft: [...leftBefore, ...later.workersLeft],
     };
 }
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -47,8 +47,8 @@
     readonly journal: Journal;
     readonly segments: readonly Segment[];
     readonly claimedAtMilliseconds: number;
-    /** The predecessor's process has certainly ended. */
-    readonly isPredecessorGone: boolean;
+    /** Whether the predecessor's process has certainly ended. */
+    isPredecessorGone(): boolean;
 }
 
 /** An owned cell. */
@@ -87,7 +87,7 @@
     const recovery = createRecovery({
         workers: workersInUse,
         claimedAtMilliseconds: claimed.claimedAtMilliseconds,
-        predecessorMilliseconds: claimed.isPredecessorGone || predecessor?.isReleased !== false
+        predecessorMilliseconds: claimed.isPredecessorGone() || predecessor?.isReleased !== false
             ? 0
             : settings.horizonMilliseconds,
         longestLeaseMilliseconds: settings.leaseMilliseconds,
@@ -120,7 +120,8 @@
         }
         for (const id of changes.workersUsed) {
             const worker = workers.get(id);
-            if (worker !== undefined) {
+            // It may have fallen silent and been taken off again while this was on its way.
+            if (worker !== undefined && workersInUse.has(id)) {
                 worker.isRecorded = true;
             }
         }
@@ -164,7 +165,13 @@
         wakeDispatch: () => dispatcher.wake(),
     };
     const dispatcher = createDispatcher(context, recovery);
-    const crew = createCrew({ cell: context, recovery, workersInUse, workerList: options.workerList });
+    const crew = createCrew({
+        cell: context,
+        recovery,
+        workersInUse,
+        workerList: options.workerList,
+        isPredecessorGone: () => claimed.isPredecessorGone(),
+    });
 
     const tidy = async (): Promise<void> => {
         while (!ended.signal.aborted) {
@@ -205,7 +212,7 @@
                 jobs: board.jobs.size,
                 unheardWorkers: recovery.unheard().length,
                 predecessor: predecessor?.owner,
-                isPredecessorGone: claimed.isPredecessorGone,
+                isPredecessorGone: claimed.isPredecessorGone(),
             }, "vital");
             const running = [crew.run(), dispatcher.run(), tidy()];
             await commits.run();
--- a/src/jobs/cell/crew.ts
+++ b/src/jobs/cell/crew.ts
@@ -2,11 +2,12 @@
  * The workers of a cell: who is listed, who may run attempts, and a session with each.
  */
 import { pause } from "../../core/time.js";
+import { noteWorkerLeft, noteWorkerUsed } from "../board/board.js";
 import type { ListedWorker, WorkerList } from "../model/worker.js";
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { runSession } from "./session.js";
-import { createCellWorker, takeListing } from "./worker.js";
+import { certainLapse, createCellWorker, takeListing } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Time between two looks at workers that are gone and at the recovery. */
@@ -19,11 +20,15 @@
     /** Workers that may run attempts, by the ledger; kept up here. */
     readonly workersInUse: Set<string>;
     readonly workerList: WorkerList;
+    /** Whether the predecessor's process has certainly ended. */
+    isPredecessorGone(): boolean;
 }
 
 /** Follows the list of workers until the cell ends. */
-export function createCrew({ cell, recovery, workerList, workersInUse }: CrewOptions): { run(): Promise<void>; } {
+export function createCrew(options: CrewOptions): { run(): Promise<void>; } {
+    const { cell, recovery, workerList, workersInUse } = options;
     const { board, clock, signal, workers } = cell;
+    let isPredecessorOver = false;
     const sessions = new Map<string, { readonly end: AbortController; readonly done: Promise<void>; }>();
 
     const employ = (listed: ListedWorker, now: number): void => {
@@ -32,22 +37,46 @@
         takeListing(worker, listed, now);
         workers.set(listed.id, worker);
         if (!isRecorded) {
-            workersInUse.add(listed.id);
-            board.changes.workersUsed.push(listed.id);
-            cell.commits.request(true);
+            recordUse(listed.id);
         }
         const end = new AbortController();
         const done = runSession(cell, worker, AbortSignal.any([signal, end.signal]));
         sessions.set(listed.id, { end, done });
     };
 
+    const recordUse = (id: string): void => {
+        workersInUse.add(id);
+        noteWorkerUsed(board, id);
+        cell.commits.request(true);
+    };
+
+    /**
+     * A silent worker on which every lease has lapsed runs nothing: a successor need not wait for it. It is recorded anew
+     * once it answers, before it gets anything to do.
+     */
+    const reviewUse = (worker: CellWorker, now: number): void => {
+        const { id } = worker.listed;
+        const isIdle = board.occupancy.load(id).attempts.length === 0;
+        if (worker.contact === "silent" && isIdle && worker.clock !== undefined && now > certainLapse(worker)) {
+            if (workersInUse.delete(id)) {
+                worker.isRecorded = false;
+                noteWorkerLeft(board, id);
+                cell.commits.request(false);
+            }
+        }
+        else if (worker.contact === "answering" && !workersInUse.has(id)) {
+            recordUse(id);
+        }
+    };
+
     const dismiss = (worker: CellWorker): void => {
         const { id } = worker.listed;
         sessions.get(id)?.end.abort();
         sessions.delete(id);
         workers.delete(id);
-        workersInUse.delete(id);
-        board.changes.workersLeft.push(id);
+        if (workersInUse.delete(id)) {
+            noteWorkerLeft(board, id);
+        }
         cell.orders.forget(worker.listed);
         cell.commits.request(false);
         cell.log.write("worker-dismissed", {
@@ -104,7 +133,12 @@
 
     /** A worker that is gone is let go once nothing can be running on it. */
     const look = (now: number): void => {
+        if (!isPredecessorOver && options.isPredecessorGone()) {
+            isPredecessorOver = true;
+            recovery.notePredecessorOver(now);
+        }
         for (const worker of workers.values()) {
+            reviewUse(worker, now);
             if (worker.contact === "answering" && recovery.noteHeard(worker.listed.id)) {
                 endRecovery();
             }
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -38,7 +38,7 @@
 const COPY_CONFIRMATION_MILLISECONDS = 700;
 
 /** Workers whose room is kept at the same time for lasting tasks; the others stay open to short ones. */
-const MOST_RESERVATIONS = 3;
+const MOST_RESERVATIONS = 2;
 
 /** One look serves all that has changed within this time; a short job has some hundred milliseconds of slack. */
 const GATHER_MILLISECONDS = 5;
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -22,11 +22,11 @@
 
 /** Workers that have not answered since the takeover. */
 export interface Recovery {
-    /** Time after which nothing of the predecessor runs on a worker that has not answered. */
-    readonly overAtMilliseconds: number;
     unheard(): readonly string[];
     /** The worker has answered; true where it was the last one. */
     noteHeard(worker: string): boolean;
+    /** The predecessor's process has certainly ended: it gives no leases any more. */
+    notePredecessorOver(now: number): void;
     /** Time has passed; true where that ended the recovery. */
     notePassed(now: number): boolean;
     /** Whether the task can be started without risk that it runs elsewhere. */
@@ -36,12 +36,18 @@
 /** Begins a recovery. */
 export function createRecovery(options: RecoveryOptions): Recovery {
     const unheard = new Set(options.workers);
-    const overAtMilliseconds = options.claimedAtMilliseconds
+    /** Time after which nothing of the predecessor runs on a worker that has not answered. */
+    let overAtMilliseconds = options.claimedAtMilliseconds
         + (options.predecessorMilliseconds + options.longestLeaseMilliseconds) / SLOWEST_CLOCK_RATE;
     return {
-        overAtMilliseconds,
         unheard: () => [...unheard],
         noteHeard: worker => unheard.delete(worker) && unheard.size === 0,
+        notePredecessorOver(now) {
+            overAtMilliseconds = Math.min(
+                overAtMilliseconds,
+                now + options.longestLeaseMilliseconds / SLOWEST_CLOCK_RATE,
+            );
+        },
         notePassed(now) {
             if (unheard.size === 0 || now < overAtMilliseconds) {
                 return false;
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -135,8 +135,7 @@
             journal,
             segments: segments.value,
             claimedAtMilliseconds,
-            isPredecessorGone: head === undefined || dead.has(head.owner.incarnation)
-                || head.owner.instance === self.instance,
+            isPredecessorGone: () => head === undefined || isProcessGone(head.owner),
         });
         log.write("cell-claimed", {
             cell: name,
@@ -150,6 +149,11 @@
     const isKnownOwner = ({ owner }: Head, former: OwnerRecord | undefined): boolean =>
         owner.incarnation === former?.incarnation || dead.has(owner.incarnation) || owner.instance === self.instance;
 
+    /** An instance that has started anew has ended its former process. */
+    const isProcessGone = ({ incarnation, instance }: Head["owner"]): boolean =>
+        dead.has(incarnation) || instance === self.instance
+        || directory.members().some(member => member.instance === instance && member.incarnation !== incarnation);
+
     const describeOwner = (cell: string, epoch: number): OwnerRecord => ({
         cell,
         epoch,
