--- a/features/jobs/path.feature
+++ b/features/jobs/path.feature
@@ -98,3 +98,10 @@
         Then it ends by itself within the time for a stop
         And job "00000000000000ab" is shown as "completed" by the other processes
         And each task of job "00000000000000ab" ran exactly once
+
+    Scenario: While the outcome of a commit is unknown, what is not part of it is refused soon
+        Given the users' platform with 1 workers and 2 processes
+        And the store loses the answer of the next write, and then refuses all calls
+        When 6 jobs are submitted 300 ms apart, without waiting for the answers
+        Then all but the first are told status 503 within 1500 ms
+        And no job that was refused ever runs after the store has come back
--- a/features/jobs/path.steps.ts
+++ b/features/jobs/path.steps.ts
@@ -278,3 +278,64 @@
         assert.equal(code, 0);
     }
 });
+
+Given("the store loses the answer of the next write, and then refuses all calls", function(this: PathWorld) {
+    let isLost = false;
+    this.usersPlatform.store.fault = path => {
+        if (isLost) {
+            return "refused";
+        }
+        isLost = path === "/kv-txn";
+        return isLost ? "answer-lost" : "none";
+    };
+});
+
+When(
+    "{int} jobs are submitted {int} ms apart, without waiting for the answers",
+    LIMIT,
+    async function(this: PathWorld, jobs: number, gap: number) {
+        const process = firstLiving(this);
+        const waiting: Promise<void>[] = [];
+        this.submissions = new Map();
+        this.answerMilliseconds = new Map();
+        for (let index = 0; index < jobs; index++) {
+            const id = `00000000000000d${index}`;
+            const startedAt = performance.now();
+            waiting.push(
+                this.usersPlatform.call(process, "POST", QUEUE_PREFIX + id, describeJob(1, 1, 50)).then(answer => {
+                    this.submissions.set(id, answer);
+                    this.answerMilliseconds.set(id, performance.now() - startedAt);
+                }),
+            );
+            await new Promise(resolve => setTimeout(resolve, gap));
+        }
+        await Promise.all(waiting);
+    },
+);
+
+Then("all but the first are told status {int} within {int} ms", function(
+    this: PathWorld,
+    status: number,
+    milliseconds: number,
+) {
+    for (const [id, answer] of this.submissions) {
+        if (id !== "00000000000000d0") {
+            assert.equal(answer.status, status, `job ${id}`);
+            assert.ok((this.answerMilliseconds.get(id) ?? Infinity) <= milliseconds, `job ${id}`);
+        }
+    }
+});
+
+Then("no job that was refused ever runs after the store has come back", LIMIT, async function(this: PathWorld) {
+    this.usersPlatform.store.fault = () => "none";
+    await until(async () => {
+        await submit(this, "00000000000000df", describeJob(1, 1, 50));
+        return this.callerAnswer.status === 200;
+    }, "a later job is accepted");
+    await until(() => isShown(this, "00000000000000df", "completed"), "a later job is completed");
+    for (const [id, { status }] of this.submissions) {
+        if (status === 503) {
+            assert.deepEqual(runsOf(this, id), [], `job ${id} was refused and ran`);
+        }
+    }
+});
--- a/features/jobs/world.ts
+++ b/features/jobs/world.ts
@@ -15,6 +15,8 @@
     submittedId: string;
     leavingProcess: JobsProcess;
     submissions: Map<string, CallerAnswer>;
+    /** Time until the answer to each submission. */
+    answerMilliseconds: Map<string, number>;
 }
 
 const POLL_MILLISECONDS = 25;
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -117,12 +117,19 @@
         rest.reverse().forEach(part => returnChanges(board, part));
         startedAt = clock();
         isCommitting = true;
+        // What is not part of a commit whose outcome is long in coming need not wait for it.
+        const watch = setInterval(() => {
+            if (clock() - startedAt > SLOW_COMMIT_MILLISECONDS) {
+                options.onFailed(clock() - startedAt);
+            }
+        }, SLOW_COMMIT_MILLISECONDS / 4);
         const committed = await journal.commit({
             changes,
             whole: () => describeBoard(board, options.workersInUse),
             isRelease,
             alongside: writes,
         });
+        clearInterval(watch);
         isCommitting = false;
         const now = clock();
         if (committed.isErr) {
