--- a/features/jobs/decisions.feature
+++ b/features/jobs/decisions.feature
@@ -69,3 +69,9 @@
     Scenario: A second copy of a slow task is started only where the caller allows it
         Given a task that takes 4 times as long as its like
         Then a copy is wanted where copies are allowed, and none where they are not
+
+    Scenario: A filler that is expected to do harm everywhere is started all the same where its job starves in a half empty pool
+        Given a worker of 32 cores with a task that serves on 4 of them, beside which all fillers are known to do harm
+        Then a filler of 3 cores whose job has waited 1000 ms is not placed there
+        And a filler of 3 cores whose job has waited 4000 ms is placed there
+        But not once 14 more cores are in use
--- a/features/jobs/decisions.steps.ts
+++ b/features/jobs/decisions.steps.ts
@@ -15,9 +15,10 @@
 import { createWorkerHealth, listStill, noteFailedJob } from "../../src/jobs/policy/health.js";
 import type { WorkerHealth } from "../../src/jobs/policy/health.js";
 import { createInterference } from "../../src/jobs/policy/interference.js";
+import type { Interference } from "../../src/jobs/policy/interference.js";
 import { orderTasks } from "../../src/jobs/policy/order.js";
 import { choosePaces } from "../../src/jobs/policy/pacing.js";
-import { choosePlace, reserveRoom } from "../../src/jobs/policy/placement.js";
+import { choosePlace, isStarving, reserveRoom } from "../../src/jobs/policy/placement.js";
 import type { Candidate } from "../../src/jobs/policy/placement.js";
 import { addTask, CORE, describeWorker, NOW, openBoard, QUEUE, runTask } from "./builders.js";
 
@@ -294,3 +295,50 @@
     const task = { ...attempt.task, step: { ...attempt.task.step, allowsCopies: false } };
     assert.equal(needsCopy({ ...attempt, task }, false, createDurations(), NOW), false);
 });
+
+Given(
+    "a worker of {int} cores with a task that serves on {int} of them, beside which all fillers are known to do harm",
+    function(this: DecisionWorld, cores: number, serving: number) {
+        const board = openBoard();
+        const task = addTask(board, "serving", {
+            image: "desk",
+            isLasting: true,
+            cores: serving,
+            latencyObjectiveMilliseconds: 20,
+        }, NOW - 60_000);
+        runTask(board, task, "worker-0", NOW - 60_000, 8, 100);
+        this.decisionBoard = board;
+        this.candidates = [{ worker: describeWorker("worker-0", cores), load: board.occupancy.load("worker-0") }];
+    },
+);
+
+function placeFiller({ candidates, decisionBoard }: DecisionWorld, cores: number, waited: number): boolean {
+    const model: Interference = {
+        ...createInterference(),
+        expect: () => 1,
+        mayTry: () => true,
+        pressure: (_, milliseconds) => 1 - 5 / milliseconds,
+    };
+    const task = addTask(decisionBoard, `filler-${waited}`, { image: "booking", isFiller: true, cores }, NOW - waited);
+    const options = { isStarving: isStarving(task, candidates, NOW) };
+    return choosePlace(task, candidates, model, NOW, options) !== undefined;
+}
+
+Then(
+    "a filler of {int} cores whose job has waited {int} ms is not placed there",
+    function(this: DecisionWorld, cores: number, waited: number) {
+        assert.equal(placeFiller(this, cores, waited), false);
+    },
+);
+
+Then(
+    "a filler of {int} cores whose job has waited {int} ms is placed there",
+    function(this: DecisionWorld, cores: number, waited: number) {
+        assert.equal(placeFiller(this, cores, waited), true);
+    },
+);
+
+Then("not once {int} more cores are in use", function(this: DecisionWorld, cores: number) {
+    runTask(this.decisionBoard, addTask(this.decisionBoard, "more", { cores }, NOW), "worker-0", NOW);
+    assert.equal(placeFiller(this, 3, 5_000), false);
+});
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -14,7 +14,7 @@
 import { needsCopy } from "../policy/copies.js";
 import { chooseLeavers } from "../policy/evacuation.js";
 import { isOverdue, orderTasks } from "../policy/order.js";
-import { choosePlace, reserveRoom } from "../policy/placement.js";
+import { choosePlace, isStarving, reserveRoom } from "../policy/placement.js";
 import type { Candidate } from "../policy/placement.js";
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
@@ -72,7 +72,8 @@
         const placed: Attempt[] = [];
         const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
         for (const member of members) {
-            const candidate = choosePlace(member, candidates, cell.interference, now);
+            const options = { isStarving: isStarving(member, candidates, now) };
+            const candidate = choosePlace(member, candidates, cell.interference, now, options);
             if (candidate === undefined) {
                 break;
             }
--- a/src/jobs/policy/pacing.ts
+++ b/src/jobs/policy/pacing.ts
@@ -105,6 +105,15 @@
     });
 }
 
+/** Whether no task that serves on a worker is near its objective, and no filler there has had to give way. */
+export function isCalm(load: Readonly<WorkerLoad>, model: Interference): boolean {
+    return load.attempts.every(attempt =>
+        isServing(attempt.task.step)
+            ? presentPressure(attempt, model) < limitOf(attempt, model) * PLANNED_SHARE
+            : attempt.pacePercent === 100
+    );
+}
+
 /** Pressure that a task shows that serves; its own image's as long as it has shown none. */
 function presentPressure({ measure, task: { step } }: Attempt, model: Interference): number {
     return measure > 0 ? model.pressure(step.image, measure) : model.ownPressure(step.image);
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -12,7 +12,7 @@
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
 import type { Interference } from "./interference.js";
-import { isHarmless } from "./pacing.js";
+import { isCalm, isHarmless } from "./pacing.js";
 
 /** A worker that may get tasks. */
 export interface Candidate {
@@ -22,6 +22,39 @@
     reserved?: Size;
 }
 
+/** Terms of a placement. */
+export interface PlaceOptions {
+    /** The task may go where it is expected to do harm, as long as none is seen there; it is slowed down if it does. */
+    readonly isStarving?: boolean;
+}
+
+/** A job of which nothing runs starves after this; the platform's pages count three seconds more against the system. */
+const STARVING_MILLISECONDS = 3_000;
+
+/** Share of a pool's cores in use up to which no job of it may starve; the platform's pages say half. */
+const STARVING_USE_SHARE = 0.55;
+
+/** Whether a filler's job has waited long with nothing running although its pool is half empty. */
+export function isStarving(
+    { occurrence, readyAtMilliseconds, step }: Task,
+    pool: Iterable<Candidate>,
+    now: number,
+): boolean {
+    if (!step.isFiller || now - readyAtMilliseconds < STARVING_MILLISECONDS) {
+        return false;
+    }
+    if (occurrence.steps.some(({ tasks }) => tasks.some(({ attempts }) => attempts.length > 0))) {
+        return false;
+    }
+    let capacity = 0;
+    let used = 0;
+    for (const { load, worker } of pool) {
+        capacity += worker.capacity.millicores;
+        used += load.used.millicores + load.fillerMillicores;
+    }
+    return used < capacity * STARVING_USE_SHARE;
+}
+
 /** Share of the cores kept for serving tasks that they are taken to use, before anything has been measured. */
 const SERVING_USE_SHARE = 0.6;
 
@@ -31,6 +64,7 @@
     candidates: Iterable<Candidate>,
     model: Interference,
     now: number,
+    options: PlaceOptions = {},
 ): Candidate | undefined {
     let best: Candidate | undefined;
     let bestScore = -Infinity;
@@ -38,7 +72,7 @@
         if (!isEligible(task, candidate)) {
             continue;
         }
-        const score = rate(task, candidate, model, now);
+        const score = rate(task, candidate, model, now, options);
         if (score > bestScore) {
             best = candidate;
             bestScore = score;
@@ -107,7 +141,13 @@
 }
 
 /** The higher the better; -Infinity where it is better to wait. */
-function rate(task: Task, candidate: Candidate, model: Interference, now: number): number {
+function rate(
+    task: Task,
+    candidate: Candidate,
+    model: Interference,
+    now: number,
+    { isStarving: mayDoHarm = false }: PlaceOptions,
+): number {
     const { load, worker } = candidate;
     const { avoidedWorkers, step } = task;
     const idle = idleMillicores(candidate);
@@ -126,16 +166,10 @@
             return -Infinity;
         }
         if (load.servingCount > 0) {
-            if (
-                !isHarmless(
-                    step.image,
-                    step.size.millicores / worker.capacity.millicores,
-                    load,
-                    worker.capacity.millicores,
-                    model,
-                    now,
-                )
-            ) {
+            const share = step.size.millicores / worker.capacity.millicores;
+            const isFit = isHarmless(step.image, share, load, worker.capacity.millicores, model, now)
+                || mayDoHarm && isCalm(load, model);
+            if (!isFit) {
                 return -Infinity;
             }
             return idle - BESIDE_SERVING_PENALTY - expectedPressure(task, candidate, model, now) * PRESSURE_PENALTY
