--- a/features/jobs/path.feature
+++ b/features/jobs/path.feature
@@ -105,3 +105,9 @@
         When 6 jobs are submitted 300 ms apart, without waiting for the answers
         Then all but the first are told status 503 within 1500 ms
         And no job that was refused ever runs after the store has come back
+
+    Scenario: An owner that is told to stop while the store is away ends within the time for a stop
+        Given the users' platform with 1 workers and 2 processes
+        And the store answers nothing any more
+        When the owner of the cell is told to stop at once
+        Then it ends by itself within the time for a stop
--- a/features/jobs/path.steps.ts
+++ b/features/jobs/path.steps.ts
@@ -37,26 +37,6 @@
     },
 );
 
-Given("the store carries out every third write without an answer", function(this: PathWorld) {
-    let writes = 0;
-    this.usersPlatform.store.fault = path => path === "/kv-txn" && ++writes % 3 === 0 ? "answer-lost" : "none";
-});
-
-Given("the store refuses all calls", function(this: PathWorld) {
-    this.usersPlatform.store.fault = () => "refused";
-});
-
-Given("the store takes {int} ms for a write", function(this: PathWorld, milliseconds: number) {
-    this.usersPlatform.store.delay = path => path === "/kv-txn" ? milliseconds : 0;
-});
-
-Given("the workers carry out every fourth start late and unanswered", function(this: PathWorld) {
-    let starts = 0;
-    for (const worker of this.usersPlatform.workers) {
-        worker.fault = path => path === "/run-start" && ++starts % 4 === 0 ? "late" : "none";
-    }
-});
-
 When(
     "a caller submits job {string} of {int} steps with {int} tasks of {int} ms each",
     LIMIT,
@@ -107,6 +87,11 @@
     this.leavingProcess.child.kill("SIGTERM");
 });
 
+When("the owner of the cell is told to stop at once", LIMIT, async function(this: PathWorld) {
+    this.leavingProcess = await ownerOf(this);
+    this.leavingProcess.child.kill("SIGTERM");
+});
+
 When("{int} jobs of {int} tasks of {int} ms are submitted", LIMIT, async function(
     this: PathWorld,
     jobs: number,
@@ -279,17 +264,6 @@
     }
 });
 
-Given("the store loses the answer of the next write, and then refuses all calls", function(this: PathWorld) {
-    let isLost = false;
-    this.usersPlatform.store.fault = path => {
-        if (isLost) {
-            return "refused";
-        }
-        isLost = path === "/kv-txn";
-        return isLost ? "answer-lost" : "none";
-    };
-});
-
 When(
     "{int} jobs are submitted {int} ms apart, without waiting for the answers",
     LIMIT,
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -24,7 +24,7 @@
  * A lasting task that has waited longer goes before tasks that end: those come all the time, and together leave no room that
  * is large enough for it.
  */
-export const LASTING_PATIENCE_MILLISECONDS = 4_000;
+const LASTING_PATIENCE_MILLISECONDS = 4_000;
 
 /** Whether something of an occurrence can still be of use, from best to worst. */
 type Band = 0 | 1 | 2;
--- a/stand-ins/users-platform/deployment.ts
+++ b/stand-ins/users-platform/deployment.ts
@@ -15,7 +15,7 @@
 
 const SCRIPT = "dist/platform/main.js";
 const POOL = "desk";
-export const HOST_NAME = "desk.example";
+const HOST_NAME = "desk.example";
 export const QUEUE_PREFIX = "/checks/";
 
 /** An event that a process has logged. */
@@ -54,7 +54,7 @@
 }
 
 /** The queue that tests submit to. */
-export const CHECKS_ROUTE = {
+const CHECKS_ROUTE = {
     name: "checks",
     host: HOST_NAME,
     prefix: QUEUE_PREFIX,
