--- a/src/jobs/front/owner-links.ts
+++ b/src/jobs/front/owner-links.ts
@@ -76,7 +76,7 @@
         });
         if (opened.isErr) {
             const { message, refusal } = opened.error;
-            log.write("owner-link-failed", { cell, instance: owner.instance, refusal, message }, "vital");
+            log.write("owner-link-failed", { cell, owner: owner.instance, refusal, message }, "vital");
             if (refusal === "refused") {
                 options.onDeath(owner);
             }
@@ -92,7 +92,7 @@
             return false;
         }
         links.set(cell, { link, owner });
-        log.write("owner-link-opened", { cell, instance: owner.instance, epoch: owner.epoch }, "vital");
+        log.write("owner-link-opened", { cell, owner: owner.instance, epoch: owner.epoch }, "vital");
         options.onChange();
         return true;
     };
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -260,7 +260,7 @@
         noteDeath(owner) {
             if (!dead.has(owner.incarnation)) {
                 dead.add(owner.incarnation);
-                log.write("owner-dead", { cell: owner.cell, instance: owner.instance, epoch: owner.epoch }, "vital");
+                log.write("owner-dead", { cell: owner.cell, owner: owner.instance, epoch: owner.epoch }, "vital");
             }
         },
         noteTrouble(owner, milliseconds, now) {
