--- /dev/null
+++ b/features/jobs/commits.steps.ts
@@ -0,0 +1,115 @@
+/**
+ * Steps for commits that fail, with a ledger that a scenario makes up.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { Result } from "true-myth/result";
+import { createFailure } from "../../src/core/errors.js";
+import type { Failure, FailureCode } from "../../src/core/errors.js";
+import type { EventLog } from "../../src/core/event-log.js";
+import { createMetrics } from "../../src/core/metrics.js";
+import { pause, systemClock } from "../../src/core/time.js";
+import type { Cell } from "../../src/jobs/cell/cell.js";
+import { createCommits } from "../../src/jobs/cell/commits.js";
+import type { Commits } from "../../src/jobs/cell/commits.js";
+import { createIntake } from "../../src/jobs/cell/intake.js";
+import { createFront } from "../../src/jobs/front/front.js";
+import type { Journal } from "../../src/jobs/ledger/journal.js";
+import { createJobsMetrics } from "../../src/jobs/metrics.js";
+import type { SubmitAnswer, SubmitRequest } from "../../src/jobs/model/requests.js";
+import { CellSettings } from "../../src/jobs/settings.js";
+import { describeStep, openBoard } from "./builders.js";
+
+interface CommitsWorld {
+    submitToOwner: (request: SubmitRequest) => Promise<Result<SubmitAnswer, Failure>>;
+    submitAnswer: Result<SubmitAnswer, Failure>;
+}
+
+const LIMIT = { timeout: 20_000 };
+const REQUEST: SubmitRequest = {
+    queue: "checks",
+    id: "00000000000000b1",
+    submission: { payload: "", steps: [describeStep({})] },
+};
+const silentLog: EventLog = { write: () => undefined, flush: async () => undefined };
+
+Given(
+    "an owner whose commit takes {int} ms and ends as {string}",
+    function(this: CommitsWorld, milliseconds: number, code: FailureCode) {
+        const board = openBoard();
+        const stopped = new AbortController();
+        const journal: Journal = {
+            epoch: 1,
+            predecessor: undefined,
+            load: async () => Result.ok([]),
+            commit: async () => {
+                await pause(milliseconds);
+                return Result.err(createFailure(code, "commit", "as the scenario says"));
+            },
+        };
+        const commits: Commits = createCommits({
+            board,
+            journal,
+            workers: new Map(),
+            workersInUse: new Set(),
+            settings: CellSettings.parse({}),
+            clock: systemClock,
+            log: silentLog,
+            metrics: createJobsMetrics(createMetrics({}, "usage")),
+            signal: stopped.signal,
+            onCommitted: () => undefined,
+            onFailed: failing => intake.noteFailing(failing),
+            onConflict: () => stopped.abort(),
+        });
+        const intake = createIntake({
+            board,
+            clock: systemClock,
+            log: silentLog,
+            epoch: 1,
+            commits: () => commits,
+            wakeDispatch: () => undefined,
+        });
+        const running = commits.run();
+        this.submitToOwner = async request => {
+            const answer = await intake.submit(request);
+            stopped.abort();
+            await running;
+            return answer;
+        };
+    },
+);
+
+Given("a front whose first owner gives no answer and whose second one refuses", function(this: CommitsWorld) {
+    const answers: Result<SubmitAnswer, Failure>[] = [
+        Result.err(createFailure("ambiguous", "commit", "the cell has lost its owner meanwhile")),
+        Result.ok({ kind: "refused", reason: "jobs cannot be stored now", retryAfterMilliseconds: 1_000 }),
+    ];
+    const owner = {
+        submit: async () => answers.length > 1 ? answers.shift() : answers[0],
+    };
+    const front = createFront({
+        cell: "main",
+        links: { find: () => undefined, run: async () => undefined },
+        clock: systemClock,
+        owned: () => owner as unknown as Cell,
+    });
+    this.submitToOwner = request => front.submit(request, systemClock() + 700);
+});
+
+When("a caller submits a job to it", LIMIT, async function(this: CommitsWorld) {
+    this.submitAnswer = await this.submitToOwner(REQUEST);
+});
+
+When("a caller submits a job to the front", LIMIT, async function(this: CommitsWorld) {
+    this.submitAnswer = await this.submitToOwner(REQUEST);
+});
+
+Then("the caller is not told that the job was refused", function(this: CommitsWorld) {
+    assert.ok(this.submitAnswer.isErr, JSON.stringify(this.submitAnswer));
+    assert.equal(this.submitAnswer.error.code, "ambiguous");
+});
+
+Then("the caller is told that the job was refused", function(this: CommitsWorld) {
+    assert.ok(this.submitAnswer.isOk, JSON.stringify(this.submitAnswer));
+    assert.equal(this.submitAnswer.value.kind, "refused");
+});
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -134,6 +134,17 @@
         const now = clock();
         if (committed.isErr) {
             const { code } = committed.error;
+            if (code === "conflict" || code === "ambiguous") {
+                // The write may have taken effect before another owner came, so nobody may be told that it did not.
+                log.write(
+                    "commit-unsettled",
+                    { epoch: journal.epoch, failure: formatFailure(committed.error) },
+                    "vital",
+                );
+                current.resolve(false);
+                options.onConflict(formatFailure(committed.error));
+                return false;
+            }
             returnChanges(board, changes);
             // A lease that has ended takes its record with it; whoever keeps the record attaches it anew.
             attached = code === "not-found" ? attached : [...writes, ...attached];
@@ -146,9 +157,6 @@
                 failingMilliseconds: Math.round(now - failingSince),
             }, "vital");
             options.onFailed(now - failingSince);
-            if (code === "conflict") {
-                options.onConflict(formatFailure(committed.error));
-            }
             return false;
         }
         if (failingSince !== undefined) {
--- a/src/jobs/front/front.ts
+++ b/src/jobs/front/front.ts
@@ -10,8 +10,8 @@
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import type { Cell } from "../cell/cell.js";
-import { cancelMethod, pendingMethod, stateMethod, submitMethod } from "../model/requests.js";
-import type { JobReference, PendingAnswer, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
+import { cancelMethod, pendingMethod, stateMethod, SubmitAnswer, submitMethod } from "../model/requests.js";
+import type { JobReference, PendingAnswer, StateAnswer, SubmitRequest } from "../model/requests.js";
 import type { OwnerLinks } from "./owner-links.js";
 
 /** Longest wait for news of an owner before a request is tried again. */
@@ -70,10 +70,11 @@
                 : link === undefined
                 ? undefined
                 : await link.call(method, params, Math.min(left, CALL_LIMIT_MILLISECONDS));
-            if (answer?.isOk === true) {
+            // What an earlier try may have handed over is not refused by a later one.
+            if (answer?.isOk === true && (doubt === undefined || !isRefusal(answer.value))) {
                 return answer;
             }
-            if (answer !== undefined && (answer.error.code === "ambiguous" || answer.error.code === "timeout")) {
+            if (answer?.isErr === true && (answer.error.code === "ambiguous" || answer.error.code === "timeout")) {
                 doubt = createFailure("ambiguous", method.name, answer.error.message, { peer: name });
             }
             await Promise.race([
@@ -112,6 +113,10 @@
     };
 }
 
+function isRefusal(answer: unknown): boolean {
+    return SubmitAnswer.safeParse(answer).data?.kind === "refused";
+}
+
 /** The owner goes on with what it was asked, but the caller is answered. */
 async function limit<Value>(
     answer: Promise<Result<Value, Failure>>,
