An owner says that a job is unknown only after a commit has proven its ownership

Change: a job that is not in the books is called unknown only once a commit sent after the question has worked, empty if need be; else the caller gets no answer from this owner and the front tries again.

--- a/features/jobs/commits.feature
+++ b/features/jobs/commits.feature
@@ -19,3 +19,18 @@
         Given a front whose first owner gives no answer and whose second one refuses
         When a caller submits a job to the front
         Then the caller is not told that the job was refused
+
+    Scenario Outline: An owner that has lost its cell without knowing it does not say that a job is unknown
+        Given an owner whose commit takes 100 ms and ends as "conflict"
+        When a caller asks it to <request> a job that its successor has taken in
+        Then the caller is not told that there is no such job
+
+        Examples:
+            | request |
+            | show    |
+            | cancel  |
+
+    Scenario: A job that was never submitted is unknown once a commit has shown who owns the cell
+        Given an owner whose commits work
+        When a caller asks it to show a job that it has never been given
+        Then the caller is told that there is no such job
--- a/features/jobs/commits.steps.ts
+++ b/features/jobs/commits.steps.ts
@@ -16,11 +16,13 @@
 import { createFront } from "../../src/jobs/front/front.js";
 import type { Journal } from "../../src/jobs/ledger/journal.js";
 import { createJobsMetrics } from "../../src/jobs/metrics.js";
-import type { SubmitAnswer, SubmitRequest } from "../../src/jobs/model/requests.js";
+import type { JobReference, StateAnswer, SubmitAnswer, SubmitRequest } from "../../src/jobs/model/requests.js";
 import { CellSettings } from "../../src/jobs/settings.js";
 import { describeStep, openBoard } from "./builders.js";
 
 interface CommitsWorld {
+    askOwner: (request: "show" | "cancel", reference: JobReference) => Promise<Result<StateAnswer, Failure>>;
+    stateAnswer: Result<StateAnswer, Failure>;
     submitToOwner: (request: SubmitRequest) => Promise<Result<SubmitAnswer, Failure>>;
     submitAnswer: Result<SubmitAnswer, Failure>;
 }
@@ -33,52 +35,64 @@
 };
 const silentLog: EventLog = { write: () => undefined, flush: async () => undefined };
 
+/** Runs the commits and the intake of an owner whose ledger takes this long and answers with this outcome. */
+function openOwner(world: CommitsWorld, milliseconds: number, outcome: Result<void, Failure>): void {
+    const board = openBoard();
+    const stopped = new AbortController();
+    const journal: Journal = {
+        epoch: 1,
+        predecessor: undefined,
+        load: async () => Result.ok([]),
+        commit: async () => {
+            await pause(milliseconds);
+            return outcome;
+        },
+    };
+    const commits: Commits = createCommits({
+        board,
+        journal,
+        workers: new Map(),
+        workersInUse: new Set(),
+        settings: CellSettings.parse({}),
+        clock: systemClock,
+        log: silentLog,
+        metrics: createJobsMetrics(createMetrics({}, "usage")),
+        signal: stopped.signal,
+        onCommitted: () => undefined,
+        onFailed: failing => intake.noteFailing(failing),
+        onConflict: () => stopped.abort(),
+    });
+    const intake = createIntake({
+        board,
+        clock: systemClock,
+        log: silentLog,
+        epoch: 1,
+        commits: () => commits,
+        wakeDispatch: () => undefined,
+    });
+    const running = commits.run();
+    const untilAnswered = async <Answer>(answer: Promise<Answer>): Promise<Answer> => {
+        const answered = await answer;
+        stopped.abort();
+        await running;
+        return answered;
+    };
+    world.submitToOwner = request => untilAnswered(intake.submit(request));
+    world.askOwner = (request, reference) =>
+        untilAnswered(request === "show" ? intake.state(reference) : intake.cancel(reference));
+}
+
 Given(
     "an owner whose commit takes {int} ms and ends as {string}",
     function(this: CommitsWorld, milliseconds: number, code: FailureCode) {
-        const board = openBoard();
-        const stopped = new AbortController();
-        const journal: Journal = {
-            epoch: 1,
-            predecessor: undefined,
-            load: async () => Result.ok([]),
-            commit: async () => {
-                await pause(milliseconds);
-                return Result.err(createFailure(code, "commit", "as the scenario says"));
-            },
-        };
-        const commits: Commits = createCommits({
-            board,
-            journal,
-            workers: new Map(),
-            workersInUse: new Set(),
-            settings: CellSettings.parse({}),
-            clock: systemClock,
-            log: silentLog,
-            metrics: createJobsMetrics(createMetrics({}, "usage")),
-            signal: stopped.signal,
-            onCommitted: () => undefined,
-            onFailed: failing => intake.noteFailing(failing),
-            onConflict: () => stopped.abort(),
-        });
-        const intake = createIntake({
-            board,
-            clock: systemClock,
-            log: silentLog,
-            epoch: 1,
-            commits: () => commits,
-            wakeDispatch: () => undefined,
-        });
-        const running = commits.run();
-        this.submitToOwner = async request => {
-            const answer = await intake.submit(request);
-            stopped.abort();
-            await running;
-            return answer;
-        };
+        openOwner(this, milliseconds, Result.err(createFailure(code, "commit", "as the scenario says")));
     },
 );
 
+Given("an owner whose commits work", function(this: CommitsWorld) {
+    openOwner(this, 0, Result.ok(undefined));
+});
+
 Given("a front whose first owner gives no answer and whose second one refuses", function(this: CommitsWorld) {
     const answers: Result<SubmitAnswer, Failure>[] = [
         Result.err(createFailure("ambiguous", "commit", "the cell has lost its owner meanwhile")),
@@ -113,3 +127,21 @@
     assert.ok(this.submitAnswer.isOk, JSON.stringify(this.submitAnswer));
     assert.equal(this.submitAnswer.value.kind, "refused");
 });
+
+When(
+    /^a caller asks it to (show|cancel) a job that (?:its successor has taken in|it has never been given)$/,
+    LIMIT,
+    async function(this: CommitsWorld, request: "show" | "cancel") {
+        this.stateAnswer = await this.askOwner(request, REQUEST);
+    },
+);
+
+Then("the caller is not told that there is no such job", function(this: CommitsWorld) {
+    assert.ok(this.stateAnswer.isErr, JSON.stringify(this.stateAnswer));
+    assert.equal(this.stateAnswer.error.code, "ambiguous");
+});
+
+Then("the caller is told that there is no such job", function(this: CommitsWorld) {
+    assert.ok(this.stateAnswer.isOk, JSON.stringify(this.stateAnswer));
+    assert.equal(this.stateAnswer.value.state, undefined);
+});
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -56,7 +56,7 @@
     readonly name: string;
     readonly epoch: number;
     submit(request: SubmitRequest): Promise<Result<SubmitAnswer, Failure>>;
-    state(reference: JobReference): StateAnswer;
+    state(reference: JobReference): Promise<Result<StateAnswer, Failure>>;
     cancel(reference: JobReference): Promise<Result<StateAnswer, Failure>>;
     pending(queue: string): PendingAnswer;
     /** Writes along with the next commit, under the cell's fence. */
@@ -186,10 +186,7 @@
         name,
         epoch,
         submit: request => intake.submit(request),
-        state({ id }) {
-            const entry = board.jobs.get(id);
-            return entry?.isCommitted === true ? { state: entry.shownState } : {};
-        },
+        state: reference => intake.state(reference),
         cancel: reference => intake.cancel(reference),
         pending(queue) {
             let pending = 0;
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -43,6 +43,8 @@
     request(isUrgent: boolean): void;
     /** Resolves once what is in the books now has been committed; false where it never will be by this owner. */
     settled(): Promise<boolean>;
+    /** Commits even without changes: resolves true once a commit sent from now on has shown that the cell is this owner's. */
+    prove(): Promise<boolean>;
     /** Writes that go along with the next commit. */
     attach(write: WriteOperation): void;
     /** When the store last confirmed that the cell is this owner's: the time before that commit was sent. */
@@ -78,6 +80,7 @@
     let isUrgent = false;
     let isRequested = false;
     let isReleasing = false;
+    let isProofWanted = false;
     const news = createWake();
     let confirmedAt = clock();
     let committedAt = confirmedAt;
@@ -102,7 +105,7 @@
     const commitOnce = async (isRelease: boolean): Promise<boolean> => {
         const noted = noteSequences();
         const taken = takeChanges(board);
-        if (isEmpty(taken) && attached.length === 0 && !isRelease) {
+        if (isEmpty(taken) && attached.length === 0 && !isRelease && !isProofWanted) {
             acknowledge(noted);
             batch.resolve(true);
             batch = createBatch();
@@ -112,6 +115,7 @@
         batch = createBatch();
         const writes = attached;
         attached = [];
+        isProofWanted = false;
         // A part that fits is committed first, the rest right after it.
         const [changes = taken, ...rest] = splitChanges(taken, VALUE_LIMIT_BYTES);
         rest.reverse().forEach(part => returnChanges(board, part));
@@ -146,6 +150,8 @@
                 return false;
             }
             returnChanges(board, changes);
+            // Whoever waits for this commit goes on to wait for the next one, which must not be left out as empty.
+            isProofWanted = true;
             // A lease that has ended takes its record with it; whoever keeps the record attaches it anew.
             attached = code === "not-found" ? attached : [...writes, ...attached];
             const next = batch;
@@ -198,16 +204,23 @@
 
     const hasToRelease = (): boolean => isReleasing && !isAborted(signal);
 
+    const request = (urgent: boolean): void => {
+        const isNews = !isRequested || urgent && !isUrgent;
+        isRequested = true;
+        isUrgent ||= urgent;
+        if (isNews) {
+            news.wake();
+        }
+    };
+
     return {
-        request(urgent) {
-            const isNews = !isRequested || urgent && !isUrgent;
-            isRequested = true;
-            isUrgent ||= urgent;
-            if (isNews) {
-                news.wake();
-            }
-        },
+        request,
         settled: () => batch.promise,
+        prove() {
+            isProofWanted = true;
+            request(true);
+            return batch.promise;
+        },
         attach(write) {
             attached.push(write);
             isUrgent = true;
--- a/src/jobs/cell/intake.ts
+++ b/src/jobs/cell/intake.ts
@@ -34,6 +34,7 @@
 /** Takes in what callers ask for; answers follow the commit. */
 export interface Intake {
     submit(request: SubmitRequest): Promise<Result<SubmitAnswer, Failure>>;
+    state(reference: JobReference): Promise<Result<StateAnswer, Failure>>;
     cancel(reference: JobReference): Promise<Result<StateAnswer, Failure>>;
     /** The store has taken no commit for so long: what has not been handed to it is refused. */
     noteFailing(milliseconds: number): void;
@@ -64,6 +65,12 @@
             : Result.err(createFailure("ambiguous", "commit", "the cell has lost its owner meanwhile"));
     };
 
+    /** A successor that this owner has not heard of may have taken the job in: only a commit shows that there is none. */
+    const unknown = async (): Promise<Result<StateAnswer, Failure>> =>
+        await options.commits().prove()
+            ? Result.ok({})
+            : Result.err(createFailure("ambiguous", "commit", "the cell may have another owner that knows the job"));
+
     return {
         async submit(request) {
             const { id, queue, submission } = request;
@@ -86,10 +93,14 @@
             waiting.delete(id);
             return answer;
         },
+        async state({ id }) {
+            const entry = board.jobs.get(id);
+            return entry?.isCommitted === true ? Result.ok({ state: entry.shownState }) : unknown();
+        },
         async cancel({ id }) {
             const entry = board.jobs.get(id);
             if (entry === undefined) {
-                return Result.ok({});
+                return unknown();
             }
             cancelJob(board, id, clock());
             options.wakeDispatch();
--- a/src/jobs/front/front.ts
+++ b/src/jobs/front/front.ts
@@ -103,7 +103,7 @@
             );
         },
         state: (reference, deadline) =>
-            carry(stateMethod, { ...reference, cell: name }, async cell => Result.ok(cell.state(reference)), deadline),
+            carry(stateMethod, { ...reference, cell: name }, cell => cell.state(reference), deadline),
         cancel: (reference, deadline) =>
             carry(cancelMethod, { ...reference, cell: name }, cell => cell.cancel(reference), deadline),
         pending: (queue, deadline) =>
--- a/src/jobs/wiring.ts
+++ b/src/jobs/wiring.ts
@@ -131,10 +131,7 @@
     return [
         implement(submitMethod, async request => findCell(request.cell)?.submit(request) ?? notOwned(request.cell)),
         implement(cancelMethod, async request => findCell(request.cell)?.cancel(request) ?? notOwned(request.cell)),
-        implement(stateMethod, async request => {
-            const cell = findCell(request.cell);
-            return cell === undefined ? notOwned(request.cell) : Result.ok(cell.state(request));
-        }),
+        implement(stateMethod, async request => findCell(request.cell)?.state(request) ?? notOwned(request.cell)),
         implement(pendingMethod, async request => {
             const cell = findCell(request.cell);
             return cell === undefined ? notOwned(request.cell) : Result.ok(cell.pending(request.queue));
