The load tool's scenarios open no more connections than their worker takes

Cause of the calls cut beside load: the stand-in closes connections beyond its 64, as workers do; on a machine that is late, the open-loop load caught up with up to 100 calls at once. The check stays: 100 of 100 answered.

--- a/features/platform/load.steps.ts
+++ b/features/platform/load.steps.ts
@@ -15,6 +15,8 @@
 
 const HOST = "127.0.0.1";
 const SILENCE_LIMIT_MILLISECONDS = 300;
+/** Connections that the worker takes at once; it closes any beyond them, which a slow machine's load would open. */
+const WORKER_CONNECTIONS = 64;
 
 interface LoadWorld {
     worker: WorkerStandIn | undefined;
@@ -32,7 +34,7 @@
         name: "levi-01",
         dataCentre: "levi",
         rack: 0,
-        shape: { slots: 8, cores: 32, memoryBytes: 125_000_000_000, accelerators: 0, connections: 64 },
+        shape: { slots: 8, cores: 32, memoryBytes: 125_000_000_000, accelerators: 0, connections: WORKER_CONNECTIONS },
         host: HOST,
         behaviour: WorkerBehaviour.parse({ profiles: { [service]: { requestMilliseconds: 1 } } }),
         record: record => this.records.push(record),
@@ -106,6 +108,7 @@
         seed: 1,
         origins: [this.proxy.origin],
         callsPerSecond: 500,
+        connectionsPerOrigin: WORKER_CONNECTIONS,
         durationMilliseconds: 600_000,
         name: "call",
         clock: systemClock,
