--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -6,9 +6,7 @@
  * until the last lease that it may have been given has lapsed.
  */
 import type { Task } from "../board/task.js";
-
-/** How much slower than ours a worker's clock may go; from the platform's pages, 2 %. */
-const SLOWEST_CLOCK_RATE = 0.98;
+import { certainlyPassed } from "./worker.js";
 
 /** Terms of a takeover. */
 export interface RecoveryOptions {
@@ -38,14 +36,14 @@
     const unheard = new Set(options.workers);
     /** Time after which nothing of the predecessor runs on a worker that has not answered. */
     let overAtMilliseconds = options.claimedAtMilliseconds
-        + (options.predecessorMilliseconds + options.longestLeaseMilliseconds) / SLOWEST_CLOCK_RATE;
+        + certainlyPassed(options.predecessorMilliseconds + options.longestLeaseMilliseconds);
     return {
         unheard: () => [...unheard],
         noteHeard: worker => unheard.delete(worker) && unheard.size === 0,
         notePredecessorOver(now) {
             overAtMilliseconds = Math.min(
                 overAtMilliseconds,
-                now + options.longestLeaseMilliseconds / SLOWEST_CLOCK_RATE,
+                now + certainlyPassed(options.longestLeaseMilliseconds),
             );
         },
         notePassed(now) {
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -40,6 +40,11 @@
 /** How much slower than ours a worker's clock may go; from the platform's pages, 2 %. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
+/** Time after which an interval has certainly passed that a worker measures by its own clock. */
+export function certainlyPassed(milliseconds: number): number {
+    return milliseconds / SLOWEST_CLOCK_RATE;
+}
+
 /** Creates a worker that has not been asked yet. */
 export function createCellWorker(listed: ListedWorker, isRecorded: boolean, now: number): CellWorker {
     return {
@@ -97,5 +102,5 @@
         return 0;
     }
     const left = Math.max(0, leaseUntilMilliseconds - clock.workerMilliseconds);
-    return clock.atMilliseconds + left / SLOWEST_CLOCK_RATE;
+    return clock.atMilliseconds + certainlyPassed(left);
 }
