flamingowell trace: a request's or job's events from all logs, in order, with what happened around them

Found missing for on-call engineers: docs/OPERATIONS.md did it by grep, and takeovers and workers' troubles had to be looked for by hand. Reads files only.

--- a/features/client/client.feature
+++ b/features/client/client.feature
@@ -99,6 +99,27 @@
             | rules apply rental-desk.rules --base two | 2 | --base two: use a whole number from 0   |
             | rules ending --days -1          | 2    | --days                                        |
             | status --gateway entry-1:7002   | 2    | use http://ADDRESS:PORT                       |
+            | trace 7c01                      | 2    | LOG-FILE... is missing                        |
+            | trace 7c01 nowhere.log          | 2    | no such file                                  |
+            | trace 7c01 rental-desk.rules    | 7    | 1 lines are no events and were left out       |
+
+    Scenario: A request's lines in several logs are put in order, with what explains them
+        Given the log "front.log":
+            """
+            {"time":"2031-05-01T06:00:04.000Z","event":"request-answered","instance":"entry-1","request":"7c01","path":"/checks/b1","status":200}
+            {"time":"2031-05-01T06:00:04.500Z","event":"request-answered","instance":"entry-1","request":"7c02","path":"/checks/b2","status":200}
+            """
+        And the log "owner.log":
+            """
+            {"time":"2031-05-01T06:00:01.000Z","event":"cell-owned","instance":"entry-2","cell":"main","epoch":3}
+            {"time":"2031-05-01T06:00:03.000Z","event":"cell-owned","instance":"entry-2","cell":"main","epoch":4}
+            {"time":"2031-05-01T06:00:05.000Z","event":"start-ordered","instance":"entry-2","task":"b1.0.0","worker":"levi-1"}
+            {"time":"2031-05-01T06:00:05.500Z","event":"worker-silent","instance":"entry-2","worker":"levi-1"}
+            {"time":"2031-05-01T06:00:05.600Z","event":"worker-silent","instance":"entry-2","worker":"levi-2"}
+            {"time":"2031-05-01T06:00:07.000Z","event":"job-ended","instance":"entry-2","job":"b1","state":"completed"}
+            """
+        When the operator runs "trace 7c01 front.log owner.log --json"
+        Then the client prints the own events "request-answered start-ordered job-ended" and around them "cell-owned worker-silent"
 
     Scenario: Every command explains itself
         Then every command prints its usage and all of its options with --help
--- a/features/client/client.steps.ts
+++ b/features/client/client.steps.ts
@@ -54,7 +54,7 @@
     });
 });
 
-Given("the rules file {string}:", async function(this: ClientWorld, file: string, text: string) {
+Given(/^the (?:rules file|log) "([^"]*)":$/, async function(this: ClientWorld, file: string, text: string) {
     await writeFile(join(this.clientDirectory, file), `${text}\n`);
 });
 
@@ -109,6 +109,15 @@
     assert.equal(typeof JSON.parse(this.clientRun.output), "object");
 });
 
+Then(
+    "the client prints the own events {string} and around them {string}",
+    function(this: ClientWorld, own: string, around: string) {
+        const trace = JSON.parse(this.clientRun.output) as Record<"own" | "around", { event: string; }[]>;
+        assert.equal(trace.own.map(({ event }) => event).join(" "), own);
+        assert.equal(trace.around.map(({ event }) => event).join(" "), around);
+    },
+);
+
 Then("every command prints its usage and all of its options with --help", limit, async function(this: ClientWorld) {
     for (const command of commands) {
         const run = await runClient(this, [...command.name.split(" "), "--help"]);
--- a/src/client/catalog.ts
+++ b/src/client/catalog.ts
@@ -18,6 +18,7 @@
 import { stateExport } from "./queries/state-export.js";
 import { stateVerify } from "./queries/state-verify.js";
 import { status } from "./queries/status.js";
+import { trace } from "./queries/trace.js";
 import { who } from "./queries/who.js";
 import { workers } from "./queries/workers.js";
 
@@ -39,5 +40,6 @@
     status,
     stateExport,
     stateVerify,
+    trace,
     completion,
 ];
--- a/src/client/client.ts
+++ b/src/client/client.ts
@@ -15,7 +15,7 @@
 import type { Clock } from "../core/time.js";
 import { suggestWord } from "../rules/suggest.js";
 import { commands } from "./catalog.js";
-import { toParseOptions } from "./command.js";
+import { REPEATED, toParseOptions } from "./command.js";
 import type { Command, CommandContext, OptionValues } from "./command.js";
 import { exitCodes } from "./exit.js";
 import type { ExitCode } from "./exit.js";
@@ -128,7 +128,8 @@
     if (given.length < needed.length) {
         return `${needed.slice(given.length).join(" ")} is missing`;
     }
-    const surplus = given[command.positionals.length];
+    const mayRepeat = command.positionals.at(-1)?.endsWith(REPEATED) === true;
+    const surplus = mayRepeat ? undefined : given[command.positionals.length];
     return surplus === undefined ? undefined : `unexpected argument ${surplus}`;
 }
 
--- a/src/client/command.ts
+++ b/src/client/command.ts
@@ -48,7 +48,7 @@
 export interface Command {
     /** Words that select it, such as `rules apply`. */
     readonly name: string;
-    /** Positional arguments, in order; those in brackets may be left out. */
+    /** Positional arguments, in order; those in brackets may be left out, and the last may be repeated if it says so. */
     readonly positionals: readonly string[];
     readonly options: Readonly<Record<string, CommandOption>>;
     readonly summary: string;
@@ -57,6 +57,9 @@
     run(context: CommandContext): Promise<ExitCode>;
 }
 
+/** Ends the name of a positional argument that may be given several times. */
+export const REPEATED = "...";
+
 /** Gives the options in the form of `util.parseArgs`. */
 export function toParseOptions(options: Command["options"]): NonNullable<ParseArgsConfig["options"]> {
     return Object.fromEntries(Object.entries(options).map(([name, { type }]) => [name, { type }]));
