--- a/features/jobs/commits.steps.ts
+++ b/features/jobs/commits.steps.ts
@@ -25,8 +25,11 @@
     stateAnswer: Result<StateAnswer, Failure>;
     submitToOwner: (request: SubmitRequest) => Promise<Result<SubmitAnswer, Failure>>;
     submitAnswer: Result<SubmitAnswer, Failure>;
+    /** Longest time for which the owner's commits counted as failing. */
+    failingMilliseconds: number;
 }
 
+const WATCH_MILLISECONDS = 20;
 const LIMIT = { timeout: 20_000 };
 const REQUEST: SubmitRequest = {
     queue: "checks",
@@ -36,15 +39,24 @@
 const silentLog: EventLog = { write: () => undefined, flush: async () => undefined };
 
 /** Runs the commits and the intake of an owner whose ledger takes this long and answers with this outcome. */
-function openOwner(world: CommitsWorld, milliseconds: number, outcome: Result<void, Failure>): void {
+function openOwner(
+    world: CommitsWorld,
+    milliseconds: number,
+    outcome: Result<void, Failure>,
+    partMilliseconds = milliseconds,
+): void {
+    world.failingMilliseconds = 0;
     const board = openBoard();
     const stopped = new AbortController();
     const journal: Journal = {
         epoch: 1,
         predecessor: undefined,
         load: async () => Result.ok([]),
-        commit: async () => {
-            await pause(milliseconds);
+        commit: async ({ onProgress }) => {
+            for (let waited = 0; waited < milliseconds; waited += partMilliseconds) {
+                await pause(partMilliseconds);
+                onProgress?.(systemClock() - partMilliseconds);
+            }
             return outcome;
         },
     };
@@ -71,8 +83,14 @@
         wakeDispatch: () => undefined,
     });
     const running = commits.run();
+    const watch = setInterval(() => {
+        const now = systemClock();
+        const failing = now - (commits.failingSinceMilliseconds(now) ?? now);
+        world.failingMilliseconds = Math.max(world.failingMilliseconds, failing);
+    }, WATCH_MILLISECONDS);
     const untilAnswered = async <Answer>(answer: Promise<Answer>): Promise<Answer> => {
         const answered = await answer;
+        clearInterval(watch);
         stopped.abort();
         await running;
         return answered;
@@ -89,6 +107,13 @@
     },
 );
 
+Given(
+    "an owner whose commit takes {int} ms, of which the store takes a part every {int} ms",
+    function(this: CommitsWorld, milliseconds: number, partMilliseconds: number) {
+        openOwner(this, milliseconds, Result.ok(undefined), partMilliseconds);
+    },
+);
+
 Given("an owner whose commits work", function(this: CommitsWorld) {
     openOwner(this, 0, Result.ok(undefined));
 });
@@ -123,6 +148,15 @@
     assert.equal(this.submitAnswer.error.code, "ambiguous");
 });
 
+Then("the caller is told that the job was accepted", function(this: CommitsWorld) {
+    assert.ok(this.submitAnswer.isOk, JSON.stringify(this.submitAnswer));
+    assert.equal(this.submitAnswer.value.kind, "accepted");
+});
+
+Then("the owner has never counted as in trouble", function(this: CommitsWorld) {
+    assert.equal(this.failingMilliseconds, 0);
+});
+
 Then("the caller is told that the job was refused", function(this: CommitsWorld) {
     assert.ok(this.submitAnswer.isOk, JSON.stringify(this.submitAnswer));
     assert.equal(this.submitAnswer.value.kind, "refused");
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -10,9 +10,9 @@
 import { returnChanges, takeChanges } from "../board/board.js";
 import type { Board } from "../board/board.js";
 import { describeBoard } from "../board/restore.js";
-import { splitChanges, VALUE_LIMIT_BYTES } from "../ledger/journal.js";
+import { VALUE_LIMIT_BYTES } from "../ledger/journal.js";
 import type { Journal } from "../ledger/journal.js";
-import { isEmpty } from "../ledger/segment.js";
+import { isEmpty, splitChanges } from "../ledger/segment.js";
 import type { Changes } from "../ledger/segment.js";
 import type { JobsMetrics } from "../metrics.js";
 import type { CellSettings } from "../settings.js";
@@ -86,6 +86,8 @@
     let committedAt = confirmedAt;
     let failingSince: number | undefined;
     let startedAt = 0;
+    /** When the commit under way was sent, or the store last took a part of it. */
+    let progressedAt = 0;
     let isCommitting = false;
 
     /** Workers whose ends are in the books up to here; acknowledged once the books are committed. */
@@ -120,11 +122,12 @@
         const [changes = taken, ...rest] = splitChanges(taken, VALUE_LIMIT_BYTES);
         rest.reverse().forEach(part => returnChanges(board, part));
         startedAt = clock();
+        progressedAt = startedAt;
         isCommitting = true;
         // What is not part of a commit whose outcome is long in coming need not wait for it.
         const watch = setInterval(() => {
-            if (clock() - startedAt > SLOW_COMMIT_MILLISECONDS) {
-                options.onFailed(clock() - startedAt);
+            if (clock() - progressedAt > SLOW_COMMIT_MILLISECONDS) {
+                options.onFailed(clock() - progressedAt);
             }
         }, SLOW_COMMIT_MILLISECONDS / 4);
         const committed = await journal.commit({
@@ -132,6 +135,11 @@
             whole: () => describeBoard(board, options.workersInUse),
             isRelease,
             alongside: writes,
+            onProgress(sentAt) {
+                progressedAt = clock();
+                confirmedAt = Math.max(confirmedAt, sentAt);
+                committedAt = Math.max(committedAt, sentAt);
+            },
         });
         clearInterval(watch);
         isCommitting = false;
@@ -156,7 +164,7 @@
             attached = code === "not-found" ? attached : [...writes, ...attached];
             const next = batch;
             void next.promise.then(isCommitted => current.resolve(isCommitted));
-            failingSince ??= startedAt;
+            failingSince ??= progressedAt;
             log.write("commit-failed", {
                 epoch: journal.epoch,
                 failure: formatFailure(committed.error),
@@ -173,7 +181,7 @@
             failingSince = undefined;
         }
         confirmedAt = Math.max(confirmedAt, startedAt);
-        committedAt = startedAt;
+        committedAt = Math.max(committedAt, startedAt);
         metrics.commitSeconds.observe((now - startedAt) / 1_000);
         options.onCommitted(changes, now);
         if (rest.length > 0) {
@@ -229,7 +237,7 @@
         confirmedAtMilliseconds: () => confirmedAt,
         committedAtMilliseconds: () => committedAt,
         failingSinceMilliseconds: now =>
-            failingSince ?? (isCommitting && now - startedAt > SLOW_COMMIT_MILLISECONDS ? startedAt : undefined),
+            failingSince ?? (isCommitting && now - progressedAt > SLOW_COMMIT_MILLISECONDS ? progressedAt : undefined),
         noteConfirmation(at) {
             confirmedAt = Math.max(confirmedAt, at);
         },
--- a/src/jobs/ledger/journal.ts
+++ b/src/jobs/ledger/journal.ts
@@ -9,18 +9,25 @@
 import type { Failure } from "../../core/errors.js";
 import { createFailure } from "../../core/errors.js";
 import { parseJson } from "../../core/parse.js";
+import type { Clock } from "../../core/time.js";
 import { commitRecord, readRecord } from "../../platform/commit.js";
 import type { StoredRecord } from "../../platform/commit.js";
 import type { KeyValue, Store, WriteOperation } from "../../platform/store.js";
-import { Segment } from "./segment.js";
+import { Segment, splitChanges } from "./segment.js";
 import type { Changes } from "./segment.js";
 
-/** Segments after which a snapshot takes their place: a takeover reads at most this many, in one or two pages. */
-const SEGMENTS_PER_SNAPSHOT = 100;
+/** Fewer segments are not worth a snapshot: a takeover reads them in one page. */
+const LEAST_SEGMENTS_PER_SNAPSHOT = 100;
+
+/** Segments after which a snapshot takes their place in any case, so that a takeover reads them in one page. */
+const MOST_SEGMENTS_PER_SNAPSHOT = 480;
 
 /** Bytes of JSON of one value; the store takes 1 MB, and base64 and the envelope need room. */
 export const VALUE_LIMIT_BYTES = 600_000;
 
+/** Bytes of JSON of one part of a snapshot: 0.2 s on the slowest link of a deployment, 7 Mbit/s. */
+const SNAPSHOT_PART_BYTES = 130_000;
+
 /** Old segments that a commit removes; a transaction of the store takes 32 entries in all. */
 const REMOVALS_PER_COMMIT = 24;
 
@@ -55,6 +62,7 @@
 /** What a claim needs. */
 export interface ClaimOptions {
     readonly store: Store;
+    readonly clock: Clock;
     readonly cell: string;
     readonly owner: CellOwner;
     /** Writes that take effect together with the claim, such as the record that names the owner. */
@@ -85,6 +93,8 @@
     readonly isRelease?: boolean;
     /** Writes outside the ledger that take effect together with the commit; at most four. */
     readonly alongside?: readonly WriteOperation[];
+    /** The store has taken a part of a snapshot, and nobody else had claimed the cell when it was sent. */
+    readonly onProgress?: (sentAtMilliseconds: number) => void;
 }
 
 /** Prefix of a cell's keys. */
@@ -123,7 +133,7 @@
 }
 
 function createJournal(
-    { store, cell, signal }: ClaimOptions,
+    { store, cell, clock, signal }: ClaimOptions,
     claimed: Head,
     claimedRevision: number,
     predecessor: Head | undefined,
@@ -135,11 +145,30 @@
     let head = claimed;
     let revision = claimedRevision;
     let oldKeys: string[] = [];
+    /** Bytes of the last snapshot, and of the segments after it. */
+    let snapshotBytes = 0;
+    let logBytes = 0;
+    /** A part of a failed snapshot may still arrive, so that no other one is written under its keys. */
+    let failedSnapshotSequence: number | undefined;
+
+    /** A snapshot pays once the segments hold more than it would save a takeover; so its cost stays below theirs. */
+    const isSnapshotDue = (sequence: number): boolean => {
+        const segments = sequence - head.snapshotSequence;
+        return sequence !== failedSnapshotSequence
+            && segments > (logBytes > snapshotBytes ? LEAST_SEGMENTS_PER_SNAPSHOT : MOST_SEGMENTS_PER_SNAPSHOT);
+    };
 
     /** Chunks take no effect before a head refers to them; an earlier attempt's are overwritten. */
-    const writeSnapshot = async (sequence: number, whole: Changes): Promise<Result<number, Failure>> => {
-        const chunks = splitChanges(whole, VALUE_LIMIT_BYTES);
+    const writeSnapshot = async (
+        sequence: number,
+        whole: Changes,
+        onProgress: Commit["onProgress"],
+    ): Promise<Result<{ chunks: number; bytes: number; }, Failure>> => {
+        const chunks = splitChanges(whole, SNAPSHOT_PART_BYTES);
+        let bytes = 0;
         for (const [index, chunk] of chunks.entries()) {
+            const sentAt = clock();
+            const value = JSON.stringify({ ...chunk, sequence });
             const written = await store.transact({
                 comparisons: [{
                     key: `${prefix}head`,
@@ -150,18 +179,22 @@
                 writes: [{
                     kind: "put",
                     key: keyOfChunk(sequence, index),
-                    value: JSON.stringify({ ...chunk, sequence }),
+                    value,
                 }],
             });
             if (written.isErr) {
+                failedSnapshotSequence = sequence;
+                oldKeys.push(...Array.from({ length: index + 1 }, (_, part) => keyOfChunk(sequence, part)));
                 // A chunk without a head does no harm, so it does not matter whether it has been written.
                 return Result.err({ ...written.error, code: "unavailable" });
             }
             if (!written.value.succeeded) {
                 return Result.err(createFailure("conflict", "snapshot", `cell ${cell} has another owner`));
             }
+            bytes += value.length;
+            onProgress?.(sentAt);
         }
-        return Result.ok(chunks.length);
+        return Result.ok({ chunks: chunks.length, bytes });
     };
 
     const listSuperseded = ({ sequence, snapshotChunks, snapshotSequence }: Head): string[] => [
@@ -214,6 +247,12 @@
                     return Result.err(segment.error);
                 }
                 const isChunk = entry.key.startsWith(`${prefix}snapshot/`);
+                if (isChunk) {
+                    snapshotBytes += entry.value.length;
+                }
+                else {
+                    logBytes += entry.value.length;
+                }
                 // Segments that a snapshot has taken in may be left over.
                 if (isChunk || segment.value.sequence > snapshotSequence && segment.value.sequence <= sequence) {
                     segments.push(segment.value);
@@ -227,23 +266,23 @@
         async commit(commit) {
             const { alongside: others = [], changes, isRelease = false } = commit;
             const sequence = head.sequence + 1;
-            const isCompact = sequence - head.snapshotSequence > SEGMENTS_PER_SNAPSHOT;
+            const isCompact = isSnapshotDue(sequence);
             let next: Head = { ...head, sequence, isReleased: isRelease };
+            let bytes = 0;
             const removed = oldKeys.slice(0, REMOVALS_PER_COMMIT);
             const alongside: WriteOperation[] = [...others, ...removed.map(key => ({ kind: "delete", key } as const))];
             if (isCompact) {
-                const chunks = await writeSnapshot(sequence, commit.whole());
-                if (chunks.isErr) {
-                    return Result.err(chunks.error);
+                const snapshot = await writeSnapshot(sequence, commit.whole(), commit.onProgress);
+                if (snapshot.isErr) {
+                    return Result.err(snapshot.error);
                 }
-                next = { ...next, snapshotSequence: sequence, snapshotChunks: chunks.value };
+                next = { ...next, snapshotSequence: sequence, snapshotChunks: snapshot.value.chunks };
+                bytes = snapshot.value.bytes;
             }
             else {
-                alongside.push({
-                    kind: "put",
-                    key: keyOfSegment(sequence),
-                    value: JSON.stringify({ ...changes, sequence }),
-                });
+                const value = JSON.stringify({ ...changes, sequence });
+                alongside.push({ kind: "put", key: keyOfSegment(sequence), value });
+                bytes = value.length;
             }
             const committed = await commitRecord(store, {
                 key: `${prefix}head`,
@@ -255,45 +294,11 @@
             });
             return committed.map(written => {
                 oldKeys = [...oldKeys.slice(removed.length), ...isCompact ? listSuperseded(head) : []];
+                snapshotBytes = isCompact ? bytes : snapshotBytes;
+                logBytes = isCompact ? 0 : logBytes + bytes;
                 head = next;
                 revision = written;
             });
         },
     };
 }
-
-/** Splits changes into parts whose JSON fits into one value each; the order of changes stays. */
-export function splitChanges(changes: Changes, limitBytes: number): Changes[] {
-    const text = JSON.stringify(changes);
-    if (text.length <= limitBytes) {
-        return [changes];
-    }
-    const first = { ...changes };
-    const second = { ...changes };
-    // Jobs come before what happened to them, so everything else goes into the later part.
-    const half = Math.ceil(changes.accepted.length / 2);
-    first.accepted = changes.accepted.slice(0, half);
-    second.accepted = changes.accepted.slice(half);
-    if (changes.accepted.length > 1) {
-        for (const key of ["begun", "done", "failed", "checkpoints", "ended", "forgotten"] as const) {
-            first[key] = [];
-        }
-        first.workersUsed = [];
-        first.workersLeft = [];
-        return [...splitChanges(first, limitBytes), ...splitChanges(second, limitBytes)];
-    }
-    return splitLists(changes);
-}
-
-/** Without several jobs, the lists themselves are halved. */
-function splitLists(changes: Changes): Changes[] {
-    const first = { ...changes };
-    const second = { ...changes, accepted: [], begun: [] };
-    first.done = changes.done.slice(0, changes.done.length / 2);
-    second.done = changes.done.slice(changes.done.length / 2);
-    first.failed = [];
-    first.checkpoints = [];
-    first.ended = [];
-    first.forgotten = [];
-    return [first, second];
-}
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -57,3 +57,40 @@
 export function isEmpty(changes: Changes): boolean {
     return Object.values(changes).every(list => list.length === 0);
 }
+
+/** In the order in which changes are played: jobs come before what happened to them. */
+const LISTS = [
+    "accepted",
+    "begun",
+    "done",
+    "failed",
+    "checkpoints",
+    "ended",
+    "forgotten",
+    "workersUsed",
+    "workersLeft",
+] as const;
+
+/** Splits changes into parts whose JSON fits into one value each; played one after the other they are the whole. */
+export function splitChanges(changes: Changes, limitBytes: number): Changes[] {
+    if (JSON.stringify(changes).length <= limitBytes) {
+        return [changes];
+    }
+    const parts: Changes[] = [];
+    let part = createChanges();
+    let bytes = 0;
+    const room = limitBytes - JSON.stringify(part).length;
+    for (const name of LISTS) {
+        for (const change of changes[name]) {
+            const length = JSON.stringify(change).length + 1;
+            if (bytes > 0 && bytes + length > room) {
+                parts.push(part);
+                part = createChanges();
+                bytes = 0;
+            }
+            (part[name] as unknown[]).push(change);
+            bytes += length;
+        }
+    }
+    return [...parts, part];
+}
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -110,6 +110,7 @@
         const { leaseId } = lease.value;
         const claimed = await claimCell({
             store,
+            clock,
             cell: name,
             owner: { instance: self.instance, incarnation: self.incarnation },
             alongside: epoch => [{
