--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -34,8 +34,6 @@
 export interface CellOptions {
     readonly name: string;
     readonly settings: CellSettings;
-    /** Share of a processor that the owner has. */
-    readonly processorShare: number;
     readonly workerList: WorkerList;
     readonly orders: WorkerOrders;
     readonly clock: Clock;
--- a/src/jobs/cell/context.ts
+++ b/src/jobs/cell/context.ts
@@ -18,8 +18,6 @@
     readonly name: string;
     readonly epoch: number;
     readonly settings: CellSettings;
-    /** Share of a processor that the owner has. */
-    readonly processorShare: number;
     readonly board: Board;
     readonly workers: Map<string, CellWorker>;
     readonly orders: WorkerOrders;
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -28,12 +28,8 @@
 /** Time between two looks at what runs where it should not stay. */
 const REVIEW_MILLISECONDS = 200;
 
-/**
- * Starts whose answers are awaited; more of them would only wait in this process, behind what may become more urgent. A start
- * takes about a millisecond of a whole processor, and its answer comes after some twelve.
- */
-const LEAST_STARTS_IN_FLIGHT = 40;
-const STARTS_IN_FLIGHT_PER_PROCESSOR = 150;
+/** Starts whose answers are awaited; more of them would only wait in this process, behind what may become more urgent. */
+const STARTS_IN_FLIGHT = 40;
 
 /**
  * A copy is started only by an owner whose last commit is no older: a successor may know that the task is done. The
@@ -58,7 +54,6 @@
     const { board, clock, signal } = cell;
     const stopping = new Set<Attempt>();
     const news = createWake();
-    const mostStarts = Math.max(LEAST_STARTS_IN_FLIGHT, cell.processorShare * STARTS_IN_FLIGHT_PER_PROCESSOR);
     let reviewedAt = 0;
     let startsInFlight = 0;
 
@@ -186,7 +181,7 @@
         let reservations = 0;
         const terms = { queue: ({ entry }: Task) => queues.get(entry.queue), durations: cell.durations };
         for (const task of orderTasks(startable, terms, now)) {
-            if (startsInFlight >= mostStarts) {
+            if (startsInFlight >= STARTS_IN_FLIGHT) {
                 break;
             }
             const step = progressOf(task);
--- a/src/jobs/wiring.ts
+++ b/src/jobs/wiring.ts
@@ -82,7 +82,6 @@
         settings: settings.ownership,
         cellOptions: {
             settings: settings.cell,
-            processorShare: settings.processorShare,
             workerList: options.workerList,
             orders: options.orders,
             clock,
