--- a/src/jobs/ledger/journal.ts
+++ b/src/jobs/ledger/journal.ts
@@ -16,7 +16,7 @@
 import { Segment, splitChanges } from "./segment.js";
 import type { Changes } from "./segment.js";
 
-/** Fewer segments are not worth a snapshot: a takeover reads them in one page. */
+/** Fewer segments are not worth a snapshot: a takeover reads them within milliseconds. */
 const LEAST_SEGMENTS_PER_SNAPSHOT = 100;
 
 /** Segments after which a snapshot takes their place in any case, so that a takeover reads them in one page. */
@@ -158,7 +158,7 @@
             && segments > (logBytes > snapshotBytes ? LEAST_SEGMENTS_PER_SNAPSHOT : MOST_SEGMENTS_PER_SNAPSHOT);
     };
 
-    /** Chunks take no effect before a head refers to them; an earlier attempt's are overwritten. */
+    /** Writes the books part by part; parts take no effect before a head refers to them. */
     const writeSnapshot = async (
         sequence: number,
         whole: Changes,
