--- a/features/client/client.feature
+++ b/features/client/client.feature
@@ -114,6 +114,7 @@
             {"time":"2031-05-01T06:00:01.000Z","event":"cell-owned","instance":"entry-2","cell":"main","epoch":3}
             {"time":"2031-05-01T06:00:03.000Z","event":"cell-owned","instance":"entry-2","cell":"main","epoch":4}
             {"time":"2031-05-01T06:00:05.000Z","event":"start-ordered","instance":"entry-2","task":"b1.0.0","worker":"levi-1"}
+            {"time":"2031-05-01T06:00:05.200Z","event":"stop-confirmed","instance":"entry-2","task":"b2.0.0","worker":"levi-1"}
             {"time":"2031-05-01T06:00:05.500Z","event":"worker-silent","instance":"entry-2","worker":"levi-1"}
             {"time":"2031-05-01T06:00:05.600Z","event":"worker-silent","instance":"entry-2","worker":"levi-2"}
             {"time":"2031-05-01T06:00:07.000Z","event":"job-ended","instance":"entry-2","job":"b1","state":"completed"}
--- a/src/client/queries/trace.ts
+++ b/src/client/queries/trace.ts
@@ -44,9 +44,15 @@
     },
 };
 
+/** A longer value is cut off, such as the settings at a start; `--json` prints it whole. */
+const LONGEST_VALUE_CHARACTERS = 120;
+
 function formatEvent({ time, event, instance = "", ...fields }: EventLine): string {
-    const details = Object.entries(fields).map(([name, value]) =>
-        `${name}=${typeof value === "string" ? value : JSON.stringify(value)}`
-    );
+    const details = Object.entries(fields).map(([name, value]) => {
+        const text = typeof value === "string" ? value : JSON.stringify(value);
+        return `${name}=${
+            text.length > LONGEST_VALUE_CHARACTERS ? `${text.slice(0, LONGEST_VALUE_CHARACTERS)}...` : text
+        }`;
+    });
     return `  ${time.slice(11)}  ${instance.padEnd(24)}  ${event.padEnd(20)}  ${details.join(" ")}`;
 }
--- a/src/jobs/trace.ts
+++ b/src/jobs/trace.ts
@@ -32,7 +32,7 @@
 
 /** Events about no job that explain what happens to many. */
 const SURROUNDING_EVENT =
-    /^(cell-(owned|claimed|lost)|commit|commits-|recovery-|owner-(dead|isolated)|lease-|start(ing|ed)$|stop)/;
+    /^(cell-(owned|claimed|lost)|commits?-|recovery-|owner-(dead|isolated)|lease-|starting$|stopp(ing|ed)$)/;
 
 /** Finds a request's or job's events in the lines of all instances' logs. */
 export function traceEvents(id: string, lines: Iterable<string>): Trace {
@@ -67,7 +67,7 @@
         const at = Date.parse(event.time);
         const isAboutWorker = event.event.startsWith("worker-") && workers.has(event["worker"] as string);
         return at >= from && at <= until && !isOwn(event)
-            && (isAboutWorker || SURROUNDING_EVENT.test(event.event) && event["job"] === undefined);
+            && (isAboutWorker || SURROUNDING_EVENT.test(event.event));
     }));
     return { own, around, unreadableLines };
 }
