--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -70,10 +70,6 @@
         When the store has the faults '{"breakWatches": true}'
         Then the watch ends as "unavailable"
 
-    Scenario: Calls beyond the rate are refused without effect
-        Given 300 writes to "w/1"
-        Then some writes have failed as "refused" and the others count 100 or more
-
     Scenario: A value over the limit is refused without effect
         When 1100000 bytes are written to "a/1"
         Then the write has failed as "refused"
