--- a/src/jobs/trace.ts
+++ b/src/jobs/trace.ts
@@ -74,20 +74,19 @@
 
 /** Requests and jobs that an event is about. */
 function namesOf(event: EventLine): string[] {
-    const { request } = event;
-    return [...typeof request === "string" ? [request] : [], ...jobOf(event) ?? []];
+    return [event["request"], jobOf(event)].filter(name => typeof name === "string");
 }
 
 /** The job that an event is about: named, part of a task's name, or the end of a request's path. */
-function jobOf({ job, path, task }: EventLine): string[] | undefined {
+function jobOf({ job, path, task }: EventLine): string | undefined {
     if (typeof job === "string") {
-        return [job];
+        return job;
     }
     if (typeof task === "string") {
-        return [task.slice(0, task.indexOf("."))];
+        return task.slice(0, task.indexOf("."));
     }
-    const [last] = typeof path === "string" ? (path.split("?")[0] ?? "").split("/").slice(-1) : [];
-    return last === undefined || last === "" ? undefined : [last];
+    const last = typeof path === "string" ? path.replace(/\?.*$/, "").split("/").at(-1) : "";
+    return last === "" ? undefined : last;
 }
 
 function sortByTime(events: readonly EventLine[]): EventLine[] {
