--- a/src/jobs/ledger/journal.ts
+++ b/src/jobs/ledger/journal.ts
@@ -19,7 +19,7 @@
 /** Fewer segments are not worth a snapshot: a takeover reads them within milliseconds. */
 const LEAST_SEGMENTS_PER_SNAPSHOT = 100;
 
-/** Segments after which a snapshot takes their place in any case, so that a takeover reads them in one page. */
+/** Segments after which a snapshot takes their place in any case: with those not yet removed, a takeover reads two pages. */
 const MOST_SEGMENTS_PER_SNAPSHOT = 480;
 
 /** Bytes of JSON of one value; the store takes 1 MB, and base64 and the envelope need room. */
