Cells show how many tasks wait for workers that have not answered since a takeover

Cause: in the incident on Sumber Padi neither logs nor metrics told whether the lasting tasks waited for the recovery, for capacity, or were not meant to start at all: the collected logs of the owner begin after it. Change: gauges of ready and held tasks and of unanswered workers, the last two also in cell-load; recovery-ended names the workers that never answered.

--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -22,7 +22,7 @@
 import { createCommits } from "./commits.js";
 import type { CellContext } from "./context.js";
 import { createDispatcher } from "./dispatch.js";
-import { summarizeLoad } from "./load.js";
+import { clearLoad, showLoad, summarizeLoad } from "./load.js";
 import { createRecovery } from "./recovery.js";
 import { createRequestHandler } from "./request-handler.js";
 import { createWorkerSessions } from "./worker-sessions.js";
@@ -179,9 +179,12 @@
         while (!ownershipEnd.signal.aborted) {
             const now = clock();
             removeEndedJobs(jobTable, now - settings.keepEndedMilliseconds);
-            log.write("cell-load", { cell: name, epoch, ...summarizeLoad(context, now) }, "vital");
+            const load = summarizeLoad(context, recovery, now);
+            log.write("cell-load", { cell: name, epoch, ...load }, "vital");
+            showLoad(options.metrics, load);
             await pause(CLEANUP_INTERVAL_MILLISECONDS, ownershipEnd.signal);
         }
+        clearLoad(options.metrics);
     };
 
     return {
--- a/src/jobs/cell/load.ts
+++ b/src/jobs/cell/load.ts
@@ -2,13 +2,19 @@
  * Summarises the load of a cell for the log, which helps to explain why a task waited.
  */
 import { isServing } from "../job-table/occupancy.js";
+import type { JobsMetrics } from "../metrics.js";
 import { addSize, ZERO_SIZE } from "../model/size.js";
 import type { CellContext } from "./context.js";
+import type { Recovery } from "./recovery.js";
 
 /** Load of a cell at one moment. */
 export interface CellLoad {
     readonly jobs: number;
     readonly readyTasks: number;
+    /** Ready tasks that wait because a worker that has not answered since the takeover may run them. */
+    readonly heldTasks: number;
+    /** Workers in use that have not answered since the takeover. */
+    readonly unansweredWorkers: number;
     /** Longest time that a ready task has waited. */
     readonly longestWaitMilliseconds: number;
     /** Number of ready tasks by queue. */
@@ -32,11 +38,14 @@
 const MILLICORES_PER_CORE = 1_000;
 
 /** Summarises the load of a cell. */
-export function summarizeLoad({ jobTable, workers }: CellContext, now: number): CellLoad {
+export function summarizeLoad({ jobTable, workers }: CellContext, recovery: Recovery, now: number): CellLoad {
     const readyByQueue: Record<string, number> = {};
     let longestWaitMilliseconds = 0;
-    for (const { entry: { queue }, readyAtMilliseconds } of jobTable.readyTasks) {
+    let heldTasks = 0;
+    for (const task of jobTable.readyTasks) {
+        const { entry: { queue }, readyAtMilliseconds } = task;
         readyByQueue[queue] = (readyByQueue[queue] ?? 0) + 1;
+        heldTasks += recovery.mayStart(task) ? 0 : 1;
         longestWaitMilliseconds = Math.max(longestWaitMilliseconds, now - readyAtMilliseconds);
     }
     const answering = [...workers.values()].filter(({ contact }) => contact === "answering");
@@ -48,6 +57,8 @@
     return {
         jobs: jobTable.jobs.size,
         readyTasks: jobTable.readyTasks.size,
+        heldTasks,
+        unansweredWorkers: recovery.unanswered().length,
         longestWaitMilliseconds: Math.round(longestWaitMilliseconds),
         readyByQueue,
         workers: workers.size,
@@ -66,3 +77,18 @@
         attempts: attempts.length,
     };
 }
+
+/** Sets the gauges of a cell's load. */
+export function showLoad(metrics: JobsMetrics, { heldTasks, readyByQueue, unansweredWorkers }: CellLoad): void {
+    metrics.readyTasks.reset();
+    Object.entries(readyByQueue).forEach(([queue, tasks]) => metrics.readyTasks.set({ queue }, tasks));
+    metrics.heldTasks.set(heldTasks);
+    metrics.unansweredWorkers.set(unansweredWorkers);
+}
+
+/** Resets the gauges of a cell that this instance no longer owns. */
+export function clearLoad(metrics: JobsMetrics): void {
+    metrics.readyTasks.reset();
+    metrics.heldTasks.set(0);
+    metrics.unansweredWorkers.set(0);
+}
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -142,7 +142,7 @@
         for (const worker of workers.values()) {
             updateUse(worker, now);
             if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id)) {
-                endRecovery();
+                endRecovery([]);
             }
             if (worker.unlistedSinceMilliseconds === undefined || worker.contact !== "silent") {
                 continue;
@@ -152,13 +152,14 @@
                 removeWorker(worker);
             }
         }
+        const unanswered = recovery.unanswered();
         if (recovery.expire(now)) {
-            endRecovery();
+            endRecovery(unanswered);
         }
     };
 
-    const endRecovery = (): void => {
-        cell.log.write("recovery-ended", { cell: cell.name, epoch: cell.epoch }, "vital");
+    const endRecovery = (unansweredWorkers: readonly string[]): void => {
+        cell.log.write("recovery-ended", { cell: cell.name, epoch: cell.epoch, unansweredWorkers }, "vital");
         options.onRecovered();
         cell.requestDispatch();
     };
--- a/src/jobs/metrics.ts
+++ b/src/jobs/metrics.ts
@@ -40,6 +40,17 @@
             "Time from a claim to the first order",
             LATENCY_BUCKETS,
         ),
+        readyTasks: metrics.gauge("flamingowell_cell_ready_tasks", "Tasks of the owned cell that could start", [
+            "queue",
+        ]),
+        heldTasks: metrics.gauge(
+            "flamingowell_cell_held_tasks",
+            "Ready tasks that wait because a worker that has not answered since the takeover may run them",
+        ),
+        unansweredWorkers: metrics.gauge(
+            "flamingowell_cell_unanswered_workers",
+            "Workers in use that have not answered since the takeover",
+        ),
         orders: metrics.counter("flamingowell_worker_orders_total", "Orders to workers by kind and outcome", [
             "order",
             "outcome",
