An owner acts only while it commits or most workers answer it, and its successor relies on that

Callers saw: after workers were lost, lasting tasks did not run for 29 s (LOST in the incident on Sumber Padi), and every waiting task of an earlier job was held as long after a takeover. Cause: an owner that the store did not confirm went on for 12 s whatever the workers said, so a successor had to wait 16.8 s for workers that never answer. It was not safe either: cut off from the store and from most workers, it counted their tasks as lapsed after 4.6 s and started them again on the workers that it reached, while they ran under its successor. Change: without a commit of the last 1.8 s an owner sends orders only while more than half of the workers in use have answered within that time. A worker that has answered a newer epoch refuses older ones, so once two thirds have answered a successor, its predecessor stops 1.8 s later at most. Workers are removed from those in use only after a recent commit, so that both count the same ones. A renewed lease no longer counts as proof, as it goes on after a successor's claim.

--- a/features/jobs/commits.steps.ts
+++ b/features/jobs/commits.steps.ts
@@ -67,6 +67,7 @@
         journal,
         workers: new Map(),
         workersInUse: new Set(),
+        claimSentAtMilliseconds: systemClock(),
         settings: CellSettings.parse({}),
         clock: systemClock,
         log: silentLog,
--- a/features/jobs/decisions.steps.ts
+++ b/features/jobs/decisions.steps.ts
@@ -43,6 +43,7 @@
 /** Weight at which a filler on a tenth of a worker takes a serving task over its objective. */
 const HARMFUL_WEIGHT = 10;
 const LEASE_MILLISECONDS = 4_500;
+const CONTACT_MILLISECONDS = 1_800;
 const HORIZON_MILLISECONDS = 12_000;
 
 function firstTask(tasks: readonly Task[]): Task | undefined {
@@ -140,13 +141,14 @@
             claimedAtMilliseconds: NOW,
             predecessorActiveMilliseconds: HORIZON_MILLISECONDS,
             longestLeaseMilliseconds: LEASE_MILLISECONDS,
+            contactMilliseconds: CONTACT_MILLISECONDS,
         });
     },
 );
 
 When("{int} of the workers has answered", function(this: DecisionWorld, count: number) {
     for (let index = 0; index < count; index++) {
-        this.takeover.recordAnswer(`worker-${index}`);
+        this.takeover.recordAnswer(`worker-${index}`, NOW);
     }
 });
 
--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -230,6 +230,7 @@
             }, {
                 journal: createLedger(reach, epoch),
                 segments: [...segments],
+                claimSentAtMilliseconds: now,
                 claimedAtMilliseconds: now,
                 haveFormerOwnersStopped: () => isFirst,
             });
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -19,6 +19,8 @@
 import { createDurations } from "../policy/durations.js";
 import { createInterference } from "../policy/interference.js";
 import type { CellSettings } from "../settings.js";
+import { isOwnershipProven, maySendOrders } from "./authority.js";
+import type { OwnershipEvidence } from "./authority.js";
 import { createCommits } from "./commits.js";
 import type { CellContext } from "./context.js";
 import { createDispatcher } from "./dispatch.js";
@@ -46,6 +48,8 @@
 export interface ClaimedCell {
     readonly journal: Ledger;
     readonly segments: readonly Segment[];
+    /** When the claim was sent, and when it had succeeded. */
+    readonly claimSentAtMilliseconds: number;
     readonly claimedAtMilliseconds: number;
     /** Whether all former owners that may have been sending orders at the claim have stopped. */
     haveFormerOwnersStopped(): boolean;
@@ -89,6 +93,7 @@
         claimedAtMilliseconds: claimed.claimedAtMilliseconds,
         predecessorActiveMilliseconds: claimed.haveFormerOwnersStopped() ? 0 : settings.horizonMilliseconds,
         longestLeaseMilliseconds: settings.leaseMilliseconds,
+        contactMilliseconds: settings.contactMilliseconds,
     });
     if (recovery.unanswered().length === 0) {
         journal.settleFormerOwners();
@@ -142,6 +147,7 @@
         journal,
         workers,
         workersInUse,
+        claimSentAtMilliseconds: claimed.claimSentAtMilliseconds,
         settings,
         clock,
         log,
@@ -151,6 +157,19 @@
         onConflict: message => abandon(message),
         onFailed: milliseconds => requestHandler.refuseUncommitted(milliseconds),
     });
+    const listEvidence = (): OwnershipEvidence => ({
+        committedAtMilliseconds: commits.committedAtMilliseconds(),
+        confirmedAtMilliseconds: commits.confirmedAtMilliseconds(),
+        answersAtMilliseconds: listAnswers(),
+    });
+    /** A worker counts once the ledger lists it, as a successor knows no others. */
+    function* listAnswers(): Iterable<number> {
+        for (const id of workersInUse) {
+            const worker = workers.get(id);
+            const isAnswering = worker !== undefined && worker.isRecorded && worker.contact === "answering";
+            yield isAnswering ? worker.lastAnswerAtMilliseconds : -Infinity;
+        }
+    }
     const context: CellContext = {
         ...options,
         epoch,
@@ -160,8 +179,8 @@
         interference: createInterference(),
         durations: createDurations(),
         signal: ownershipEnd.signal,
-        maySendOrders: now =>
-            !ownershipEnd.signal.aborted && now - commits.confirmedAtMilliseconds() < settings.horizonMilliseconds,
+        maySendOrders: now => !ownershipEnd.signal.aborted && maySendOrders(listEvidence(), settings, now),
+        isOwnershipProven: now => isOwnershipProven(listEvidence(), settings, now),
         handleOwnerReplaced: (reason, peer) => abandon(`${peer}: ${reason}`),
         requestDispatch: () => dispatcher.requestDispatch(),
     };
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -24,6 +24,8 @@
     readonly journal: Ledger;
     readonly workers: ReadonlyMap<string, CellWorker>;
     readonly workersInUse: ReadonlySet<string>;
+    /** When the claim of the cell was sent. */
+    readonly claimSentAtMilliseconds: number;
     readonly settings: CellSettings;
     readonly clock: Clock;
     readonly log: EventLog;
@@ -82,7 +84,7 @@
     let isReleasing = false;
     let isConfirmationRequested = false;
     const commitRequest = createWake();
-    let confirmedAt = clock();
+    let confirmedAt = options.claimSentAtMilliseconds;
     let committedAt = confirmedAt;
     let failingSince: number | undefined;
     let startedAt = 0;
--- a/src/jobs/cell/context.ts
+++ b/src/jobs/cell/context.ts
@@ -30,8 +30,10 @@
     /** Aborted when the cell is given up or taken over. */
     readonly signal: AbortSignal;
     catalog(): Catalog;
-    /** Whether orders may still be given: the store has confirmed the claim within the horizon. */
+    /** Whether orders may still be sent, see `authority.ts`. */
     maySendOrders(now: number): boolean;
+    /** Whether a recent commit has proven that the cell has no other owner. */
+    isOwnershipProven(now: number): boolean;
     /** Abandons the cell because another instance owns it now. */
     handleOwnerReplaced(reason: string, peer: string): void;
     /** Runs the dispatcher soon, because a task may have become startable. */
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -6,6 +6,7 @@
  * elsewhere, until the last lease that it can have been granted has lapsed.
  */
 import type { Task } from "../job-table/task.js";
+import { haveEnoughAnswered } from "./authority.js";
 import { withClockTolerance } from "./worker.js";
 
 /** Options of a recovery. */
@@ -16,14 +17,16 @@
     /** How long the predecessor may have sent orders after the claim; 0 if it certainly sent none. */
     readonly predecessorActiveMilliseconds: number;
     readonly longestLeaseMilliseconds: number;
+    /** How long an owner sends orders after most workers have last answered it. */
+    readonly contactMilliseconds: number;
 }
 
 /** Workers that have not answered since the takeover. */
 export interface Recovery {
     unanswered(): readonly string[];
     /** Records that the worker has answered; returns true if it was the last one. */
-    recordAnswer(worker: string): boolean;
-    /** Records that the predecessor's process has ended, so that it grants no more leases. */
+    recordAnswer(worker: string, now: number): boolean;
+    /** Records that the predecessor sends no more orders, so that it grants no more leases. */
     recordPredecessorEnd(now: number): void;
     /** Ends the recovery if its time limit has passed; returns true if it did. */
     expire(now: number): boolean;
@@ -34,18 +37,27 @@
 /** Starts a recovery. */
 export function createRecovery(options: RecoveryOptions): Recovery {
     const unanswered = new Set(options.workers);
+    const workerCount = unanswered.size;
     /** Time after which no attempt of the predecessor runs on a worker that has not answered. */
     let endsAtMilliseconds = options.claimedAtMilliseconds
         + withClockTolerance(options.predecessorActiveMilliseconds + options.longestLeaseMilliseconds);
+    let areEnoughAnswered = false;
+    const expectPredecessorEnd = (at: number): void => {
+        endsAtMilliseconds = Math.min(endsAtMilliseconds, at + withClockTolerance(options.longestLeaseMilliseconds));
+    };
     return {
         unanswered: () => [...unanswered],
-        recordAnswer: worker => unanswered.delete(worker) && unanswered.size === 0,
-        recordPredecessorEnd(now) {
-            endsAtMilliseconds = Math.min(
-                endsAtMilliseconds,
-                now + withClockTolerance(options.longestLeaseMilliseconds),
-            );
+        recordAnswer(worker, now) {
+            if (!unanswered.delete(worker)) {
+                return false;
+            }
+            if (!areEnoughAnswered && haveEnoughAnswered(workerCount - unanswered.size, workerCount)) {
+                areEnoughAnswered = true;
+                expectPredecessorEnd(now + withClockTolerance(options.contactMilliseconds));
+            }
+            return unanswered.size === 0;
         },
+        recordPredecessorEnd: expectPredecessorEnd,
         expire(now) {
             if (unanswered.size === 0 || now < endsAtMilliseconds) {
                 return false;
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -21,8 +21,11 @@
 /** Wait before the next hold order after one that failed. */
 const SILENT_RETRY_MILLISECONDS = 150;
 
-/** Longest wait for a report where fillers run beside serving tasks; workers' measurements cover the last 500 ms. */
-const SHARED_WORKER_WAIT_MILLISECONDS = 400;
+/**
+ * Longest wait for a report where fillers run beside serving tasks, since workers' measurements cover the last 500 ms, and
+ * while the store does not confirm the ownership.
+ */
+const SHORT_WAIT_MILLISECONDS = 400;
 
 /** Longest wait for a commit before the next report is requested; a commit takes a third of this. */
 const LONGEST_COMMIT_WAIT_MILLISECONDS = 100;
@@ -38,9 +41,10 @@
     let isLeased = false;
     while (!signal.aborted) {
         const sentAt = clock();
+        const mayGrant = cell.maySendOrders(sentAt);
         // An order without an answer may have been executed. If the worker receives orders but its answers get lost,
         // extending its lease with each retry would never let the lease lapse.
-        const lease = failures === 0 && cell.maySendOrders(sentAt)
+        const lease = failures === 0 && mayGrant
             ? grantLease(worker, sentAt, settings.leaseMilliseconds)
             : undefined;
         const answer = await cell.orders.hold(worker.listed, {
@@ -48,7 +52,7 @@
             acknowledged: worker.committedSequence,
             ...(lease === undefined ? {} : { leaseUntilMilliseconds: lease }),
             // The first answer must not wait: it contains the worker's clock and its attempts.
-            waitMilliseconds: isLeased && failures === 0 ? chooseWait(cell, worker) : 0,
+            waitMilliseconds: isLeased && failures === 0 ? chooseWait(cell, worker, sentAt) : 0,
         });
         if (isAborted(signal)) {
             return;
@@ -84,6 +88,9 @@
             cell.commits.requestCommit(isAwaited);
         }
         cell.requestDispatch();
+        if (!mayGrant) {
+            await pause(SILENT_RETRY_MILLISECONDS, signal);
+        }
         if (isLeased) {
             // A worker reports unacknowledged ends again at once, so the next report is requested after their commit.
             await Promise.race([
@@ -96,11 +103,16 @@
     }
 }
 
-/** Chooses how long a report may wait: shorter where fillers run beside serving tasks, as often as measurements change. */
-function chooseWait({ jobTable, settings }: CellContext, { listed }: CellWorker): number {
+/**
+ * Chooses how long a report may wait: shorter where fillers run beside serving tasks, as often as measurements change, and
+ * while answers of workers have to prove the ownership.
+ */
+function chooseWait({ commits, jobTable, settings }: CellContext, { listed }: CellWorker, now: number): number {
     const load = jobTable.occupancy.load(listed.id);
-    return load.servingCount > 0 && load.fillerMillicores > 0
-        ? Math.min(settings.holdWaitMilliseconds, SHARED_WORKER_WAIT_MILLISECONDS)
+    const isShared = load.servingCount > 0 && load.fillerMillicores > 0;
+    const isConfirmed = now - commits.confirmedAtMilliseconds() < settings.contactMilliseconds / 2;
+    return isShared || !isConfirmed
+        ? Math.min(settings.holdWaitMilliseconds, SHORT_WAIT_MILLISECONDS)
         : settings.holdWaitMilliseconds;
 }
 
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -60,7 +60,8 @@
         const { id } = worker.listed;
         const isIdle = jobTable.occupancy.load(id).attempts.length === 0;
         if (worker.contact === "silent" && isIdle && worker.clock !== undefined && now > leasesLapsedAt(worker)) {
-            if (workersInUse.delete(id)) {
+            if (workersInUse.has(id) && isRemovalAllowed(now)) {
+                workersInUse.delete(id);
                 worker.isRecorded = false;
                 recordWorkerUnused(jobTable, id);
                 cell.commits.requestCommit(false);
@@ -71,6 +72,18 @@
         }
     };
 
+    /**
+     * Whether workers may be removed from those in use. Without a recent commit they have to stay, because an owner without a
+     * successor is one that most workers in use answer, and the ledger still lists them.
+     */
+    const isRemovalAllowed = (now: number): boolean => {
+        const isProven = cell.isOwnershipProven(now);
+        if (!isProven) {
+            void cell.commits.confirmOwnership();
+        }
+        return isProven;
+    };
+
     const removeWorker = (worker: CellWorker): void => {
         const { id } = worker.listed;
         sessions.get(id)?.end.abort();
@@ -139,16 +152,20 @@
             areFormerStopsRecorded = true;
             recovery.recordPredecessorEnd(now);
         }
+        if (!cell.maySendOrders(now)) {
+            void cell.commits.confirmOwnership();
+        }
         for (const worker of workers.values()) {
             updateUse(worker, now);
-            if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id)) {
+            if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id, now)) {
                 endRecovery([]);
             }
             if (worker.unlistedSinceMilliseconds === undefined || worker.contact !== "silent") {
                 continue;
             }
             const isUnanswered = recovery.unanswered().includes(worker.listed.id);
-            if (jobTable.occupancy.load(worker.listed.id).attempts.length === 0 && !isUnanswered) {
+            const isIdle = jobTable.occupancy.load(worker.listed.id).attempts.length === 0;
+            if (isIdle && !isUnanswered && isRemovalAllowed(now)) {
                 removeWorker(worker);
             }
         }
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -19,7 +19,7 @@
 import { createCommitFailures } from "./commit-failures.js";
 import type { Directory } from "./directory.js";
 import { keepLease } from "./lease.js";
-import { keyOfMember, keyOfOwner } from "./records.js";
+import { describeOwner, keyOfMember, keyOfOwner } from "./records.js";
 import type { Member, OwnerRecord } from "./records.js";
 import { announceStop } from "./stop.js";
 
@@ -114,6 +114,7 @@
             return;
         }
         const { leaseId } = lease.value;
+        const claimSentAtMilliseconds = clock();
         const claimed = await claimCell({
             store,
             clock,
@@ -123,7 +124,7 @@
             alongside: epoch => [{
                 kind: "put",
                 key: keyOfOwner(name),
-                value: JSON.stringify(describeOwner(name, epoch)),
+                value: JSON.stringify(describeOwner(self, name, epoch)),
                 leaseId,
             }],
             signal,
@@ -142,6 +143,7 @@
         const cell = createCell({ ...options.cellOptions, name }, {
             journal,
             segments: segments.value,
+            claimSentAtMilliseconds,
             claimedAtMilliseconds,
             haveFormerOwnersStopped: () => journal.formerOwners.every(owner => hasStopped(name, owner)),
         });
@@ -170,20 +172,10 @@
         deadIncarnations.has(incarnation) || instance === self.instance
         || directory.members().some(member => member.instance === instance && member.incarnation !== incarnation);
 
-    const describeOwner = (cell: string, epoch: number): OwnerRecord => ({
-        cell,
-        epoch,
-        instance: self.instance,
-        incarnation: self.incarnation,
-        host: self.host,
-        port: self.port,
-        isReleased: false,
-    });
-
     const runCell = async (cell: Cell, leaseId: string, signal: AbortSignal): Promise<void> => {
         const cellEnd = new AbortController();
         owned.set(cell.name, cell);
-        const record = describeOwner(cell.name, cell.epoch);
+        const record = describeOwner(self, cell.name, cell.epoch);
         let announcedAt = clock();
         const lease = keepLease({
             store,
--- a/src/jobs/ownership/records.ts
+++ b/src/jobs/ownership/records.ts
@@ -33,6 +33,15 @@
 });
 export type OwnerRecord = z.infer<typeof OwnerRecord>;
 
+/** Describes a member as the owner of a cell. */
+export function describeOwner(
+    { host, incarnation, instance, port }: Member,
+    cell: string,
+    epoch: number,
+): OwnerRecord {
+    return { cell, epoch, instance, incarnation, host, port, isReleased: false };
+}
+
 /** The end of a process's ownership of a cell: it sends no more orders of this or an earlier epoch. */
 export const StopRecord = z.object({
     cell: z.string(),
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -23,8 +23,13 @@
     lazyCommitMilliseconds: Milliseconds.default(60),
     /** Wait after a failed commit. */
     commitRetryMilliseconds: Milliseconds.default(100),
-    /** How long an owner continues to send orders while the store does not confirm its ownership. */
+    /** How long an owner that most workers answer continues to send orders while the store does not answer it. */
     horizonMilliseconds: Milliseconds.default(12_000),
+    /**
+     * How long an owner continues to send orders after its last commit, or after most workers have last answered. An answer
+     * takes up to half a second while the store is out of reach. All instances need the same value: successors rely on it.
+     */
+    contactMilliseconds: Milliseconds.default(1_800),
     /** How long ended jobs are kept, so that callers can query their final state. */
     keepEndedMilliseconds: Milliseconds.default(120_000),
     /** Longest time that a worker takes to stop an attempt. */
