A task that the successor has seen running does not wait for other workers

Callers saw: a lasting task that failed on a worker in touch right after a takeover ran again only 16.8 s later, because another worker did not answer. Cause: during a recovery all tasks of earlier jobs were held, also those of which a worker had reported the only attempt. Change: such a task is marked and starts at once when its attempt ends. It cannot run elsewhere: a former owner gives up a silent worker's attempts after a whole lease, which is longer than it may act without most workers.

--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -65,6 +65,7 @@
             unanswered.clear();
             return true;
         },
-        mayStart: ({ entry, step }) => unanswered.size === 0 || !entry.isInherited || step.allowsCopies,
+        mayStart: ({ entry, step, wasSeenRunning }) =>
+            unanswered.size === 0 || !entry.isInherited || wasSeenRunning || step.allowsCopies,
     };
 }
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -176,9 +176,11 @@
     now: number,
 ): Attempt | undefined {
     const task = findOrOpenTask(table, running.task, now);
-    return task === undefined
-        ? undefined
-        : addAttempt(table, task, worker, running.attempt, now, { pacePercent: estimatePace(task, running) });
+    if (task === undefined) {
+        return undefined;
+    }
+    task.wasSeenRunning = true;
+    return addAttempt(table, task, worker, running.attempt, now, { pacePercent: estimatePace(task, running) });
 }
 
 /** Estimates the pace that a former owner has ordered, from the cores in use; only fillers are slowed down. */
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -88,6 +88,7 @@
         failedAttempts: [],
         checkpoint: "",
         readyAtMilliseconds: 0,
+        wasSeenRunning: false,
         avoidedWorkers: [],
     };
 }
--- a/src/jobs/job-table/task.ts
+++ b/src/jobs/job-table/task.ts
@@ -61,6 +61,8 @@
     /** Latest checkpoint; empty if there is none. */
     checkpoint: string;
     readyAtMilliseconds: number;
+    /** Whether a worker has reported an attempt of a former owner as running, so that no other worker runs one. */
+    wasSeenRunning: boolean;
     /** Workers on which an attempt failed or was lost, latest last. */
     readonly avoidedWorkers: string[];
 }
