Owners log when they stop sending orders for want of proof, and when they go on

Cause: whether an owner was held back by the age of its last commit or by workers that do not answer could not be seen. Change: orders-suspended and orders-resumed name the workers in use, those that answered within the limit, and the ages of the last commit and confirmation.

--- a/src/jobs/cell/authority.ts
+++ b/src/jobs/cell/authority.ts
@@ -40,6 +40,17 @@
     return now - committedAtMilliseconds < contactMilliseconds;
 }
 
+/** Summarises evidence for the log. */
+export function summarizeEvidence(evidence: OwnershipEvidence, { contactMilliseconds }: OwnershipLimits, now: number) {
+    const answers = [...evidence.answersAtMilliseconds];
+    return {
+        workersInUse: answers.length,
+        answeringWorkers: answers.filter(at => at > now - contactMilliseconds).length,
+        committedMillisecondsAgo: Math.round(now - evidence.committedAtMilliseconds),
+        confirmedMillisecondsAgo: Math.round(now - evidence.confirmedAtMilliseconds),
+    };
+}
+
 function doMostAnswer(answersAtMilliseconds: Iterable<number>, since: number): boolean {
     const answers = [...answersAtMilliseconds];
     return answers.filter(at => at > since).length > answers.length / 2;
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -19,7 +19,7 @@
 import { createDurations } from "../policy/durations.js";
 import { createInterference } from "../policy/interference.js";
 import type { CellSettings } from "../settings.js";
-import { isOwnershipProven, maySendOrders } from "./authority.js";
+import { maySendOrders } from "./authority.js";
 import type { OwnershipEvidence } from "./authority.js";
 import { createCommits } from "./commits.js";
 import type { CellContext } from "./context.js";
@@ -180,7 +180,7 @@
         durations: createDurations(),
         signal: ownershipEnd.signal,
         maySendOrders: now => !ownershipEnd.signal.aborted && maySendOrders(listEvidence(), settings, now),
-        isOwnershipProven: now => isOwnershipProven(listEvidence(), settings, now),
+        listEvidence,
         handleOwnerReplaced: (reason, peer) => abandon(`${peer}: ${reason}`),
         requestDispatch: () => dispatcher.requestDispatch(),
     };
--- a/src/jobs/cell/context.ts
+++ b/src/jobs/cell/context.ts
@@ -10,6 +10,7 @@
 import type { Durations } from "../policy/durations.js";
 import type { Interference } from "../policy/interference.js";
 import type { CellSettings } from "../settings.js";
+import type { OwnershipEvidence } from "./authority.js";
 import type { Commits } from "./commits.js";
 import type { CellWorker } from "./worker.js";
 
@@ -32,8 +33,8 @@
     catalog(): Catalog;
     /** Whether orders may still be sent, see `authority.ts`. */
     maySendOrders(now: number): boolean;
-    /** Whether a recent commit has proven that the cell has no other owner. */
-    isOwnershipProven(now: number): boolean;
+    /** What shows that this instance still owns the cell. */
+    listEvidence(): OwnershipEvidence;
     /** Abandons the cell because another instance owns it now. */
     handleOwnerReplaced(reason: string, peer: string): void;
     /** Runs the dispatcher soon, because a task may have become startable. */
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -4,6 +4,7 @@
 import { pause } from "../../core/time.js";
 import { recordWorkerUnused, recordWorkerUsed } from "../job-table/job-table.js";
 import type { ListedWorker, WorkerList } from "../model/worker.js";
+import { isOwnershipProven, summarizeEvidence } from "./authority.js";
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { runSession } from "./session.js";
@@ -31,6 +32,7 @@
     const { cell, recovery, workerList, workersInUse } = options;
     const { jobTable, clock, signal, workers } = cell;
     let areFormerStopsRecorded = false;
+    let areOrdersSuspended = false;
     const sessions = new Map<string, { readonly end: AbortController; readonly done: Promise<void>; }>();
 
     const addWorker = (listed: ListedWorker, now: number): void => {
@@ -77,7 +79,7 @@
      * successor is one that most workers in use answer, and the ledger still lists them.
      */
     const isRemovalAllowed = (now: number): boolean => {
-        const isProven = cell.isOwnershipProven(now);
+        const isProven = isOwnershipProven(cell.listEvidence(), cell.settings, now);
         if (!isProven) {
             void cell.commits.confirmOwnership();
         }
@@ -146,15 +148,29 @@
         }
     };
 
+    /** Requests a commit if nothing else allows orders, and logs when that begins and ends. */
+    const checkPermission = (now: number): void => {
+        const maySend = cell.maySendOrders(now);
+        if (!maySend) {
+            void cell.commits.confirmOwnership();
+        }
+        if (maySend === areOrdersSuspended) {
+            areOrdersSuspended = !maySend;
+            cell.log.write(maySend ? "orders-resumed" : "orders-suspended", {
+                cell: cell.name,
+                epoch: cell.epoch,
+                ...summarizeEvidence(cell.listEvidence(), cell.settings, now),
+            }, "vital");
+        }
+    };
+
     /** Updates the recovery, and removes silent unlisted workers once no attempt can be running on them. */
     const checkWorkers = (now: number): void => {
         if (!areFormerStopsRecorded && options.haveFormerOwnersStopped()) {
             areFormerStopsRecorded = true;
             recovery.recordPredecessorEnd(now);
         }
-        if (!cell.maySendOrders(now)) {
-            void cell.commits.confirmOwnership();
-        }
+        checkPermission(now);
         for (const worker of workers.values()) {
             updateUse(worker, now);
             if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id, now)) {
