Stand-in of the users' store: an address for each client, so that one can be cut off alone

Cause: the store's faults applied to all processes at once, so no test could cut the owner of a cell off from the store alone, as in the incident on Sumber Padi. Change: each process gets its own address of the store, and faults are chosen by call and client. A worker that is closed ends its runs, as a loss of power does, and may be closed twice.

--- a/stand-ins/users-platform/deployment.ts
+++ b/stand-ins/users-platform/deployment.ts
@@ -8,7 +8,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
-import { startUsersStore } from "./store.js";
+import { createUsersStore } from "./store.js";
 import type { UsersStore } from "./store.js";
 import { startUsersWorker } from "./worker.js";
 import type { RunRecord, UsersWorker } from "./worker.js";
@@ -72,7 +72,7 @@
 export async function startUsersDeployment(workerCount: number): Promise<UsersDeployment> {
     const now = (): number => performance.timeOrigin + performance.now();
     const directory = await mkdtemp(join(tmpdir(), "flamingowell-jobs-"));
-    const store = await startUsersStore(now);
+    const store = createUsersStore(now);
     const workers: UsersWorker[] = [];
     for (let index = 0; index < workerCount; index++) {
         workers.push(await startUsersWorker({ id: `worker-${index}`, now, pool: POOL, store }));
@@ -92,7 +92,8 @@
         processes,
         publish,
         async startProcess(name) {
-            const started = await startJobsProcess(name, store.server.address, directory);
+            const { address } = await store.listen(name);
+            const started = await startJobsProcess(name, address, directory);
             processes.push(started);
             return started;
         },
--- a/stand-ins/users-platform/store.ts
+++ b/stand-ins/users-platform/store.ts
@@ -22,9 +22,10 @@
 
 /** A store that is served. */
 export interface UsersStore {
-    readonly server: StandInServer;
+    /** Opens an address for one client, so that its calls can be told from those of others. */
+    listen(client: string): Promise<StandInServer>;
     /** Chooses the fault of each call; tests set it. */
-    fault: (path: string) => RequestFault;
+    fault: (path: string, client: string) => RequestFault;
     /** Time that a call takes, in milliseconds. */
     delay: (path: string) => number;
     /** Calls by path. */
@@ -40,8 +41,8 @@
 /** Time between two looks at a waiting watch and at leases. */
 const LOOK_MILLISECONDS = 20;
 
-/** Starts a store. */
-export async function startUsersStore(now: () => number): Promise<UsersStore> {
+/** Creates a store; it serves the addresses that are opened. */
+export function createUsersStore(now: () => number): UsersStore {
     const items = new Map<string, Item>();
     const leases = new Map<number, { readonly ttl: number; endsAt: number; }>();
     let history: Change[] = [];
@@ -166,16 +167,20 @@
             history = [];
         },
     };
-    const server = await serveJson(answer, ({ url }) => {
-        calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
-        return started.fault(url.pathname);
-    });
+    const servers: StandInServer[] = [];
     const started: UsersStore = {
         ...store,
-        server,
+        async listen(client) {
+            const server = await serveJson(answer, ({ url }) => {
+                calls.set(url.pathname, (calls.get(url.pathname) ?? 0) + 1);
+                return started.fault(url.pathname, client);
+            });
+            servers.push(server);
+            return server;
+        },
         close: async () => {
             clearInterval(sweep);
-            await server.close();
+            await Promise.all(servers.map(server => server.close()));
         },
     };
     return started;
--- a/stand-ins/users-platform/worker.ts
+++ b/stand-ins/users-platform/worker.ts
@@ -38,6 +38,7 @@
     /** Reports that told of at least one end. */
     readonly reportsWithEnds: number;
     fault: (path: string) => RequestFault;
+    /** Stops all runs and the server, as a loss of power does. */
     close(): Promise<void>;
 }
 
@@ -150,6 +151,13 @@
                 return { status: 200, body: { clockMs: clock() } };
         }
     };
+    const shutDown = async (): Promise<void> => {
+        clearInterval(lapse);
+        clearInterval(beat);
+        active().forEach(run => end(run, "lost"));
+        await server.close();
+    };
+    let closed: Promise<void> | undefined;
     const worker = {
         id,
         runs,
@@ -160,12 +168,7 @@
             return peak;
         },
         fault: (): RequestFault => "none",
-        async close() {
-            clearInterval(lapse);
-            clearInterval(beat);
-            active().forEach(({ timer }) => clearTimeout(timer));
-            await server.close();
-        },
+        close: () => closed ??= shutDown(),
     };
     const started: UsersWorker = worker;
     const server = await serveJson(answer, ({ url }) => started.fault(url.pathname));
