Membership and the known ends of owners in modules of their own

Change: the record of a member (membership.ts) and what an instance knows about the ends of owners (owner-ends.ts) move out; nothing else changes.

--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -13,13 +13,15 @@
 import { createCell } from "../cell/cell.js";
 import type { Cell, CellOptions } from "../cell/cell.js";
 import { claimCell, readHead } from "../ledger/ledger.js";
-import type { FormerOwner, Head } from "../ledger/ledger.js";
+import type { Head } from "../ledger/ledger.js";
 import type { OwnershipSettings } from "../settings.js";
 import { claimDelayOf, isBetterConnected } from "./candidate.js";
 import { createCommitFailures } from "./commit-failures.js";
 import type { Directory } from "./directory.js";
 import { keepLease } from "./lease.js";
-import { keyOfMember, keyOfOwner } from "./records.js";
+import { keepMembership } from "./membership.js";
+import { createOwnerEnds } from "./owner-ends.js";
+import { keyOfOwner } from "./records.js";
 import type { Member, OwnerRecord } from "./records.js";
 import { announceStop } from "./stop.js";
 
@@ -63,7 +65,7 @@
     /** Newest epoch read from the head of each cell. */
     const seenEpochs = new Map<string, number>();
     const lastOwners = new Map<string, OwnerRecord>();
-    const deadIncarnations = new Set<string>();
+    const ends = createOwnerEnds({ instance: self.instance, directory, log });
     const commitFailures = createCommitFailures();
     const checkRequest = createWake();
     const handOverStart = new AbortController();
@@ -82,7 +84,7 @@
             // An instance that can claim the cell can also commit.
             return "certain";
         }
-        return owner.isReleased || isPreviousIncarnation || deadIncarnations.has(owner.incarnation)
+        return owner.isReleased || isPreviousIncarnation || ends.isDead(owner.incarnation)
             ? "certain"
             : "none";
     };
@@ -119,7 +121,7 @@
             clock,
             cell: name,
             owner: { instance: self.instance, incarnation: self.incarnation },
-            hasStopped: owner => hasStopped(name, owner),
+            hasStopped: owner => ends.hasStopped(name, owner),
             alongside: epoch => [{
                 kind: "put",
                 key: keyOfOwner(name),
@@ -143,7 +145,7 @@
             journal,
             segments: segments.value,
             claimedAtMilliseconds,
-            haveFormerOwnersStopped: () => journal.formerOwners.every(owner => hasStopped(name, owner)),
+            haveFormerOwnersStopped: () => journal.formerOwners.every(owner => ends.hasStopped(name, owner)),
         });
         log.write("cell-claimed", {
             cell: name,
@@ -155,21 +157,9 @@
     };
 
     const isExpectedOwner = ({ owner }: Head, former: OwnerRecord | undefined): boolean =>
-        owner.incarnation === former?.incarnation || deadIncarnations.has(owner.incarnation)
+        owner.incarnation === former?.incarnation || ends.isDead(owner.incarnation)
         || owner.instance === self.instance;
 
-    /** Whether a former owner sends no more orders: it has announced its stop, or its process has ended. */
-    const hasStopped = (cell: string, owner: FormerOwner): boolean => {
-        const stop = directory.stop(cell, owner.instance);
-        const isAnnounced = stop !== undefined && stop.incarnation === owner.incarnation && stop.epoch >= owner.epoch;
-        return isAnnounced || isProcessGone(owner);
-    };
-
-    /** Whether an owner's process has ended; a restarted instance has ended its former process. */
-    const isProcessGone = ({ incarnation, instance }: Head["owner"]): boolean =>
-        deadIncarnations.has(incarnation) || instance === self.instance
-        || directory.members().some(member => member.instance === instance && member.incarnation !== incarnation);
-
     const describeOwner = (cell: string, epoch: number): OwnerRecord => ({
         cell,
         epoch,
@@ -278,12 +268,7 @@
 
     return {
         owned: cell => owned.get(cell),
-        recordDeath(owner) {
-            if (!deadIncarnations.has(owner.incarnation)) {
-                deadIncarnations.add(owner.incarnation);
-                log.write("owner-dead", { cell: owner.cell, owner: owner.instance, epoch: owner.epoch }, "vital");
-            }
-        },
+        recordDeath: owner => ends.recordDeath(owner.cell, owner),
         recordCommitFailure(owner, milliseconds, now) {
             if (milliseconds >= settings.troubleMilliseconds) {
                 commitFailures.record(owner, milliseconds, now);
@@ -299,34 +284,10 @@
         },
         async run(signal) {
             directory.onChange(() => checkRequest.wake());
-            let announcedAt = clock();
-            const membership = keepLease({
-                store,
-                clock,
-                log,
-                name: "member",
-                ttlMilliseconds: settings.memberLeaseMilliseconds,
-                renewMilliseconds: settings.memberLeaseMilliseconds / 4,
-                onGranted: async leaseId => {
-                    const written = await store.transact({
-                        comparisons: [],
-                        writes: [{
-                            kind: "put",
-                            key: keyOfMember(self.instance),
-                            value: JSON.stringify(self),
-                            leaseId,
-                        }],
-                    });
-                    announcedAt = clock();
-                    if (written.isErr) {
-                        log.write("member-not-announced", { failure: formatFailure(written.error) }, "vital");
-                    }
-                    return written.isOk;
-                },
-                isRecordMissing: now =>
-                    now - announcedAt > settings.memberLeaseMilliseconds / 4
-                    && !directory.members().some(({ incarnation }) => incarnation === self.incarnation),
-            }, AbortSignal.any([signal, handOverStart.signal]));
+            const membership = keepMembership(
+                { self, leaseMilliseconds: settings.memberLeaseMilliseconds, store, directory, clock, log },
+                AbortSignal.any([signal, handOverStart.signal]),
+            );
             while (!signal.aborted) {
                 if (directory.mirror.isRead()) {
                     checkCells(signal);
