A successor asks former owners directly to stop, and for how long leases may still run

Cause: an owner that is cut off from the store alone stops within 0.2 s of a takeover, but could say so only through the store. Its successor waited for the former owner's horizon (12 s) and the leases (4.5 s); that the leases of lost workers had lapsed already was lost with the former owner's memory. Change: the successor sends jobs.retire to each former owner that may still act, every 0.3 s until it answers or the recovery ends. The asked process abandons the cell and tells for how long leases may still run, by worker: its own, and what it was itself still waiting for, since owners that had stopped before its claim are in no list any more. Once all have answered, workers are waited for until those leases have lapsed and no longer. A refused connection or another process of the instance means what it meant before; an older build does not know the method, and the former waits apply.

--- a/features/jobs/path.feature
+++ b/features/jobs/path.feature
@@ -111,3 +111,11 @@
         And the store answers nothing any more
         When the owner of the cell is told to stop at once
         Then it ends by itself within the time for a stop
+
+    Scenario: An owner cut off from the store alone tells its successor when the leases of a lost worker lapse
+        Given the users' platform with 3 workers and 3 processes
+        When a caller submits job "00000000000000ac" of one lasting task
+        And the worker that runs it is gone for good, and the store answers the owner nothing any more
+        Then another process takes the cell over and starts the task again before the former owner's horizon is over
+        And the former owner still runs, and is still cut off
+        And no task of job "00000000000000ac" ran twice at the same time
--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -3,7 +3,6 @@
  */
 import { Result } from "true-myth/result";
 import { createFailure } from "../../src/core/errors.js";
-import type { EventLog } from "../../src/core/event-log.js";
 import { createMetrics } from "../../src/core/metrics.js";
 import { pause } from "../../src/core/time.js";
 import { createCell } from "../../src/jobs/cell/cell.js";
@@ -16,6 +15,8 @@
 import type { EndedAttempt, ListedWorker, WorkerOrders, WorkerReport } from "../../src/jobs/model/worker.js";
 import { CellSettings } from "../../src/jobs/settings.js";
 import { describeStep, describeWorker, NOW, QUEUE } from "./builders.js";
+import { CELL, createSuccessions, silentLog } from "./successions.js";
+import type { Succession } from "./successions.js";
 
 /** Simulated time that passes in each step. */
 const STEP_MILLISECONDS = 60;
@@ -49,6 +50,8 @@
 export interface Reach {
     workers: ReadonlySet<string>;
     store: boolean;
+    /** Whether its successors reach it; absent means no. */
+    successors?: boolean;
 }
 
 /** An owner in simulated time. */
@@ -56,6 +59,8 @@
     readonly cell: Cell;
     readonly reach: Reach;
     stop(): Promise<void>;
+    /** Stops, and lets its successors know. */
+    announceStop(): Promise<void>;
 }
 
 /** A cell in simulated time. */
@@ -72,12 +77,10 @@
     close(): Promise<void>;
 }
 
-const silentLog: EventLog = { write: () => undefined, flush: async () => undefined };
-
 /** Creates workers without an owner, and a ledger with one job of lasting tasks, at most one on each worker. */
 export function createTakeoverSimulation(workerCount: number, taskCount: number): TakeoverSimulation {
     let now = NOW;
-    let epoch = 0;
+    const successions = createSuccessions(() => now);
     const runs: SimulatedRun[] = [];
     const segments: Segment[] = [];
     const owners: SimulatedOwner[] = [];
@@ -185,17 +188,14 @@
         closeConnections: () => undefined,
     });
 
-    const createLedger = (reach: Reach, ownEpoch: number): Ledger => ({
-        epoch: ownEpoch,
-        predecessor: undefined,
-        formerOwners: [],
-        settleFormerOwners: () => undefined,
+    const createLedger = (reach: Reach, { epoch, journal }: Succession): Ledger => ({
+        ...journal,
         load: async () => Result.ok([...segments]),
         async commit({ changes }) {
             if (!reach.store) {
                 return Result.err(createFailure("unavailable", "commit", "the store is out of reach"));
             }
-            if (ownEpoch < epoch) {
+            if (epoch < successions.newestEpoch()) {
                 return Result.err(createFailure("conflict", "commit", "the cell has another owner"));
             }
             append(changes);
@@ -214,12 +214,12 @@
         workerNames: [...workers.keys()],
         now: () => now,
         startOwner(reach) {
-            epoch += 1;
+            const succession = successions.claim();
+            const { formerOwners } = succession;
             const stopped = new AbortController();
             const listed = new Map([...workers].map(([id, worker]) => [id, worker.listed]));
-            const isFirst = epoch === 1;
             const cell = createCell({
-                name: "main",
+                name: CELL,
                 settings: CellSettings.parse({}),
                 workerList: { current: () => listed, isUpToDate: () => true, onChange: () => () => undefined },
                 orders: createOrders(reach),
@@ -228,18 +228,26 @@
                 metrics: createJobsMetrics(createMetrics({}, "usage")),
                 catalog: () => catalog,
             }, {
-                journal: createLedger(reach, epoch),
+                journal: createLedger(reach, succession),
                 segments: [...segments],
                 claimedAtMilliseconds: now,
-                haveFormerOwnersStopped: () => isFirst,
+                haveFormerOwnersStopped: () => formerOwners.haveStopped(),
+                formerLeaseEnds: () => formerOwners.leaseEnds(),
             });
-            const running = cell.run(stopped.signal);
+            succession.begin(cell, () => reach.successors === true);
+            const asking = formerOwners.ask(() => cell.isRecovering(), stopped.signal);
+            const running = cell.run(stopped.signal).then(() => succession.end());
+            const stop = async (): Promise<void> => {
+                stopped.abort();
+                await Promise.all([running, asking]);
+            };
             const owner: SimulatedOwner = {
                 cell,
                 reach,
-                async stop() {
-                    stopped.abort();
-                    await running;
+                stop,
+                async announceStop() {
+                    await stop();
+                    succession.announceStop();
                 },
             };
             owners.push(owner);
--- a/features/jobs/world.ts
+++ b/features/jobs/world.ts
@@ -14,6 +14,8 @@
     submittedBody: object;
     submittedId: string;
     leavingProcess: JobsProcess;
+    /** Owner that the store does not answer. */
+    cutOffProcess: JobsProcess;
     submissions: Map<string, CallerAnswer>;
     /** Time until the answer to each submission. */
     answerMilliseconds: Map<string, number>;
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -26,6 +26,7 @@
 import { createRecovery } from "./recovery.js";
 import { createRequestHandler } from "./request-handler.js";
 import { createWorkerSessions } from "./worker-sessions.js";
+import { attemptsLapsedAt } from "./worker.js";
 
 /** Time between two removals of ended jobs; the load is logged as often. */
 const CLEANUP_INTERVAL_MILLISECONDS = 1_000;
@@ -49,6 +50,8 @@
     readonly claimedAtMilliseconds: number;
     /** Whether all former owners that may have been sending orders at the claim have stopped. */
     haveFormerOwnersStopped(): boolean;
+    /** Times after which nothing of the former owners runs, by worker; absent until all of them have told. */
+    formerLeaseEnds(): ReadonlyMap<string, number> | undefined;
 }
 
 /** An owned cell. */
@@ -66,6 +69,10 @@
     failingMilliseconds(now: number): number;
     /** Releases the cell with a last commit; resolves to false if that failed. */
     release(): Promise<boolean>;
+    /** Whether a worker may still run what a former owner has started. */
+    isRecovering(): boolean;
+    /** Times after which nothing of this owner or one before it can be running, by worker. */
+    leaseEnds(): Map<string, number>;
     /** Stops at once, without further orders or commits. */
     abandon(reason: string): void;
     /** Runs until the cell is released or taken over, or the signal is aborted. */
@@ -172,6 +179,7 @@
         workersInUse,
         workerList: options.workerList,
         haveFormerOwnersStopped: () => claimed.haveFormerOwnersStopped(),
+        formerLeaseEnds: () => claimed.formerLeaseEnds(),
         onRecovered: () => journal.settleFormerOwners(),
     });
 
@@ -204,6 +212,17 @@
         recordConfirmation: at => commits.recordConfirmation(at),
         failingMilliseconds: now => now - (commits.failingSinceMilliseconds(now) ?? now),
         release: () => commits.release(),
+        isRecovering: () => recovery.unanswered().length > 0,
+        leaseEnds() {
+            const leaseEnds = new Map<string, number>();
+            for (const [id, worker] of workers) {
+                leaseEnds.set(id, attemptsLapsedAt(worker, settings.leaseMilliseconds));
+            }
+            for (const id of recovery.unanswered()) {
+                leaseEnds.set(id, Math.max(leaseEnds.get(id) ?? 0, recovery.heldUntil(id)));
+            }
+            return leaseEnds;
+        },
         abandon,
         async run(signal) {
             const stop = (): void => ownershipEnd.abort();
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -25,8 +25,12 @@
     recordAnswer(worker: string): boolean;
     /** Records that the predecessor's process has ended, so that it grants no more leases. */
     recordPredecessorEnd(now: number): void;
-    /** Ends the recovery if its time limit has passed; returns true if it did. */
-    expire(now: number): boolean;
+    /** Records the times after which nothing of the former owners runs, by worker; on workers left out nothing does now. */
+    recordLeaseEnds(leaseEnds: ReadonlyMap<string, number>): void;
+    /** Time after which no attempt of a former owner runs on a worker that has not answered. */
+    heldUntil(worker: string): number;
+    /** Gives up the workers whose time limits have passed, and returns them. */
+    expire(now: number): string[];
     /** Whether the task can be started without the risk that it already runs elsewhere. */
     mayStart(task: Task): boolean;
 }
@@ -34,9 +38,12 @@
 /** Starts a recovery. */
 export function createRecovery(options: RecoveryOptions): Recovery {
     const unanswered = new Set(options.workers);
-    /** Time after which no attempt of the predecessor runs on a worker that has not answered. */
+    /** Time after which no attempt of a former owner runs on any worker. */
     let endsAtMilliseconds = options.claimedAtMilliseconds
         + withClockTolerance(options.predecessorActiveMilliseconds + options.longestLeaseMilliseconds);
+    let formerLeaseEnds: ReadonlyMap<string, number> | undefined;
+    const heldUntil = (worker: string): number =>
+        Math.min(endsAtMilliseconds, formerLeaseEnds === undefined ? Infinity : formerLeaseEnds.get(worker) ?? 0);
     return {
         unanswered: () => [...unanswered],
         recordAnswer: worker => unanswered.delete(worker) && unanswered.size === 0,
@@ -46,12 +53,14 @@
                 now + withClockTolerance(options.longestLeaseMilliseconds),
             );
         },
+        recordLeaseEnds(leaseEnds) {
+            formerLeaseEnds = leaseEnds;
+        },
+        heldUntil,
         expire(now) {
-            if (unanswered.size === 0 || now < endsAtMilliseconds) {
-                return false;
-            }
-            unanswered.clear();
-            return true;
+            const expired = [...unanswered].filter(worker => now >= heldUntil(worker));
+            expired.forEach(worker => unanswered.delete(worker));
+            return expired;
         },
         mayStart: ({ entry, step }) => unanswered.size === 0 || !entry.isInherited || step.allowsCopies,
     };
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -22,6 +22,8 @@
     readonly workerList: WorkerList;
     /** Whether all former owners have stopped sending orders. */
     haveFormerOwnersStopped(): boolean;
+    /** Times after which nothing of the former owners runs, by worker; absent until all of them have told. */
+    formerLeaseEnds(): ReadonlyMap<string, number> | undefined;
     /** Called when no attempt of a former owner can be running unseen any more. */
     onRecovered(): void;
 }
@@ -31,6 +33,8 @@
     const { cell, recovery, workerList, workersInUse } = options;
     const { jobTable, clock, signal, workers } = cell;
     let areFormerStopsRecorded = false;
+    /** Workers that the recovery has given up without an answer. */
+    const givenUp: string[] = [];
     const sessions = new Map<string, { readonly end: AbortController; readonly done: Promise<void>; }>();
 
     const addWorker = (listed: ListedWorker, now: number): void => {
@@ -139,10 +143,14 @@
             areFormerStopsRecorded = true;
             recovery.recordPredecessorEnd(now);
         }
+        const leaseEnds = options.formerLeaseEnds();
+        if (leaseEnds !== undefined) {
+            recovery.recordLeaseEnds(leaseEnds);
+        }
         for (const worker of workers.values()) {
             updateUse(worker, now);
             if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id)) {
-                endRecovery([]);
+                endRecovery();
             }
             if (worker.unlistedSinceMilliseconds === undefined || worker.contact !== "silent") {
                 continue;
@@ -152,14 +160,16 @@
                 removeWorker(worker);
             }
         }
-        const unanswered = recovery.unanswered();
-        if (recovery.expire(now)) {
-            endRecovery(unanswered);
+        const expired = recovery.expire(now);
+        givenUp.push(...expired);
+        if (expired.length > 0 && recovery.unanswered().length === 0) {
+            endRecovery();
         }
     };
 
-    const endRecovery = (unansweredWorkers: readonly string[]): void => {
-        cell.log.write("recovery-ended", { cell: cell.name, epoch: cell.epoch, unansweredWorkers }, "vital");
+    const endRecovery = (): void => {
+        const { epoch, name } = cell;
+        cell.log.write("recovery-ended", { cell: name, epoch, unansweredWorkers: givenUp }, "vital");
         options.onRecovered();
         cell.requestDispatch();
     };
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -104,3 +104,14 @@
     const remainingMilliseconds = Math.max(0, leaseUntilMilliseconds - clock.workerMilliseconds);
     return clock.atMilliseconds + withClockTolerance(remainingMilliseconds);
 }
+
+/**
+ * Time after which nothing that this owner or one before it has started is running. Until this owner has granted a lease,
+ * one of a former owner may run that was granted just before the worker's first answer.
+ */
+export function attemptsLapsedAt(worker: CellWorker, longestLeaseMilliseconds: number): number {
+    const { clock, leaseUntilMilliseconds } = worker;
+    return clock === undefined || leaseUntilMilliseconds > 0
+        ? leasesLapsedAt(worker)
+        : clock.atMilliseconds + withClockTolerance(longestLeaseMilliseconds);
+}
--- a/src/jobs/model/requests.ts
+++ b/src/jobs/model/requests.ts
@@ -49,3 +49,24 @@
     z.object({}),
     z.object({ instance: z.string(), incarnation: z.string() }),
 );
+
+/** Sent by a successor to a former owner: the successor owns the cell in the epoch. */
+export const RetireRequest = z.object({ cell: z.string(), epoch: z.int(), instance: z.string() });
+export type RetireRequest = z.infer<typeof RetireRequest>;
+
+/** Answer of a process that does not own the cell any more. */
+export const Retirement = z.object({
+    instance: z.string(),
+    incarnation: z.string(),
+    /** Newest epoch in which the process has stopped owning the cell; 0 if it has owned it in none. */
+    epoch: z.int(),
+    /**
+     * Milliseconds until nothing that was started up to this epoch can be running, by worker. Workers that certainly run
+     * nothing of it are left out.
+     */
+    leases: z.record(z.string(), z.number()),
+});
+export type Retirement = z.infer<typeof Retirement>;
+
+/** Asks a former owner to stop. Failure: `conflict` where the process owns the cell in the same or a newer epoch. */
+export const retireMethod = defineMethod("jobs.retire", RetireRequest, Retirement);
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -4,7 +4,9 @@
  * The record of an owner is bound to a short lease; it only shows other instances where to send requests and when to claim.
  * The epoch in the head of the ledger and in every order to a worker prevents two owners from acting at the same time.
  */
+import type { Result } from "true-myth/result";
 import { formatFailure } from "../../core/errors.js";
+import type { Failure } from "../../core/errors.js";
 import type { EventLog } from "../../core/event-log.js";
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
@@ -13,16 +15,20 @@
 import { createCell } from "../cell/cell.js";
 import type { Cell, CellOptions } from "../cell/cell.js";
 import { claimCell, readHead } from "../ledger/ledger.js";
-import type { Head } from "../ledger/ledger.js";
+import type { FormerOwner, Head } from "../ledger/ledger.js";
+import type { Retirement, RetireRequest } from "../model/requests.js";
 import type { OwnershipSettings } from "../settings.js";
 import { claimDelayOf, isBetterConnected } from "./candidate.js";
 import { createCommitFailures } from "./commit-failures.js";
 import type { Directory } from "./directory.js";
+import { createFormerOwners } from "./former-owners.js";
+import type { FormerOwners, RetirementRequester } from "./former-owners.js";
 import { keepLease } from "./lease.js";
 import { keepMembership } from "./membership.js";
 import { createOwnerEnds } from "./owner-ends.js";
 import { keyOfOwner } from "./records.js";
 import type { Member, OwnerRecord } from "./records.js";
+import { createRetirements } from "./retirements.js";
 import { announceStop } from "./stop.js";
 
 /** Options of the ownership of cells. */
@@ -39,6 +45,8 @@
     connections(): number;
     /** Whether a cell can be run, because the workers and the catalog have been read. */
     isPrepared(): boolean;
+    /** Asks the process at an address to stop. */
+    readonly requestRetirement: RetirementRequester;
 }
 
 /** The cells that this instance owns. */
@@ -48,6 +56,8 @@
     recordDeath(owner: OwnerRecord): void;
     /** Records for how long an owner has been unable to commit, so that an instance that can may claim its cell. */
     recordCommitFailure(owner: OwnerRecord, milliseconds: number, now: number): void;
+    /** Stops a cell at the request of its new owner. */
+    retire(request: RetireRequest): Result<Retirement, Failure>;
     /** Releases all cells within the limit, and claims no more. */
     handOver(limitMilliseconds: number): Promise<void>;
     run(signal: AbortSignal): Promise<void>;
@@ -66,6 +76,7 @@
     const seenEpochs = new Map<string, number>();
     const lastOwners = new Map<string, OwnerRecord>();
     const ends = createOwnerEnds({ instance: self.instance, directory, log });
+    const retirements = createRetirements(self);
     const commitFailures = createCommitFailures();
     const checkRequest = createWake();
     const handOverStart = new AbortController();
@@ -141,11 +152,22 @@
             log.write("claim-failed", { cell: name, failure: formatFailure(segments.error) }, "vital");
             return;
         }
+        const formerOwners = createFormerOwners({
+            cell: name,
+            journal,
+            instance: self.instance,
+            ends,
+            findAddress: owner => findAddress(owner, former),
+            requestRetirement: options.requestRetirement,
+            clock,
+            log,
+        });
         const cell = createCell({ ...options.cellOptions, name }, {
             journal,
             segments: segments.value,
             claimedAtMilliseconds,
-            haveFormerOwnersStopped: () => journal.formerOwners.every(owner => ends.hasStopped(name, owner)),
+            haveFormerOwnersStopped: () => formerOwners.haveStopped(),
+            formerLeaseEnds: () => formerOwners.leaseEnds(),
         });
         log.write("cell-claimed", {
             cell: name,
@@ -153,7 +175,7 @@
             former: former?.instance,
             milliseconds: Math.round(clock() - startedAt),
         }, "vital");
-        await runCell(cell, leaseId, signal);
+        await runCell(cell, leaseId, formerOwners, signal);
     };
 
     const isExpectedOwner = ({ owner }: Head, former: OwnerRecord | undefined): boolean =>
@@ -170,7 +192,17 @@
         isReleased: false,
     });
 
-    const runCell = async (cell: Cell, leaseId: string, signal: AbortSignal): Promise<void> => {
+    /** Finds the address of a former owner, also when the record of its ownership has lapsed. */
+    const findAddress = (owner: FormerOwner, former: OwnerRecord | undefined): Member | OwnerRecord | undefined =>
+        [...directory.members(), ...former === undefined ? [] : [former]]
+            .find(({ incarnation }) => incarnation === owner.incarnation);
+
+    const runCell = async (
+        cell: Cell,
+        leaseId: string,
+        formerOwners: FormerOwners,
+        signal: AbortSignal,
+    ): Promise<void> => {
         const cellEnd = new AbortController();
         owned.set(cell.name, cell);
         const record = describeOwner(cell.name, cell.epoch);
@@ -194,8 +226,11 @@
                 && now - announcedAt > settings.renewMilliseconds,
             onConfirmed: sentAt => cell.recordConfirmation(sentAt),
         }, AbortSignal.any([signal, cellEnd.signal]));
+        // A request that is under way at the end does not hold up the next claim.
+        void formerOwners.ask(() => cell.isRecovering(), AbortSignal.any([signal, cellEnd.signal]));
         await cell.run(signal);
         cellEnd.abort();
+        retirements.record(cell);
         owned.delete(cell.name);
         const { incarnation, instance } = self;
         const stop = { cell: cell.name, epoch: cell.epoch, incarnation, instance };
@@ -275,6 +310,7 @@
                 checkRequest.wake();
             }
         },
+        retire: request => retirements.retire(request, owned.get(request.cell), clock()),
         async handOver(limitMilliseconds) {
             handOverStart.abort();
             await Promise.race([
--- a/src/jobs/trace.ts
+++ b/src/jobs/trace.ts
@@ -32,7 +32,7 @@
 
 /** Events that belong to no single job but may affect many. */
 const CONTEXT_EVENT =
-    /^(cell-(owned|claimed|lost)|commits?-|recovery-|owner-(dead|isolated)|lease-|starting$|stopp(ing|ed)$)/;
+    /^(cell-(owned|claimed|lost)|commits?-|recovery-|former-owner-|owner-(dead|isolated)|lease-|starting$|stopp(ing|ed)$)/;
 
 /** Finds the events of a request or job in the log lines of all instances. */
 export function traceEvents(id: string, lines: Iterable<string>): Trace {
--- a/src/jobs/wiring.ts
+++ b/src/jobs/wiring.ts
@@ -16,13 +16,14 @@
 import type { JobsMetrics } from "./metrics.js";
 import type { CatalogSource } from "./model/catalog-source.js";
 import type { Catalog } from "./model/catalog.js";
-import { cancelMethod, helloMethod, pendingMethod, stateMethod, submitMethod } from "./model/requests.js";
+import { cancelMethod, helloMethod, pendingMethod, retireMethod, stateMethod, submitMethod } from "./model/requests.js";
 import type { WorkerList, WorkerOrders } from "./model/worker.js";
 import { createDirectory } from "./ownership/directory.js";
 import { createOwnership } from "./ownership/ownership.js";
 import { createJobRequestRouter } from "./routing/job-request-router.js";
 import type { JobRequestRouter } from "./routing/job-request-router.js";
 import { createOwnerLinks } from "./routing/owner-links.js";
+import { requestRetirement } from "./routing/retirement-request.js";
 import type { JobsSettings } from "./settings.js";
 
 /** One cell holds all workers; more cells are needed when one owner cannot serve all workers, see decision 0600. */
@@ -66,6 +67,7 @@
     const findCell = (name: string): Cell | undefined => ownership.owned(name);
     const server = await serveLinks(settings.links, [
         implement(helloMethod, async () => Result.ok({ instance: settings.instance, incarnation })),
+        implement(retireMethod, async request => ownership.retire(request)),
         ...implementOwnerMethods(findCell),
     ], () => Math.max(0, ...CELLS.map(name => findCell(name)?.failingMilliseconds(clock()) ?? 0)));
     const directory = createDirectory(store, clock, log, options.logger);
@@ -95,6 +97,7 @@
         log,
         connections: () => server.connections(),
         isPrepared: () => catalog.current() !== undefined && options.workerList.isUpToDate(clock()),
+        requestRetirement,
     });
     const links = createOwnerLinks({
         directory,
