--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -28,8 +28,12 @@
     recordAnswer(worker: string, now: number): boolean;
     /** Records that the predecessor sends no more orders, so that it grants no more leases. */
     recordPredecessorEnd(now: number): void;
-    /** Ends the recovery if its time limit has passed; returns true if it did. */
-    expire(now: number): boolean;
+    /** Records the times after which nothing of the former owners runs, by worker; on workers left out nothing does now. */
+    recordLeaseEnds(leaseEnds: ReadonlyMap<string, number>): void;
+    /** Time after which no attempt of a former owner runs on a worker that has not answered. */
+    heldUntil(worker: string): number;
+    /** Gives up the workers whose time limits have passed, and returns them. */
+    expire(now: number): string[];
     /** Whether the task can be started without the risk that it already runs elsewhere. */
     mayStart(task: Task): boolean;
 }
@@ -38,32 +42,39 @@
 export function createRecovery(options: RecoveryOptions): Recovery {
     const unanswered = new Set(options.workers);
     const workerCount = unanswered.size;
-    /** Time after which no attempt of the predecessor runs on a worker that has not answered. */
+    /** Time after which no attempt of a former owner runs on any worker. */
     let endsAtMilliseconds = options.claimedAtMilliseconds
         + withClockTolerance(options.predecessorActiveMilliseconds + options.longestLeaseMilliseconds);
+    let answeredCount = 0;
     let areEnoughAnswered = false;
+    let formerLeaseEnds: ReadonlyMap<string, number> | undefined;
     const expectPredecessorEnd = (at: number): void => {
         endsAtMilliseconds = Math.min(endsAtMilliseconds, at + withClockTolerance(options.longestLeaseMilliseconds));
     };
+    const heldUntil = (worker: string): number =>
+        Math.min(endsAtMilliseconds, formerLeaseEnds === undefined ? Infinity : formerLeaseEnds.get(worker) ?? 0);
     return {
         unanswered: () => [...unanswered],
         recordAnswer(worker, now) {
             if (!unanswered.delete(worker)) {
                 return false;
             }
-            if (!areEnoughAnswered && haveEnoughAnswered(workerCount - unanswered.size, workerCount)) {
+            answeredCount += 1;
+            if (!areEnoughAnswered && haveEnoughAnswered(answeredCount, workerCount)) {
                 areEnoughAnswered = true;
                 expectPredecessorEnd(now + withClockTolerance(options.contactMilliseconds));
             }
             return unanswered.size === 0;
         },
         recordPredecessorEnd: expectPredecessorEnd,
+        recordLeaseEnds(leaseEnds) {
+            formerLeaseEnds = leaseEnds;
+        },
+        heldUntil,
         expire(now) {
-            if (unanswered.size === 0 || now < endsAtMilliseconds) {
-                return false;
-            }
-            unanswered.clear();
-            return true;
+            const expired = [...unanswered].filter(worker => now >= heldUntil(worker));
+            expired.forEach(worker => unanswered.delete(worker));
+            return expired;
         },
         mayStart: ({ entry, step, wasSeenRunning }) =>
             unanswered.size === 0 || !entry.isInherited || step.allowsCopies || wasSeenRunning && !step.isGang,
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -4,7 +4,9 @@
  * The record of an owner is bound to a short lease; it only shows other instances where to send requests and when to claim.
  * The epoch in the head of the ledger and in every order to a worker prevents two owners from acting at the same time.
  */
+import type { Result } from "true-myth/result";
 import { formatFailure } from "../../core/errors.js";
+import type { Failure } from "../../core/errors.js";
 import type { EventLog } from "../../core/event-log.js";
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
@@ -14,13 +16,19 @@
 import type { Cell, CellOptions } from "../cell/cell.js";
 import { claimCell, readHead } from "../ledger/ledger.js";
 import type { FormerOwner, Head } from "../ledger/ledger.js";
+import type { Retirement, RetireRequest } from "../model/requests.js";
 import type { OwnershipSettings } from "../settings.js";
 import { claimDelayOf, isBetterConnected } from "./candidate.js";
 import { createCommitFailures } from "./commit-failures.js";
 import type { Directory } from "./directory.js";
+import { createFormerOwners } from "./former-owners.js";
+import type { FormerOwners, RetirementRequester } from "./former-owners.js";
 import { keepLease } from "./lease.js";
-import { describeOwner, keyOfMember, keyOfOwner } from "./records.js";
+import { keepMembership } from "./membership.js";
+import { createOwnerEnds } from "./owner-ends.js";
+import { describeOwner, keyOfOwner } from "./records.js";
 import type { Member, OwnerRecord } from "./records.js";
+import { createRetirements } from "./retirements.js";
 import { announceStop } from "./stop.js";
 
 /** Options of the ownership of cells. */
@@ -37,6 +45,8 @@
     connections(): number;
     /** Whether a cell can be run, because the workers and the catalog have been read. */
     isPrepared(): boolean;
+    /** Asks the process at an address to stop. */
+    readonly requestRetirement: RetirementRequester;
 }
 
 /** The cells that this instance owns. */
@@ -46,6 +56,8 @@
     recordDeath(owner: OwnerRecord): void;
     /** Records for how long an owner has been unable to commit, so that an instance that can may claim its cell. */
     recordCommitFailure(owner: OwnerRecord, milliseconds: number, now: number): void;
+    /** Stops a cell at the request of its new owner. */
+    retire(request: RetireRequest): Result<Retirement, Failure>;
     /** Releases all cells within the limit, and claims no more. */
     handOver(limitMilliseconds: number): Promise<void>;
     run(signal: AbortSignal): Promise<void>;
@@ -63,7 +75,8 @@
     /** Newest epoch read from the head of each cell. */
     const seenEpochs = new Map<string, number>();
     const lastOwners = new Map<string, OwnerRecord>();
-    const deadIncarnations = new Set<string>();
+    const ends = createOwnerEnds({ instance: self.instance, directory, log });
+    const retirements = createRetirements(self);
     const commitFailures = createCommitFailures();
     const checkRequest = createWake();
     const handOverStart = new AbortController();
@@ -82,7 +95,7 @@
             // An instance that can claim the cell can also commit.
             return "certain";
         }
-        return owner.isReleased || isPreviousIncarnation || deadIncarnations.has(owner.incarnation)
+        return owner.isReleased || isPreviousIncarnation || ends.isDead(owner.incarnation)
             ? "certain"
             : "none";
     };
@@ -120,7 +133,7 @@
             clock,
             cell: name,
             owner: { instance: self.instance, incarnation: self.incarnation },
-            hasStopped: owner => hasStopped(name, owner),
+            hasStopped: owner => ends.hasStopped(name, owner),
             alongside: epoch => [{
                 kind: "put",
                 key: keyOfOwner(name),
@@ -140,12 +153,23 @@
             log.write("claim-failed", { cell: name, failure: formatFailure(segments.error) }, "vital");
             return;
         }
+        const formerOwners = createFormerOwners({
+            cell: name,
+            journal,
+            instance: self.instance,
+            ends,
+            findAddress: owner => findAddress(owner, former),
+            requestRetirement: options.requestRetirement,
+            clock,
+            log,
+        });
         const cell = createCell({ ...options.cellOptions, name }, {
             journal,
             segments: segments.value,
             claimSentAtMilliseconds,
             claimedAtMilliseconds,
-            haveFormerOwnersStopped: () => journal.formerOwners.every(owner => hasStopped(name, owner)),
+            haveFormerOwnersStopped: () => formerOwners.haveStopped(),
+            formerLeaseEnds: () => formerOwners.leaseEnds(),
         });
         log.write("cell-claimed", {
             cell: name,
@@ -153,26 +177,24 @@
             former: former?.instance,
             milliseconds: Math.round(clock() - startedAt),
         }, "vital");
-        await runCell(cell, leaseId, signal);
+        await runCell(cell, leaseId, formerOwners, signal);
     };
 
     const isExpectedOwner = ({ owner }: Head, former: OwnerRecord | undefined): boolean =>
-        owner.incarnation === former?.incarnation || deadIncarnations.has(owner.incarnation)
+        owner.incarnation === former?.incarnation || ends.isDead(owner.incarnation)
         || owner.instance === self.instance;
 
-    /** Whether a former owner sends no more orders: it has announced its stop, or its process has ended. */
-    const hasStopped = (cell: string, owner: FormerOwner): boolean => {
-        const stop = directory.stop(cell, owner.instance);
-        const isAnnounced = stop !== undefined && stop.incarnation === owner.incarnation && stop.epoch >= owner.epoch;
-        return isAnnounced || isProcessGone(owner);
-    };
-
-    /** Whether an owner's process has ended; a restarted instance has ended its former process. */
-    const isProcessGone = ({ incarnation, instance }: Head["owner"]): boolean =>
-        deadIncarnations.has(incarnation) || instance === self.instance
-        || directory.members().some(member => member.instance === instance && member.incarnation !== incarnation);
+    /** Finds the address of a former owner, also when the record of its ownership has lapsed. */
+    const findAddress = (owner: FormerOwner, former: OwnerRecord | undefined): Member | OwnerRecord | undefined =>
+        [...directory.members(), ...former === undefined ? [] : [former]]
+            .find(({ incarnation }) => incarnation === owner.incarnation);
 
-    const runCell = async (cell: Cell, leaseId: string, signal: AbortSignal): Promise<void> => {
+    const runCell = async (
+        cell: Cell,
+        leaseId: string,
+        formerOwners: FormerOwners,
+        signal: AbortSignal,
+    ): Promise<void> => {
         const cellEnd = new AbortController();
         owned.set(cell.name, cell);
         const record = describeOwner(self, cell.name, cell.epoch);
@@ -196,8 +218,11 @@
                 && now - announcedAt > settings.renewMilliseconds,
             onConfirmed: sentAt => cell.recordConfirmation(sentAt),
         }, AbortSignal.any([signal, cellEnd.signal]));
+        // A request that is under way at the end does not hold up the next claim.
+        void formerOwners.ask(() => cell.isRecovering(), AbortSignal.any([signal, cellEnd.signal]));
         await cell.run(signal);
         cellEnd.abort();
+        retirements.record(cell);
         owned.delete(cell.name);
         const { incarnation, instance } = self;
         const stop = { cell: cell.name, epoch: cell.epoch, incarnation, instance };
@@ -270,18 +295,14 @@
 
     return {
         owned: cell => owned.get(cell),
-        recordDeath(owner) {
-            if (!deadIncarnations.has(owner.incarnation)) {
-                deadIncarnations.add(owner.incarnation);
-                log.write("owner-dead", { cell: owner.cell, owner: owner.instance, epoch: owner.epoch }, "vital");
-            }
-        },
+        recordDeath: owner => ends.recordDeath(owner.cell, owner),
         recordCommitFailure(owner, milliseconds, now) {
             if (milliseconds >= settings.troubleMilliseconds) {
                 commitFailures.record(owner, milliseconds, now);
                 checkRequest.wake();
             }
         },
+        retire: request => retirements.retire(request, owned.get(request.cell), clock()),
         async handOver(limitMilliseconds) {
             handOverStart.abort();
             await Promise.race([
@@ -291,34 +312,10 @@
         },
         async run(signal) {
             directory.onChange(() => checkRequest.wake());
-            let announcedAt = clock();
-            const membership = keepLease({
-                store,
-                clock,
-                log,
-                name: "member",
-                ttlMilliseconds: settings.memberLeaseMilliseconds,
-                renewMilliseconds: settings.memberLeaseMilliseconds / 4,
-                onGranted: async leaseId => {
-                    const written = await store.transact({
-                        comparisons: [],
-                        writes: [{
-                            kind: "put",
-                            key: keyOfMember(self.instance),
-                            value: JSON.stringify(self),
-                            leaseId,
-                        }],
-                    });
-                    announcedAt = clock();
-                    if (written.isErr) {
-                        log.write("member-not-announced", { failure: formatFailure(written.error) }, "vital");
-                    }
-                    return written.isOk;
-                },
-                isRecordMissing: now =>
-                    now - announcedAt > settings.memberLeaseMilliseconds / 4
-                    && !directory.members().some(({ incarnation }) => incarnation === self.incarnation),
-            }, AbortSignal.any([signal, handOverStart.signal]));
+            const membership = keepMembership(
+                { self, leaseMilliseconds: settings.memberLeaseMilliseconds, store, directory, clock, log },
+                AbortSignal.any([signal, handOverStart.signal]),
+            );
             while (!signal.aborted) {
                 if (directory.mirror.isRead()) {
                     checkCells(signal);
