A worker that answers a successor only once is not given up before its former lease has lapsed

Cause: a worker whose clock an owner has read, but to which it has granted no lease, counted as lapsed at its first answer. An owner that may not send orders yet grants none, so the worker's attempts were given up after two failed orders, while they ran on under the former owner's lease. Change: until this owner has granted a lease, one of the former owner is counted from the answer on, also where workers are given up or taken off.

--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -49,6 +49,8 @@
 /** What an owner reaches. */
 export interface Reach {
     workers: ReadonlySet<string>;
+    /** Worker that answers the next order, and nothing after it. */
+    answersOnce?: string;
     store: boolean;
     /** Whether its successors reach it; absent means no. */
     successors?: boolean;
@@ -69,7 +71,7 @@
     readonly workerNames: readonly string[];
     now(): number;
     /** Starts an owner of the next epoch, which reads what the owners before it have committed. */
-    startOwner(reach: Reach): SimulatedOwner;
+    startOwner(reach: Reach, claimMilliseconds?: number): SimulatedOwner;
     failTask(worker: string): SimulatedRun;
     cutPower(worker: string): void;
     /** Lets time pass until the condition holds; returns whether it did before the limit. */
@@ -144,6 +146,9 @@
         if (orderEpoch < worker.newestEpoch) {
             return Result.err(createFailure("fenced", "order", "the worker has seen a newer epoch"));
         }
+        if (reach.answersOnce === id) {
+            reach.workers = new Set([...reach.workers].filter(other => other !== id));
+        }
         worker.newestEpoch = orderEpoch;
         worker.leaseUntilMilliseconds = Math.max(worker.leaseUntilMilliseconds, leaseUntilMilliseconds);
         return Result.ok(execute(worker));
@@ -213,7 +218,7 @@
         runs,
         workerNames: [...workers.keys()],
         now: () => now,
-        startOwner(reach) {
+        startOwner(reach, claimMilliseconds = 0) {
             const succession = successions.claim();
             const { formerOwners } = succession;
             const stopped = new AbortController();
@@ -230,7 +235,7 @@
             }, {
                 journal: createLedger(reach, succession),
                 segments: [...segments],
-                claimSentAtMilliseconds: now,
+                claimSentAtMilliseconds: now - claimMilliseconds,
                 claimedAtMilliseconds: now,
                 haveFormerOwnersStopped: () => formerOwners.haveStopped(),
                 formerLeaseEnds: () => formerOwners.leaseEnds(),
--- a/features/jobs/takeover.feature
+++ b/features/jobs/takeover.feature
@@ -17,6 +17,11 @@
         And a successor takes over 2 s later, which reaches only "worker-0, worker-1, worker-2, worker-3"
         Then no task runs twice at the same time for 14 s
 
+    Scenario: A worker that answers a successor only once is not given up before its former lease has lapsed
+        When the owner loses power, and a successor after a claim of 2000 ms is answered once by "worker-0", and else by "worker-1, worker-2"
+        And the successor reaches the store and every worker but "worker-0" again 1800 ms later
+        Then no task runs twice at the same time for 8 s
+
     Scenario: An owner goes on without the store while most workers answer
         When the owner reaches only "worker-1, worker-2, worker-3, worker-4", and not the store
         Then every task runs again within 10 s of the loss
--- a/features/jobs/takeover.steps.ts
+++ b/features/jobs/takeover.steps.ts
@@ -16,6 +16,7 @@
 const LIMIT = { timeout: 60_000 };
 const START_MILLISECONDS = 5_000;
 const SECOND = 1_000;
+const CLAIM_STEP_MILLISECONDS = 300;
 
 After(LIMIT, async function(this: Partial<TakeoverWorld>) {
     await this.simulation?.close();
@@ -66,6 +67,29 @@
     },
 );
 
+When(
+    "the owner loses power, and a successor after a claim of {int} ms is answered once by {string}, and else by {string}",
+    LIMIT,
+    async function(this: TakeoverWorld, milliseconds: number, onceAnswering: string, answering: string) {
+        await this.owner.stop();
+        await this.simulation.passTime(CLAIM_STEP_MILLISECONDS);
+        const workers = new Set([onceAnswering, ...answering.split(", ")]);
+        const reach = { workers, store: false, answersOnce: onceAnswering };
+        this.owner = this.simulation.startOwner(reach, milliseconds);
+    },
+);
+
+When(
+    "the successor reaches the store and every worker but {string} again {int} ms later",
+    LIMIT,
+    async function(this: TakeoverWorld, worker: string, milliseconds: number) {
+        const { owner: { reach }, simulation } = this;
+        await simulation.passTime(milliseconds);
+        reach.workers = new Set(simulation.workerNames.filter(name => name !== worker));
+        reach.store = true;
+    },
+);
+
 When(
     "the task on {string} fails {int} s after the takeover",
     LIMIT,
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -12,7 +12,7 @@
 import { paceAttempt } from "./pacing.js";
 import { applyReport } from "./report.js";
 import { orderStop } from "./stopping.js";
-import { grantLease, leasesLapsedAt } from "./worker.js";
+import { attemptsLapsedAt, grantLease } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Failed hold orders after which a worker counts as silent; a single failure may be just a lost connection. */
@@ -199,7 +199,10 @@
         cell.requestDispatch();
     }
     const attempts = [...cell.jobTable.occupancy.load(id).attempts];
-    if (attempts.length > 0 && worker.contact === "silent" && now > leasesLapsedAt(worker)) {
+    if (
+        attempts.length > 0 && worker.contact === "silent"
+        && now > attemptsLapsedAt(worker, cell.settings.leaseMilliseconds)
+    ) {
         attempts.forEach(attempt => recordLostAttempt(cell.jobTable, attempt, now));
         cell.log.write("worker-lapsed", {
             worker: id,
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -8,7 +8,7 @@
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { runSession } from "./session.js";
-import { applyListing, createCellWorker, leasesLapsedAt } from "./worker.js";
+import { applyListing, attemptsLapsedAt, createCellWorker } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Time between two checks of unlisted workers and of the recovery. */
@@ -65,7 +65,10 @@
     const updateUse = (worker: CellWorker, now: number): void => {
         const { id } = worker.listed;
         const isIdle = jobTable.occupancy.load(id).attempts.length === 0;
-        if (worker.contact === "silent" && isIdle && worker.clock !== undefined && now > leasesLapsedAt(worker)) {
+        if (
+            worker.contact === "silent" && isIdle && worker.clock !== undefined
+            && now > attemptsLapsedAt(worker, cell.settings.leaseMilliseconds)
+        ) {
             if (workersInUse.has(id) && isRemovalAllowed(now)) {
                 workersInUse.delete(id);
                 worker.isRecorded = false;
