Failures far apart are no evidence against a worker

Callers saw: nothing yet; found in the review of the incident's fix. A worker was quarantined after two failures of lasting tasks 10 minutes apart, and longer each time, so that lasting tasks could find no worker. Cause: failures were forgotten only after a success, and lasting tasks never end successfully. Change: failures are forgotten after 10 s, and so is the length of earlier quarantines once the longest has passed. Result: the review's scenario 'Failures of lasting tasks far apart are no evidence against a worker' fails on the code before.

--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -141,7 +141,7 @@
         }
         const job = end.task.slice(0, end.task.indexOf("."));
         if (end.end === "failed" && recordFailedJob(worker.health, job, now)) {
-            logQuarantine("failures", { jobs: [...worker.health.failedJobs] });
+            logQuarantine("failures", { jobs: [...worker.health.failedJobs.keys()] });
         }
     }
     const load = jobTable.occupancy.load(id);
--- a/src/jobs/policy/health.ts
+++ b/src/jobs/policy/health.ts
@@ -10,8 +10,8 @@
 
 /** Health of a worker. */
 export interface WorkerHealth {
-    /** Jobs whose attempts failed on the worker since its last successful attempt. */
-    readonly failedJobs: Set<string>;
+    /** Jobs whose attempts failed on the worker since its last successful attempt, and when. */
+    readonly failedJobs: Map<string, number>;
     /** No new attempts before this time. */
     quarantinedUntilMilliseconds: number;
     /** Number of quarantines since the last successful attempt; each one is longer. */
@@ -21,7 +21,10 @@
 /** Different jobs that must fail in a row; at a failure rate of 3 %, two by chance are one in a thousand. */
 const FAILED_JOBS_BEFORE_QUARANTINE = 2;
 
-/** Length of the first quarantine; each further one is twice as long, up to the longest. */
+/** Failures further apart are not in a row: lasting tasks never end successfully, however long they have worked. */
+const FAILURE_MEMORY_MILLISECONDS = 10_000;
+
+/** Length of the first quarantine; each further one is twice as long, up to the longest. A longer pause starts anew. */
 const QUARANTINE_MILLISECONDS = 1_500;
 const LONGEST_QUARANTINE_MILLISECONDS = 12_000;
 
@@ -36,7 +39,7 @@
 
 /** Creates the health of a new worker. */
 export function createWorkerHealth(): WorkerHealth {
-    return { failedJobs: new Set(), quarantinedUntilMilliseconds: 0, quarantines: 0 };
+    return { failedJobs: new Map(), quarantinedUntilMilliseconds: 0, quarantines: 0 };
 }
 
 /** Records a successful attempt. */
@@ -47,7 +50,12 @@
 
 /** Records a failed attempt; returns true if the worker is quarantined because of it. */
 export function recordFailedJob(health: WorkerHealth, job: string, now: number): boolean {
-    health.failedJobs.add(job);
+    for (const [failed, at] of health.failedJobs) {
+        if (now - at > FAILURE_MEMORY_MILLISECONDS) {
+            health.failedJobs.delete(failed);
+        }
+    }
+    health.failedJobs.set(job, now);
     return health.failedJobs.size >= FAILED_JOBS_BEFORE_QUARANTINE && quarantine(health, now);
 }
 
@@ -56,6 +64,9 @@
     if (now < health.quarantinedUntilMilliseconds) {
         return false;
     }
+    if (now - health.quarantinedUntilMilliseconds > LONGEST_QUARANTINE_MILLISECONDS) {
+        health.quarantines = 0;
+    }
     const length = Math.min(QUARANTINE_MILLISECONDS * 2 ** health.quarantines, LONGEST_QUARANTINE_MILLISECONDS);
     health.quarantines += 1;
     health.quarantinedUntilMilliseconds = now + length;
