Capacity reserved for one overdue lasting task does not keep another from running

A lasting task of 1 core did not run with 10 of 16 cores free (LOST on a calm stretch), as both workers were reserved for tasks of 6 cores that fit nowhere. Cause: a reservation kept all other tasks away, also those that had waited as long, and it lasts until the large task fits. Change: overdue lasting tasks use reserved capacity; short tasks still do not. Result: the review's scenario 'Capacity that is kept for large lasting tasks does not keep a small one from running' fails on the code before.

--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -11,6 +11,7 @@
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
 import type { Interference } from "./interference.js";
+import { isOverdue } from "./order.js";
 import { chooseStartingPace, hasHeadroom, planPressures } from "./pacing.js";
 import type { ExpectedPressure } from "./pacing.js";
 
@@ -77,7 +78,7 @@
     let best: Candidate | undefined;
     let bestScore = -Infinity;
     for (const candidate of candidates) {
-        if (!isEligible(task, candidate)) {
+        if (!isEligible(task, candidate, isOverdue(task, now))) {
             continue;
         }
         const score = scoreCandidate(task, candidate, model, now, options);
@@ -89,14 +90,21 @@
     return best;
 }
 
-/** Whether the worker may run the task and has enough free capacity. */
-export function isEligible(task: Task, { load, reserved = ZERO_SIZE, worker }: Candidate): boolean {
+/**
+ * Whether the worker may run the task and has enough free capacity. Capacity that is reserved for another task is not free,
+ * except for a task that is overdue as well: the other one may not fit for a long time.
+ */
+export function isEligible(
+    task: Task,
+    { load, reserved = ZERO_SIZE, worker }: Candidate,
+    ignoresReservations = false,
+): boolean {
     const { step } = task;
     const { requiredLabel } = step;
     if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel)) {
         return false;
     }
-    const freeCapacity = addSize(addSize(worker.capacity, load.used, -1), reserved, -1);
+    const freeCapacity = addSize(addSize(worker.capacity, load.used, -1), reserved, ignoresReservations ? 0 : -1);
     if (!fitsInto(reservedSize(step), freeCapacity)) {
         return false;
     }
