A step whose earlier step was seen running by the successor waits for no other worker

Callers saw: after a takeover with a lost worker, the second step of a job that went on all the while was held until the recovery ended. Cause: all tasks of earlier jobs were held of which no attempt had been seen, also those that no former owner can have started. Change: a step is not held once a task of a step before it was reported as running to the successor, as the former owner cannot have seen it done.

--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -76,7 +76,14 @@
             expired.forEach(worker => unanswered.delete(worker));
             return expired;
         },
-        mayStart: ({ entry, step, wasSeenRunning }) =>
-            unanswered.size === 0 || !entry.isInherited || step.allowsCopies || wasSeenRunning && !step.isGang,
+        mayStart: task => unanswered.size === 0 || !mayRunUnseen(task),
     };
 }
+
+/** Whether a former owner may have started the task on a worker that has not answered. */
+function mayRunUnseen({ entry, occurrence, step, wasSeenRunning }: Task): boolean {
+    if (!entry.isInherited || step.allowsCopies || wasSeenRunning && !step.isGang) {
+        return false;
+    }
+    return !step.after.some(index => occurrence.steps[index]?.wasSeenRunning === true);
+}
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -6,7 +6,7 @@
 import type { TaskKey } from "../model/task-key.js";
 import type { EndedAttempt, RunningAttempt } from "../model/worker.js";
 import { countOccurrences } from "./create.js";
-import { findTask, gangMembersOf } from "./job-table.js";
+import { findTask, gangMembersOf, stepProgressOf } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
 import { endJob, finishTask, openOccurrence, requeueTask, startJob } from "./progress.js";
 import type { Attempt, Task } from "./task.js";
@@ -180,6 +180,7 @@
         return undefined;
     }
     task.wasSeenRunning = true;
+    stepProgressOf(task).wasSeenRunning = true;
     return addAttempt(table, task, worker, running.attempt, now, { pacePercent: estimatePace(task, running) });
 }
 
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -66,6 +66,7 @@
         tasks: [],
         doneCount: 0,
         unfinishedDependencies: new Set(step.after).size,
+        wasSeenRunning: false,
     };
     for (let index = 0; index < step.taskCount; index++) {
         progress.tasks.push(createTask(occurrence, progress, index));
--- a/src/jobs/job-table/job.ts
+++ b/src/jobs/job-table/job.ts
@@ -12,6 +12,8 @@
     doneCount: number;
     /** Number of earlier steps this step waits for. */
     unfinishedDependencies: number;
+    /** Whether a worker has reported one of the tasks as running to this owner, so that no former owner saw them all done. */
+    wasSeenRunning: boolean;
 }
 
 /** One run of all steps of a job. */
