--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -180,7 +180,8 @@
         return undefined;
     }
     task.wasSeenRunning = true;
-    stepProgressOf(task).wasSeenRunning = true;
+    // A copy may run on although another one is done.
+    stepProgressOf(task).wasSeenRunning ||= task.phase !== "done" && !task.step.allowsCopies;
     return addAttempt(table, task, worker, running.attempt, now, { pacePercent: estimatePace(task, running) });
 }
 
