Cells log the work of their dispatcher: passes, time, delay, ordered tasks and searches

The line `cell-load` now shows how many passes the dispatcher made since the last line, how long they took and how late they began, how many ready tasks they ordered and how many searches for a worker they made. No decision changes.

--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -207,7 +207,7 @@
             const now = clock();
             removeEndedJobs(jobTable, now - settings.keepEndedMilliseconds);
             const load = summarizeLoad(context, recovery, now);
-            log.write("cell-load", { cell: name, epoch, ...load }, "vital");
+            log.write("cell-load", { cell: name, epoch, ...load, ...dispatcher.takeWork() }, "vital");
             showLoad(options.metrics, load);
             await pause(CLEANUP_INTERVAL_MILLISECONDS, ownershipEnd.signal);
         }
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -17,6 +17,8 @@
 import { chooseWorker, isStarving, reserveCapacity, startingPaceOf } from "../policy/placement.js";
 import type { Candidate } from "../policy/placement.js";
 import type { CellContext } from "./context.js";
+import { createDispatchRecord } from "./dispatch-work.js";
+import type { DispatchWork } from "./dispatch-work.js";
 import type { Recovery } from "./recovery.js";
 import { startAttempt } from "./starting.js";
 import { stopAttempt } from "./stopping.js";
@@ -46,6 +48,8 @@
 /** Starts and stops attempts on the workers of a cell. */
 export interface Dispatcher {
     requestDispatch(): void;
+    /** Returns the work since the last call. */
+    takeWork(): DispatchWork;
     run(): Promise<void>;
 }
 
@@ -56,6 +60,9 @@
     const dispatchRequest = createWake();
     let reviewedAt = 0;
     let startsInFlight = 0;
+    const record = createDispatchRecord();
+    let searches = 0;
+    let orderedTasks = 0;
 
     const stopUnwanted = (): void => {
         for (const attempt of jobTable.attemptsToStop) {
@@ -72,6 +79,7 @@
         const placed: Attempt[] = [];
         const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
         for (const member of members) {
+            searches += 1;
             const options = { isStarving: isStarving(member, candidates, now) };
             const candidate = chooseWorker(member, candidates, cell.interference, now, options);
             if (candidate === undefined) {
@@ -177,6 +185,7 @@
             return;
         }
         const startable = [...jobTable.readyTasks].filter(task => recovery.mayStart(task));
+        orderedTasks += startable.length;
         // The tasks of one step have the same requirements: if one cannot be placed, neither can the others.
         const unplaceableSteps = new Set<StepProgress>();
         let reservations = 0;
@@ -200,14 +209,24 @@
         }
     };
 
+    const dispatchMeasured = (requestedAt: number, now: number): void => {
+        searches = 0;
+        orderedTasks = 0;
+        dispatch(now);
+        const delayMilliseconds = Math.max(0, now - requestedAt - BATCHING_MILLISECONDS);
+        record.add({ delayMilliseconds, milliseconds: clock() - now, orderedTasks, searches });
+    };
+
     return {
         requestDispatch: () => dispatchRequest.wake(),
+        takeWork: () => record.take(),
         async run() {
             while (!signal.aborted) {
+                const requestedAt = clock();
                 // Handles changes that arrive within a few milliseconds together.
                 await pause(BATCHING_MILLISECONDS);
                 if (!isAborted(signal)) {
-                    dispatch(clock());
+                    dispatchMeasured(requestedAt, clock());
                 }
                 await dispatchRequest.wait(LONGEST_IDLE_WAIT_MILLISECONDS, signal);
             }
