The tasks of a step share one search for workers, and plans for serving tasks are kept between passes

Callers saw: of the largest tenth of guide-booking, too little was served on the large site (SHORT). Cause: the owner lacks processor time. Each task of 160 was placed with a search of its own through 380 workers, and each pass computed the interference on all workers anew. Change: a ranking keeps the scores of the workers while the tasks of one step are placed; a placement changes the score of the worker that it uses, and scores that have fallen are computed again before a worker is chosen. Expected pressures are kept for 100 ms unless the worker's attempts or measurements change. Steps that fit nowhere are compared with the largest room once.

--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -3,6 +3,7 @@
  */
 import { Result } from "true-myth/result";
 import { createFailure } from "../../src/core/errors.js";
+import type { EventLog } from "../../src/core/event-log.js";
 import { createMetrics } from "../../src/core/metrics.js";
 import { pause } from "../../src/core/time.js";
 import { createCell } from "../../src/jobs/cell/cell.js";
@@ -80,7 +81,11 @@
 }
 
 /** Creates workers without an owner, and a ledger with one job of lasting tasks, at most one on each worker. */
-export function createTakeoverSimulation(workerCount: number, taskCount: number): TakeoverSimulation {
+export function createTakeoverSimulation(
+    workerCount: number,
+    taskCount: number,
+    log: EventLog = silentLog,
+): TakeoverSimulation {
     let now = NOW;
     const successions = createSuccessions(() => now);
     const runs: SimulatedRun[] = [];
@@ -229,7 +234,7 @@
                 workerList: { current: () => listed, isUpToDate: () => true, onChange: () => () => undefined },
                 orders: createOrders(reach),
                 clock: () => now,
-                log: silentLog,
+                log,
                 metrics: createJobsMetrics(createMetrics({}, "usage")),
                 catalog: () => catalog,
             }, {
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -14,8 +14,16 @@
 import { needsCopy } from "../policy/copies.js";
 import { chooseEvacuations } from "../policy/evacuation.js";
 import { isOverdue, orderTasks } from "../policy/order.js";
-import { chooseWorker, isStarving, reserveCapacity, startingPaceOf } from "../policy/placement.js";
-import type { Candidate } from "../policy/placement.js";
+import {
+    chooseWorker,
+    findLargestRoom,
+    isStarving,
+    mayFit,
+    rankCandidates,
+    reserveCapacity,
+    startingPaceOf,
+} from "../policy/placement.js";
+import type { Candidate, CandidateRanking, LargestRoom } from "../policy/placement.js";
 import type { CellContext } from "./context.js";
 import { createDispatchRecord } from "./dispatch-work.js";
 import type { DispatchWork } from "./dispatch-work.js";
@@ -63,6 +71,9 @@
     const record = createDispatchRecord();
     let searches = 0;
     let orderedTasks = 0;
+    const largestRooms = new WeakMap<readonly Candidate[], LargestRoom>();
+    let latestCandidates: ReadonlyMap<string, Candidate[]> = new Map<string, Candidate[]>();
+    let latestRanking: { readonly key: RankingKey; readonly ranking: CandidateRanking; } | undefined;
 
     const stopUnwanted = (): void => {
         for (const attempt of jobTable.attemptsToStop) {
@@ -74,14 +85,34 @@
         }
     };
 
+    /** Ranks the candidates for a task; the tasks of a step that follow one another in a pass share a ranking. */
+    const rankFor = (task: Task, candidates: readonly Candidate[], now: number): CandidateRanking => {
+        const options = { isStarving: isStarving(task, candidates, now) };
+        const key: RankingKey = { candidates, isOverdue: isOverdue(task, now), step: stepProgressOf(task), ...options };
+        if (latestRanking === undefined || !isSameKey(latestRanking.key, key)) {
+            searches += 1;
+            const ranking = rankCandidates(task, candidates, cell.interference, now, options);
+            latestRanking = { key, ranking };
+        }
+        return latestRanking.ranking;
+    };
+
+    /** Largest room at the beginning of the pass; placements only make it smaller. */
+    const largestRoomOf = (candidates: readonly Candidate[]): LargestRoom => {
+        const room = largestRooms.get(candidates) ?? findLargestRoom(candidates);
+        largestRooms.set(candidates, room);
+        return room;
+    };
+
     const place = (task: Task, candidates: readonly Candidate[], now: number): boolean => {
+        if (!mayFit(task, largestRoomOf(candidates))) {
+            return false;
+        }
         const members = gangMembersOf(task);
         const placed: Attempt[] = [];
         const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
         for (const member of members) {
-            searches += 1;
-            const options = { isStarving: isStarving(member, candidates, now) };
-            const candidate = chooseWorker(member, candidates, cell.interference, now, options);
+            const candidate = rankFor(member, candidates, now).choose(member);
             if (candidate === undefined) {
                 break;
             }
@@ -92,6 +123,7 @@
         if (placed.length < members.length) {
             // All members of a gang start, or none.
             placed.forEach(attempt => discardAttempt(attempt, now));
+            latestRanking = undefined;
             return false;
         }
         for (const attempt of placed) {
@@ -173,7 +205,8 @@
             return;
         }
         const { queues } = cell.catalog();
-        const candidates = listCandidates(cell, now);
+        const candidates = listCandidates(cell, latestCandidates, now);
+        latestCandidates = candidates;
         if (now - reviewedAt >= REVIEW_INTERVAL_MILLISECONDS) {
             reviewedAt = now;
             evacuate(candidates, now);
@@ -212,6 +245,7 @@
     const dispatchMeasured = (requestedAt: number, now: number): void => {
         searches = 0;
         orderedTasks = 0;
+        latestRanking = undefined;
         dispatch(now);
         const delayMilliseconds = Math.max(0, now - requestedAt - BATCHING_MILLISECONDS);
         record.add({ delayMilliseconds, milliseconds: clock() - now, orderedTasks, searches });
@@ -234,6 +268,19 @@
     };
 }
 
+/** What a ranking depends on, besides the placements. */
+interface RankingKey {
+    readonly candidates: readonly Candidate[];
+    readonly isOverdue: boolean;
+    readonly isStarving: boolean;
+    readonly step: StepProgress;
+}
+
+function isSameKey(left: RankingKey, right: RankingKey): boolean {
+    return left.candidates === right.candidates && left.isOverdue === right.isOverdue
+        && left.isStarving === right.isStarving && left.step === right.step;
+}
+
 /** Records that a filler was placed beside serving tasks; its effect on their latency shows within a second. */
 function recordTrials({ interference }: CellContext, { step }: Task, { load }: Candidate, now: number): void {
     if (step.isFiller) {
@@ -242,16 +289,23 @@
     }
 }
 
-/** Workers on which tasks may be started now, by pool. */
-function listCandidates(cell: CellContext, now: number): Map<string, Candidate[]> {
+/** Workers on which tasks may be started now, by pool. They keep what was computed for them in the former pass. */
+function listCandidates(
+    { jobTable, settings, workers }: CellContext,
+    former: ReadonlyMap<string, readonly Candidate[]>,
+    now: number,
+): Map<string, Candidate[]> {
+    const plans = new Map([...former.values()].flat().map(({ plan, worker }) => [worker.id, plan]));
     const pools = new Map<string, Candidate[]>();
-    for (const worker of cell.workers.values()) {
-        if (!mayStartOn(worker, now, cell.settings.unlistedGraceMilliseconds)) {
+    for (const worker of workers.values()) {
+        if (!mayStartOn(worker, now, settings.unlistedGraceMilliseconds)) {
             continue;
         }
-        const candidates = pools.get(worker.listed.pool) ?? [];
-        candidates.push({ worker: worker.listed, load: cell.jobTable.occupancy.load(worker.listed.id) });
-        pools.set(worker.listed.pool, candidates);
+        const { lastAnswerAtMilliseconds: reportedAtMilliseconds, listed } = worker;
+        const candidates = pools.get(listed.pool) ?? [];
+        const load = jobTable.occupancy.load(listed.id);
+        candidates.push({ worker: listed, load, reportedAtMilliseconds, plan: plans.get(listed.id) });
+        pools.set(listed.pool, candidates);
     }
     return pools;
 }
--- a/src/jobs/job-table/occupancy.ts
+++ b/src/jobs/job-table/occupancy.ts
@@ -16,6 +16,8 @@
     /** Cores reserved for serving tasks, in thousandths of a core. */
     servingMillicores: number;
     servingCount: number;
+    /** Number of attempts that were added or removed so far. */
+    changes: number;
 }
 
 /** Attempts on the workers of a cell. */
@@ -44,7 +46,14 @@
         if (found !== undefined) {
             return found;
         }
-        const load = { attempts: [], used: ZERO_SIZE, fillerMillicores: 0, servingMillicores: 0, servingCount: 0 };
+        const load = {
+            attempts: [],
+            used: ZERO_SIZE,
+            fillerMillicores: 0,
+            servingMillicores: 0,
+            servingCount: 0,
+            changes: 0,
+        };
         loads.set(worker, load);
         return load;
     };
@@ -67,6 +76,7 @@
 }
 
 function addToLoad(load: WorkerLoad, step: JobStep, sign: 1 | -1): void {
+    load.changes += 1;
     load.used = addSize(load.used, reservedSize(step), sign);
     if (step.isFiller) {
         load.fillerMillicores += sign * step.size.millicores;
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -14,6 +14,7 @@
 import { isOverdue } from "./order.js";
 import { chooseStartingPace, hasHeadroom, planPressures } from "./pacing.js";
 import type { ExpectedPressure } from "./pacing.js";
+import { createRanking } from "./ranking.js";
 
 /** A worker on which tasks may be started. */
 export interface Candidate {
@@ -21,10 +22,24 @@
     readonly load: Readonly<WorkerLoad>;
     /** Capacity reserved for a task that has waited long for a worker with enough of it. */
     reserved?: Size;
-    /** Expected pressures on the serving tasks; computed when first needed, and again after a placement. */
-    plan?: { readonly attempts: number; readonly pressures: readonly ExpectedPressure[]; };
+    /** When the worker last reported its measurements. */
+    readonly reportedAtMilliseconds?: number;
+    /** Expected pressures on the serving tasks; absent until they are needed. */
+    plan?: Plan | undefined;
 }
 
+/** Expected pressures on the serving tasks of a worker, and what they were computed from. */
+export interface Plan {
+    readonly atMilliseconds: number;
+    readonly reportedAtMilliseconds: number | undefined;
+    /** See `WorkerLoad.changes`. */
+    readonly changes: number;
+    readonly pressures: readonly ExpectedPressure[];
+}
+
+/** A plan is computed again after this, because the load of serving tasks changes by itself. */
+const PLAN_VALID_MILLISECONDS = 100;
+
 /** Options of a placement. */
 export interface PlacementOptions {
     /** Allows workers where interference is expected but not measured; if it occurs, the task is slowed down. */
@@ -75,19 +90,36 @@
     now: number,
     options: PlacementOptions = {},
 ): Candidate | undefined {
-    let best: Candidate | undefined;
-    let bestScore = -Infinity;
-    for (const candidate of candidates) {
-        if (!isEligible(task, candidate, isOverdue(task, now))) {
-            continue;
-        }
-        const score = scoreCandidate(task, candidate, model, now, options);
-        if (score > bestScore) {
-            best = candidate;
-            bestScore = score;
-        }
-    }
-    return best;
+    return rankCandidates(task, candidates, model, now, options).choose(task);
+}
+
+/** Candidates ranked for the tasks of one step that are placed one after the other. */
+export interface CandidateRanking {
+    /** Chooses a worker for a task; `undefined` if the task has to wait. */
+    choose(task: Task): Candidate | undefined;
+}
+
+/**
+ * Ranks the candidates for a task, and for others of its step while nothing but these is placed. Each placement changes the score
+ * of the worker that it uses; those of the other workers stay, or fall where they depend on trials of images.
+ */
+export function rankCandidates(
+    task: Task,
+    candidates: Iterable<Candidate>,
+    model: Interference,
+    now: number,
+    options: PlacementOptions = {},
+): CandidateRanking {
+    const ignoresReservations = isOverdue(task, now);
+    const score = (candidate: Candidate): number =>
+        isEligible(task, candidate, ignoresReservations)
+            ? scoreCandidate(task, candidate, model, now, options)
+            : -Infinity;
+    const ranking = createRanking(candidates, score);
+    return {
+        choose: ({ avoidedWorkers }) =>
+            ranking.first(({ worker }) => !avoidedWorkers.includes(worker.id)) ?? ranking.first(() => true),
+    };
 }
 
 /**
@@ -148,17 +180,46 @@
     return worker.capacity.millicores - others - load.servingMillicores * SERVING_USE_SHARE - load.fillerMillicores;
 }
 
-/** Expected pressures on the serving tasks of a candidate, kept until another task is placed there. */
+/** Expected pressures on the serving tasks of a candidate, kept for a short time unless its attempts or measurements change. */
 function pressuresOf(candidate: Candidate, model: Interference, now: number): readonly ExpectedPressure[] {
-    const { load, plan, worker } = candidate;
-    if (plan?.attempts === load.attempts.length) {
+    const { load, plan, reportedAtMilliseconds, worker } = candidate;
+    const isValid = plan !== undefined && plan.changes === load.changes
+        && plan.reportedAtMilliseconds === reportedAtMilliseconds
+        && now - plan.atMilliseconds < PLAN_VALID_MILLISECONDS;
+    if (isValid) {
         return plan.pressures;
     }
     const pressures = planPressures(load, worker.capacity.millicores, model, now);
-    candidate.plan = { attempts: load.attempts.length, pressures };
+    candidate.plan = { atMilliseconds: now, reportedAtMilliseconds, changes: load.changes, pressures };
     return pressures;
 }
 
+/** Largest free capacity of any candidate, each dimension by itself; the cores are those that a filler may use, too. */
+export interface LargestRoom {
+    readonly free: Size;
+    readonly idleMillicores: number;
+}
+
+/** Finds the largest free capacity, which tasks that fit nowhere are compared with instead of with each worker. */
+export function findLargestRoom(candidates: Iterable<Candidate>): LargestRoom {
+    const free = { ...ZERO_SIZE };
+    let idle = 0;
+    for (const candidate of candidates) {
+        const { load: { used }, worker: { capacity } } = candidate;
+        free.millicores = Math.max(free.millicores, capacity.millicores - used.millicores);
+        free.memoryMegabytes = Math.max(free.memoryMegabytes, capacity.memoryMegabytes - used.memoryMegabytes);
+        free.accelerators = Math.max(free.accelerators, capacity.accelerators - used.accelerators);
+        idle = Math.max(idle, idleMillicores(candidate));
+    }
+    return { free, idleMillicores: idle };
+}
+
+/** Whether a worker may have enough room for a task; if not, none has. */
+export function mayFit({ step }: Task, { free, idleMillicores: idle }: LargestRoom): boolean {
+    return fitsInto(reservedSize(step), free)
+        && (!step.isFiller || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
+}
+
 /** Pace, in percent, at which a task starts on the worker that was chosen for it. */
 export function startingPaceOf({ step }: Task, candidate: Candidate, model: Interference, now: number): number {
     if (!step.isFiller || candidate.load.servingCount === 0) {
@@ -192,11 +253,9 @@
     { isStarving: mayInterfere = false }: PlacementOptions,
 ): number {
     const { load, worker } = candidate;
-    const { avoidedWorkers, step } = task;
+    const { step } = task;
     const idle = idleMillicores(candidate);
     const freeMillicores = worker.capacity.millicores - load.used.millicores;
-    const isAvoided = avoidedWorkers.includes(worker.id);
-    const penalty = isAvoided ? AVOIDED_PENALTY : 0;
     const distancePenalty = step.dataRack === undefined || worker.labels.includes(step.dataRack)
         ? 0
         : REMOTE_DATA_PENALTY;
@@ -210,7 +269,7 @@
         ).length;
         const others = load.servingCount - sameImage;
         return sameStep * SAME_STEP_BONUS + sameImage * SAME_IMAGE_BONUS - others * OTHER_IMAGE_PENALTY
-            - load.fillerMillicores - freeMillicores - penalty - distancePenalty;
+            - load.fillerMillicores - freeMillicores - distancePenalty;
     }
     if (step.isFiller) {
         if (idle < step.size.millicores * MINIMUM_FILLER_SHARE) {
@@ -225,12 +284,12 @@
                 return -Infinity;
             }
             return Math.min(idle, step.size.millicores) - BESIDE_SERVING_PENALTY
-                - takenTolerance(task, share, pressures, model, now) * TOLERANCE_PENALTY - penalty - distancePenalty;
+                - takenTolerance(task, share, pressures, model, now) * TOLERANCE_PENALTY - distancePenalty;
         }
-        return idle - penalty - distancePenalty;
+        return idle - distancePenalty;
     }
     // Best fit, so that larger gaps stay free for larger tasks, except where fillers leave the task too few cores.
-    return -freeMillicores - Math.max(0, -idle) * STARVING_WEIGHT - penalty - distancePenalty;
+    return -freeMillicores - Math.max(0, -idle) * STARVING_WEIGHT - distancePenalty;
 }
 
 /** Weights in thousandths of a core, the unit of the other terms of the score. */
@@ -253,8 +312,5 @@
 /** Outweighs any amount of idle cores, in thousandths of a core. */
 const BESIDE_SERVING_PENALTY = 1_000_000;
 
-/** Outweighs a worker with serving tasks: an earlier attempt of the task failed or was lost on the avoided worker. */
-const AVOIDED_PENALTY = 3_000_000;
-
 /** Outweighs idle cores, but not the penalty for a worker with serving tasks. */
 const REMOTE_DATA_PENALTY = 200_000;
