A task under which three workers have crashed is given up

Cause: an attempt that is lost with its worker counted nowhere. Only ends that a worker reports count against the limit, and a worker that crashes reports none. A copy of the task, started because its worker was silent, crashed a second worker at once. Change: a refused connection to a worker that is not draining, another worker at its address or another incarnation proves a crash; silence does not, nor do four crashes at once. The crash counts against the tasks ordered in the second before, or against one of these alone that is suspected already. A suspect starts by itself on the worker with the fewest tasks, and has no copies. After three crashes its job is shown as failed.

--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -26,6 +26,8 @@
     peer: z.string().optional(),
     path: z.array(z.union([z.string(), z.number()])).optional(),
     message: z.string(),
+    /** What else is known of the cause: nothing listens at the peer's address. */
+    cause: z.literal("connection-refused").optional(),
 });
 export type Failure = z.infer<typeof Failure>;
 
@@ -33,6 +35,7 @@
 export interface FailureDetails {
     readonly peer?: string;
     readonly path?: (string | number)[];
+    readonly cause?: "connection-refused";
 }
 
 /** Creates a failure. */
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -23,6 +23,7 @@
 import type { OwnershipEvidence } from "./authority.js";
 import { createCommits } from "./commits.js";
 import type { CellContext } from "./context.js";
+import { createCrashes } from "./crashes.js";
 import { createDispatcher } from "./dispatch.js";
 import { clearLoad, showLoad, summarizeLoad } from "./load.js";
 import { createRecovery } from "./recovery.js";
@@ -177,6 +178,7 @@
             yield isAnswering ? worker.lastAnswerAtMilliseconds : -Infinity;
         }
     }
+    const requestDispatch = (): void => dispatcher.requestDispatch();
     const context: CellContext = {
         ...options,
         epoch,
@@ -189,7 +191,8 @@
         maySendOrders: now => !ownershipEnd.signal.aborted && maySendOrders(listEvidence(), settings, now),
         listEvidence,
         handleOwnerReplaced: (reason, peer) => abandon(`${peer}: ${reason}`),
-        requestDispatch: () => dispatcher.requestDispatch(),
+        requestDispatch,
+        crashes: createCrashes({ commits, jobTable, log, requestDispatch }),
     };
     const dispatcher = createDispatcher(context, recovery);
     const workerSessions = createWorkerSessions({
--- a/src/jobs/cell/context.ts
+++ b/src/jobs/cell/context.ts
@@ -12,6 +12,7 @@
 import type { CellSettings } from "../settings.js";
 import type { OwnershipEvidence } from "./authority.js";
 import type { Commits } from "./commits.js";
+import type { Crashes } from "./crashes.js";
 import type { CellWorker } from "./worker.js";
 
 /** An owned cell, as passed to its modules. */
@@ -33,6 +34,7 @@
     catalog(): Catalog;
     /** Whether orders may still be sent, see `authority.ts`. */
     maySendOrders(now: number): boolean;
+    readonly crashes: Crashes;
     /** What shows that this instance still owns the cell. */
     listEvidence(): OwnershipEvidence;
     /** Abandons the cell because another instance owns it now. */
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -189,6 +189,9 @@
         for (const worker of cell.workers.values()) {
             const isUnreliable = worker.contact === "silent" || now < worker.health.quarantinedUntilMilliseconds;
             for (const attempt of jobTable.occupancy.load(worker.listed.id).attempts) {
+                if (cell.crashes.isUnderReview(attempt.task)) {
+                    continue;
+                }
                 if (needsCopy(attempt, isUnreliable, cell.durations, now) && !jobTable.attemptsToStop.has(attempt)) {
                     const others = candidatesFor(attempt.task, candidates)
                         .filter(candidate => candidate.worker.id !== worker.listed.id);
@@ -217,7 +220,9 @@
         if (jobTable.readyTasks.size === 0) {
             return;
         }
-        const startable = [...jobTable.readyTasks].filter(task => recovery.mayStart(task));
+        const startable = [...jobTable.readyTasks].filter(task =>
+            recovery.mayStart(task) && !cell.crashes.isUnderReview(task)
+        );
         orderedTasks += startable.length;
         // The tasks of one step have the same requirements: if one cannot be placed, neither can the others.
         const unplaceableSteps = new Set<StepProgress>();
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -9,6 +9,7 @@
 import { isSlow, listStalledAttempts, quarantine, recordFailedJob, recordSuccess } from "../policy/health.js";
 import { choosePaces, isWorthMoving } from "../policy/pacing.js";
 import type { CellContext } from "./context.js";
+import { isProofOfCrash } from "./crashes.js";
 import { paceAttempt } from "./pacing.js";
 import { applyReport } from "./report.js";
 import { orderStop } from "./stopping.js";
@@ -60,6 +61,7 @@
         const now = clock();
         if (answer.isErr) {
             failures += 1;
+            worker.failingSinceMilliseconds ??= now;
             if (answer.error.code === "fenced") {
                 cell.handleOwnerReplaced(formatFailure(answer.error), worker.listed.id);
                 return;
@@ -75,6 +77,11 @@
         if (outcome.hasRestarted) {
             isLeased = false;
         }
+        if (outcome.hasRestarted) {
+            cell.crashes.record(worker, outcome.lost, now);
+        }
+        worker.failingSinceMilliseconds = undefined;
+        worker.hasCrashed = false;
         logOutcome(cell, worker, outcome, now);
         reviewHealth(cell, worker, outcome.ended, now);
         adjustPaces(cell, worker, now);
@@ -188,6 +195,9 @@
 /** Marks a worker as silent after repeated failures; its attempts are lost only after all its leases have lapsed. */
 function handleSilence(cell: CellContext, worker: CellWorker, failure: Failure, failures: number, now: number): void {
     const { id } = worker.listed;
+    if (isProofOfCrash(failure)) {
+        cell.crashes.record(worker, cell.jobTable.occupancy.load(id).attempts, now);
+    }
     if (failures >= SILENT_AFTER_FAILURES && worker.contact !== "silent") {
         worker.contact = "silent";
         cell.log.write("worker-silent", {
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -182,6 +182,7 @@
             recovery.recordLeaseEnds(leaseEnds);
         }
         checkPermission(now);
+        cell.crashes.review(now);
         for (const worker of workers.values()) {
             updateUse(worker, now);
             if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id, now)) {
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -26,6 +26,10 @@
     /** Latest reported value of the worker's clock, and the owner's time when it was received. */
     clock: { readonly workerMilliseconds: number; readonly atMilliseconds: number; } | undefined;
     lastAnswerAtMilliseconds: number;
+    /** When the first of the latest failed reports failed; absent while the worker answers. */
+    failingSinceMilliseconds: number | undefined;
+    /** Whether the worker's process is known to have ended since its last answer. */
+    hasCrashed: boolean;
     /** Latest end of all leases that may have been granted, on the worker's clock. */
     leaseUntilMilliseconds: number;
     /** Sequence of the last end that was recorded. */
@@ -57,6 +61,8 @@
         incarnation: undefined,
         clock: undefined,
         lastAnswerAtMilliseconds: now,
+        failingSinceMilliseconds: undefined,
+        hasCrashed: false,
         leaseUntilMilliseconds: 0,
         recordedSequence: 0,
         committedSequence: 0,
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -5,6 +5,7 @@
 import { parseTaskKey } from "../model/task-key.js";
 import type { TaskKey } from "../model/task-key.js";
 import type { EndedAttempt, RunningAttempt } from "../model/worker.js";
+import { isDeadly } from "../policy/crashes.js";
 import { countOccurrences } from "./create.js";
 import { findTask, gangMembersOf, stepProgressOf } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
@@ -148,6 +149,20 @@
     requeueTask(table, task, now);
 }
 
+/** Counts a worker's crash against an attempt; returns whether its job is given up because of it. */
+export function recordCrash(table: JobTable, { number, task }: Attempt, now: number): boolean {
+    if (task.phase === "done" || FINAL_STATES.has(task.entry.state) || task.crashedAttempts.includes(number)) {
+        return false;
+    }
+    task.crashedAttempts.push(number);
+    table.changes.crashed.push([task.key, number]);
+    if (isDeadly(task)) {
+        endJob(table, task.entry, "failed", now);
+        return true;
+    }
+    return false;
+}
+
 /** Removes an attempt that the worker refused to start. It does not count as a failed attempt. */
 export function withdrawAttempt(table: JobTable, attempt: Attempt, now: number): void {
     removeAttempt(table, attempt);
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -87,6 +87,7 @@
         attempts: [],
         lastAttempt: 0,
         failedAttempts: [],
+        crashedAttempts: [],
         checkpoint: "",
         readyAtMilliseconds: 0,
         wasSeenRunning: false,
--- a/src/jobs/job-table/job-table.ts
+++ b/src/jobs/job-table/job-table.ts
@@ -96,6 +96,7 @@
         begun: [...detached.begun, ...later.begun],
         done: [...detached.done, ...later.done],
         failed: [...detached.failed, ...later.failed],
+        crashed: [...detached.crashed, ...later.crashed],
         checkpoints: [...detached.checkpoints, ...later.checkpoints],
         ended: [...detached.ended, ...later.ended],
         forgotten: [...detached.forgotten, ...later.forgotten],
--- a/src/jobs/job-table/occupancy.ts
+++ b/src/jobs/job-table/occupancy.ts
@@ -18,6 +18,9 @@
     servingCount: number;
     /** Number of attempts that were added or removed so far. */
     changes: number;
+    /** When the latest attempt was ordered, and the latest one of a task under which a worker has crashed. */
+    orderedAtMilliseconds: number;
+    suspectOrderedAtMilliseconds: number;
 }
 
 /** Attempts on the workers of a cell. */
@@ -46,14 +49,7 @@
         if (found !== undefined) {
             return found;
         }
-        const load = {
-            attempts: [],
-            used: ZERO_SIZE,
-            fillerMillicores: 0,
-            servingMillicores: 0,
-            servingCount: 0,
-            changes: 0,
-        };
+        const load = createLoad();
         loads.set(worker, load);
         return load;
     };
@@ -62,6 +58,10 @@
         add(attempt) {
             const load = loadOf(attempt.worker);
             load.attempts.push(attempt);
+            load.orderedAtMilliseconds = Math.max(load.orderedAtMilliseconds, attempt.orderedAtMilliseconds);
+            if (attempt.task.crashedAttempts.length > 0) {
+                load.suspectOrderedAtMilliseconds = load.orderedAtMilliseconds;
+            }
             addToLoad(load, attempt.task.step, 1);
         },
         remove(attempt) {
@@ -75,6 +75,19 @@
     };
 }
 
+function createLoad(): WorkerLoad {
+    return {
+        attempts: [],
+        used: ZERO_SIZE,
+        fillerMillicores: 0,
+        servingMillicores: 0,
+        servingCount: 0,
+        changes: 0,
+        orderedAtMilliseconds: -Infinity,
+        suspectOrderedAtMilliseconds: -Infinity,
+    };
+}
+
 function addToLoad(load: WorkerLoad, step: JobStep, sign: 1 | -1): void {
     load.changes += 1;
     load.used = addSize(load.used, reservedSize(step), sign);
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -35,6 +35,13 @@
             task.lastAttempt = Math.max(task.lastAttempt, attempt);
         }
     }
+    for (const [key, attempt] of segment.crashed) {
+        const task = findOrOpenTask(table, key, now);
+        if (task !== undefined && !task.crashedAttempts.includes(attempt)) {
+            task.crashedAttempts.push(attempt);
+            task.lastAttempt = Math.max(task.lastAttempt, attempt);
+        }
+    }
     for (const [key, checkpoint] of segment.checkpoints) {
         const task = findOrOpenTask(table, key, now);
         if (task !== undefined) {
@@ -75,6 +82,7 @@
             continue;
         }
         task.failedAttempts.forEach(attempt => snapshot.failed.push([task.key, attempt]));
+        task.crashedAttempts.forEach(attempt => snapshot.crashed.push([task.key, attempt]));
         if (task.checkpoint !== "") {
             snapshot.checkpoints.push([task.key, task.checkpoint]);
         }
--- a/src/jobs/job-table/task.ts
+++ b/src/jobs/job-table/task.ts
@@ -58,6 +58,8 @@
     lastAttempt: number;
     /** Numbers of the attempts that failed. */
     readonly failedAttempts: number[];
+    /** Numbers of the attempts suspected of a crash of their worker. */
+    readonly crashedAttempts: number[];
     /** Latest checkpoint; empty if there is none. */
     checkpoint: string;
     readyAtMilliseconds: number;
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -23,6 +23,8 @@
     done: z.array(z.string()),
     /** Failed attempts: task key and attempt number. */
     failed: z.array(z.tuple([z.string(), z.int()])),
+    /** Attempts suspected of a crash of their worker: task key and attempt number. Older builds wrote none. */
+    crashed: z.array(z.tuple([z.string(), z.int()])).default([]),
     /** Latest checkpoints: task key and checkpoint. */
     checkpoints: z.array(z.tuple([z.string(), z.string()])),
     ended: z.array(Ended),
@@ -45,6 +47,7 @@
         begun: [],
         done: [],
         failed: [],
+        crashed: [],
         checkpoints: [],
         ended: [],
         forgotten: [],
@@ -64,6 +67,7 @@
     "begun",
     "done",
     "failed",
+    "crashed",
     "checkpoints",
     "ended",
     "forgotten",
--- a/src/jobs/policy/copies.ts
+++ b/src/jobs/policy/copies.ts
@@ -4,6 +4,7 @@
  * Workload: a short job ends with its slowest task, so one slow or silent worker delays the whole job.
  */
 import type { Attempt } from "../job-table/task.js";
+import { isSuspect } from "./crashes.js";
 import type { Durations } from "./durations.js";
 import { slownessOf } from "./health.js";
 
@@ -15,7 +16,7 @@
     const { task } = attempt;
     if (
         !task.step.allowsCopies || task.step.isGang || task.attempts.length !== 1 || task.phase === "done"
-        || attempt.phase === "stopping"
+        || attempt.phase === "stopping" || isSuspect(task)
     ) {
         return false;
     }
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -10,6 +10,7 @@
 import { addSize, fitsInto, ZERO_SIZE } from "../model/size.js";
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
+import { isSuspect, mayStartBeside } from "./crashes.js";
 import type { Interference } from "./interference.js";
 import { isOverdue } from "./order.js";
 import { chooseStartingPace, hasHeadroom, planPressures } from "./pacing.js";
@@ -112,8 +113,9 @@
 ): CandidateRanking {
     const ignoresReservations = isOverdue(task, now);
     const score = (candidate: Candidate): number =>
-        isEligible(task, candidate, ignoresReservations)
+        mayStartBeside(task, candidate.load, now) && isEligible(task, candidate, ignoresReservations)
             ? scoreCandidate(task, candidate, model, now, options)
+                - (isSuspect(task) ? candidate.load.attempts.length * SUSPECT_NEIGHBOR_PENALTY : 0)
             : -Infinity;
     const ranking = createRanking(candidates, score);
     return {
@@ -312,5 +314,8 @@
 /** Outweighs any amount of idle cores, in thousandths of a core. */
 const BESIDE_SERVING_PENALTY = 1_000_000;
 
+/** Outweighs a worker with serving tasks: a crash ends all tasks beside the suspect. */
+const SUSPECT_NEIGHBOR_PENALTY = 2_000_000;
+
 /** Outweighs idle cores, but not the penalty for a worker with serving tasks. */
 const REMOTE_DATA_PENALTY = 200_000;
--- a/stand-ins/users-platform/deployment.ts
+++ b/stand-ins/users-platform/deployment.ts
@@ -65,6 +65,9 @@
     targetLatencyMs: 500,
 };
 
+/** Time from the crash of a worker to its return. */
+const RESTART_MILLISECONDS = 1_500;
+
 const ANSWER_LIMIT_MILLISECONDS = 5_000;
 const START_LIMIT_MILLISECONDS = 20_000;
 
@@ -74,8 +77,20 @@
     const directory = await mkdtemp(join(tmpdir(), "flamingowell-jobs-"));
     const store = createUsersStore(now);
     const workers: UsersWorker[] = [];
+    let isClosed = false;
+    /** Starts a worker, and another life of it with a new id some time after each crash. */
+    const startWorker = async (name: string, life: number): Promise<void> => {
+        const id = life === 1 ? name : `${name}-life-${life}`;
+        const onCrash = (): void =>
+            void setTimeout(() => {
+                if (!isClosed) {
+                    void startWorker(name, life + 1);
+                }
+            }, RESTART_MILLISECONDS);
+        workers.push(await startUsersWorker({ id, now, onCrash, pool: POOL, store }));
+    };
     for (let index = 0; index < workerCount; index++) {
-        workers.push(await startUsersWorker({ id: `worker-${index}`, now, pool: POOL, store }));
+        await startWorker(`worker-${index}`, 1);
     }
     const processes: JobsProcess[] = [];
     const publish = (version: number, routes: readonly object[] = [CHECKS_ROUTE]): void =>
@@ -100,6 +115,7 @@
         call: (process, method, path, body) => callProcess(process.origin, method, path, body),
         runs: () => workers.flatMap(({ runs }) => runs).sort((left, right) => left.startedAt - right.startedAt),
         async close() {
+            isClosed = true;
             await Promise.all(processes.map(process => process.kill()));
             await Promise.all(workers.map(worker => worker.close()));
             await store.close();
--- a/stand-ins/users-platform/worker.ts
+++ b/stand-ins/users-platform/worker.ts
@@ -27,6 +27,8 @@
     readonly milliseconds: number;
     readonly millicores: number;
     readonly fails?: boolean;
+    /** Crashes the worker that starts it. */
+    readonly crashes?: boolean;
 }
 
 /** A worker that is served. */
@@ -43,11 +45,22 @@
 }
 
 const HEARTBEAT_MILLISECONDS = 300;
+/** The platform removes the entry of a worker after three intervals of silence. */
+const EXPIRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
+/** Time from the start of a task that crashes its worker to the crash. */
+const CRASH_MILLISECONDS = 10;
 export const WORKER_MILLICORES = 8_000;
 
 /** Starts a worker and registers it. */
 export async function startUsersWorker(
-    { id, now, pool, store }: { id: string; now: () => number; pool: string; store: UsersStore; },
+    { id, now, onCrash, pool, store }: {
+        id: string;
+        now: () => number;
+        pool: string;
+        store: UsersStore;
+        /** Called when a task has crashed the worker. */
+        onCrash?: () => void;
+    },
 ): Promise<UsersWorker> {
     const born = Math.round(now());
     const clock = (): number => Math.round(now()) - born + 1_000;
@@ -84,7 +97,7 @@
         if (attempt <= (known.get(task) ?? 0)) {
             return { status: 409, body: { clockMs: clock(), reason: "old" } };
         }
-        const { fails = false, millicores, milliseconds } = JSON.parse(spec) as TaskScript;
+        const { crashes = false, fails = false, millicores, milliseconds } = JSON.parse(spec) as TaskScript;
         known.set(task, attempt);
         const run: Run = {
             task,
@@ -98,6 +111,9 @@
             timer: setTimeout(() => end(run, fails ? "failed" : "done"), milliseconds),
         };
         runs.push(run);
+        if (crashes) {
+            setTimeout(() => void crash(), CRASH_MILLISECONDS);
+        }
         peak = Math.max(peak, active().reduce((sum, other) => sum + other.millicores, 0));
         return { status: 200, body: { clockMs: clock() } };
     };
@@ -157,6 +173,13 @@
         active().forEach(run => end(run, "lost"));
         await server.close();
     };
+    /** Ends all runs without a report, and stops listening; the entry is removed when it expires. */
+    const crash = async (): Promise<void> => {
+        closed ??= shutDown();
+        await closed;
+        setTimeout(() => store.remove(key), EXPIRY_MILLISECONDS);
+        onCrash?.();
+    };
     let closed: Promise<void> | undefined;
     const worker = {
         id,
@@ -173,9 +196,10 @@
     const started: UsersWorker = worker;
     const server = await serveJson(answer, ({ url }) => started.fault(url.pathname));
     const { address } = server;
+    const key = `servers/${id}`;
     let beats = 0;
     const register = (): void =>
-        store.write(`servers/${id}`, {
+        store.write(key, {
             service: pool,
             address,
             zone: "levi",
