--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -1,6 +1,7 @@
 /**
  * The workers of a cell: follows the platform's list, records which workers are in use, and runs a session with each.
  */
+import { describeThrown } from "../../core/errors.js";
 import { pause } from "../../core/time.js";
 import { recordWorkerUnused, recordWorkerUsed } from "../job-table/job-table.js";
 import type { ListedWorker, WorkerList } from "../model/worker.js";
@@ -14,6 +15,9 @@
 /** Time between two checks of unlisted workers and of the recovery. */
 const CHECK_INTERVAL_MILLISECONDS = 200;
 
+/** Wait before a session that ended with an unexpected error begins anew. */
+const SESSION_RETRY_MILLISECONDS = 1_000;
+
 /** Options of the worker sessions. */
 export interface WorkerSessionsOptions {
     readonly cell: CellContext;
@@ -48,10 +52,29 @@
             recordUse(listed.id);
         }
         const end = new AbortController();
-        const done = runSession(cell, worker, AbortSignal.any([signal, end.signal]));
+        const done = keepSession(worker, AbortSignal.any([signal, end.signal]));
         sessions.set(listed.id, { end, done });
     };
 
+    /** Begins a session anew if it ends with an unexpected error, so that one worker's messages cannot end the process. */
+    const keepSession = async (worker: CellWorker, ended: AbortSignal): Promise<void> => {
+        for (;;) {
+            try {
+                await runSession(cell, worker, ended);
+                return;
+            }
+            catch (thrown) {
+                worker.contact = "silent";
+                cell.log.write(
+                    "session-broken",
+                    { worker: worker.listed.id, failure: describeThrown(thrown) },
+                    "vital",
+                );
+                await pause(SESSION_RETRY_MILLISECONDS, ended);
+            }
+        }
+    };
+
     const recordUse = (id: string): void => {
         workersInUse.add(id);
         recordWorkerUsed(jobTable, id);
--- a/src/jobs/ownership/records.ts
+++ b/src/jobs/ownership/records.ts
@@ -2,6 +2,7 @@
  * Records with which instances find each other and the owners of cells.
  */
 import * as z from "zod";
+import { PeerPort } from "../../core/http.js";
 
 /** All instances watch the keys under this prefix, so it contains only records that change rarely. */
 export const DIRECTORY_PREFIX = "/flamingowell/directory/";
@@ -14,7 +15,7 @@
     dataCentre: z.string(),
     /** Where other instances connect. */
     host: z.string(),
-    port: z.int(),
+    port: PeerPort,
     /** Share of a processor. */
     processorShare: z.number(),
 });
@@ -27,7 +28,7 @@
     instance: z.string(),
     incarnation: z.string(),
     host: z.string(),
-    port: z.int(),
+    port: PeerPort,
     /** Whether the owner has released the cell, so that any instance may claim it. */
     isReleased: z.boolean(),
 });
