--- a/stand-ins/users-platform/worker.ts
+++ b/stand-ins/users-platform/worker.ts
@@ -37,9 +37,13 @@
     readonly runs: readonly RunRecord[];
     /** Most thousandths of a core that were in use at one time. */
     readonly peakMillicores: number;
+    /** Times of the starts that brought it over its capacity, except shortly after the capacity had shrunk. */
+    readonly startsOverCapacity: readonly number[];
     /** Reports that told of at least one end. */
     readonly reportsWithEnds: number;
     fault: (path: string) => RequestFault;
+    /** Changes the capacity, in thousandths of a core; what runs goes on. */
+    resize(millicores: number): void;
     /** Stops all runs and the server, as a loss of power does. */
     close(): Promise<void>;
 }
@@ -47,6 +51,8 @@
 const HEARTBEAT_MILLISECONDS = 300;
 /** The platform removes the entry of a worker after three intervals of silence. */
 const EXPIRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
+/** Starts that exceed a capacity which has shrunk within this time do not count: three seconds and a heartbeat. */
+const SHRINK_GRACE_MILLISECONDS = 3_000 + HEARTBEAT_MILLISECONDS;
 /** Time from the start of a task that crashes its worker to the crash. */
 const CRASH_MILLISECONDS = 10;
 export const WORKER_MILLICORES = 8_000;
@@ -67,6 +73,9 @@
     const runs: Run[] = [];
     const known = new Map<string, number>();
     const ends: { readonly sequence: number; readonly run: Run; }[] = [];
+    const startsOverCapacity: number[] = [];
+    let capacityMillicores = WORKER_MILLICORES;
+    let resizedAt = -Infinity;
     let fence = 0;
     let leaseUntil = 0;
     let sequence = 0;
@@ -114,7 +123,11 @@
         if (crashes) {
             setTimeout(() => void crash(), CRASH_MILLISECONDS);
         }
-        peak = Math.max(peak, active().reduce((sum, other) => sum + other.millicores, 0));
+        const usedMillicores = active().reduce((sum, other) => sum + other.millicores, 0);
+        peak = Math.max(peak, usedMillicores);
+        if (usedMillicores > capacityMillicores && now() - resizedAt > SHRINK_GRACE_MILLISECONDS) {
+            startsOverCapacity.push(now());
+        }
         return { status: 200, body: { clockMs: clock() } };
     };
 
@@ -184,6 +197,12 @@
     const worker = {
         id,
         runs,
+        startsOverCapacity,
+        resize(millicores: number) {
+            capacityMillicores = millicores;
+            resizedAt = now();
+            register();
+        },
         get reportsWithEnds() {
             return reportsWithEnds;
         },
@@ -209,7 +228,7 @@
             coldLeftMs: 0,
             sequence: beats++,
             born,
-            capacity: { cpu: WORKER_MILLICORES, memMb: 64_000, gpu: 0 },
+            capacity: { cpu: capacityMillicores, memMb: 64_000, gpu: 0 },
             labels: ["a", "r1-1"],
         });
     register();
