--- a/features/jobs/world.ts
+++ b/features/jobs/world.ts
@@ -48,6 +48,14 @@
     };
 }
 
+/** Describes a job of tasks that last, at most one on each worker. */
+export function describeLastingJob(tasks: number): object {
+    return {
+        spec: JSON.stringify({ millicores: TASK_MILLICORES }),
+        steps: [{ count: tasks, cpu: TASK_MILLICORES, memMb: 100, longRunning: true, maxPerServer: 1 }],
+    };
+}
+
 /** Lists the processes that are still running. */
 export function runningProcesses({ usersPlatform: { processes } }: PathWorld): JobsProcess[] {
     return processes.filter(({ child }) => child.exitCode === null && child.signalCode === null);
--- a/stand-ins/users-platform/deployment.ts
+++ b/stand-ins/users-platform/deployment.ts
@@ -8,9 +8,10 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
+import type { StandInServer } from "./http.js";
 import { createUsersStore } from "./store.js";
 import type { UsersStore } from "./store.js";
-import { startUsersWorker } from "./worker.js";
+import { LONGEST_LEASE_MILLISECONDS, startUsersWorker } from "./worker.js";
 import type { RunRecord, UsersWorker } from "./worker.js";
 
 const SCRIPT = "dist/platform/main.js";
@@ -28,6 +29,8 @@
     /** Origin of the callers' port, once it listens. */
     readonly origin: string;
     readonly events: readonly LoggedEvent[];
+    /** The process's own address of the store. */
+    readonly store: StandInServer;
     kill(): Promise<void>;
 }
 
@@ -107,8 +110,7 @@
         processes,
         publish,
         async startProcess(name) {
-            const { address } = await store.listen(name);
-            const started = await startJobsProcess(name, address, directory);
+            const started = await startJobsProcess(name, await store.listen(name), directory);
             processes.push(started);
             return started;
         },
@@ -124,9 +126,9 @@
     };
 }
 
-async function startJobsProcess(name: string, storeAddress: string, directory: string): Promise<JobsProcess> {
+async function startJobsProcess(name: string, store: StandInServer, directory: string): Promise<JobsProcess> {
     const file = join(directory, `${name}.json`);
-    await writeFile(file, JSON.stringify({ metricsPort: 0, fields: describeSettings(name, storeAddress) }));
+    await writeFile(file, JSON.stringify({ metricsPort: 0, fields: describeSettings(name, store.address) }));
     const child = spawn(process.execPath, [SCRIPT], {
         env: { PATH: process.env["PATH"], FLAMINGOWELL_SETTINGS: file },
         stdio: ["ignore", "pipe", "inherit"],
@@ -150,6 +152,7 @@
         child,
         origin: await listening,
         events,
+        store,
         async kill() {
             if (child.exitCode === null && child.signalCode === null) {
                 child.kill("SIGKILL");
@@ -169,7 +172,7 @@
         limits: { cpuQuota: 1, cores: 1 },
         platform: { address: storeAddress },
         heartbeatMs: 300,
-        bounds: { holdMaxMs: 10_000, status_s: 120, stopTimeoutMs: 900, graceS: 6 },
+        bounds: { holdMaxMs: LONGEST_LEASE_MILLISECONDS, status_s: 120, stopTimeoutMs: 900, graceS: 6 },
     };
 }
 
--- a/stand-ins/users-platform/http.ts
+++ b/stand-ins/users-platform/http.ts
@@ -36,6 +36,12 @@
 export interface StandInServer {
     /** `HOST:PORT`. */
     readonly address: string;
+    /** Holds up all calls and answers from now on, as a link without a path does. */
+    disconnect(): void;
+    /** Carries out and answers what was held up, in the order of arrival. */
+    reconnect(): void;
+    /** Resets all connections, and forgets the calls that have come over them. */
+    reset(): void;
     close(): Promise<void>;
 }
 
@@ -49,8 +55,24 @@
     answer: (request: StandInRequest) => Promise<StandInAnswer> | StandInAnswer,
     chooseFault: (request: StandInRequest) => RequestFault,
 ): Promise<StandInServer> {
+    let isConnected = true;
+    let generation = 0;
+    let heldUp: (() => void)[] = [];
+    const whenConnected = (): Promise<void> =>
+        isConnected ? Promise.resolve() : new Promise(resolve => heldUp.push(resolve));
+    const reconnect = (): void => {
+        isConnected = true;
+        const waiting = heldUp;
+        heldUp = [];
+        waiting.forEach(resume => resume());
+    };
     const handle = async (incoming: IncomingMessage, response: ServerResponse): Promise<void> => {
+        const generationAtArrival = generation;
         const request = await readRequest(incoming);
+        await whenConnected();
+        if (generation !== generationAtArrival) {
+            return;
+        }
         const fault = chooseFault(request);
         if (fault === "refused") {
             response.writeHead(503).end();
@@ -64,6 +86,7 @@
             return;
         }
         const { body, status } = await answer(request);
+        await whenConnected();
         if (fault === "answer-lost") {
             response.destroy();
             return;
@@ -76,6 +99,15 @@
     const { port } = server.address() as AddressInfo;
     return {
         address: `${HOST}:${port}`,
+        disconnect() {
+            isConnected = false;
+        },
+        reconnect,
+        reset() {
+            generation += 1;
+            server.closeAllConnections();
+            reconnect();
+        },
         close: async () => {
             server.closeAllConnections();
             server.close();
--- a/stand-ins/users-platform/worker.ts
+++ b/stand-ins/users-platform/worker.ts
@@ -13,18 +13,27 @@
     readonly startedAt: number;
     endedAt: number | undefined;
     how: string | undefined;
-    /** The owner has been told to forget the end. */
+    /** An owner has acknowledged the end before the worker's lease lapsed. */
     isAcknowledged: boolean;
 }
 
 interface Run extends RunRecord {
     readonly millicores: number;
-    readonly timer: NodeJS.Timeout;
+    /** Absent where the task lasts. */
+    readonly timer: NodeJS.Timeout | undefined;
+}
+
+interface End {
+    readonly sequence: number;
+    readonly run: Run;
+    isForgotten: boolean;
+    hasLeaseLapsed: boolean;
 }
 
 /** What a task of the tests does; it stands in the job's `spec`. */
 export interface TaskScript {
-    readonly milliseconds: number;
+    /** Absent where the task lasts until it is stopped. */
+    readonly milliseconds?: number;
     readonly millicores: number;
     readonly fails?: boolean;
     /** Crashes the worker that starts it. */
@@ -44,13 +53,23 @@
     fault: (path: string) => RequestFault;
     /** Changes the capacity, in thousandths of a core; what runs goes on. */
     resize(millicores: number): void;
-    /** Stops all runs and the server, as a loss of power does. */
+    /** Cuts its links: it runs on, neither answers nor renews its entry, and its entry is removed in time. */
+    disconnect(): void;
+    /** Ends that; it carries out the calls that have been held up. */
+    reconnect(): void;
+    /** Cuts its power: what runs ends at once, and nothing is heard of it any more. */
+    cutPower(): void;
+    /** Starts it again after its power was cut, under the same id and at the same address: it knows nothing of before. */
+    restart(): void;
+    /** Stops all runs and the server. */
     close(): Promise<void>;
 }
 
 const HEARTBEAT_MILLISECONDS = 300;
-/** The platform removes the entry of a worker after three intervals of silence. */
+/** The platform removes an entry after three intervals of silence. */
 const EXPIRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
+/** A longer lease is shortened to this. */
+export const LONGEST_LEASE_MILLISECONDS = 10_000;
 /** Starts that exceed a capacity which has shrunk within this time do not count: three seconds and a heartbeat. */
 const SHRINK_GRACE_MILLISECONDS = 3_000 + HEARTBEAT_MILLISECONDS;
 /** Time from the start of a task that crashes its worker to the crash. */
@@ -68,11 +87,11 @@
         onCrash?: () => void;
     },
 ): Promise<UsersWorker> {
-    const born = Math.round(now());
+    let born = Math.round(now());
     const clock = (): number => Math.round(now()) - born + 1_000;
     const runs: Run[] = [];
     const known = new Map<string, number>();
-    const ends: { readonly sequence: number; readonly run: Run; }[] = [];
+    let ends: End[] = [];
     const startsOverCapacity: number[] = [];
     let capacityMillicores = WORKER_MILLICORES;
     let resizedAt = -Infinity;
@@ -89,23 +108,34 @@
             run.endedAt = now();
             run.how = how;
             sequence += 1;
-            ends.push({ sequence, run });
+            ends.push({ sequence, run, isForgotten: false, hasLeaseLapsed: false });
         }
     };
     const lapse = setInterval(() => {
         if (clock() > leaseUntil) {
             active().forEach(run => end(run, "lapsed"));
+            ends.filter(({ isForgotten }) => !isForgotten).forEach(entry => {
+                entry.hasLeaseLapsed = true;
+            });
         }
     }, 20);
 
     const start = (body: Record<string, unknown>): StandInAnswer => {
-        const { attempt, spec, task } = body as { task: string; attempt: number; spec: string; };
+        const { attempt, deadlineMs, spec, task } = body as {
+            task: string;
+            attempt: number;
+            spec: string;
+            deadlineMs: number;
+        };
         if (active().some(run => run.task === task && run.attempt === attempt)) {
             return { status: 200, body: { clockMs: clock() } };
         }
         if (attempt <= (known.get(task) ?? 0)) {
             return { status: 409, body: { clockMs: clock(), reason: "old" } };
         }
+        if (deadlineMs <= clock()) {
+            return { status: 409, body: { clockMs: clock(), reason: "late" } };
+        }
         const { crashes = false, fails = false, millicores, milliseconds } = JSON.parse(spec) as TaskScript;
         known.set(task, attempt);
         const run: Run = {
@@ -117,7 +147,9 @@
             how: undefined,
             isAcknowledged: false,
             millicores,
-            timer: setTimeout(() => end(run, fails ? "failed" : "done"), milliseconds),
+            timer: milliseconds === undefined
+                ? undefined
+                : setTimeout(() => end(run, fails ? "failed" : "done"), milliseconds),
         };
         runs.push(run);
         if (crashes) {
@@ -139,9 +171,10 @@
 
     const hold = async ({ acknowledged, waitMs = 0 }: Record<string, unknown>): Promise<StandInAnswer> => {
         ends.filter(entry => entry.sequence <= Number(acknowledged)).forEach(entry => {
-            entry.run.isAcknowledged = true;
+            entry.isForgotten = true;
+            entry.run.isAcknowledged = !entry.hasLeaseLapsed;
         });
-        const open = () => ends.filter(entry => !entry.run.isAcknowledged);
+        const open = () => ends.filter(({ isForgotten }) => !isForgotten);
         const until = now() + Number(waitMs);
         while (open().length === 0 && now() < until) {
             await new Promise(resolve => setTimeout(resolve, 5));
@@ -152,7 +185,7 @@
             body: {
                 clockMs: clock(),
                 born,
-                running: active().map(run => [run.task, run.attempt, "", 50, 0]),
+                running: active().map(run => [run.task, run.attempt, "", run.timer === undefined ? 100 : 50, 0]),
                 finished: open().map(({ run, sequence: number }) => [number, run.task, run.attempt, run.how, ""]),
             },
         };
@@ -168,7 +201,10 @@
             return { status: 409, body: { clockMs: clock(), reason: "fence" } };
         }
         fence = token;
-        leaseUntil = Math.max(leaseUntil, Number(body["deadlineMs"] ?? 0));
+        leaseUntil = Math.max(
+            leaseUntil,
+            Math.min(Number(body["deadlineMs"] ?? 0), clock() + LONGEST_LEASE_MILLISECONDS),
+        );
         switch (path) {
             case "/run-start":
                 return start(body);
@@ -183,6 +219,7 @@
     const shutDown = async (): Promise<void> => {
         clearInterval(lapse);
         clearInterval(beat);
+        clearTimeout(expiry);
         active().forEach(run => end(run, "lost"));
         await server.close();
     };
@@ -211,12 +248,43 @@
         },
         fault: (): RequestFault => "none",
         close: () => closed ??= shutDown(),
+        disconnect() {
+            server.disconnect();
+            clearInterval(beat);
+            clearTimeout(expiry);
+            expiry = setTimeout(() => store.remove(key), EXPIRY_MILLISECONDS);
+        },
+        reconnect() {
+            server.reconnect();
+            startBeat();
+        },
+        cutPower() {
+            worker.disconnect();
+            active().forEach(run => {
+                clearTimeout(run.timer);
+                run.endedAt = now();
+                run.how = "power-cut";
+            });
+        },
+        restart() {
+            born = Math.round(now());
+            known.clear();
+            ends = [];
+            fence = 0;
+            leaseUntil = 0;
+            sequence = 0;
+            beats = 0;
+            server.reset();
+            startBeat();
+        },
     };
     const started: UsersWorker = worker;
     const server = await serveJson(answer, ({ url }) => started.fault(url.pathname));
     const { address } = server;
     const key = `servers/${id}`;
     let beats = 0;
+    let beat: NodeJS.Timeout | undefined;
+    let expiry: NodeJS.Timeout | undefined;
     const register = (): void =>
         store.write(key, {
             service: pool,
@@ -231,7 +299,11 @@
             capacity: { cpu: capacityMillicores, memMb: 64_000, gpu: 0 },
             labels: ["a", "r1-1"],
         });
-    register();
-    const beat = setInterval(register, HEARTBEAT_MILLISECONDS);
+    const startBeat = (): void => {
+        clearTimeout(expiry);
+        register();
+        beat = setInterval(register, HEARTBEAT_MILLISECONDS);
+    };
+    startBeat();
     return started;
 }
