A worker's new life is not told to forget ends that only its former life has reported

Callers saw (scenario): a task ended on a worker that had started again under its id, and the job was never completed. Cause: ends are numbered anew in each life. The first report after failures still acknowledged the numbers of the former life, so the new life forgot an end that nobody had recorded. Change: after a failed report nothing is acknowledged until an answer has shown which life answers.

--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -50,7 +50,8 @@
             : undefined;
         const answer = await cell.orders.hold(worker.listed, {
             epoch: cell.epoch,
-            acknowledged: worker.committedSequence,
+            // After a failure another life may answer, whose ends have the numbers of former ones.
+            acknowledged: failures === 0 ? worker.committedSequence : 0,
             ...(lease === undefined ? {} : { leaseUntilMilliseconds: lease }),
             // The first answer must not wait: it contains the worker's clock and its attempts.
             waitMilliseconds: isLeased && failures === 0 ? chooseWait(cell, worker, sentAt) : 0,
