A start that is repeated at a restarted worker does not run beside the next start of its task

Cause: when a worker restarted, the owner gave up all its attempts, also orders without an answer, whose repetition still went to the new life and ran there while the task was started elsewhere. Change: an order without an answer stays with its worker until it is answered or stopped, and an attempt that has been given up is not ordered again. It counts among those that may have crashed the former life.

--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -40,7 +40,8 @@
         && report.incarnation !== worker.incarnation;
     if (hasRestarted) {
         resetWorkerState(worker);
-        [...jobTable.occupancy.load(id).attempts].forEach(markLost);
+        // Orders without an answer may still start their attempts; they are repeated, and then stopped.
+        jobTable.occupancy.load(id).attempts.filter(({ phase }) => phase !== "ordered").forEach(markLost);
     }
     worker.incarnation = report.incarnation ?? worker.incarnation;
     if (worker.clock === undefined || report.clockMilliseconds >= worker.clock.workerMilliseconds) {
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -79,7 +79,9 @@
             isLeased = false;
         }
         if (outcome.hasRestarted) {
-            cell.crashes.record(worker, outcome.lost, now);
+            const { attempts } = cell.jobTable.occupancy.load(worker.listed.id);
+            const unanswered = attempts.filter(({ phase }) => phase === "ordered");
+            cell.crashes.record(worker, [...outcome.lost, ...unanswered], now);
         }
         worker.failingSinceMilliseconds = undefined;
         worker.hasCrashed = false;
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -39,7 +39,9 @@
         withdrawAttempt(jobTable, attempt, clock());
         return;
     }
-    for (let tries = 1; !cell.signal.aborted && attempt.phase === "ordered"; tries++) {
+    // An attempt that is lost meanwhile, because its worker's lease has lapsed, may be started elsewhere.
+    const isPending = (): boolean => attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
+    for (let tries = 1; !cell.signal.aborted && isPending(); tries++) {
         const answer = await cell.orders.start(worker.listed, {
             epoch: cell.epoch,
             task: key,
