The range of ports has a module of its own, so that the jobs daemon does not load the servers

Cause: the records of members imported the schema from the module of HTTP servers, which brought certificates and more into the daemon's bundle: 800,326 to 1,196,260 bytes.

--- a/src/core/http.ts
+++ b/src/core/http.ts
@@ -25,9 +25,6 @@
 });
 export type ListenAddress = z.infer<typeof ListenAddress>;
 
-/** Port of a peer. Opening a connection to a number out of range throws. */
-export const PeerPort = z.int().min(1).max(65_535);
-
 /** A listening server with the address that it was given. */
 export interface RunningServer {
     readonly server: Server;
--- a/src/jobs/ownership/records.ts
+++ b/src/jobs/ownership/records.ts
@@ -2,7 +2,7 @@
  * Records with which instances find each other and the owners of cells.
  */
 import * as z from "zod";
-import { PeerPort } from "../../core/http.js";
+import { PeerPort } from "../../core/port.js";
 
 /** All instances watch the keys under this prefix, so it contains only records that change rarely. */
 export const DIRECTORY_PREFIX = "/flamingowell/directory/";
