A suspect does not share the search of the other tasks of its step

Found on reading the change: the tasks of a step share a ranking, whose rules were those of its first task. A suspect behind an unsuspected task of its step did not start by itself, and a suspect that found no quiet worker kept the others of its step waiting. Change: only tasks that are equally suspected share a ranking, and a suspect that fits nowhere says nothing about its step. Test: "A suspect among the other tasks of its step is placed by a search of its own"; it is new with the function, and was not run on the code before.

--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -63,3 +63,7 @@
     Scenario: A copy of a suspect is not started
         Given two workers, one with 3 tasks, and a task under which a worker has crashed
         Then no copy of it is wanted though its worker is silent
+
+    Scenario: A suspect among the other tasks of its step is placed by a search of its own
+        Given a step of 3 tasks, and a worker has crashed under the second of them
+        Then the workers rank alike for the first and the third, but not for the second
--- a/features/jobs/crashes.steps.ts
+++ b/features/jobs/crashes.steps.ts
@@ -16,7 +16,7 @@
 import { needsCopy } from "../../src/jobs/policy/copies.js";
 import { createDurations } from "../../src/jobs/policy/durations.js";
 import { createInterference } from "../../src/jobs/policy/interference.js";
-import { chooseWorker } from "../../src/jobs/policy/placement.js";
+import { chooseWorker, isRankedAlike } from "../../src/jobs/policy/placement.js";
 import { addTask, createEmptyJobTable, describeWorker, NOW, runTask } from "./builders.js";
 import { silentLog } from "./successions.js";
 import { ownerOf, runningProcesses, runsOf, startAll, submit, waitUntil } from "./world.js";
@@ -27,6 +27,7 @@
     workers: CellWorker[];
     crashes: Crashes;
     suspect: Task;
+    stepTasks: readonly Task[];
 }
 
 const LIMIT = { timeout: 90_000 };
@@ -209,3 +210,22 @@
     assert.ok(attempt !== undefined);
     assert.equal(needsCopy(attempt, true, createDurations(), NOW), false);
 });
+
+Given("a step of {int} tasks, and a worker has crashed under the second of them", function(
+    this: CrashWorld,
+    taskCount: number,
+) {
+    prepare(this, 1);
+    addTask(this.jobTable, "step", { taskCount }, NOW);
+    this.stepTasks = this.jobTable.jobs.get("step")?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    const [, second] = this.stepTasks;
+    assert.ok(second !== undefined);
+    recordCrash(this.jobTable, addAttempt(this.jobTable, second, OTHER_WORKER, 1, NOW), NOW);
+});
+
+Then("the workers rank alike for the first and the third, but not for the second", function(this: CrashWorld) {
+    const [first, second, third] = this.stepTasks;
+    assert.ok(first !== undefined && second !== undefined && third !== undefined);
+    assert.ok(isRankedAlike(first, third, NOW));
+    assert.ok(!isRankedAlike(first, second, NOW));
+});
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -12,11 +12,13 @@
 import { nextAttemptNumber } from "../job-table/task.js";
 import type { Attempt, Task } from "../job-table/task.js";
 import { needsCopy } from "../policy/copies.js";
+import { isSuspect } from "../policy/crashes.js";
 import { chooseEvacuations } from "../policy/evacuation.js";
 import { isOverdue, orderTasks } from "../policy/order.js";
 import {
     chooseWorker,
     findLargestRoom,
+    isRankedAlike,
     isStarving,
     mayFit,
     rankCandidates,
@@ -88,8 +90,8 @@
     /** Ranks the candidates for a task; the tasks of a step that follow one another in a pass share a ranking. */
     const rankFor = (task: Task, candidates: readonly Candidate[], now: number): CandidateRanking => {
         const options = { isStarving: isStarving(task, candidates, now) };
-        const key: RankingKey = { candidates, isOverdue: isOverdue(task, now), step: stepProgressOf(task), ...options };
-        if (latestRanking === undefined || !isSameKey(latestRanking.key, key)) {
+        const key: RankingKey = { candidates, task, ...options };
+        if (latestRanking === undefined || !isSameKey(latestRanking.key, key, now)) {
             searches += 1;
             const ranking = rankCandidates(task, candidates, cell.interference, now, options);
             latestRanking = { key, ranking };
@@ -224,7 +226,7 @@
             recovery.mayStart(task) && !cell.crashes.isUnderReview(task)
         );
         orderedTasks += startable.length;
-        // The tasks of one step have the same requirements: if one cannot be placed, neither can the others.
+        // The tasks of one step have the same requirements, except suspects: if one cannot be placed, neither can the others.
         const unplaceableSteps = new Set<StepProgress>();
         let reservations = 0;
         const orderingOptions = { queue: ({ entry }: Task) => queues.get(entry.queue), durations: cell.durations };
@@ -237,7 +239,7 @@
                 continue;
             }
             const suitable = candidatesFor(task, candidates);
-            if (!place(task, suitable, now)) {
+            if (!place(task, suitable, now) && !isSuspect(task)) {
                 unplaceableSteps.add(step);
                 if (isOverdue(task, now) && reservations < MAXIMUM_RESERVATIONS) {
                     reservations += 1;
@@ -276,14 +278,13 @@
 /** What a ranking depends on, besides the placements. */
 interface RankingKey {
     readonly candidates: readonly Candidate[];
-    readonly isOverdue: boolean;
     readonly isStarving: boolean;
-    readonly step: StepProgress;
+    readonly task: Task;
 }
 
-function isSameKey(left: RankingKey, right: RankingKey): boolean {
-    return left.candidates === right.candidates && left.isOverdue === right.isOverdue
-        && left.isStarving === right.isStarving && left.step === right.step;
+function isSameKey(left: RankingKey, right: RankingKey, now: number): boolean {
+    return left.candidates === right.candidates && left.isStarving === right.isStarving
+        && isRankedAlike(left.task, right.task, now);
 }
 
 /** Records that a filler was placed beside serving tasks; its effect on their latency shows within a second. */
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -4,6 +4,7 @@
  * Workload: serving tasks reserve cores that they use only in part. Fillers use the remaining cores and slow down serving
  * tasks on the same worker. Serving tasks are packed together, and fillers go to other workers while there are any.
  */
+import { stepProgressOf } from "../job-table/job-table.js";
 import type { WorkerLoad } from "../job-table/occupancy.js";
 import { isServing, reservedSize } from "../job-table/occupancy.js";
 import type { Task } from "../job-table/task.js";
@@ -101,7 +102,7 @@
 }
 
 /**
- * Ranks the candidates for a task, and for others of its step while nothing but these is placed. Each placement changes the score
+ * Ranks the candidates for a task, and for others that they rank alike for while nothing but these is placed. Each placement changes the score
  * of the worker that it uses; those of the other workers stay, or fall where they depend on trials of images.
  */
 export function rankCandidates(
@@ -124,6 +125,12 @@
     };
 }
 
+/** Whether the workers rank alike for two tasks. */
+export function isRankedAlike(left: Task, right: Task, now: number): boolean {
+    return stepProgressOf(left) === stepProgressOf(right) && isOverdue(left, now) === isOverdue(right, now)
+        && isSuspect(left) === isSuspect(right);
+}
+
 /**
  * Whether the worker may run the task and has enough free capacity. Capacity that is reserved for another task is not free,
  * except for a task that is overdue as well: the other one may not fit for a long time.
