--- /dev/null
+++ b/review/support/worker.ts
@@ -0,0 +1,318 @@
+/**
+ * Stand-in of a worker, as PROTOCOL.md describes it: runs tasks under a lease, and lists their ends until these are
+ * acknowledged, 500 at a time.
+ */
+import { setTimeout as delay } from "node:timers/promises";
+import { HOST, serveJson } from "./http.js";
+import type { JsonAnswer, JsonRequest, JsonServer } from "./http.js";
+import type { Recorder } from "./record.js";
+import type { Store } from "./store.js";
+
+/** How a run ends; `crashed` is not listed by the worker. */
+export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "crashed";
+
+/** What a task does on the worker. */
+export type TaskBehavior =
+    | {
+        readonly kind: "ends";
+        readonly how: "done" | "failed";
+        readonly milliseconds: number;
+        readonly lasts?: boolean;
+    }
+    | { readonly kind: "lasts"; }
+    /** Ends the worker's process. */
+    | { readonly kind: "crashes"; readonly milliseconds: number; };
+
+/** A run, for the judge. */
+export interface Run {
+    readonly task: string;
+    readonly attempt: number;
+    readonly worker: string;
+    readonly startedAt: number;
+    endedAt: number | undefined;
+    how: RunEnd | undefined;
+    /** When `acknowledged` reached the end. */
+    acknowledgedAt: number | undefined;
+    /** Whether the worker's lease lapsed between the end and its acknowledgement. */
+    hasLapsedSince: boolean;
+}
+
+/** A worker. */
+export interface Worker {
+    readonly id: string;
+    readonly runs: readonly Run[];
+    /** Number of times that a task has crashed it. */
+    readonly crashes: number;
+    close(): Promise<void>;
+}
+
+/** Options of a worker. */
+export interface WorkerOptions {
+    readonly id: string;
+    readonly pool: string;
+    readonly store: Store;
+    readonly recorder: Recorder;
+    behave(task: string, spec: string, attempt: number): TaskBehavior;
+    /** Time from a crash to the restart under the same id and address. */
+    readonly restartMilliseconds?: number;
+}
+
+const MILLICORES = 32_000;
+const MEMORY_MEGABYTES = 128_000;
+const HEARTBEAT_MILLISECONDS = 1_100;
+const EXPIRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
+const LONGEST_LEASE_MILLISECONDS = 6_000;
+const ENDS_PER_REPORT = 500;
+const LOOK_MILLISECONDS = 5;
+const DEFAULT_RESTART_MILLISECONDS = 2_000;
+
+interface End {
+    readonly sequence: number;
+    readonly run: Run;
+}
+
+/** One incarnation of a worker. */
+interface Life {
+    readonly born: number;
+    readonly startedAt: number;
+    readonly known: Map<string, number>;
+    readonly active: Map<
+        string,
+        { readonly run: Run; readonly timer: NodeJS.Timeout | undefined; readonly milliseconds: number | undefined; }
+    >;
+    ends: End[];
+    sequence: number;
+    fence: number;
+    leaseUntil: number;
+    beats: number;
+}
+
+/** Starts a worker and registers it in the store. */
+export async function startWorker(options: WorkerOptions): Promise<Worker> {
+    const { id, pool, recorder, store, restartMilliseconds = DEFAULT_RESTART_MILLISECONDS } = options;
+    const runs: Run[] = [];
+    let crashes = 0;
+    let isClosed = false;
+    let life = createLife();
+    let server: JsonServer | undefined;
+    const clock = (): number => Math.floor(performance.now() - life.startedAt) + 1_000;
+    const nameOf = ({ attempt, task }: { task: string; attempt: number; }): string => `${task}#${attempt}`;
+
+    const endRun = (run: Run, how: RunEnd): void => {
+        const entry = life.active.get(nameOf(run));
+        if (entry === undefined) {
+            return;
+        }
+        clearTimeout(entry.timer);
+        life.active.delete(nameOf(run));
+        run.endedAt = performance.now();
+        run.how = how;
+        recorder.write("run-ended", { worker: id, task: run.task, attempt: run.attempt, how });
+        if (how !== "crashed") {
+            life.sequence += 1;
+            life.ends.push({ sequence: life.sequence, run });
+        }
+    };
+
+    const crash = async (): Promise<void> => {
+        crashes += 1;
+        recorder.write("worker-crashed", { worker: id, running: life.active.size });
+        [...life.active.values()].forEach(({ run }) => endRun(run, "crashed"));
+        clearInterval(heartbeat);
+        const expiry = setTimeout(() => store.remove(`servers/${id}`), EXPIRY_MILLISECONDS);
+        const port = server?.port ?? 0;
+        await server?.close();
+        server = undefined;
+        await delay(restartMilliseconds);
+        clearTimeout(expiry);
+        if (isAlreadyClosed()) {
+            return;
+        }
+        life = createLife();
+        server = await serveJson(answer, port);
+        recorder.write("worker-restarted", { worker: id, born: life.born });
+        beginHeartbeats();
+    };
+    const isAlreadyClosed = (): boolean => isClosed;
+
+    const startRun = (task: string, attempt: number, spec: string): void => {
+        const run: Run = {
+            task,
+            attempt,
+            worker: id,
+            startedAt: performance.now(),
+            endedAt: undefined,
+            how: undefined,
+            acknowledgedAt: undefined,
+            hasLapsedSince: false,
+        };
+        runs.push(run);
+        recorder.write("run-started", { worker: id, task, attempt });
+        const behavior = options.behave(task, spec, attempt);
+        const timer = behavior.kind === "ends"
+            ? setTimeout(() => endRun(run, behavior.how), behavior.milliseconds)
+            : behavior.kind === "crashes"
+            ? setTimeout(() => void crash(), behavior.milliseconds)
+            : undefined;
+        life.active.set(nameOf(run), {
+            run,
+            timer,
+            milliseconds: behavior.kind === "lasts" || behavior.kind === "ends" && behavior.lasts === true
+                ? undefined
+                : behavior.milliseconds,
+        });
+    };
+
+    const start = (body: Readonly<Record<string, unknown>>): JsonAnswer => {
+        const { attempt, deadlineMs, spec, task } = body as {
+            task: string;
+            attempt: number;
+            spec: string;
+            deadlineMs: number;
+        };
+        if (life.active.has(nameOf({ task, attempt }))) {
+            return { status: 200, body: { clockMs: clock() } };
+        }
+        if (attempt <= (life.known.get(task) ?? 0)) {
+            return { status: 409, body: { clockMs: clock(), reason: "old" } };
+        }
+        if (deadlineMs <= clock()) {
+            return { status: 409, body: { clockMs: clock(), reason: "late" } };
+        }
+        life.known.set(task, attempt);
+        startRun(task, attempt, spec);
+        return { status: 200, body: { clockMs: clock() } };
+    };
+
+    const stop = (body: Readonly<Record<string, unknown>>): JsonAnswer => {
+        const { attempt, task } = body as { task: string; attempt: number; };
+        life.known.set(task, Math.max(life.known.get(task) ?? 0, attempt));
+        const entry = life.active.get(nameOf({ task, attempt }));
+        if (entry !== undefined) {
+            endRun(entry.run, "stopped");
+        }
+        return { status: 200, body: { clockMs: clock() } };
+    };
+
+    const hold = async (body: Readonly<Record<string, unknown>>): Promise<JsonAnswer> => {
+        const asked = life;
+        const acknowledged = Number(body["acknowledged"] ?? 0);
+        const now = performance.now();
+        life.ends.filter(({ sequence }) => sequence <= acknowledged).forEach(({ run }) => {
+            run.acknowledgedAt = now;
+        });
+        life.ends = life.ends.filter(({ sequence }) => sequence > acknowledged);
+        const until = now + Number(body["waitMs"] ?? 0);
+        while (asked === life && life.ends.length === 0 && performance.now() < until) {
+            await delay(LOOK_MILLISECONDS);
+        }
+        return {
+            status: 200,
+            body: {
+                clockMs: clock(),
+                born: life.born,
+                running: [...life.active.values()].map(({ milliseconds, run }) => [
+                    run.task,
+                    run.attempt,
+                    "",
+                    percentOf(run, milliseconds),
+                    0,
+                ]),
+                finished: life.ends.slice(0, ENDS_PER_REPORT)
+                    .map(({ run, sequence }) => [sequence, run.task, run.attempt, run.how, ""]),
+            },
+        };
+    };
+
+    const answer = async ({ body, headers, url: { pathname } }: JsonRequest): Promise<JsonAnswer> => {
+        if (headers["target-instance"] !== id) {
+            return { status: 421, body: { clockMs: clock() } };
+        }
+        const token = Number(body["fencingToken"] ?? 0);
+        if (token < life.fence) {
+            recorder.write("order-fenced", { worker: id, path: pathname, token, fence: life.fence });
+            return { status: 409, body: { clockMs: clock(), reason: "fence" } };
+        }
+        life.fence = token;
+        const deadline = Math.min(Number(body["deadlineMs"] ?? 0), clock() + LONGEST_LEASE_MILLISECONDS);
+        life.leaseUntil = Math.max(life.leaseUntil, deadline);
+        switch (pathname) {
+            case "/run-start":
+                return start(body);
+            case "/run-stop":
+                return stop(body);
+            case "/hold":
+                return hold(body);
+            case "/pace":
+                return { status: 200, body: { clockMs: clock() } };
+            default:
+                return { status: 404 };
+        }
+    };
+
+    const lapse = setInterval(() => {
+        if (clock() > life.leaseUntil) {
+            [...life.active.values()].forEach(({ run }) => endRun(run, "lapsed"));
+            life.ends.forEach(({ run }) => {
+                run.hasLapsedSince = true;
+            });
+        }
+    }, LOOK_MILLISECONDS);
+
+    let heartbeat: NodeJS.Timeout | undefined;
+    const register = (): void =>
+        store.write(`servers/${id}`, {
+            service: pool,
+            address: `${HOST}:${server?.port ?? 0}`,
+            zone: "jawa-barat",
+            version: "1",
+            slots: 8,
+            state: "ready",
+            coldLeftMs: 0,
+            sequence: life.beats++,
+            born: life.born,
+            capacity: { cpu: MILLICORES, memMb: MEMORY_MEGABYTES, gpu: 0 },
+            labels: ["a", "r1-1"],
+        });
+    const beginHeartbeats = (): void => {
+        register();
+        heartbeat = setInterval(register, HEARTBEAT_MILLISECONDS);
+    };
+    server = await serveJson(answer);
+    beginHeartbeats();
+    return {
+        id,
+        runs,
+        get crashes() {
+            return crashes;
+        },
+        async close() {
+            isClosed = true;
+            clearInterval(lapse);
+            clearInterval(heartbeat);
+            life.active.forEach(({ timer }) => clearTimeout(timer));
+            await server?.close();
+        },
+    };
+}
+
+/** Percentage of the work; a task that lasts is at work. */
+function percentOf({ startedAt }: Run, milliseconds: number | undefined): number {
+    return milliseconds === undefined
+        ? 100
+        : Math.min(99, Math.floor(100 * (performance.now() - startedAt) / milliseconds));
+}
+
+function createLife(): Life {
+    return {
+        born: Date.now(),
+        startedAt: performance.now(),
+        known: new Map(),
+        active: new Map(),
+        ends: [],
+        sequence: 0,
+        fence: 0,
+        leaseUntil: 0,
+        beats: 0,
+    };
+}
