--- a/review/support/deployment.ts
+++ b/review/support/deployment.ts
@@ -71,15 +71,18 @@
     readonly recorder: Recorder;
     readonly workers: number;
     readonly behave: WorkerOptions["behave"];
+    /** Time from a worker's crash to its return. */
+    readonly restartMilliseconds?: number;
 }
 
 /** Starts the store and the workers, and publishes the first manifest. */
-export async function startDeployment({ behave, recorder, workers: count }: DeploymentOptions): Promise<Deployment> {
+export async function startDeployment(options: DeploymentOptions): Promise<Deployment> {
+    const { recorder, workers: count, ...workerOptions } = options;
     const directory = mkdtempSync(join(tmpdir(), "flamingowell-review-"));
     const store = await startStore();
     const workers: Worker[] = [];
     for (let index = 0; index < count; index++) {
-        workers.push(await startWorker({ id: `worker-${index}`, pool: POOL, store, recorder, behave }));
+        workers.push(await startWorker({ ...workerOptions, id: `worker-${index}`, pool: POOL, store, recorder }));
     }
     const instances: Instance[] = [];
     const publish = (version: number, routes: readonly object[]): void => {
--- a/review/support/worker.ts
+++ b/review/support/worker.ts
@@ -43,6 +43,8 @@
     readonly runs: readonly Run[];
     /** Number of times that a task has crashed it. */
     readonly crashes: number;
+    /** Ends the process at once; it is started again later. */
+    crash(): Promise<void>;
     close(): Promise<void>;
 }
 
@@ -286,6 +288,7 @@
         get crashes() {
             return crashes;
         },
+        crash,
         async close() {
             isClosed = true;
             clearInterval(lapse);
