--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")/../.." && exec node target/review/review/6/case.js
--- a/review/support/worker.ts
+++ b/review/support/worker.ts
@@ -3,13 +3,15 @@
  * acknowledged, 500 at a time.
  */
 import { setTimeout as delay } from "node:timers/promises";
+import type { GangEnd, Gangs } from "./gangs.js";
 import { HOST, serveJson } from "./http.js";
 import type { JsonAnswer, JsonRequest, JsonServer } from "./http.js";
+import { createLife, percentOf } from "./life.js";
 import type { Recorder } from "./record.js";
 import type { Store } from "./store.js";
 
 /** How a run ends; `crashed` is not listed by the worker. */
-export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "crashed";
+export type RunEnd = "done" | "failed" | "stopped" | "lapsed" | "crashed" | GangEnd;
 
 /** What a task does on the worker. */
 export type TaskBehavior =
@@ -20,6 +22,8 @@
         readonly lasts?: boolean;
     }
     | { readonly kind: "lasts"; }
+    /** Works together with the other members of the run. */
+    | { readonly kind: "gang"; readonly size: number; readonly milliseconds: number; readonly gangs: Gangs; }
     /** Ends the worker's process. */
     | { readonly kind: "crashes"; readonly milliseconds: number; };
 
@@ -68,27 +72,6 @@
 const LOOK_MILLISECONDS = 5;
 const DEFAULT_RESTART_MILLISECONDS = 2_000;
 
-interface End {
-    readonly sequence: number;
-    readonly run: Run;
-}
-
-/** One incarnation of a worker. */
-interface Life {
-    readonly born: number;
-    readonly startedAt: number;
-    readonly known: Map<string, number>;
-    readonly active: Map<
-        string,
-        { readonly run: Run; readonly timer: NodeJS.Timeout | undefined; readonly milliseconds: number | undefined; }
-    >;
-    ends: End[];
-    sequence: number;
-    fence: number;
-    leaseUntil: number;
-    beats: number;
-}
-
 /** Starts a worker and registers it in the store. */
 export async function startWorker(options: WorkerOptions): Promise<Worker> {
     const { id, pool, recorder, store, restartMilliseconds = DEFAULT_RESTART_MILLISECONDS } = options;
@@ -107,19 +90,26 @@
         }
         clearTimeout(entry.timer);
         life.active.delete(nameOf(run));
+        entry.leave();
         run.endedAt = performance.now();
         run.how = how;
         recorder.write("run-ended", { worker: id, task: run.task, attempt: run.attempt, how });
-        if (how !== "crashed") {
-            life.sequence += 1;
-            life.ends.push({ sequence: life.sequence, run });
-        }
+        life.sequence += 1;
+        life.ends.push({ sequence: life.sequence, run });
     };
 
     const crash = async (): Promise<void> => {
         crashes += 1;
         recorder.write("worker-crashed", { worker: id, running: life.active.size });
-        [...life.active.values()].forEach(({ run }) => endRun(run, "crashed"));
+        const ended = [...life.active.values()];
+        life.active.clear();
+        ended.forEach(({ run, timer }) => {
+            clearTimeout(timer);
+            run.endedAt = performance.now();
+            run.how = "crashed";
+            recorder.write("run-ended", { worker: id, task: run.task, attempt: run.attempt, how: run.how });
+        });
+        ended.forEach(({ leave }) => leave());
         clearInterval(heartbeat);
         const expiry = setTimeout(() => store.remove(`servers/${id}`), EXPIRY_MILLISECONDS);
         const port = server?.port ?? 0;
@@ -156,13 +146,19 @@
             : behavior.kind === "crashes"
             ? setTimeout(() => void crash(), behavior.milliseconds)
             : undefined;
+        const endInGang = (how: GangEnd): void => endRun(run, how);
+        const gang = `${task.slice(0, task.lastIndexOf("."))}#${attempt}`;
         life.active.set(nameOf(run), {
             run,
             timer,
+            leave: () => behavior.kind === "gang" ? behavior.gangs.leave(gang, endInGang) : undefined,
             milliseconds: behavior.kind === "lasts" || behavior.kind === "ends" && behavior.lasts === true
                 ? undefined
                 : behavior.milliseconds,
         });
+        if (behavior.kind === "gang") {
+            behavior.gangs.join(gang, behavior.size, behavior.milliseconds, endInGang);
+        }
     };
 
     const start = (body: Readonly<Record<string, unknown>>): JsonAnswer => {
@@ -298,24 +294,3 @@
         },
     };
 }
-
-/** Percentage of the work; a task that lasts is at work. */
-function percentOf({ startedAt }: Run, milliseconds: number | undefined): number {
-    return milliseconds === undefined
-        ? 100
-        : Math.min(99, Math.floor(100 * (performance.now() - startedAt) / milliseconds));
-}
-
-function createLife(): Life {
-    return {
-        born: Date.now(),
-        startedAt: performance.now(),
-        known: new Map(),
-        active: new Map(),
-        ends: [],
-        sequence: 0,
-        fence: 0,
-        leaseUntil: 0,
-        beats: 0,
-    };
-}
