--- a/review/3/case.ts
+++ b/review/3/case.ts
@@ -16,9 +16,9 @@
 /** `finish_s` of the site, and the time for which LOST allows a job to have nothing running. */
 const FINISH_MILLISECONDS = 14_000;
 const IDLE_MILLISECONDS = 3_000;
-const CALM_MILLISECONDS = 4_000;
+const CALM_MILLISECONDS = 3_000;
 /** Time after which no further round begins, so that the last one can be judged. */
-const ROUNDS_MILLISECONDS = 75_000;
+const ROUNDS_MILLISECONDS = 80_000;
 
 const isWrite = (method: string, path: string): boolean =>
     path === "/kv-txn" || path === "/kv-lease" || method === "DELETE";
--- a/review/support/run-case.ts
+++ b/review/support/run-case.ts
@@ -8,7 +8,7 @@
 import type { Recorder } from "./record.js";
 
 /** Time after which a case is given up; the limit of a script is 120 s. */
-const LIMIT_MILLISECONDS = 112_000;
+const LIMIT_MILLISECONDS = 117_000;
 
 /** A case. */
 export interface Case {
@@ -27,6 +27,11 @@
     recorder.write("case", { folder, isTroubled });
     let deployment: Deployment | undefined;
     let code = 2;
+    const stop = (): void => {
+        recorder.write("stopped");
+        void (deployment?.close() ?? Promise.resolve()).then(() => process.exit(2));
+    };
+    process.once("SIGTERM", stop).once("SIGINT", stop);
     try {
         deployment = await startDeployment({ ...options, recorder });
         const breaches = await Promise.race([
