--- a/review/4/case.ts
+++ b/review/4/case.ts
@@ -18,7 +18,7 @@
 void runCase({
     folder: "review/4",
     options: {
-        workers: 3,
+        workers: 8,
         longestLeaseMilliseconds: LONGEST_LEASE_MILLISECONDS,
         behave: () => ({ kind: "lasts" }),
         onOrder(worker, path) {
