A commit whose lease has ended is not repeated for ever

Cause: commitRecord settles a write without an answer by repeating it, and took each failure of the repetition for a passing one. Once the lease that the write names has ended, the store answers 404 to the late and to the repeated write.

Change: `not-found` and `refused` end the repetition after one more read of the record. The claim fails and is made anew with a new lease. Beside it, in the owner's commits: a record that is attached anew replaces the older one, a commit that fails for a lease loses only the writes that name one, and a release carries no record that is bound to a lease.

Why it works: after a 404 neither of the two writes can take effect, so that the record as it is read then is final.

--- a/features/jobs/commits.feature
+++ b/features/jobs/commits.feature
@@ -34,3 +34,15 @@
         Given an owner whose commits work
         When a caller asks it to show a job that it has never been given
         Then the caller is told that there is no such job
+
+    # Guards against a commit of the owner that fails because it still carries the record of an ended lease.
+    Scenario: A record that is announced under a new lease replaces the one whose lease has ended
+        Given an owner whose lease "1" has ended
+        When its record is attached under the leases "1,2"
+        Then its record is written under the lease "2" only
+
+    # Guards against a release that is lost with the record of an ended lease, for which the successor has to wait.
+    Scenario: An owner whose lease has ended releases its cell all the same
+        Given an owner whose lease "1" has ended
+        When it is released right after its record was attached under the lease "1"
+        Then it has released the cell, with the writes that need no lease
--- a/features/jobs/commits.steps.ts
+++ b/features/jobs/commits.steps.ts
@@ -27,6 +27,10 @@
     submitAnswer: Result<SubmitAnswer, Failure>;
     /** Longest time for which the owner's commits counted as failing. */
     failingMilliseconds: number;
+    commits: Commits;
+    /** Leases of the writes that the owner's ledger has taken alongside a commit. */
+    leasesWritten: (string | undefined)[];
+    isReleased: boolean;
 }
 
 const WATCH_MILLISECONDS = 20;
@@ -38,13 +42,23 @@
 };
 const silentLog: EventLog = { write: () => undefined, flush: async () => undefined };
 
-/** Runs the commits and the request handler of an owner whose ledger answers with this outcome after this time. */
-function openOwner(
-    world: CommitsWorld,
+/** A ledger that answers with this outcome after this time. */
+function answerAfter(
     milliseconds: number,
     outcome: Result<void, Failure>,
     partMilliseconds = milliseconds,
-): void {
+): Ledger["commit"] {
+    return async ({ onChunkWritten: onProgress }) => {
+        for (let waited = 0; waited < milliseconds; waited += partMilliseconds) {
+            await pause(partMilliseconds);
+            onProgress?.(systemClock() - partMilliseconds);
+        }
+        return outcome;
+    };
+}
+
+/** Runs the commits and the request handler of an owner with this ledger. */
+function openOwner(world: CommitsWorld, commit: Ledger["commit"]): void {
     world.failingMilliseconds = 0;
     const jobTable = createEmptyJobTable();
     const stopped = new AbortController();
@@ -54,13 +68,7 @@
         formerOwners: [],
         settleFormerOwners: () => undefined,
         load: async () => Result.ok([]),
-        commit: async ({ onChunkWritten: onProgress }) => {
-            for (let waited = 0; waited < milliseconds; waited += partMilliseconds) {
-                await pause(partMilliseconds);
-                onProgress?.(systemClock() - partMilliseconds);
-            }
-            return outcome;
-        },
+        commit,
     };
     const commits: Commits = createCommits({
         jobTable,
@@ -85,6 +93,7 @@
         commits: () => commits,
         requestDispatch: () => undefined,
     });
+    world.commits = commits;
     const running = commits.run();
     const watch = setInterval(() => {
         const now = systemClock();
@@ -106,19 +115,56 @@
 Given(
     "an owner whose commit takes {int} ms and ends as {string}",
     function(this: CommitsWorld, milliseconds: number, code: FailureCode) {
-        openOwner(this, milliseconds, Result.err(createFailure(code, "commit", "as the scenario says")));
+        openOwner(this, answerAfter(milliseconds, Result.err(createFailure(code, "commit", "as the scenario says"))));
     },
 );
 
 Given(
     "an owner whose commit takes {int} ms, of which the store takes a part every {int} ms",
     function(this: CommitsWorld, milliseconds: number, partMilliseconds: number) {
-        openOwner(this, milliseconds, Result.ok(undefined), partMilliseconds);
+        openOwner(this, answerAfter(milliseconds, Result.ok(undefined), partMilliseconds));
     },
 );
 
 Given("an owner whose commits work", function(this: CommitsWorld) {
-    openOwner(this, 0, Result.ok(undefined));
+    openOwner(this, answerAfter(0, Result.ok(undefined)));
+});
+
+Given("an owner whose lease {string} has ended", function(this: CommitsWorld, endedLease: string) {
+    this.leasesWritten = [];
+    openOwner(this, async ({ alongside = [] }) => {
+        const leases = alongside.map(write => write.kind === "put" ? write.leaseId : undefined);
+        if (leases.includes(endedLease)) {
+            return Result.err(createFailure("not-found", "commit", `lease ${endedLease} has ended`));
+        }
+        this.leasesWritten.push(...leases);
+        return Result.ok(undefined);
+    });
+});
+
+When("its record is attached under the leases {string}", async function(this: CommitsWorld, leases: string) {
+    for (const leaseId of leases.split(",")) {
+        this.commits.attachWrite({ kind: "put", key: "owner", value: "self", leaseId });
+    }
+    await this.commits.confirmOwnership();
+});
+
+When("it is released right after its record was attached under the lease {string}", async function(
+    this: CommitsWorld,
+    leaseId: string,
+) {
+    this.commits.attachWrite({ kind: "put", key: "owner", value: "self", leaseId });
+    this.commits.attachWrite({ kind: "put", key: "other", value: "kept" });
+    this.isReleased = await this.commits.release();
+});
+
+Then("its record is written under the lease {string} only", function(this: CommitsWorld, leaseId: string) {
+    assert.deepEqual(this.leasesWritten, [leaseId]);
+});
+
+Then("it has released the cell, with the writes that need no lease", function(this: CommitsWorld) {
+    assert.ok(this.isReleased);
+    assert.deepEqual(this.leasesWritten, [undefined]);
 });
 
 Given("a front whose first owner gives no answer and whose second one refuses", function(this: CommitsWorld) {
--- a/features/platform/store.feature
+++ b/features/platform/store.feature
@@ -52,6 +52,22 @@
         When a commit of "r/1" on condition that "n/1" does not exist is lost while "n/1" is written
         Then the commit fails as "ambiguous"
 
+    # Guards against a commit that is repeated for ever because its lease has ended.
+    Scenario: A commit whose lease has ended before it was repeated is not written, and its caller is told
+        When a commit of "r/1" under a lease is lost, and the lease ends
+        Then the commit fails as "not-found"
+        And the prefix "r/" reads "" and then ""
+
+    # Guards against a commit that took effect, but is reported as not written because its lease has ended.
+    Scenario: A commit whose answer was lost has succeeded though its lease has ended since
+        When a commit of "r/1" under a lease takes effect, its answer is lost, and the lease ends
+        Then the commit gives a revision
+
+    # Guards against a commit that is repeated for ever though the store refuses to take it.
+    Scenario: A commit that was lost, and is refused when it is repeated, ends as ambiguous
+        When a commit of "r/1" is lost, and its repetition is refused
+        Then the commit fails as "ambiguous"
+
     Scenario: A store that is down for good answers nothing as written
         Given the store has the faults '{"down": "unavailable"}'
         Then a write of "a/1" fails as "ambiguous"
--- a/features/platform/store.steps.ts
+++ b/features/platform/store.steps.ts
@@ -177,6 +177,47 @@
     },
 );
 
+When(
+    /^a commit of "([^"]*)" under a lease (is lost|takes effect, its answer is lost), and the lease ends$/,
+    async function(this: StoreWorld, key: string, fate: string) {
+        const { leaseId } = unwrap(await this.store.grantLease(1));
+        let isFirst = true;
+        const losing: Store = {
+            ...this.store,
+            transact: async transaction => {
+                if (!isFirst) {
+                    return this.store.transact(transaction);
+                }
+                isFirst = false;
+                if (fate !== "is lost") {
+                    unwrap(await this.store.transact(transaction));
+                }
+                unwrap(await this.store.revokeLease(leaseId));
+                return fail("ambiguous", "transact", "no answer");
+            },
+        };
+        this.committed = await commitRecord(losing, {
+            key,
+            body: { count: 1 },
+            expectedRevision: 0,
+            alongside: [{ kind: "put", key: `owner of ${key}`, value: "x", leaseId }],
+        });
+    },
+);
+
+When("a commit of {string} is lost, and its repetition is refused", async function(this: StoreWorld, key: string) {
+    let isFirst = true;
+    const refusing: Store = {
+        ...this.store,
+        transact: async () => {
+            const code = isFirst ? "ambiguous" : "refused";
+            isFirst = false;
+            return fail(code, "transact", "as the scenario says");
+        },
+    };
+    this.committed = await commitRecord(refusing, { key, body: { count: 1 }, expectedRevision: 0 });
+});
+
 When("a commit of {string} takes effect, but its answer never comes", async function(this: StoreWorld, key: string) {
     const unanswering: Store = {
         ...this.store,
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -47,7 +47,7 @@
     whenCommitted(): Promise<boolean>;
     /** Commits even without changes; resolves to true once a commit sent from now on has shown that this owner has the cell. */
     confirmOwnership(): Promise<boolean>;
-    /** Adds a write to the next commit. */
+    /** Adds a write to the next commit, in place of an earlier one of the same key. */
     attachWrite(write: WriteOperation): void;
     /** When the store last confirmed this owner: the time at which the confirmed call was sent. */
     confirmedAtMilliseconds(): number;
@@ -163,7 +163,8 @@
             // The waiting callers now depend on the next commit, which must not be skipped as empty.
             isConfirmationRequested = true;
             // An ended lease has deleted its record; the keeper of the lease attaches the record again.
-            attached = code === "not-found" ? attached : [...writes, ...attached];
+            const remaining = code === "not-found" ? writes.filter(isUnleased) : writes;
+            attached = [...remaining.filter(({ key }) => attached.every(newer => newer.key !== key)), ...attached];
             const next = batch;
             void next.promise.then(isCommitted => current.resolve(isCommitted));
             failingSince ??= progressedAt;
@@ -232,7 +233,8 @@
             return batch.promise;
         },
         attachWrite(write) {
-            attached.push(write);
+            // An earlier write of the key is superseded, and would fail the commit if its lease has ended meanwhile.
+            attached = [...attached.filter(({ key }) => key !== write.key), write];
             isUrgent = true;
             commitRequest.wake();
         },
@@ -262,12 +264,18 @@
                     await pause(settings.commitRetryMilliseconds, signal);
                 }
             }
+            // The record of an owner need not be announced any more, and its lease may have ended.
+            attached = attached.filter(isUnleased);
             released.resolve(mustRelease() && await commitOnce(true));
             batch.resolve(false);
         },
     };
 }
 
+function isUnleased(write: WriteOperation): boolean {
+    return write.kind === "delete" || write.leaseId === undefined;
+}
+
 function createBatch(): Batch {
     let settle: (isCommitted: boolean) => void = () => undefined;
     const promise = new Promise<boolean>(resolve => {
--- a/src/jobs/ledger/ledger.ts
+++ b/src/jobs/ledger/ledger.ts
@@ -94,7 +94,8 @@
     load(): Promise<Result<Segment[], Failure>>;
     /**
      * Commits changes. Failures: `conflict` (the cell has another owner), `unavailable` or `refused` (nothing was written),
-     * `ambiguous` (aborted before the outcome was determined).
+     * `not-found` (nothing was written, and a lease of the writes alongside has ended), `ambiguous` (the outcome was not
+     * determined).
      */
     commit(commit: Commit): Promise<Result<void, Failure>>;
 }
@@ -122,7 +123,10 @@
     return readRecord(store, `${keyPrefixOf(cell)}head`, Head);
 }
 
-/** Claims a cell. Fails with `conflict` if another instance claimed it first. */
+/**
+ * Claims a cell. Failures: `conflict` (another instance claimed it first), `not-found` (a lease of the writes alongside has
+ * ended, so that the claim needs a new one), and the others of a commit.
+ */
 export async function claimCell(
     options: ClaimOptions,
     current: StoredRecord<Head> | undefined,
--- a/src/platform/commit.ts
+++ b/src/platform/commit.ts
@@ -11,7 +11,7 @@
 import type { Failure } from "../core/errors.js";
 import { parse, parseJson } from "../core/parse.js";
 import { pause } from "../core/time.js";
-import type { Comparison, KeyValue, Store, TransactionAnswer, WriteOperation } from "./store.js";
+import type { Comparison, KeyValue, ReadAnswer, Store, TransactionAnswer, WriteOperation } from "./store.js";
 
 const SETTLE_FIRST_WAIT_MILLISECONDS = 50;
 const SETTLE_LONGEST_WAIT_MILLISECONDS = 2_000;
@@ -47,8 +47,9 @@
 
 /**
  * Commits a record and gives its new revision. Codes: `conflict` (someone else wrote it), `unavailable` or `refused`
- * (nothing was written), `ambiguous` (aborted before the outcome could be read, or lost while a
- * further condition ceased to hold).
+ * (nothing was written), `not-found` (nothing was written, and a lease that the writes name has ended), `ambiguous`
+ * (aborted before the outcome could be read, or lost while a further condition ceased to hold or the store refused to
+ * take the write again).
  */
 export async function commitRecord(store: Store, commit: RecordCommit): Promise<Result<number, Failure>> {
     const writeId = randomUUID();
@@ -119,24 +120,74 @@
     return createFailure("conflict", "commit", `${commit.key} is no longer at revision ${commit.expectedRevision}`);
 }
 
+/**
+ * Finds the outcome of an ambiguous write. A write that is not there yet may still be on its way, so the same write is
+ * repeated: whichever of the two arrives first makes the other fail its comparison.
+ */
 async function settle(
     store: Store,
     commit: RecordCommit,
     writeId: string,
     ambiguity: Failure,
 ): Promise<Result<number, Failure>> {
+    /** Why repeating the write once more is pointless; the record is read once more before that counts. */
+    let finalFailure: Failure | undefined;
+    for (;;) {
+        const found = await readUntilAnswered(store, commit);
+        if (found === undefined) {
+            return Result.err(ambiguity);
+        }
+        const outcome = readOutcome(found.entries[0], commit, writeId);
+        if (outcome !== undefined) {
+            return outcome;
+        }
+        if (finalFailure !== undefined) {
+            return Result.err(finalFailure);
+        }
+        const repeated = await write(store, commit, writeId);
+        if (repeated.isOk && repeated.value.succeeded) {
+            return Result.ok(repeated.value.revision);
+        }
+        finalFailure = findFinalFailure(repeated, commit, ambiguity);
+        if (finalFailure === undefined) {
+            await pause(SETTLE_FIRST_WAIT_MILLISECONDS, commit.signal);
+        }
+    }
+}
+
+/** Returns the failure of a commit whose repeated write cannot succeed at a later attempt either. */
+function findFinalFailure(
+    repeated: Result<TransactionAnswer, Failure>,
+    commit: RecordCommit,
+    ambiguity: Failure,
+): Failure | undefined {
+    if (repeated.isOk) {
+        // Where another condition no longer holds, repeating shuts nothing out: the first write may have come, or may come yet.
+        return (commit.comparisons ?? []).length > 0 ? ambiguity : undefined;
+    }
+    switch (repeated.error.code) {
+        case "not-found":
+            // Both writes name a lease that has ended, so the first one cannot take effect any more.
+            return repeated.error;
+        case "refused":
+            return ambiguity;
+        default:
+            return undefined;
+    }
+}
+
+/** Reads the record until the store answers; `undefined` if the commit is aborted before that. */
+async function readUntilAnswered(store: Store, commit: RecordCommit): Promise<ReadAnswer | undefined> {
     let wait = SETTLE_FIRST_WAIT_MILLISECONDS;
     while (commit.signal?.aborted !== true) {
         const found = await store.read({ key: commit.key });
         if (found.isOk) {
-            const outcome = readOutcome(found.value.entries[0], commit, writeId);
-            // A write that is not there yet may still be on its way; a fresh write of our own shuts it out.
-            return outcome ?? shutOut(store, commit, writeId, ambiguity);
+            return found.value;
         }
         await pause(wait, commit.signal);
         wait = Math.min(wait * 2, commit.longestSettleWaitMilliseconds ?? SETTLE_LONGEST_WAIT_MILLISECONDS);
     }
-    return Result.err(ambiguity);
+    return undefined;
 }
 
 function readOutcome(
@@ -154,31 +205,6 @@
     return Result.err(toConflict(commit));
 }
 
-/** Repeats the very same write: whichever of the two arrives first makes the other fail its comparison. */
-async function shutOut(
-    store: Store,
-    commit: RecordCommit,
-    writeId: string,
-    ambiguity: Failure,
-): Promise<Result<number, Failure>> {
-    const answer = await write(store, commit, writeId);
-    if (answer.isOk && answer.value.succeeded) {
-        return Result.ok(answer.value.revision);
-    }
-    // Where another condition no longer holds, repeating shuts nothing out: the first write may have come, or may come yet.
-    const failsElsewhere = answer.isOk && (commit.comparisons ?? []).length > 0;
-    if (failsElsewhere) {
-        const found = await store.read({ key: commit.key });
-        const outcome = found.isOk ? readOutcome(found.value.entries[0], commit, writeId) : undefined;
-        return outcome ?? Result.err(ambiguity);
-    }
-    if (commit.signal?.aborted === true) {
-        return Result.err(ambiguity);
-    }
-    await pause(SETTLE_FIRST_WAIT_MILLISECONDS, commit.signal);
-    return settle(store, commit, writeId, ambiguity);
-}
-
 /** Reads a record; `undefined` where there is none. */
 export async function readRecord<Schema extends z.ZodType>(
     store: Store,
