A start that is repeated at a worker's new life has a lease on the new clock

Cause: the end of a start's lease is a time on the worker's clock. It was computed once and repeated as it was, also to a life of the worker whose clock had begun anew; that life shortened it to the longest lease, 10 s, while the owner counted 4.5 s and started the task elsewhere.

Change: a start without an answer is repeated after the worker's next report, with a time of the clock in it where the life is a new one. A new life that may have received a time of the former clock counts with the longest lease. A start that is answered with a clock far behind is recognised as one. Nothing is started on a worker whose latest report has failed.

Why it works: between the report and the repeated order no other life is known to have begun, and where one has, the owner counts with what it may grant at most.

--- /dev/null
+++ b/features/jobs/worker-lives.feature
@@ -0,0 +1,34 @@
+Feature: Orders to a worker that starts again under its id, with a new clock
+
+    Background:
+        Given a worker whose clock shows 500 s
+
+    # Guards against two runs of a task: a lease that ends on a former clock is far longer on the clock of a new life.
+    Scenario: A start without an answer is repeated with a time of the worker's present clock
+        When a start gets no answer, and the worker reports from a new life 300 ms later
+        Then the start is repeated, with a lease that ends within 4500 ms on the clock of the new life
+
+    Scenario: A start without an answer is not repeated before the worker has reported again
+        When a start gets no answer, and the worker has not reported for 400 ms
+        Then the start has not been repeated
+
+    Scenario: A start without an answer is repeated with the same lease where the worker has not started again
+        When a start gets no answer, and the worker reports from the same life 50 ms later
+        Then the start is repeated with the lease of the first order
+
+    Scenario: A start that is answered by a new life may run for the longest lease
+        When a start is answered by a new life
+        Then nothing on the worker counts as lapsed within 10000 ms
+
+    Scenario Outline: A new life that has reported may have received <order> of the former life
+        When a new life reports after <order> of the former life was sent
+        Then nothing on the worker counts as lapsed within <lapse> ms
+
+        Examples:
+            | order   | lapse |
+            | a start | 10000 |
+            | a hold  | 10000 |
+
+    Scenario: A new life that has received no order of the former life is counted with its own lease
+        When a new life reports after no order of the former life was sent
+        Then everything on the worker counts as lapsed after 5000 ms
--- /dev/null
+++ b/features/jobs/worker-lives.steps.ts
@@ -0,0 +1,198 @@
+/**
+ * Steps for orders to workers that start again, with simulated workers.
+ */
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import { Result } from "true-myth/result";
+import { createFailure } from "../../src/core/errors.js";
+import { createMetrics } from "../../src/core/metrics.js";
+import { pause, systemClock } from "../../src/core/time.js";
+import type { CellContext } from "../../src/jobs/cell/context.js";
+import { applyReport } from "../../src/jobs/cell/report.js";
+import { runSession } from "../../src/jobs/cell/session.js";
+import { startAttempt } from "../../src/jobs/cell/starting.js";
+import { attemptsLapsedAt, createCellWorker } from "../../src/jobs/cell/worker.js";
+import type { CellWorker } from "../../src/jobs/cell/worker.js";
+import { addAttempt } from "../../src/jobs/job-table/attempts.js";
+import type { JobTable } from "../../src/jobs/job-table/job-table.js";
+import { createJobsMetrics } from "../../src/jobs/metrics.js";
+import type { HoldOrder, StartAnswer, StartOrder, WorkerOrders, WorkerReport } from "../../src/jobs/model/worker.js";
+import { createDurations } from "../../src/jobs/policy/durations.js";
+import { createInterference } from "../../src/jobs/policy/interference.js";
+import { CellSettings } from "../../src/jobs/settings.js";
+import { addTask, createEmptyJobTable, describeWorker } from "./builders.js";
+import { silentLog } from "./successions.js";
+
+interface LivesWorld {
+    jobTable: JobTable;
+    worker: CellWorker;
+    settings: CellSettings;
+    starts: StartOrder[];
+    holds: HoldOrder[];
+    /** Answers to starts, in turn; no answer once they are used up. */
+    startAnswers: StartAnswer[];
+    /** Reports, in turn; no answer once they are used up. */
+    reports: WorkerReport[];
+    stopped: AbortController;
+    cell: CellContext;
+}
+
+const FORMER_LIFE = 1;
+const NEW_LIFE = 2;
+const NEW_CLOCK_MILLISECONDS = 1_000;
+const SECOND = 1_000;
+const NO_ANSWER = createFailure("ambiguous", "/run-start", "no answer within the time limit");
+const LIMIT = { timeout: 10_000 };
+
+function describeReport(incarnation: number, clockMilliseconds: number): WorkerReport {
+    return { incarnation, clockMilliseconds, running: [], ended: [] };
+}
+
+function report({ jobTable, worker }: LivesWorld, incarnation: number, clockMilliseconds: number): void {
+    applyReport(jobTable, worker, describeReport(incarnation, clockMilliseconds), systemClock(), systemClock());
+}
+
+/** Orders an attempt; resolves when it is confirmed or given up. */
+function order(world: LivesWorld): Promise<void> {
+    const { cell, jobTable, worker } = world;
+    const task = addTask(jobTable, "00000000000000c1", {}, systemClock());
+    return startAttempt(cell, worker, addAttempt(jobTable, task, worker.listed.id, 1, systemClock()), undefined);
+}
+
+async function untilRepeated({ starts }: LivesWorld): Promise<void> {
+    while (starts.length < 2) {
+        await pause(10);
+    }
+}
+
+Given("a worker whose clock shows {int} s", function(this: LivesWorld, seconds: number) {
+    this.jobTable = createEmptyJobTable();
+    this.worker = createCellWorker(describeWorker("worker-0", 8), true, systemClock());
+    this.settings = CellSettings.parse({});
+    this.starts = [];
+    this.holds = [];
+    this.startAnswers = [];
+    this.reports = [];
+    this.stopped = new AbortController();
+    const orders: Partial<WorkerOrders> = {
+        start: async (_, start) => {
+            this.starts.push(start);
+            const answer = this.startAnswers.shift();
+            return answer === undefined ? Result.err(NO_ANSWER) : Result.ok(answer);
+        },
+        hold: async (_, hold) => {
+            this.holds.push(hold);
+            await pause(10);
+            const next = this.reports.shift();
+            return next === undefined ? Result.err(NO_ANSWER) : Result.ok(next);
+        },
+    };
+    const cell: Partial<CellContext> = {
+        epoch: 1,
+        settings: this.settings,
+        jobTable: this.jobTable,
+        orders: orders as WorkerOrders,
+        commits: {
+            requestCommit: () => undefined,
+            confirmedAtMilliseconds: systemClock,
+        } as unknown as CellContext["commits"],
+        crashes: { record: () => undefined } as unknown as CellContext["crashes"],
+        interference: createInterference(),
+        durations: createDurations(),
+        clock: systemClock,
+        log: silentLog,
+        metrics: createJobsMetrics(createMetrics({}, "usage")),
+        signal: this.stopped.signal,
+        maySendOrders: () => true,
+        requestDispatch: () => undefined,
+    };
+    this.cell = cell as CellContext;
+    report(this, FORMER_LIFE, seconds * SECOND);
+});
+
+After(function(this: Partial<LivesWorld>) {
+    this.stopped?.abort();
+});
+
+When("a start gets no answer, and the worker reports from a new life {int} ms later", LIMIT, async function(
+    this: LivesWorld,
+    milliseconds: number,
+) {
+    void order(this);
+    await pause(milliseconds);
+    report(this, NEW_LIFE, NEW_CLOCK_MILLISECONDS);
+    await untilRepeated(this);
+});
+
+When("a start gets no answer, and the worker reports from the same life {int} ms later", LIMIT, async function(
+    this: LivesWorld,
+    milliseconds: number,
+) {
+    const { clock } = this.worker;
+    assert.ok(clock !== undefined);
+    void order(this);
+    await pause(milliseconds);
+    report(this, FORMER_LIFE, clock.workerMilliseconds + milliseconds);
+    await untilRepeated(this);
+});
+
+When("a start gets no answer, and the worker has not reported for {int} ms", async function(
+    this: LivesWorld,
+    milliseconds: number,
+) {
+    void order(this);
+    await pause(milliseconds);
+});
+
+When("a start is answered by a new life", async function(this: LivesWorld) {
+    this.startAnswers = [{ kind: "started", clockMilliseconds: NEW_CLOCK_MILLISECONDS }];
+    await order(this);
+});
+
+When(/^a new life reports after (a start|a hold|no order) of the former life was sent$/, LIMIT, async function(
+    this: LivesWorld,
+    sent: string,
+) {
+    if (sent === "a start") {
+        void order(this);
+    }
+    const isLeased = sent === "a hold";
+    // A report is requested without a lease after one that has failed, and while the ownership is not proven.
+    this.cell = { ...this.cell, maySendOrders: () => isLeased };
+    this.reports = [describeReport(NEW_LIFE, NEW_CLOCK_MILLISECONDS)];
+    await pause(1);
+    const end = new AbortController();
+    const session = runSession(this.cell, this.worker, end.signal);
+    while (this.worker.incarnation !== NEW_LIFE) {
+        await pause(1);
+    }
+    end.abort();
+    await session;
+    assert.equal(this.holds[0]?.leaseUntilMilliseconds !== undefined, isLeased);
+});
+
+Then("the start is repeated, with a lease that ends within {int} ms on the clock of the new life", function(
+    this: LivesWorld,
+    milliseconds: number,
+) {
+    const until = this.starts[1]?.leaseUntilMilliseconds ?? Infinity;
+    assert.ok(until <= NEW_CLOCK_MILLISECONDS + milliseconds + SECOND, `the lease ends at ${until}`);
+});
+
+Then("the start has not been repeated", function(this: LivesWorld) {
+    assert.equal(this.starts.length, 1);
+});
+
+Then("the start is repeated with the lease of the first order", function(this: LivesWorld) {
+    assert.equal(this.starts[1]?.leaseUntilMilliseconds, this.starts[0]?.leaseUntilMilliseconds);
+});
+
+Then("nothing on the worker counts as lapsed within {int} ms", function(this: LivesWorld, milliseconds: number) {
+    const lapsedAt = attemptsLapsedAt(this.worker, this.settings.leaseMilliseconds);
+    assert.ok(lapsedAt - systemClock() > milliseconds - SECOND, `lapsed in ${lapsedAt - systemClock()} ms`);
+});
+
+Then("everything on the worker counts as lapsed after {int} ms", function(this: LivesWorld, milliseconds: number) {
+    const lapsedAt = attemptsLapsedAt(this.worker, this.settings.leaseMilliseconds);
+    assert.ok(lapsedAt - systemClock() < milliseconds, `lapsed in ${lapsedAt - systemClock()} ms`);
+});
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -319,6 +319,8 @@
 function mayStartOn(worker: CellWorker, now: number, graceMilliseconds: number): boolean {
     const isListed = worker.unlistedSinceMilliseconds === undefined
         || now - worker.unlistedSinceMilliseconds < graceMilliseconds;
-    return worker.contact === "answering" && worker.isRecorded && isListed && !worker.listed.isDraining
+    // An order is not sent while it is in doubt which life of the worker it would reach.
+    return worker.contact === "answering" && worker.failingSinceMilliseconds === undefined && worker.isRecorded
+        && isListed && !worker.listed.isDraining
         && now >= worker.startsFromMilliseconds && now >= worker.health.quarantinedUntilMilliseconds;
 }
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -13,7 +13,7 @@
 import { paceAttempt } from "./pacing.js";
 import { applyReport } from "./report.js";
 import { orderStop } from "./stopping.js";
-import { attemptsLapsedAt, grantLease } from "./worker.js";
+import { assumeLongestLease, attemptsLapsedAt, grantLease, hasUnreportedStart } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Failed hold orders after which a worker counts as silent; a single failure may be just a lost connection. */
@@ -74,11 +74,13 @@
         failures = 0;
         isLeased = lease !== undefined;
         logContact(cell, worker);
+        const hasFormerTime = lease !== undefined || hasUnreportedStart(worker);
         const outcome = applyReport(cell.jobTable, worker, answer.value, sentAt, now);
         if (outcome.hasRestarted) {
             isLeased = false;
-        }
-        if (outcome.hasRestarted) {
+            if (hasFormerTime) {
+                assumeLongestLease(worker, answer.value.clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
+            }
             const { attempts } = cell.jobTable.occupancy.load(worker.listed.id);
             const unanswered = attempts.filter(({ phase }) => phase === "ordered");
             cell.crashes.record(worker, [...outcome.lost, ...unanswered], now);
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -8,7 +8,7 @@
 import type { StartAnswer } from "../model/worker.js";
 import type { CellContext } from "./context.js";
 import { paceAttempt } from "./pacing.js";
-import { grantLease } from "./worker.js";
+import { assumeLongestLease, grantLease, isAnswerOfNewLife } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Number of start orders without an answer after which the attempt is stopped. */
@@ -33,15 +33,23 @@
         { queue: entry.queue },
         Math.max(0, attempt.orderedAtMilliseconds - attempt.task.readyAtMilliseconds) / 1_000,
     );
-    // Retries carry the lease of the first order, so that the lease of a worker whose answers get lost still lapses.
-    const leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds);
+    let leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds);
     if (leaseUntilMilliseconds === undefined) {
         withdrawAttempt(jobTable, attempt, clock());
         return;
     }
+    let { incarnation } = worker;
     // An attempt that is lost meanwhile, because its worker's lease has lapsed, may be started elsewhere.
     const isPending = (): boolean => attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
     for (let tries = 1; !cell.signal.aborted && isPending(); tries++) {
+        // Retries carry the lease of the first order, so that the lease of a worker whose answers get lost still lapses. That
+        // lease is a time on the clock of one life: to a new one it would grant far more.
+        if (worker.incarnation !== incarnation) {
+            incarnation = worker.incarnation;
+            leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds) ?? leaseUntilMilliseconds;
+        }
+        const sentAt = clock();
+        worker.lastStartSentAtMilliseconds = sentAt;
         const answer = await cell.orders.start(worker.listed, {
             epoch: cell.epoch,
             task: key,
@@ -53,6 +61,15 @@
         });
         const now = clock();
         if (answer.isOk) {
+            const { clockMilliseconds } = answer.value;
+            if (clockMilliseconds !== undefined && isAnswerOfNewLife(worker, clockMilliseconds, sentAt)) {
+                cell.log.write(
+                    "start-reached-new-life",
+                    { worker: worker.listed.id, task: key, clockMilliseconds },
+                    "vital",
+                );
+                assumeLongestLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
+            }
             applyAnswer(cell, worker, attempt, answer.value, now);
             return;
         }
@@ -91,10 +108,18 @@
             return;
         }
         metrics.retries.inc({ reason: `start-${code}` });
-        await pause(settings.orderRetryMilliseconds, cell.signal);
+        do {
+            await pause(settings.orderRetryMilliseconds, cell.signal);
+        }
+        while (!cell.signal.aborted && isPending() && !hasReportedSince(worker, now));
     }
 }
 
+/** Whether the worker has reported since a time and its reports do not fail, so that it is known which life is reached. */
+function hasReportedSince({ clock, failingSinceMilliseconds }: CellWorker, at: number): boolean {
+    return failingSinceMilliseconds === undefined && clock !== undefined && clock.atMilliseconds > at;
+}
+
 function applyAnswer(cell: CellContext, worker: CellWorker, attempt: Attempt, answer: StartAnswer, now: number): void {
     const { jobTable, metrics } = cell;
     const { entry, key } = attempt.task;
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -32,6 +32,8 @@
     hasCrashed: boolean;
     /** Latest end of all leases that may have been granted, on the worker's clock. */
     leaseUntilMilliseconds: number;
+    /** When the last order to start an attempt was sent. */
+    lastStartSentAtMilliseconds: number;
     /** Sequence of the last end that was recorded. */
     recordedSequence: number;
     /** Sequence of the last end that was committed to the ledger and may be acknowledged. */
@@ -44,6 +46,9 @@
 /** Lowest rate of a worker's clock relative to the owner's; the platform documents a deviation of 2 %. */
 const SLOWEST_CLOCK_RATE = 0.98;
 
+/** A worker's clock that shows less than expected by more than this belongs to a new life; clocks differ by 2 %. */
+const CLOCK_REGRESS_MILLISECONDS = 1_000;
+
 /** Time on the owner's clock after which an interval on a worker's clock has certainly passed, in milliseconds. */
 export function withClockTolerance(milliseconds: number): number {
     return milliseconds / SLOWEST_CLOCK_RATE;
@@ -64,6 +69,7 @@
         failingSinceMilliseconds: undefined,
         hasCrashed: false,
         leaseUntilMilliseconds: 0,
+        lastStartSentAtMilliseconds: -Infinity,
         recordedSequence: 0,
         committedSequence: 0,
         startsFromMilliseconds: 0,
@@ -102,6 +108,34 @@
     return until;
 }
 
+/**
+ * Whether an order that was sent at `sentAt` has been answered by another life of the worker than the one that has reported
+ * last: the answer shows an earlier time than the worker's clock already had.
+ */
+export function isAnswerOfNewLife(worker: CellWorker, clockMilliseconds: number, sentAt: number): boolean {
+    const clock = estimateClock(worker, sentAt);
+    return clock !== undefined && clockMilliseconds < clock - CLOCK_REGRESS_MILLISECONDS;
+}
+
+/**
+ * Whether a start was sent since the last answered report was requested. If the next report comes from a new life, the
+ * start may have reached that life, which has then granted the longest lease.
+ */
+export function hasUnreportedStart(worker: CellWorker): boolean {
+    return worker.lastStartSentAtMilliseconds >= worker.lastAnswerAtMilliseconds;
+}
+
+/** Records that a new life, whose clock is at this value now, may have granted the longest lease. */
+export function assumeLongestLease(
+    worker: CellWorker,
+    clockMilliseconds: number,
+    now: number,
+    leaseLimitMilliseconds: number,
+): void {
+    worker.clock = { workerMilliseconds: clockMilliseconds, atMilliseconds: now };
+    worker.leaseUntilMilliseconds = clockMilliseconds + leaseLimitMilliseconds;
+}
+
 /** Time after which all leases of this owner have certainly lapsed, even if the worker's clock is slow. */
 export function leasesLapsedAt({ clock, leaseUntilMilliseconds }: CellWorker): number {
     if (clock === undefined) {
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -9,6 +9,11 @@
 export const CellSettings = z.object({
     /** How long a worker may run without contact to its owner; covers a takeover, see decision 0600. */
     leaseMilliseconds: Milliseconds.default(4_500),
+    /**
+     * Longest lease that a worker grants, whatever an order says. A worker that has started again, with a new clock, grants
+     * it on an order with a time of its former clock.
+     */
+    workerLeaseLimitMilliseconds: Milliseconds.default(10_000),
     /** How long a worker may delay its report until an attempt ends; also the longest time between lease renewals. */
     holdWaitMilliseconds: Milliseconds.default(1_000),
     /** Time between two reports of a worker, so that attempts ending close together share a report. */
