--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -2,7 +2,7 @@
  * Starts an attempt on a worker and retries until the worker has confirmed it or the attempt certainly never starts.
  */
 import { formatFailure } from "../../core/errors.js";
-import { pause } from "../../core/time.js";
+import { isAborted, pause } from "../../core/time.js";
 import { confirmStart, FULL_PACE_PERCENT, withdrawAttempt } from "../job-table/attempts.js";
 import type { Attempt } from "../job-table/task.js";
 import type { StartAnswer } from "../model/worker.js";
@@ -111,7 +111,7 @@
         do {
             await pause(settings.orderRetryMilliseconds, cell.signal);
         }
-        while (!cell.signal.aborted && isPending() && !hasReportedSince(worker, now));
+        while (!isAborted(cell.signal) && isPending() && !hasReportedSince(worker, now));
     }
 }
 
