A report that lists 500 ends shows no attempt as lost

Cause: a worker lists 500 unacknowledged ends at a time. While the store was away the owner acknowledged none, and took the attempts in neither list for lost.

Change: the adapter says whether a report lists all ends. Only a complete one shows an attempt as lost, or its worker as heard after a takeover; a cut one is no reason to stop attempts without progress. The stand-in of the users' workers has the limit.

Why it works: ends are listed oldest first, so those beyond the limit follow once the first ones are committed, and nothing is concluded before.

--- a/features/jobs/path.feature
+++ b/features/jobs/path.feature
@@ -66,6 +66,22 @@
         And a caller submits job "00000000000000a7" until it is accepted
         Then job "00000000000000a7" is shown as "completed" by every process
 
+    # Guards against tasks that run again because their ends were beyond the first 500 of a report.
+    Scenario: Tasks whose ends exceed one report while the store is away do not run again
+        Given the users' platform with 1 workers and 2 processes
+        When a caller submits job "00000000000000aa" of 600 small tasks, and they end while the store does not answer
+        And the store answers again
+        Then job "00000000000000aa" is shown as "completed" by every process
+        And every task of job "00000000000000aa" has run once
+
+    # Guards against the same after a takeover, when the first report to a successor is cut short.
+    Scenario: Tasks whose ends exceed the first report to a successor do not run again
+        Given the users' platform with 1 workers and 2 processes
+        When a caller submits job "00000000000000ab" of 600 small tasks, and they end while the store does not answer
+        And the owner is killed, and the store answers its successor's claim, but nothing more for 1500 ms
+        Then job "00000000000000ab" is shown as "completed" by every process
+        And every task of job "00000000000000ab" has run once
+
     Scenario: Orders that a worker carries out late run nothing twice
         Given the users' platform with 2 workers and 1 processes
         And the workers carry out every fourth start late and unanswered
--- a/features/jobs/recovery.steps.ts
+++ b/features/jobs/recovery.steps.ts
@@ -46,7 +46,7 @@
 ): boolean {
     const jobTable = createEmptyJobTable();
     const task = addTask(jobTable, "job", { isGang }, NOW);
-    takeover.expire(NOW + after);
+    takeover.expire(NOW + after, () => false);
     return takeover.mayStart({ ...task, wasSeenRunning, entry: { ...task.entry, isInherited } });
 }
 
--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -173,6 +173,7 @@
                     measurement: 0,
                 })),
                 ended: ended.filter(({ sequence }) => sequence > acknowledged),
+                isComplete: true,
             }));
         },
         start: (listed, { attempt, epoch: orderEpoch, leaseUntilMilliseconds, task }) =>
--- a/features/jobs/worker-lives.steps.ts
+++ b/features/jobs/worker-lives.steps.ts
@@ -45,7 +45,7 @@
 const LIMIT = { timeout: 10_000 };
 
 function describeReport(incarnation: number, clockMilliseconds: number): WorkerReport {
-    return { incarnation, clockMilliseconds, running: [], ended: [] };
+    return { incarnation, clockMilliseconds, running: [], ended: [], isComplete: true };
 }
 
 function report({ jobTable, worker }: LivesWorld, incarnation: number, clockMilliseconds: number): void {
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -1,8 +1,8 @@
 /**
  * Recovery after a takeover: workers that may still run attempts of the predecessor, and the tasks that wait for them.
  *
- * Starts are not committed to the ledger. A worker that has answered under the new epoch has reported all its attempts and
- * rejects orders of the predecessor. A worker that has not answered may run any inherited task that was not reported
+ * Starts are not committed to the ledger. A worker that has answered under the new epoch with a complete report has reported
+ * all its attempts and rejects orders of the predecessor. A worker that has not answered may run any inherited task that was not reported
  * elsewhere, until the last lease that it can have been granted has lapsed.
  */
 import type { Task } from "../job-table/task.js";
@@ -21,10 +21,10 @@
     readonly contactMilliseconds: number;
 }
 
-/** Workers that have not answered since the takeover. */
+/** Workers that have not answered, or not listed all ends, since the takeover. */
 export interface Recovery {
     unanswered(): readonly string[];
-    /** Records that the worker has answered; returns true if it was the last one. */
+    /** Records that the worker has answered with a complete report; returns true if it was the last one. */
     recordAnswer(worker: string, now: number): boolean;
     /** Records that the predecessor sends no more orders, so that it grants no more leases. */
     recordPredecessorEnd(now: number): void;
@@ -32,8 +32,8 @@
     recordLeaseEnds(leaseEnds: ReadonlyMap<string, number>): void;
     /** Time after which no attempt of a former owner runs on a worker that has not answered. */
     heldUntil(worker: string): number;
-    /** Gives up the workers whose time limits have passed, and returns them. */
-    expire(now: number): string[];
+    /** Gives up the workers whose time limits have passed, unless they are still reporting ends, and returns them. */
+    expire(now: number, isReporting: (worker: string) => boolean): string[];
     /** Whether the task can be started without the risk that it already runs elsewhere. */
     mayStart(task: Task): boolean;
 }
@@ -71,8 +71,8 @@
             formerLeaseEnds = leaseEnds;
         },
         heldUntil,
-        expire(now) {
-            const expired = [...unanswered].filter(worker => now >= heldUntil(worker));
+        expire(now, isReporting) {
+            const expired = [...unanswered].filter(worker => now >= heldUntil(worker) && !isReporting(worker));
             expired.forEach(worker => unanswered.delete(worker));
             return expired;
         },
--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -16,7 +16,7 @@
     readonly foreign: readonly RunningAttempt[];
     /** Ends that had not been recorded before. */
     readonly ended: readonly { readonly end: EndedAttempt; readonly attempt: Attempt | undefined; }[];
-    /** Attempts that the worker no longer lists. */
+    /** Attempts that the worker no longer lists; empty if it has not listed all ends. */
     readonly lost: readonly Attempt[];
     /** Number of reported attempts that had not been recorded before. */
     readonly adopted: number;
@@ -49,6 +49,7 @@
         worker.clock = { workerMilliseconds: report.clockMilliseconds, atMilliseconds: now };
     }
     worker.contact = "answering";
+    worker.hasReportedAll = report.isComplete;
     worker.lastAnswerAtMilliseconds = Math.max(worker.lastAnswerAtMilliseconds, sentAt);
 
     const ended = report.ended.filter(({ sequence }) => sequence > worker.recordedSequence).map(end => {
@@ -71,8 +72,8 @@
     }
     for (const attempt of before) {
         const { confirmedClockMilliseconds } = attempt;
-        // The worker may have written this report before it confirmed the start.
-        const isMissing = !reported.has(attempt) && confirmedClockMilliseconds !== undefined
+        // The worker may have written this report before it confirmed the start, and may not have listed all ends.
+        const isMissing = report.isComplete && !reported.has(attempt) && confirmedClockMilliseconds !== undefined
             && confirmedClockMilliseconds < report.clockMilliseconds;
         if (isMissing) {
             markLost(attempt);
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -74,6 +74,7 @@
         failures = 0;
         isLeased = lease !== undefined;
         logContact(cell, worker);
+        const isNews = worker.hasReportedAll || worker.contact === "unknown";
         const hasFormerTime = lease !== undefined || hasUnreportedStart(worker);
         const outcome = applyReport(cell.jobTable, worker, answer.value, sentAt, now);
         if (outcome.hasRestarted) {
@@ -85,6 +86,9 @@
             const unanswered = attempts.filter(({ phase }) => phase === "ordered");
             cell.crashes.record(worker, [...outcome.lost, ...unanswered], now);
         }
+        if (isNews && !worker.hasReportedAll) {
+            cell.log.write("report-incomplete", { worker: worker.listed.id, ends: answer.value.ended.length }, "vital");
+        }
         worker.failingSinceMilliseconds = undefined;
         worker.hasCrashed = false;
         logOutcome(cell, worker, outcome, now);
@@ -156,6 +160,10 @@
             logQuarantine("failures", { jobs: [...worker.health.failedJobs.keys()] });
         }
     }
+    if (!worker.hasReportedAll) {
+        // Attempts that make no progress may just have ended.
+        return;
+    }
     const load = jobTable.occupancy.load(id);
     const stalled = listStalledAttempts(load, now);
     if (stalled.length > 0) {
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -208,7 +208,8 @@
         cell.crashes.review(now);
         for (const worker of workers.values()) {
             updateUse(worker, now);
-            if (worker.contact === "answering" && recovery.recordAnswer(worker.listed.id, now)) {
+            const hasReportedAll = worker.contact === "answering" && worker.hasReportedAll;
+            if (hasReportedAll && recovery.recordAnswer(worker.listed.id, now)) {
                 endRecovery();
             }
             if (worker.unlistedSinceMilliseconds === undefined || worker.contact !== "silent") {
@@ -220,7 +221,8 @@
                 removeWorker(worker);
             }
         }
-        const expired = recovery.expire(now);
+        // The ends that an answering worker has still to list may be those of inherited tasks.
+        const expired = recovery.expire(now, id => workers.get(id)?.contact === "answering");
         givenUp.push(...expired);
         if (expired.length > 0 && recovery.unanswered().length === 0) {
             endRecovery();
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -34,6 +34,8 @@
     leaseUntilMilliseconds: number;
     /** When the last order to start an attempt was sent. */
     lastStartSentAtMilliseconds: number;
+    /** Whether the latest report listed all ends. */
+    hasReportedAll: boolean;
     /** Sequence of the last end that was recorded. */
     recordedSequence: number;
     /** Sequence of the last end that was committed to the ledger and may be acknowledged. */
@@ -70,6 +72,7 @@
         hasCrashed: false,
         leaseUntilMilliseconds: 0,
         lastStartSentAtMilliseconds: -Infinity,
+        hasReportedAll: false,
         recordedSequence: 0,
         committedSequence: 0,
         startsFromMilliseconds: 0,
--- a/src/jobs/model/worker.ts
+++ b/src/jobs/model/worker.ts
@@ -66,6 +66,8 @@
     readonly running: readonly RunningAttempt[];
     /** Ends that have not been acknowledged yet, oldest first. */
     readonly ended: readonly EndedAttempt[];
+    /** Whether all of them are listed. Otherwise, an attempt that is in neither list may have ended in any way. */
+    readonly isComplete: boolean;
 }
 
 /** Order that prolongs a worker's lease and requests a report. */
--- a/stand-ins/users-platform/worker.ts
+++ b/stand-ins/users-platform/worker.ts
@@ -70,6 +70,8 @@
 const EXPIRY_MILLISECONDS = 3 * HEARTBEAT_MILLISECONDS;
 /** A longer lease is shortened to this. */
 export const LONGEST_LEASE_MILLISECONDS = 10_000;
+/** A report lists this many ends at most; the others follow once these are acknowledged. */
+const ENDS_PER_REPORT = 500;
 /** Starts that exceed a capacity which has shrunk within this time do not count: three seconds and a heartbeat. */
 const SHRINK_GRACE_MILLISECONDS = 3_000 + HEARTBEAT_MILLISECONDS;
 /** Time from the start of a task that crashes its worker to the crash. */
@@ -186,7 +188,8 @@
                 clockMs: clock(),
                 born,
                 running: active().map(run => [run.task, run.attempt, "", run.timer === undefined ? 100 : 50, 0]),
-                finished: open().map(({ run, sequence: number }) => [number, run.task, run.attempt, run.how, ""]),
+                finished: open().slice(0, ENDS_PER_REPORT)
+                    .map(({ run, sequence: number }) => [number, run.task, run.attempt, run.how, ""]),
             },
         };
     };
