A lasting task is started again though its run has ended as done

Cause: recordAttemptEnd finished the task of each run that ends done, whatever the kind of the task, and with the last one its step and job.

Change: no end finishes a lasting task. Entries of older builds that list one as done are passed over by a successor. Steps after a lasting one do not begin.

Why it works: finishTask, the only way to a done task, is reached from reports and from the ledger, and both ask for the kind of the task first.

--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -124,7 +124,8 @@
         return attempt;
     }
     startJob(table, task.entry);
-    if (ended.end === "done") {
+    // A lasting task is never done: it is started again however its attempts end.
+    if (ended.end === "done" && !task.step.isLasting) {
         finishTask(table, task, now);
         return attempt;
     }
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -24,7 +24,8 @@
     }
     for (const key of segment.done) {
         const task = findOrOpenTask(table, key, now);
-        if (task !== undefined) {
+        // Older builds recorded lasting tasks as done.
+        if (task !== undefined && !task.step.isLasting) {
             finishTask(table, task, now);
         }
     }
