A start that waits for its worker's report takes no place among those in flight

Workers that are cut off would have held up the starts on all others.

Change: a start takes its place until its answer or its time limit, and is repeated outside of it.

--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -2,7 +2,7 @@
  * Starts an attempt on a worker and retries until the worker has confirmed it or the attempt certainly never starts.
  */
 import { formatFailure } from "../../core/errors.js";
-import { isAborted, pause } from "../../core/time.js";
+import { pause } from "../../core/time.js";
 import { confirmStart, FULL_PACE_PERCENT, withdrawAttempt } from "../job-table/attempts.js";
 import type { Attempt } from "../job-table/task.js";
 import type { StartAnswer } from "../model/worker.js";
@@ -20,7 +20,18 @@
 /** How long a worker gets no starts after it rejected an order without executing it. */
 const UNAVAILABLE_WAIT_MILLISECONDS = 500;
 
-/** Sends the start order; resolves when the start is confirmed, withdrawn or handed over to a stop. */
+/** A start whose outcome is not known yet. */
+interface PendingStart {
+    readonly cell: CellContext;
+    readonly worker: CellWorker;
+    readonly attempt: Attempt;
+    readonly ticket: string | undefined;
+    /** Life of the worker whose clock the lease refers to. */
+    incarnation: number | undefined;
+    leaseUntilMilliseconds: number;
+}
+
+/** Sends the start order. Resolves after its answer or its time limit; an order without an answer is repeated after that. */
 export async function startAttempt(
     cell: CellContext,
     worker: CellWorker,
@@ -28,91 +39,115 @@
     ticket: string | undefined,
 ): Promise<void> {
     const { jobTable, clock, metrics, settings } = cell;
-    const { entry, key } = attempt.task;
     metrics.waitSeconds.observe(
-        { queue: entry.queue },
+        { queue: attempt.task.entry.queue },
         Math.max(0, attempt.orderedAtMilliseconds - attempt.task.readyAtMilliseconds) / 1_000,
     );
-    let leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds);
+    const leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds);
     if (leaseUntilMilliseconds === undefined) {
         withdrawAttempt(jobTable, attempt, clock());
         return;
     }
-    let { incarnation } = worker;
+    const { incarnation } = worker;
+    const start: PendingStart = { cell, worker, attempt, ticket, incarnation, leaseUntilMilliseconds };
+    if (!await sendStart(start, 1)) {
+        void repeatStart(start);
+    }
+}
+
+/** Repeats the order until the start is confirmed, withdrawn or handed over to a stop, or the attempt is lost. */
+async function repeatStart(start: PendingStart): Promise<void> {
+    const { attempt, cell, worker } = start;
+    const { clock, settings, signal } = cell;
     // An attempt that is lost meanwhile, because its worker's lease has lapsed, may be started elsewhere.
-    const isPending = (): boolean => attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
-    for (let tries = 1; !cell.signal.aborted && isPending(); tries++) {
-        // Retries carry the lease of the first order, so that the lease of a worker whose answers get lost still lapses. That
-        // lease is a time on the clock of one life: to a new one it would grant far more.
-        if (worker.incarnation !== incarnation) {
-            incarnation = worker.incarnation;
-            leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds) ?? leaseUntilMilliseconds;
-        }
-        const sentAt = clock();
-        worker.lastStartSentAtMilliseconds = sentAt;
-        const answer = await cell.orders.start(worker.listed, {
-            epoch: cell.epoch,
-            task: key,
-            attempt: attempt.number,
-            payload: entry.submission.payload,
-            leaseUntilMilliseconds,
-            checkpoint: attempt.checkpoint,
-            ...(ticket === undefined ? {} : { ticket }),
-        });
-        const now = clock();
-        if (answer.isOk) {
-            const { clockMilliseconds } = answer.value;
-            if (clockMilliseconds !== undefined && isAnswerOfNewLife(worker, clockMilliseconds, sentAt)) {
-                cell.log.write(
-                    "start-reached-new-life",
-                    { worker: worker.listed.id, task: key, clockMilliseconds },
-                    "vital",
-                );
-                assumeLongestLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
-            }
-            applyAnswer(cell, worker, attempt, answer.value, now);
-            return;
-        }
-        const { code } = answer.error;
-        metrics.orders.inc({ order: "start", outcome: code });
-        cell.log.write("start-unanswered", {
-            job: entry.id,
-            task: key,
-            attempt: attempt.number,
-            worker: worker.listed.id,
-            tries,
-            failure: formatFailure(answer.error),
-        });
-        if (code === "fenced") {
-            cell.handleOwnerReplaced(formatFailure(answer.error), worker.listed.id);
-            return;
+    const isPending = (): boolean =>
+        !signal.aborted && attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
+    for (let tries = 2;; tries++) {
+        const failedAt = clock();
+        do {
+            await pause(settings.orderRetryMilliseconds, signal);
         }
-        if (code === "conflict") {
-            // Another incarnation answers at this address: the order was not executed, and the former incarnation has ended.
-            withdrawAttempt(jobTable, attempt, now);
-            worker.startsFromMilliseconds = now + UNAVAILABLE_WAIT_MILLISECONDS;
-            cell.requestDispatch();
+        while (isPending() && !hasReportedSince(worker, failedAt));
+        if (!isPending()) {
             return;
         }
-        if (code === "unavailable" && tries === 1) {
-            // The order was not executed, and no earlier order can be in flight.
-            withdrawAttempt(jobTable, attempt, now);
-            worker.startsFromMilliseconds = now + UNAVAILABLE_WAIT_MILLISECONDS;
-            cell.requestDispatch();
-            return;
+        // Retries carry the lease of the first order, so that the lease of a worker whose answers get lost still lapses. That
+        // lease is a time on the clock of one life: to a new one it would grant far more.
+        if (worker.incarnation !== start.incarnation) {
+            start.incarnation = worker.incarnation;
+            start.leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds)
+                ?? start.leaseUntilMilliseconds;
         }
-        if (tries >= MAXIMUM_START_TRIES) {
-            // After a stop the worker rejects start orders that are still in flight.
-            jobTable.attemptsToStop.add(attempt);
-            cell.requestDispatch();
+        if (await sendStart(start, tries)) {
             return;
         }
-        metrics.retries.inc({ reason: `start-${code}` });
-        do {
-            await pause(settings.orderRetryMilliseconds, cell.signal);
+    }
+}
+
+/** Sends the order once; returns false if it has to be repeated. */
+async function sendStart(
+    { attempt, cell, leaseUntilMilliseconds, ticket, worker }: PendingStart,
+    tries: number,
+): Promise<boolean> {
+    const { jobTable, clock, metrics, settings } = cell;
+    const { entry, key } = attempt.task;
+    const sentAt = clock();
+    worker.lastStartSentAtMilliseconds = sentAt;
+    const answer = await cell.orders.start(worker.listed, {
+        epoch: cell.epoch,
+        task: key,
+        attempt: attempt.number,
+        payload: entry.submission.payload,
+        leaseUntilMilliseconds,
+        checkpoint: attempt.checkpoint,
+        ...(ticket === undefined ? {} : { ticket }),
+    });
+    const now = clock();
+    if (answer.isOk) {
+        const { clockMilliseconds } = answer.value;
+        if (clockMilliseconds !== undefined && isAnswerOfNewLife(worker, clockMilliseconds, sentAt)) {
+            cell.log.write(
+                "start-reached-new-life",
+                { worker: worker.listed.id, task: key, clockMilliseconds },
+                "vital",
+            );
+            assumeLongestLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
         }
-        while (!isAborted(cell.signal) && isPending() && !hasReportedSince(worker, now));
+        applyAnswer(cell, worker, attempt, answer.value, now);
+        return true;
+    }
+    const { code } = answer.error;
+    metrics.orders.inc({ order: "start", outcome: code });
+    cell.log.write("start-unanswered", {
+        job: entry.id,
+        task: key,
+        attempt: attempt.number,
+        worker: worker.listed.id,
+        tries,
+        failure: formatFailure(answer.error),
+    });
+    if (code === "fenced") {
+        cell.handleOwnerReplaced(formatFailure(answer.error), worker.listed.id);
+        return true;
+    }
+    // Another incarnation answers at this address: the order was not executed, and the former incarnation has ended.
+    const hasOtherWorker = code === "conflict";
+    // The order was not executed, and no earlier order can be in flight.
+    const wasNeverExecuted = code === "unavailable" && tries === 1;
+    if (hasOtherWorker || wasNeverExecuted) {
+        withdrawAttempt(jobTable, attempt, now);
+        worker.startsFromMilliseconds = now + UNAVAILABLE_WAIT_MILLISECONDS;
+        cell.requestDispatch();
+        return true;
+    }
+    if (tries >= MAXIMUM_START_TRIES) {
+        // After a stop the worker rejects start orders that are still in flight.
+        jobTable.attemptsToStop.add(attempt);
+        cell.requestDispatch();
+        return true;
     }
+    metrics.retries.inc({ reason: `start-${code}` });
+    return false;
 }
 
 /** Whether the worker has reported since a time and its reports do not fail, so that it is known which life is reached. */
