--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -2,8 +2,8 @@
  * Recovery after a takeover: workers that may still run attempts of the predecessor, and the tasks that wait for them.
  *
  * Starts are not committed to the ledger. A worker that has answered under the new epoch with a complete report has reported
- * all its attempts and rejects orders of the predecessor. A worker that has not answered may run any inherited task that was not reported
- * elsewhere, until the last lease that it can have been granted has lapsed.
+ * all its attempts and rejects orders of the predecessor. A worker that has not answered may run any inherited task that was
+ * not reported elsewhere, until the last lease that it can have been granted has lapsed.
  */
 import type { Task } from "../job-table/task.js";
 import { haveEnoughAnswered } from "./authority.js";
