--- a/features/jobs/worker-lives.steps.ts
+++ b/features/jobs/worker-lives.steps.ts
@@ -33,7 +33,7 @@
     startAnswers: StartAnswer[];
     /** Reports, in turn; no answer once they are used up. */
     reports: WorkerReport[];
-    stopped: AbortController;
+    ordersEnd: AbortController;
     cell: CellContext;
 }
 
@@ -73,7 +73,7 @@
     this.holds = [];
     this.startAnswers = [];
     this.reports = [];
-    this.stopped = new AbortController();
+    this.ordersEnd = new AbortController();
     const orders: Partial<WorkerOrders> = {
         start: async (_, start) => {
             this.starts.push(start);
@@ -102,7 +102,7 @@
         clock: systemClock,
         log: silentLog,
         metrics: createJobsMetrics(createMetrics({}, "usage")),
-        signal: this.stopped.signal,
+        signal: this.ordersEnd.signal,
         maySendOrders: () => true,
         requestDispatch: () => undefined,
     };
@@ -111,7 +111,7 @@
 });
 
 After(function(this: Partial<LivesWorld>) {
-    this.stopped?.abort();
+    this.ordersEnd?.abort();
 });
 
 When("a start gets no answer, and the worker reports from a new life {int} ms later", LIMIT, async function(
