--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -75,6 +75,7 @@
         isLeased = lease !== undefined;
         logContact(cell, worker);
         const isNews = worker.hasReportedAll || worker.contact === "unknown";
+        // If this report comes from a new life, an order with a time of the former life's clock may have reached it.
         const hasFormerTime = lease !== undefined || hasUnreportedStart(worker);
         const outcome = applyReport(cell.jobTable, worker, answer.value, sentAt, now);
         if (outcome.hasRestarted) {
