--- a/features/platform/store.steps.ts
+++ b/features/platform/store.steps.ts
@@ -18,7 +18,8 @@
 const POLL_MILLISECONDS = 10;
 const PAGE_SIZE = 2;
 
-interface StoreWorld {
+/** A store stand-in, and what the latest calls have given. */
+export interface StoreWorld {
     standIn: StoreStandIn;
     store: Store;
     lease: StoreLease;
@@ -177,47 +178,6 @@
     },
 );
 
-When(
-    /^a commit of "([^"]*)" under a lease (is lost|takes effect, its answer is lost), and the lease ends$/,
-    async function(this: StoreWorld, key: string, fate: string) {
-        const { leaseId } = unwrap(await this.store.grantLease(1));
-        let isFirst = true;
-        const losing: Store = {
-            ...this.store,
-            transact: async transaction => {
-                if (!isFirst) {
-                    return this.store.transact(transaction);
-                }
-                isFirst = false;
-                if (fate !== "is lost") {
-                    unwrap(await this.store.transact(transaction));
-                }
-                unwrap(await this.store.revokeLease(leaseId));
-                return fail("ambiguous", "transact", "no answer");
-            },
-        };
-        this.committed = await commitRecord(losing, {
-            key,
-            body: { count: 1 },
-            expectedRevision: 0,
-            alongside: [{ kind: "put", key: `owner of ${key}`, value: "x", leaseId }],
-        });
-    },
-);
-
-When("a commit of {string} is lost, and its repetition is refused", async function(this: StoreWorld, key: string) {
-    let isFirst = true;
-    const refusing: Store = {
-        ...this.store,
-        transact: async () => {
-            const code = isFirst ? "ambiguous" : "refused";
-            isFirst = false;
-            return fail(code, "transact", "as the scenario says");
-        },
-    };
-    this.committed = await commitRecord(refusing, { key, body: { count: 1 }, expectedRevision: 0 });
-});
-
 When("a commit of {string} takes effect, but its answer never comes", async function(this: StoreWorld, key: string) {
     const unanswering: Store = {
         ...this.store,
@@ -294,7 +254,8 @@
     return store.transact({ comparisons: [], writes: [{ kind: "put", key, value }] });
 }
 
-function unwrap<Value>(result: Result<Value, Failure>): Value {
+/** Returns the value of a result that has to be ok. */
+export function unwrap<Value>(result: Result<Value, Failure>): Value {
     assert.ok(result.isOk, JSON.stringify(result));
     return result.value;
 }
