--- a/features/jobs/decisions.feature
+++ b/features/jobs/decisions.feature
@@ -36,6 +36,12 @@
         Then a task of an earlier job that was seen running may start after 0 ms
         But a member of a gang that was seen running may not start after 0 ms
 
+    # Guards against tasks that run again because their ends were not yet listed when their worker was given up.
+    Scenario: A worker that still reports ends is not given up after a takeover
+        Given a takeover with 3 workers in use and a predecessor that may live
+        When 60000 ms have passed, while "worker-1" still reports ends
+        Then a task of an earlier job may not start while "worker-1" still reports ends
+
     Scenario: The wait ends one lease after the predecessor is known to be gone
         Given a takeover with 2 workers in use and a predecessor that may live
         When 1 of the workers has answered
--- a/features/jobs/recovery.steps.ts
+++ b/features/jobs/recovery.steps.ts
@@ -72,6 +72,23 @@
     assert.equal(mayStart(this, true, after), true);
 });
 
+When("{int} ms have passed, while {string} still reports ends", function(
+    this: RecoveryWorld,
+    after: number,
+    reporting: string,
+) {
+    this.takeover.expire(NOW + after, worker => worker === reporting);
+});
+
+Then("a task of an earlier job may not start while {string} still reports ends", function(
+    this: RecoveryWorld,
+    reporting: string,
+) {
+    const task = addTask(createEmptyJobTable(), "job", {}, NOW);
+    assert.deepEqual(this.takeover.unanswered(), [reporting]);
+    assert.equal(this.takeover.mayStart({ ...task, entry: { ...task.entry, isInherited: true } }), false);
+});
+
 Then("a task of a later job may start after {int} ms", function(this: RecoveryWorld, after: number) {
     assert.equal(mayStart(this, false, after), true);
 });
