--- a/features/jobs/worker-lives.feature
+++ b/features/jobs/worker-lives.feature
@@ -32,3 +32,13 @@
     Scenario: A new life that has received no order of the former life is counted with its own lease
         When a new life reports after no order of the former life was sent
         Then everything on the worker counts as lapsed after 5000 ms
+
+    # Guards against attempts that are stopped as stalled though they have ended and are not listed yet.
+    Scenario Outline: An attempt without progress is stopped only on a report that lists all ends
+        When a report that lists <ends> comes 3000 ms after an attempt has last made progress
+        Then the attempt is <fate>
+
+        Examples:
+            | ends          | fate    |
+            | all ends      | stopped |
+            | some ends     | kept    |
--- a/features/jobs/worker-lives.steps.ts
+++ b/features/jobs/worker-lives.steps.ts
@@ -20,7 +20,7 @@
 import { createDurations } from "../../src/jobs/policy/durations.js";
 import { createInterference } from "../../src/jobs/policy/interference.js";
 import { CellSettings } from "../../src/jobs/settings.js";
-import { addTask, createEmptyJobTable, describeWorker } from "./builders.js";
+import { addTask, createEmptyJobTable, describeWorker, runTask } from "./builders.js";
 import { silentLog } from "./successions.js";
 
 interface LivesWorld {
@@ -171,6 +171,38 @@
     assert.equal(this.holds[0]?.leaseUntilMilliseconds !== undefined, isLeased);
 });
 
+When(
+    /^a report that lists (all|some) ends comes (\d+) ms after an attempt has last made progress$/,
+    LIMIT,
+    async function(
+        this: LivesWorld,
+        ends: string,
+        milliseconds: string,
+    ) {
+        const { clock, listed: { id } } = this.worker;
+        assert.ok(clock !== undefined);
+        const task = addTask(this.jobTable, "00000000000000c1", {}, systemClock());
+        runTask(this.jobTable, task, id, systemClock() - Number(milliseconds));
+        // The report is older than the confirmation of the start, so that the attempt does not count as lost.
+        task.attempts.forEach(attempt => {
+            attempt.confirmedClockMilliseconds = clock.workerMilliseconds + SECOND;
+        });
+        const cut = describeReport(FORMER_LIFE, clock.workerMilliseconds);
+        this.reports = [{ ...cut, isComplete: ends === "all" }];
+        const end = new AbortController();
+        const session = runSession(this.cell, this.worker, end.signal);
+        while (this.holds.length < 2) {
+            await pause(1);
+        }
+        end.abort();
+        await session;
+    },
+);
+
+Then(/^the attempt is (stopped|kept)$/, function(this: LivesWorld, fate: string) {
+    assert.equal(this.jobTable.attemptsToStop.size, fate === "stopped" ? 1 : 0);
+});
+
 Then("the start is repeated, with a lease that ends within {int} ms on the clock of the new life", function(
     this: LivesWorld,
     milliseconds: number,
