Log: repeated starts, starts that are not wanted any more, and cancel requests

Cause: start-ordered is written when an attempt is placed; a repeated order left no line, and no line said whether the job had ended by then, so that the hypotheses of the incident could not be told apart. Result: types check; no logic is changed.

--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -20,6 +20,8 @@
     readonly lost: readonly Attempt[];
     /** Number of reported attempts that had not been recorded before. */
     readonly adopted: number;
+    /** Attempts that have started although they are to be stopped, in the first report that lists them. */
+    readonly unwanted: readonly Attempt[];
 }
 
 /** Applies a report that was requested at `sentAt` and received at `now`. */
@@ -59,7 +61,9 @@
     const before = new Set(jobTable.occupancy.load(id).attempts);
     const reported = new Set<Attempt>();
     const foreign: RunningAttempt[] = [];
+    const unwanted: Attempt[] = [];
     let adopted = 0;
+    const unconfirmed = new Set([...before].filter(({ phase }) => phase === "ordered"));
     for (const running of report.running) {
         const attempt = recordRunningAttempt(jobTable, id, running, now);
         if (attempt === undefined) {
@@ -69,6 +73,9 @@
         reported.add(attempt);
         attempt.confirmedClockMilliseconds ??= report.clockMilliseconds;
         adopted += before.has(attempt) ? 0 : 1;
+        if (jobTable.attemptsToStop.has(attempt) && (unconfirmed.has(attempt) || !before.has(attempt))) {
+            unwanted.push(attempt);
+        }
     }
     for (const attempt of before) {
         const { confirmedClockMilliseconds } = attempt;
@@ -79,7 +86,7 @@
             markLost(attempt);
         }
     }
-    return { hasRestarted, foreign, ended, lost, adopted };
+    return { hasRestarted, foreign, ended, lost, adopted, unwanted };
 }
 
 /** Discards the state of a worker's former incarnation. */
--- a/src/jobs/cell/request-handler.ts
+++ b/src/jobs/cell/request-handler.ts
@@ -101,6 +101,7 @@
         },
         async cancel({ id }) {
             const entry = jobTable.jobs.get(id);
+            log.write("cancel-requested", { job: id, state: entry?.state, isKnown: entry !== undefined, epoch });
             if (entry === undefined) {
                 return answerUnknownJob();
             }
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -12,6 +12,7 @@
 import { isProofOfCrash } from "./crashes.js";
 import { paceAttempt } from "./pacing.js";
 import { applyReport } from "./report.js";
+import { describeStart } from "./starting.js";
 import { orderStop } from "./stopping.js";
 import { assumeLongestLease, attemptsLapsedAt, grantLease, hasUnreportedStart } from "./worker.js";
 import type { CellWorker } from "./worker.js";
@@ -258,7 +259,7 @@
 function logOutcome(
     cell: CellContext,
     worker: CellWorker,
-    { adopted, ended, hasRestarted, lost }: ReturnType<typeof applyReport>,
+    { adopted, ended, hasRestarted, lost, unwanted }: ReturnType<typeof applyReport>,
     now: number,
 ): void {
     const { id } = worker.listed;
@@ -268,6 +269,9 @@
     if (adopted > 0) {
         cell.log.write("runs-adopted", { worker: id, attempts: adopted });
     }
+    for (const attempt of unwanted) {
+        cell.log.write("start-unwanted", { ...describeStart(attempt, now), source: "report" }, "vital");
+    }
     for (const attempt of lost) {
         cell.log.write("attempt-lost", {
             job: attempt.task.entry.id,
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -78,6 +78,7 @@
             start.leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds)
                 ?? start.leaseUntilMilliseconds;
         }
+        cell.log.write("start-repeated", { ...describeStart(attempt, clock()), tries });
         if (await sendStart(start, tries)) {
             return;
         }
@@ -119,10 +120,7 @@
     const { code } = answer.error;
     metrics.orders.inc({ order: "start", outcome: code });
     cell.log.write("start-unanswered", {
-        job: entry.id,
-        task: key,
-        attempt: attempt.number,
-        worker: worker.listed.id,
+        ...describeStart(attempt, now),
         tries,
         failure: formatFailure(answer.error),
     });
@@ -150,6 +148,22 @@
     return false;
 }
 
+/** Describes a start for the log: which order it belongs to, and whether its job has ended meanwhile. */
+export function describeStart({ number, orderedAtMilliseconds, task, worker }: Attempt, now: number) {
+    const { entry, key } = task;
+    return {
+        job: entry.id,
+        jobState: entry.state,
+        jobEndedMillisecondsAgo: entry.endedAtMilliseconds === undefined
+            ? undefined
+            : Math.round(now - entry.endedAtMilliseconds),
+        task: key,
+        attempt: number,
+        worker,
+        orderedMillisecondsAgo: Math.round(now - orderedAtMilliseconds),
+    };
+}
+
 /** Whether the worker has reported since a time and its reports do not fail, so that it is known which life is reached. */
 function hasReportedSince({ clock, failingSinceMilliseconds }: CellWorker, at: number): boolean {
     return failingSinceMilliseconds === undefined && clock !== undefined && clock.atMilliseconds > at;
@@ -161,6 +175,9 @@
     if (answer.kind === "started") {
         metrics.orders.inc({ order: "start", outcome: "started" });
         metrics.startSeconds.observe((now - attempt.orderedAtMilliseconds) / 1_000);
+        if (jobTable.attemptsToStop.has(attempt)) {
+            cell.log.write("start-unwanted", { ...describeStart(attempt, now), source: "answer" }, "vital");
+        }
         confirmStart(jobTable, attempt, answer.clockMilliseconds, now);
         cell.commits.requestCommit(false);
         if (attempt.pacePercent < FULL_PACE_PERCENT) {
