A start is repeated only while it is wanted and allowed

Cause: a start without an answer is repeated once the worker has reported again, and the repetition asked for the attempt's phase alone. Cancelling a job, a copy that is done, a stop for any other reason leave that phase as it is, and neither the permission of the owner (maySendOrders) nor the state of worker, queue and capacity was looked at. Fix: findStartObstacle says what stands against a start; it is asked before each repetition, and an attempt that must not start is left to a stop, after which the worker rejects orders that are still on their way. Without permission, or while the task is suspected of a crash, the repetition waits.

--- a/features/jobs/worker-lives.steps.ts
+++ b/features/jobs/worker-lives.steps.ts
@@ -5,7 +5,6 @@
 import assert from "node:assert/strict";
 import { Result } from "true-myth/result";
 import { createFailure } from "../../src/core/errors.js";
-import { createMetrics } from "../../src/core/metrics.js";
 import { pause, systemClock } from "../../src/core/time.js";
 import type { CellContext } from "../../src/jobs/cell/context.js";
 import { applyReport } from "../../src/jobs/cell/report.js";
@@ -15,13 +14,10 @@
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
 import { addAttempt } from "../../src/jobs/job-table/attempts.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
-import { createJobsMetrics } from "../../src/jobs/metrics.js";
 import type { HoldOrder, StartAnswer, StartOrder, WorkerOrders, WorkerReport } from "../../src/jobs/model/worker.js";
-import { createDurations } from "../../src/jobs/policy/durations.js";
-import { createInterference } from "../../src/jobs/policy/interference.js";
-import { CellSettings } from "../../src/jobs/settings.js";
+import type { CellSettings } from "../../src/jobs/settings.js";
 import { addTask, createEmptyJobTable, describeWorker, runTask } from "./builders.js";
-import { silentLog } from "./successions.js";
+import { createSimulatedCell } from "./simulated-cell.js";
 
 interface LivesWorld {
     jobTable: JobTable;
@@ -68,7 +64,6 @@
 Given("a worker whose clock shows {int} s", function(this: LivesWorld, seconds: number) {
     this.jobTable = createEmptyJobTable();
     this.worker = createCellWorker(describeWorker("worker-0", 8), true, systemClock());
-    this.settings = CellSettings.parse({});
     this.starts = [];
     this.holds = [];
     this.startAnswers = [];
@@ -87,26 +82,8 @@
             return next === undefined ? Result.err(NO_ANSWER) : Result.ok(next);
         },
     };
-    const cell: Partial<CellContext> = {
-        epoch: 1,
-        settings: this.settings,
-        jobTable: this.jobTable,
-        orders: orders as WorkerOrders,
-        commits: {
-            requestCommit: () => undefined,
-            confirmedAtMilliseconds: systemClock,
-        } as unknown as CellContext["commits"],
-        crashes: { record: () => undefined } as unknown as CellContext["crashes"],
-        interference: createInterference(),
-        durations: createDurations(),
-        clock: systemClock,
-        log: silentLog,
-        metrics: createJobsMetrics(createMetrics({}, "usage")),
-        signal: this.ordersEnd.signal,
-        maySendOrders: () => true,
-        requestDispatch: () => undefined,
-    };
-    this.cell = cell as CellContext;
+    this.cell = createSimulatedCell({ jobTable: this.jobTable, orders, signal: this.ordersEnd.signal });
+    this.settings = this.cell.settings;
     report(this, FORMER_LIFE, seconds * SECOND);
 });
 
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -8,6 +8,8 @@
 import type { StartAnswer } from "../model/worker.js";
 import type { CellContext } from "./context.js";
 import { paceAttempt } from "./pacing.js";
+import { findStartObstacle } from "./start-obstacle.js";
+import type { StartObstacle } from "./start-obstacle.js";
 import { assumeLongestLease, grantLease, isAnswerOfNewLife } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
@@ -59,16 +61,22 @@
 async function repeatStart(start: PendingStart): Promise<void> {
     const { attempt, cell, worker } = start;
     const { clock, settings, signal } = cell;
-    // An attempt that is lost meanwhile, because its worker's lease has lapsed, may be started elsewhere.
-    const isPending = (): boolean =>
-        !signal.aborted && attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
     for (let tries = 2;; tries++) {
         const failedAt = clock();
         do {
             await pause(settings.orderRetryMilliseconds, signal);
         }
-        while (isPending() && !hasReportedSince(worker, failedAt));
-        if (!isPending()) {
+        while (
+            isPending(start) && findObstacle(start) === undefined
+            && !(hasReportedSince(worker, failedAt) && mayRepeat(start))
+        );
+        if (!isPending(start)) {
+            return;
+        }
+        const obstacle = findObstacle(start);
+        if (obstacle !== undefined) {
+            cell.log.write("start-dropped", { ...describeStart(attempt, clock()), tries: tries - 1, obstacle });
+            handOverToStop(start);
             return;
         }
         // Retries carry the lease of the first order, so that the lease of a worker whose answers get lost still lapses. That
@@ -85,11 +93,29 @@
     }
 }
 
+/** Whether the outcome is still unknown; an attempt that is lost, because its worker's lease has lapsed, may be started elsewhere. */
+function isPending({ attempt, cell: { signal } }: PendingStart): boolean {
+    return !signal.aborted && attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
+}
+
+/** Whether the order may be sent again now; a task that may have crashed its worker waits until that has been reviewed. */
+function mayRepeat({ attempt, cell }: PendingStart): boolean {
+    return cell.maySendOrders(cell.clock()) && !cell.crashes.isUnderReview(attempt.task);
+}
+
+function findObstacle({ attempt, cell, worker }: PendingStart): StartObstacle | undefined {
+    return findStartObstacle(cell, worker, attempt, cell.clock());
+}
+
+/** Leaves an attempt to a stop order, after which the worker rejects start orders that are still in flight. */
+function handOverToStop({ attempt, cell }: PendingStart): void {
+    cell.jobTable.attemptsToStop.add(attempt);
+    cell.requestDispatch();
+}
+
 /** Sends the order once; returns false if it has to be repeated. */
-async function sendStart(
-    { attempt, cell, leaseUntilMilliseconds, ticket, worker }: PendingStart,
-    tries: number,
-): Promise<boolean> {
+async function sendStart(start: PendingStart, tries: number): Promise<boolean> {
+    const { attempt, cell, leaseUntilMilliseconds, ticket, worker } = start;
     const { jobTable, clock, metrics, settings } = cell;
     const { entry, key } = attempt.task;
     const sentAt = clock();
@@ -139,9 +165,7 @@
         return true;
     }
     if (tries >= MAXIMUM_START_TRIES) {
-        // After a stop the worker rejects start orders that are still in flight.
-        jobTable.attemptsToStop.add(attempt);
-        cell.requestDispatch();
+        handOverToStop(start);
         return true;
     }
     metrics.retries.inc({ reason: `start-${code}` });
