Orders are checked when they are about to be sent

Cause: an order waits for one of four connections to its worker, behind others that get no answer. It was checked when it was given and not when it was sent: a start was sent after its job had been cancelled or its owner had lost the cell, and after a process that had stood still the poll for input came before the time limits, so that answers freed connections for orders of any age. An order that gets no connection within its time limit fails at once as unavailable, since nothing of it was sent, and is not sent later.

--- a/src/jobs/cell/pacing.ts
+++ b/src/jobs/cell/pacing.ts
@@ -14,7 +14,8 @@
     percent: number,
     previousPercent = attempt.pacePercent,
 ): Promise<void> {
-    if (!cell.maySendOrders(cell.clock())) {
+    const isWanted = (): boolean => attempt.task.attempts.includes(attempt) && cell.maySendOrders(cell.clock());
+    if (!isWanted()) {
         return;
     }
     attempt.pacePercent = percent;
@@ -25,7 +26,7 @@
         task: key,
         attempt: attempt.number,
         percent,
-    });
+    }, isWanted);
     cell.metrics.orders.inc({ order: "pace", outcome: answer.isOk ? "confirmed" : answer.error.code });
     cell.log.write("pace-ordered", {
         job: entry.id,
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -247,12 +247,13 @@
     pendingStops: Set<string>,
 ): Promise<void> {
     const name = `${running.task}#${running.attempt}`;
-    if (pendingStops.has(name) || !cell.maySendOrders(cell.clock())) {
+    const isAllowed = (): boolean => cell.maySendOrders(cell.clock());
+    if (pendingStops.has(name) || !isAllowed()) {
         return;
     }
     pendingStops.add(name);
     cell.log.write("foreign-run", { worker: worker.listed.id, task: running.task, attempt: running.attempt }, "vital");
-    await orderStop(cell, worker, running.task, running.attempt);
+    await orderStop(cell, worker, running.task, running.attempt, isAllowed);
     pendingStops.delete(name);
 }
 
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -128,7 +128,7 @@
         leaseUntilMilliseconds,
         checkpoint: attempt.checkpoint,
         ...(ticket === undefined ? {} : { ticket }),
-    });
+    }, () => isPending(start) && findObstacle(start) === undefined && cell.maySendOrders(clock()));
     const now = clock();
     if (answer.isOk) {
         const { clockMilliseconds } = answer.value;
--- a/src/jobs/cell/stopping.ts
+++ b/src/jobs/cell/stopping.ts
@@ -5,15 +5,17 @@
 import { pause } from "../../core/time.js";
 import type { Attempt } from "../job-table/task.js";
 import type { TaskKey } from "../model/task-key.js";
+import type { OrderCheck } from "../model/worker.js";
 import type { CellContext } from "./context.js";
 import type { CellWorker } from "./worker.js";
 
 /** Stops an attempt; resolves when the worker has confirmed the stop or the attempt has ended. */
 export async function stopAttempt(cell: CellContext, worker: CellWorker, attempt: Attempt): Promise<void> {
     const { jobTable, clock, settings } = cell;
+    const isWanted = (): boolean => jobTable.attemptsToStop.has(attempt) && cell.maySendOrders(clock());
     while (!cell.signal.aborted && jobTable.attemptsToStop.has(attempt)) {
-        if (worker.contact === "answering" && cell.maySendOrders(clock())) {
-            const confirmedClock = await orderStop(cell, worker, attempt.task.key, attempt.number);
+        if (worker.contact === "answering" && isWanted()) {
+            const confirmedClock = await orderStop(cell, worker, attempt.task.key, attempt.number, isWanted);
             if (confirmedClock !== undefined) {
                 // From now on a report without the attempt means that it has ended, and the worker rejects a delayed start order.
                 attempt.phase = "stopping";
@@ -31,8 +33,9 @@
     worker: CellWorker,
     task: TaskKey,
     attempt: number,
+    isWanted: OrderCheck,
 ): Promise<number | undefined> {
-    const answer = await cell.orders.stop(worker.listed, { epoch: cell.epoch, task, attempt });
+    const answer = await cell.orders.stop(worker.listed, { epoch: cell.epoch, task, attempt }, isWanted);
     cell.metrics.orders.inc({ order: "stop", outcome: answer.isOk ? "confirmed" : answer.error.code });
     if (answer.isOk) {
         cell.log.write("stop-confirmed", { task, attempt, worker: worker.listed.id });
--- a/src/jobs/model/worker.ts
+++ b/src/jobs/model/worker.ts
@@ -119,15 +119,21 @@
     | { readonly kind: "started"; readonly clockMilliseconds: number; }
     | { readonly kind: "refused"; readonly refusal: StartRefusal; readonly clockMilliseconds: number | undefined; };
 
+/**
+ * Asked when an order is about to be sent, which may be some time after it was given: whether its sender still wants it carried out and may
+ * still send it. Otherwise the order fails as `unavailable`.
+ */
+export type OrderCheck = () => boolean;
+
 /**
  * Sends orders to workers. Failures: `fenced` (newer epoch seen by the worker), `conflict` (another incarnation answers),
  * `unavailable` (not executed), `ambiguous` (may have been executed, or may still be).
  */
 export interface WorkerOrders {
     hold(worker: ListedWorker, order: HoldOrder): Promise<Result<WorkerReport, Failure>>;
-    start(worker: ListedWorker, order: StartOrder): Promise<Result<StartAnswer, Failure>>;
-    stop(worker: ListedWorker, order: StopOrder): Promise<Result<OrderAnswer, Failure>>;
-    pace(worker: ListedWorker, order: PaceOrder): Promise<Result<OrderAnswer, Failure>>;
+    start(worker: ListedWorker, order: StartOrder, isWanted: OrderCheck): Promise<Result<StartAnswer, Failure>>;
+    stop(worker: ListedWorker, order: StopOrder, isWanted: OrderCheck): Promise<Result<OrderAnswer, Failure>>;
+    pace(worker: ListedWorker, order: PaceOrder, isWanted: OrderCheck): Promise<Result<OrderAnswer, Failure>>;
     /** Closes the connections to a worker that is gone. */
     closeConnections(worker: ListedWorker): void;
 }
