A gang whose member has not started is stopped at once

Cause: when a worker refused one member of a gang, the attempts of the others were kept, and their starts repeated, though that run could not become complete. They waited for gangTimeoutMs and ended alone. Fix: withdrawing an attempt marks the others of its run to be stopped; so does giving up a start that has waited. Evidence: "The other members of a gang are stopped when one of them is refused" failed before, and holds now.

--- a/features/jobs/waiting-starts.feature
+++ b/features/jobs/waiting-starts.feature
@@ -37,3 +37,9 @@
         Then the start is not sent again
         When the task is cleared
         Then the start is sent again
+
+    # Guards against members of a gang that wait for one that has not started.
+    Scenario: The other members of a gang are stopped when one of them is refused
+        Given a gang of 3 whose starts are unanswered
+        When a worker refuses one of them
+        Then the other members are to be stopped
--- a/features/jobs/waiting-starts.steps.ts
+++ b/features/jobs/waiting-starts.steps.ts
@@ -11,7 +11,7 @@
 import { startAttempt } from "../../src/jobs/cell/starting.js";
 import { createCellWorker } from "../../src/jobs/cell/worker.js";
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
-import { addAttempt } from "../../src/jobs/job-table/attempts.js";
+import { addAttempt, withdrawAttempt } from "../../src/jobs/job-table/attempts.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import { cancelJob } from "../../src/jobs/job-table/lifecycle.js";
 import { finishTask } from "../../src/jobs/job-table/progress.js";
@@ -25,6 +25,7 @@
     worker: CellWorker;
     task: Task;
     attempt: Attempt;
+    gang: readonly Attempt[];
     /** Number of start orders that were sent. */
     starts: number;
     queues: Map<string, Queue>;
@@ -147,3 +148,21 @@
     // The first order may have been carried out.
     assert.ok(this.jobTable.attemptsToStop.has(this.attempt));
 });
+
+Given("a gang of {int} whose starts are unanswered", function(this: WaitingWorld, members: number) {
+    const first = addTask(this.jobTable, "00000000000000d2", { isGang: true, taskCount: members }, systemClock());
+    const tasks = first.occurrence.steps[0]?.tasks ?? [];
+    this.gang = tasks.map(task => addAttempt(this.jobTable, task, this.worker.listed.id, 1, systemClock()));
+});
+
+When("a worker refuses one of them", function(this: WaitingWorld) {
+    const [refused] = this.gang;
+    assert.ok(refused !== undefined);
+    withdrawAttempt(this.jobTable, refused, systemClock());
+});
+
+Then("the other members are to be stopped", function(this: WaitingWorld) {
+    const [refused, ...others] = this.gang;
+    assert.ok(others.length > 0 && others.every(attempt => this.jobTable.attemptsToStop.has(attempt)));
+    assert.ok(refused !== undefined && !this.jobTable.attemptsToStop.has(refused));
+});
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -3,7 +3,7 @@
  */
 import { formatFailure } from "../../core/errors.js";
 import { pause } from "../../core/time.js";
-import { confirmStart, FULL_PACE_PERCENT, withdrawAttempt } from "../job-table/attempts.js";
+import { confirmStart, FULL_PACE_PERCENT, stopRun, withdrawAttempt } from "../job-table/attempts.js";
 import type { Attempt } from "../job-table/task.js";
 import type { StartAnswer } from "../model/worker.js";
 import type { CellContext } from "./context.js";
@@ -109,7 +109,7 @@
 
 /** Leaves an attempt to a stop order, after which the worker rejects start orders that are still in flight. */
 function handOverToStop({ attempt, cell }: PendingStart): void {
-    cell.jobTable.attemptsToStop.add(attempt);
+    stopRun(cell.jobTable, attempt);
     cell.requestDispatch();
 }
 
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -164,12 +164,20 @@
     return false;
 }
 
-/** Removes an attempt that the worker refused to start. It does not count as a failed attempt. */
+/** Removes an attempt that certainly never started. It does not count as a failed attempt. */
 export function withdrawAttempt(table: JobTable, attempt: Attempt, now: number): void {
     removeAttempt(table, attempt);
+    stopRun(table, attempt);
     requeueTask(table, attempt.task, now);
 }
 
+/** Marks an attempt to be stopped, with those of its gang's other members, which would wait for it in vain. */
+export function stopRun(table: JobTable, { number, task }: Attempt): void {
+    for (const { attempts } of gangMembersOf(task)) {
+        attempts.filter(attempt => attempt.number === number).forEach(attempt => table.attemptsToStop.add(attempt));
+    }
+}
+
 function recordStart(table: JobTable, attempt: Attempt, now: number): void {
     if (attempt.phase === "ordered") {
         attempt.phase = "running";
