A start that may have taken place is given up only after its worker has reported

Cause: the obstacles to a repetition were looked at while the worker was still silent, so that an attempt which had started was stopped and its work thrown away when the worker drained or its queue was removed meanwhile. Fix: they are looked at once the worker has reported and the attempt is still unconfirmed; only a stop that is already ordered ends the wait before.

--- a/features/jobs/waiting-starts.feature
+++ b/features/jobs/waiting-starts.feature
@@ -23,6 +23,20 @@
         When the worker answers again
         Then the start is sent again
 
+    # Guards against work that is thrown away, because an unanswered start may have been carried out.
+    Scenario Outline: A start without an answer that has taken place goes on after <event>
+        When <event>
+        And the worker answers again, and runs the task
+        Then the start is not sent again
+        And the task goes on
+
+        Examples:
+            | event                                    |
+            | the worker has begun to drain            |
+            | the worker has left the list for 3000 ms |
+            | the queue has been removed               |
+            | the worker has lost half of its capacity |
+
     # Guards against an owner that repeats orders though it may have a successor.
     Scenario: A start without an answer is not repeated while the owner may not send orders
         When the owner may not send orders
--- a/features/jobs/waiting-starts.steps.ts
+++ b/features/jobs/waiting-starts.steps.ts
@@ -17,6 +17,7 @@
 import { finishTask } from "../../src/jobs/job-table/progress.js";
 import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import type { Queue } from "../../src/jobs/model/catalog.js";
+import type { RunningAttempt } from "../../src/jobs/model/worker.js";
 import { addTask, CORE, createEmptyJobTable, describeWorker, QUEUE } from "./builders.js";
 import { createSimulatedCell } from "./simulated-cell.js";
 
@@ -41,16 +42,18 @@
 const CLOCK_MILLISECONDS = 500_000;
 /** Several times the wait before an order is repeated. */
 const SETTLED_MILLISECONDS = 350;
+/** Longer than the wait before an order is repeated. */
+const SILENCE_MILLISECONDS = 150;
 const NO_ANSWER = createFailure("ambiguous", "/run-start", "no answer within the time limit");
 const LIMIT = { timeout: 10_000 };
 
-function report({ jobTable, worker }: WaitingWorld): void {
+function report({ jobTable, worker }: WaitingWorld, running: RunningAttempt[] = []): void {
     const now = systemClock();
     const clockMilliseconds = (worker.clock?.workerMilliseconds ?? CLOCK_MILLISECONDS) + 1;
     applyReport(
         jobTable,
         worker,
-        { incarnation: 1, clockMilliseconds, running: [], ended: [], isComplete: true },
+        { incarnation: 1, clockMilliseconds, running, ended: [], isComplete: true },
         now,
         now,
     );
@@ -131,6 +134,16 @@
     report(this);
 });
 
+When("the worker answers again, and runs the task", async function(this: WaitingWorld) {
+    await pause(SILENCE_MILLISECONDS);
+    report(this, [{ task: this.task.key, attempt: 1, checkpoint: "", percent: 10, measurement: 0 }]);
+});
+
+Then("the task goes on", function(this: WaitingWorld) {
+    assert.equal(this.attempt.phase, "running");
+    assert.ok(!this.jobTable.attemptsToStop.has(this.attempt));
+});
+
 Then("the start is sent again", LIMIT, async function(this: WaitingWorld) {
     while (this.starts < 2) {
         await pause(10);
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -67,10 +67,10 @@
             await pause(settings.orderRetryMilliseconds, signal);
         }
         while (
-            isPending(start) && findObstacle(start) === undefined
+            isUnconfirmed(start) && !cell.jobTable.attemptsToStop.has(attempt)
             && !(hasReportedSince(worker, failedAt) && mayRepeat(start))
         );
-        if (!isPending(start)) {
+        if (!isUnconfirmed(start)) {
             return;
         }
         const obstacle = findObstacle(start);
@@ -94,7 +94,7 @@
 }
 
 /** Whether the outcome is still unknown; an attempt that is lost, because its worker's lease has lapsed, may be started elsewhere. */
-function isPending({ attempt, cell: { signal } }: PendingStart): boolean {
+function isUnconfirmed({ attempt, cell: { signal } }: PendingStart): boolean {
     return !signal.aborted && attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
 }
 
@@ -128,7 +128,7 @@
         leaseUntilMilliseconds,
         checkpoint: attempt.checkpoint,
         ...(ticket === undefined ? {} : { ticket }),
-    }, () => isPending(start) && findObstacle(start) === undefined && cell.maySendOrders(clock()));
+    }, () => isUnconfirmed(start) && findObstacle(start) === undefined && cell.maySendOrders(clock()));
     const now = clock();
     if (answer.isOk) {
         const { clockMilliseconds } = answer.value;
