A job that was cancelled before its submission arrived does not run

Cause: the cancelling of an unknown job was answered with 410 and left no trace. A submission that was held up, or sent again, was then accepted, and its tasks started seconds after the answer, also under a successor. Change: the owner commits the cancelling before the answer, as the end of a job that nobody has submitted. Callers are told as before that there is no such job. A submission that arrives later is accepted, and is cancelled from the beginning. Such ends do not count in flamingowell_jobs_ended_total until their submission arrives; cancel-recorded and submission-after-cancel are logged. Older builds read the record as a cancelled job.

--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -119,11 +119,16 @@
         for (const { id } of changes.accepted) {
             confirmJob(jobTable, id, now);
         }
-        for (const { id, queue, state } of changes.ended) {
+        for (const { id, queue, state, isUnsubmitted } of changes.ended) {
             const entry = jobTable.jobs.get(id);
             if (entry !== undefined) {
                 entry.reportedState = state;
             }
+            if (isUnsubmitted === true) {
+                log.write("cancel-recorded", { job: id, queue, epoch });
+                continue;
+            }
+            confirmJob(jobTable, id, now);
             options.metrics.jobsEnded.inc({ state });
             log.write("job-ended", {
                 job: id,
--- a/src/jobs/cell/request-handler.ts
+++ b/src/jobs/cell/request-handler.ts
@@ -7,7 +7,7 @@
 import type { EventLog } from "../../core/event-log.js";
 import type { Clock } from "../../core/time.js";
 import type { JobTable } from "../job-table/job-table.js";
-import { acceptJob, cancelJob, withdrawJob } from "../job-table/lifecycle.js";
+import { acceptJob, cancelJob, recordCancelling, withdrawJob } from "../job-table/lifecycle.js";
 import { FINAL_STATES } from "../model/job.js";
 import type { JobReference, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
 import type { Commits } from "./commits.js";
@@ -80,17 +80,19 @@
                 return Result.ok({ kind: "accepted", isNew: false });
             }
             const failingMilliseconds = now - (options.commits().failingSinceMilliseconds(now) ?? now);
-            if (existing === undefined && failingMilliseconds > REFUSE_AFTER_MILLISECONDS) {
+            const isUnknown = existing === undefined || existing.isUnsubmitted;
+            if (isUnknown && failingMilliseconds > REFUSE_AFTER_MILLISECONDS) {
                 return Result.ok(refuse(request, failingMilliseconds));
             }
+            if (existing?.isUnsubmitted === true) {
+                log.write("submission-after-cancel", { job: id, queue, epoch });
+            }
             acceptJob(jobTable, { id, queue, submission, acceptedAtMilliseconds: now });
             const withdrawn = new Promise<Result<SubmitAnswer, Failure>>(resolve => {
                 refusals.set(id, failing => resolve(Result.ok(refuse(request, failing))));
             });
             const stored = commitChanges()
-                .then(outcome =>
-                    outcome.map((): SubmitAnswer => ({ kind: "accepted", isNew: existing === undefined }))
-                );
+                .then(outcome => outcome.map((): SubmitAnswer => ({ kind: "accepted", isNew: isUnknown })));
             const answer = await Promise.race([stored, withdrawn]);
             refusals.delete(id);
             return answer;
@@ -99,10 +101,14 @@
             const entry = jobTable.jobs.get(id);
             return entry?.isCommitted === true ? Result.ok({ state: entry.reportedState }) : answerUnknownJob();
         },
-        async cancel({ id }) {
+        async cancel(reference) {
+            const { id } = reference;
             const entry = jobTable.jobs.get(id);
             log.write("cancel-requested", { job: id, state: entry?.state, isKnown: entry !== undefined, epoch });
             if (entry === undefined) {
+                recordCancelling(jobTable, reference, clock());
+            }
+            if (entry === undefined || entry.isUnsubmitted) {
                 return answerUnknownJob();
             }
             cancelJob(jobTable, id, clock());
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -1,6 +1,7 @@
 /**
  * Creates job entries and the tasks of their occurrences.
  */
+import type { Ended } from "../ledger/segment.js";
 import type { Submission } from "../model/job.js";
 import { formatTaskKey } from "../model/task-key.js";
 import type { JobEntry, Occurrence, StepProgress } from "./job.js";
@@ -20,6 +21,7 @@
         ...job,
         isCommitted: isInherited,
         isInherited,
+        isUnsubmitted: false,
         state: "queued",
         reportedState: "queued",
         endedAtMilliseconds: undefined,
@@ -29,6 +31,17 @@
     };
 }
 
+/** Creates the entry of an ended job of which only the end is known. */
+export function createEndedEntry({ id, queue, endedAtMilliseconds }: Ended, isInherited: boolean): JobEntry {
+    const submission = { payload: "", steps: [] };
+    return createJobEntry({ id, queue, submission, acceptedAtMilliseconds: endedAtMilliseconds }, isInherited);
+}
+
+/** Describes the end of a job for the ledger. */
+export function describeEnd({ id, queue, state, endedAtMilliseconds = 0, isUnsubmitted }: JobEntry): Ended {
+    return { id, queue, state, endedAtMilliseconds, ...(isUnsubmitted ? { isUnsubmitted } : {}) };
+}
+
 /** Returns how many times a job's steps run. */
 export function countOccurrences({ submission }: JobEntry): number {
     return submission.schedule?.occurrences ?? 1;
--- a/src/jobs/job-table/job.ts
+++ b/src/jobs/job-table/job.ts
@@ -36,6 +36,8 @@
     isCommitted: boolean;
     /** Whether the job comes from an earlier owner, which may have started attempts that the ledger does not list. */
     readonly isInherited: boolean;
+    /** Whether the job was cancelled without having been submitted; callers are told that there is no such job. */
+    isUnsubmitted: boolean;
     state: JobState;
     /** The state that callers are told; a final state appears here only after its commit. */
     reportedState: JobState;
--- a/src/jobs/job-table/lifecycle.ts
+++ b/src/jobs/job-table/lifecycle.ts
@@ -2,14 +2,24 @@
  * Accepts, confirms, cancels and removes jobs, and opens scheduled occurrences.
  */
 import { FINAL_STATES } from "../model/job.js";
-import { countOccurrences, createJobEntry, dueTime } from "./create.js";
+import type { JobReference } from "../model/requests.js";
+import { countOccurrences, createEndedEntry, createJobEntry, dueTime } from "./create.js";
 import type { NewJob } from "./create.js";
 import type { JobTable } from "./job-table.js";
 import { endJob, openOccurrence } from "./progress.js";
 
-/** Adds a job; returns false if the job exists already. Its tasks do not start before `confirmJob`. */
+/**
+ * Adds a job; returns false if the job exists already. Its tasks do not start before `confirmJob`. A job that was cancelled
+ * before its submission stays cancelled.
+ */
 export function acceptJob(table: JobTable, job: NewJob): boolean {
-    if (table.jobs.has(job.id)) {
+    const existing = table.jobs.get(job.id);
+    if (existing?.isUnsubmitted === true) {
+        existing.isUnsubmitted = false;
+        endJob(table, existing, "cancelled", job.acceptedAtMilliseconds);
+        return true;
+    }
+    if (existing !== undefined) {
         return false;
     }
     table.jobs.set(job.id, createJobEntry(job, false));
@@ -28,6 +38,14 @@
     return true;
 }
 
+/** Records the cancelling of an unknown job. A submission of it that arrives later does not run. */
+export function recordCancelling(table: JobTable, { id, queue }: JobReference, now: number): void {
+    const entry = createEndedEntry({ id, queue, state: "cancelled", endedAtMilliseconds: now }, false);
+    entry.isUnsubmitted = true;
+    table.jobs.set(id, entry);
+    endJob(table, entry, "cancelled", now);
+}
+
 /** Marks a job as committed to the ledger, which allows its tasks to start. */
 export function confirmJob(table: JobTable, id: string, now: number): void {
     const entry = table.jobs.get(id);
--- a/src/jobs/job-table/progress.ts
+++ b/src/jobs/job-table/progress.ts
@@ -3,7 +3,7 @@
  */
 import { FINAL_STATES } from "../model/job.js";
 import type { JobState } from "../model/job.js";
-import { countOccurrences, createOccurrence, listTasks } from "./create.js";
+import { countOccurrences, createOccurrence, describeEnd, listTasks } from "./create.js";
 import { gangMembersOf, stepProgressOf } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
 import type { JobEntry, Occurrence, StepProgress } from "./job.js";
@@ -42,7 +42,7 @@
         table.readyTasks.delete(task);
         task.attempts.forEach(attempt => table.attemptsToStop.add(attempt));
     }
-    table.changes.ended.push({ id: entry.id, queue: entry.queue, state, endedAtMilliseconds: now });
+    table.changes.ended.push(describeEnd(entry));
 }
 
 /** Marks a job as running when its first task has started. */
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -2,11 +2,10 @@
  * Restores a job table from the ledger's segments, and exports it as a snapshot.
  */
 import { createChanges } from "../ledger/segment.js";
-import type { Changes } from "../ledger/segment.js";
+import type { Changes, Ended } from "../ledger/segment.js";
 import { FINAL_STATES } from "../model/job.js";
-import type { JobState } from "../model/job.js";
 import { findOrOpenTask } from "./attempts.js";
-import { createJobEntry, listTasks } from "./create.js";
+import { createEndedEntry, createJobEntry, describeEnd, listTasks } from "./create.js";
 import type { NewJob } from "./create.js";
 import type { JobTable } from "./job-table.js";
 import type { JobEntry } from "./job.js";
@@ -68,9 +67,9 @@
 }
 
 function addJobToSnapshot(entry: JobEntry, snapshot: Changes): void {
-    const { id, queue, state, submission, acceptedAtMilliseconds, endedAtMilliseconds = 0 } = entry;
+    const { id, queue, state, submission, acceptedAtMilliseconds } = entry;
     if (FINAL_STATES.has(state)) {
-        snapshot.ended.push({ id, queue, state, endedAtMilliseconds });
+        snapshot.ended.push(describeEnd(entry));
         return;
     }
     snapshot.accepted.push({ id, queue, submission, acceptedAtMilliseconds });
@@ -101,19 +100,12 @@
     }
 }
 
-function restoreEndedJob(
-    table: JobTable,
-    { id, queue, state, endedAtMilliseconds }: {
-        id: string;
-        queue: string;
-        state: JobState;
-        endedAtMilliseconds: number;
-    },
-): void {
-    const submission = { payload: "", steps: [] };
-    const entry = table.jobs.get(id)
-        ?? createJobEntry({ id, queue, submission, acceptedAtMilliseconds: endedAtMilliseconds }, true);
+function restoreEndedJob(table: JobTable, ended: Ended): void {
+    const { id, state, endedAtMilliseconds, isUnsubmitted = false } = ended;
+    const entry = table.jobs.get(id) ?? createEndedEntry(ended, true);
     table.jobs.set(id, entry);
+    entry.isUnsubmitted = isUnsubmitted;
+    entry.isCommitted = !isUnsubmitted;
     entry.state = state;
     entry.reportedState = state;
     entry.endedAtMilliseconds = endedAtMilliseconds;
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -11,7 +11,15 @@
     acceptedAtMilliseconds: z.number(),
 });
 
-const Ended = z.object({ id: z.string(), queue: z.string(), state: JobState, endedAtMilliseconds: z.number() });
+const Ended = z.object({
+    id: z.string(),
+    queue: z.string(),
+    state: JobState,
+    endedAtMilliseconds: z.number(),
+    /** Whether the job was cancelled without having been submitted. Older builds wrote none. */
+    isUnsubmitted: z.boolean().optional(),
+});
+export type Ended = z.infer<typeof Ended>;
 
 /** Changes of one commit. */
 export const Segment = z.object({
