A job that was cancelled before its submission was refused stays cancelled

Cause: when commits failed, a waiting submission was withdrawn and refused, with the cancelling of its job; the cancelling was answered 200 after the next commit, and the same id, submitted again, was accepted and ran.

--- a/features/jobs/late-submissions.feature
+++ b/features/jobs/late-submissions.feature
@@ -23,6 +23,20 @@
         When its successor has taken over
         Then there is no such job
 
+    # The submission is refused and its cancelling is answered, so that a repeated submission must not run.
+    Scenario Outline: A job that was cancelled before its submission was refused does not run when it is submitted again
+        Given an owner of simulated workers
+        When the job is submitted and cancelled while the owner cannot reach the store
+        And <event>
+        And the job is submitted
+        Then the submission was accepted
+        And the job is shown as cancelled, and none of its tasks starts
+
+        Examples:
+            | event                        |
+            | nothing else happens         |
+            | its successor has taken over |
+
     # Bounds the memory and the ledger of an owner whose callers cancel jobs that do not exist.
     Scenario: The cancelling of an unknown job is kept as long as ended jobs
         Given a job table restored from a snapshot that holds the cancelling of an unknown job
--- a/features/jobs/late-submissions.steps.ts
+++ b/features/jobs/late-submissions.steps.ts
@@ -80,6 +80,20 @@
     this.lateAnswer = await passTimeUntil(this, this.owner.cell.submit(REQUEST));
 });
 
+When(
+    "the job is submitted and cancelled while the owner cannot reach the store",
+    LIMIT,
+    async function(this: LateWorld) {
+        this.reach.store = false;
+        const submitted = this.owner.cell.submit(REQUEST);
+        const cancelled = this.owner.cell.cancel(REQUEST);
+        assert.equal((await passTimeUntil(this, submitted)).unwrapOr(undefined)?.kind, "refused");
+        this.reach.store = true;
+        const answer = await passTimeUntil(this, cancelled);
+        assert.deepEqual(answer.unwrapOr(undefined), {});
+    },
+);
+
 Then("the submission was accepted", function(this: LateWorld) {
     assert.equal(this.lateAnswer.unwrapOr(undefined)?.kind, "accepted");
 });
--- a/src/jobs/cell/request-handler.ts
+++ b/src/jobs/cell/request-handler.ts
@@ -117,7 +117,8 @@
             const outcome = FINAL_STATES.has(entry.reportedState)
                 ? Result.ok<void, Failure>(undefined)
                 : await commitChanges();
-            return outcome.map(() => ({ state: entry.reportedState }));
+            // The submission may have been refused meanwhile.
+            return outcome.map(() => entry.isUnsubmitted ? {} : { state: entry.reportedState });
         },
         refuseUncommitted(milliseconds) {
             if (milliseconds < REFUSE_AFTER_MILLISECONDS) {
--- a/src/jobs/job-table/lifecycle.ts
+++ b/src/jobs/job-table/lifecycle.ts
@@ -3,7 +3,7 @@
  */
 import { FINAL_STATES } from "../model/job.js";
 import type { JobReference } from "../model/requests.js";
-import { countOccurrences, createEndedEntry, createJobEntry, dueTime } from "./create.js";
+import { countOccurrences, createEndedEntry, createJobEntry, describeEnd, dueTime } from "./create.js";
 import type { NewJob } from "./create.js";
 import type { JobTable } from "./job-table.js";
 import { endJob, openOccurrence } from "./progress.js";
@@ -27,14 +27,24 @@
     return true;
 }
 
-/** Removes a job that is not part of a commit yet; returns false if it is. */
+/**
+ * Removes a job that is not part of a commit yet; returns false if it is. Of a job that has been cancelled, the cancelling
+ * remains.
+ */
 export function withdrawJob(table: JobTable, id: string): boolean {
     const index = table.changes.accepted.findIndex(job => job.id === id);
-    if (index < 0 || table.jobs.get(id)?.isCommitted !== false) {
+    const entry = table.jobs.get(id);
+    if (index < 0 || entry?.isCommitted !== false) {
         return false;
     }
     table.changes.accepted.splice(index, 1);
-    table.jobs.delete(id);
+    if (entry.state === "cancelled") {
+        entry.isUnsubmitted = true;
+        table.changes.ended = table.changes.ended.map(ended => ended.id === id ? describeEnd(entry) : ended);
+    }
+    else {
+        table.jobs.delete(id);
+    }
     return true;
 }
 
