A job that was submitted twice and withdrawn is refused to both callers

Cause: only the latest of several submissions that wait for the commit of one job was told of its withdrawal. The others were told after the next commit that the job was accepted, though it did not exist. Change: all of them are refused. Evidence: "A submission that waits twice for a commit is refused to both callers" failed before (one was told accepted), and holds now.

--- a/features/jobs/late-submissions.feature
+++ b/features/jobs/late-submissions.feature
@@ -37,6 +37,13 @@
             | nothing else happens         |
             | its successor has taken over |
 
+    # Guards against a caller who is told that a job was accepted after it has been withdrawn (LOST).
+    Scenario: A submission that waits twice for a commit is refused to both callers
+        Given an owner of simulated workers
+        When the job is submitted twice while the owner cannot reach the store
+        Then both submissions are refused
+        And there is no such job
+
     # Bounds the memory and the ledger of an owner whose callers cancel jobs that do not exist.
     Scenario: The cancelling of an unknown job is kept as long as ended jobs
         Given a job table restored from a snapshot that holds the cancelling of an unknown job
--- a/features/jobs/late-submissions.steps.ts
+++ b/features/jobs/late-submissions.steps.ts
@@ -19,6 +19,7 @@
     reach: Reach;
     lateAnswer: Result<SubmitAnswer, Failure>;
     jobTable: JobTable;
+    answerKinds: (SubmitAnswer["kind"] | undefined)[];
 }
 
 const LIMIT = { timeout: 20_000 };
@@ -94,6 +95,19 @@
     },
 );
 
+When("the job is submitted twice while the owner cannot reach the store", LIMIT, async function(this: LateWorld) {
+    this.reach.store = false;
+    const submissions = [this.owner.cell.submit(REQUEST), this.owner.cell.submit(REQUEST)];
+    await passTimeUntil(this, Promise.race(submissions));
+    this.reach.store = true;
+    const answers = await passTimeUntil(this, Promise.all(submissions));
+    this.answerKinds = answers.map(answer => answer.unwrapOr(undefined)?.kind);
+});
+
+Then("both submissions are refused", function(this: LateWorld) {
+    assert.deepEqual(this.answerKinds, ["refused", "refused"]);
+});
+
 Then("the submission was accepted", function(this: LateWorld) {
     assert.equal(this.lateAnswer.unwrapOr(undefined)?.kind, "accepted");
 });
--- a/src/jobs/cell/request-handler.ts
+++ b/src/jobs/cell/request-handler.ts
@@ -43,8 +43,8 @@
 /** Creates the request handler of a cell. */
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
     const { jobTable, clock, epoch, log } = options;
-    /** Functions that refuse submissions which wait for a commit, by job. */
-    const refusals = new Map<string, (failingMilliseconds: number) => void>();
+    /** Functions that refuse submissions which wait for a commit, by job; a job may be submitted again meanwhile. */
+    const refusals = new Map<string, Set<(failingMilliseconds: number) => void>>();
 
     const refuse = ({ id, queue }: SubmitRequest, failingMilliseconds: number): SubmitAnswer => {
         log.write("job-refused", {
@@ -88,13 +88,20 @@
                 log.write("submission-after-cancel", { job: id, queue, epoch });
             }
             acceptJob(jobTable, { id, queue, submission, acceptedAtMilliseconds: now });
+            const waiting = refusals.get(id) ?? new Set();
+            refusals.set(id, waiting);
+            let answerRefusal: (failingMilliseconds: number) => void = () => undefined;
             const withdrawn = new Promise<Result<SubmitAnswer, Failure>>(resolve => {
-                refusals.set(id, failing => resolve(Result.ok(refuse(request, failing))));
+                answerRefusal = failing => resolve(Result.ok(refuse(request, failing)));
             });
+            waiting.add(answerRefusal);
             const stored = commitChanges()
                 .then(outcome => outcome.map((): SubmitAnswer => ({ kind: "accepted", isNew: isUnknown })));
             const answer = await Promise.race([stored, withdrawn]);
-            refusals.delete(id);
+            waiting.delete(answerRefusal);
+            if (waiting.size === 0 && refusals.get(id) === waiting) {
+                refusals.delete(id);
+            }
             return answer;
         },
         async state({ id }) {
@@ -124,9 +131,10 @@
             if (milliseconds < REFUSE_AFTER_MILLISECONDS) {
                 return;
             }
-            for (const [id, answer] of [...refusals]) {
+            for (const [id, waiting] of [...refusals]) {
                 if (withdrawJob(jobTable, id)) {
-                    answer(milliseconds);
+                    refusals.delete(id);
+                    waiting.forEach(answer => answer(milliseconds));
                 }
             }
         },
