--- a/stand-ins/users-platform/http.ts
+++ b/stand-ins/users-platform/http.ts
@@ -42,6 +42,8 @@
     reconnect(): void;
     /** Resets all connections, and forgets the calls that have come over them. */
     reset(): void;
+    /** Number of connections that have been opened so far. */
+    connections(): number;
     close(): Promise<void>;
 }
 
@@ -94,6 +96,10 @@
         response.writeHead(status, { "content-type": "application/json" }).end(JSON.stringify(body ?? {}));
     };
     const server = createServer((incoming, response) => void handle(incoming, response));
+    let connections = 0;
+    server.on("connection", () => {
+        connections += 1;
+    });
     server.listen(0, HOST);
     await once(server, "listening");
     const { port } = server.address() as AddressInfo;
@@ -103,6 +109,7 @@
             isConnected = false;
         },
         reconnect,
+        connections: () => connections,
         reset() {
             generation += 1;
             server.closeAllConnections();
