Orders that wait ask for the life, the label and the latest pace as well

Cause: the check in the step that sends asked for less than the decision: not for the required label, the worker's life and its failing reports, foreign runs, or a later pace; a refused repetition was taken for proof that no earlier order is under way; a call that was given up unsent closed its connection and kept other starts from its worker. Change: the check covers these; a refused repetition is handed over to a stop; unsent calls leave their connection open.

--- a/src/jobs/cell/pacing.ts
+++ b/src/jobs/cell/pacing.ts
@@ -14,19 +14,22 @@
     percent: number,
     previousPercent = attempt.pacePercent,
 ): Promise<void> {
-    const isWanted = (): boolean => attempt.task.attempts.includes(attempt) && cell.maySendOrders(cell.clock());
-    if (!isWanted()) {
+    const isAllowed = (): boolean => attempt.task.attempts.includes(attempt) && cell.maySendOrders(cell.clock());
+    if (!isAllowed()) {
         return;
     }
+    const pacedAt = cell.clock();
     attempt.pacePercent = percent;
-    attempt.pacedAtMilliseconds = cell.clock();
+    attempt.pacedAtMilliseconds = pacedAt;
+    /** Whether no other pace has been ordered since. */
+    const isLatest = (): boolean => attempt.pacePercent === percent && attempt.pacedAtMilliseconds === pacedAt;
     const { key, entry } = attempt.task;
     const answer = await cell.orders.pace(worker.listed, {
         epoch: cell.epoch,
         task: key,
         attempt: attempt.number,
         percent,
-    }, isWanted);
+    }, () => isLatest() && isAllowed());
     cell.metrics.orders.inc({ order: "pace", outcome: answer.isOk ? "confirmed" : answer.error.code });
     cell.log.write("pace-ordered", {
         job: entry.id,
@@ -38,7 +41,9 @@
         ...(answer.isErr ? { failure: formatFailure(answer.error) } : {}),
     });
     if (answer.isErr) {
-        attempt.pacePercent = previousPercent;
+        if (isLatest()) {
+            attempt.pacePercent = previousPercent;
+        }
         if (answer.error.code === "fenced") {
             cell.handleOwnerReplaced(formatFailure(answer.error), worker.listed.id);
         }
--- a/src/jobs/cell/start-obstacle.ts
+++ b/src/jobs/cell/start-obstacle.ts
@@ -21,6 +21,8 @@
     | "gang-incomplete"
     | "worker-draining"
     | "worker-unlisted"
+    /** The worker has come back without the label that the step requires. */
+    | "label-missing"
     /** The operators have removed the queue, or given it other workers. */
     | "queue-moved"
     /** The capacity of the worker has shrunk. */
@@ -57,6 +59,9 @@
     if (catalog().queues.get(entry.queue)?.pool !== listed.pool) {
         return "queue-moved";
     }
+    if (step.requiredLabel !== undefined && !listed.labels.includes(step.requiredLabel)) {
+        return "label-missing";
+    }
     // The attempt itself is part of the load.
     return fitsInto(jobTable.occupancy.load(listed.id).used, listed.capacity) ? undefined : "no-room";
 }
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -5,7 +5,7 @@
 import { pause } from "../../core/time.js";
 import { confirmStart, FULL_PACE_PERCENT, stopRun, withdrawAttempt } from "../job-table/attempts.js";
 import type { Attempt } from "../job-table/task.js";
-import type { StartAnswer } from "../model/worker.js";
+import type { StartAnswer, StartRefusal } from "../model/worker.js";
 import type { CellContext } from "./context.js";
 import { paceAttempt } from "./pacing.js";
 import { findStartObstacle } from "./start-obstacle.js";
@@ -98,9 +98,24 @@
     return !signal.aborted && attempt.phase === "ordered" && attempt.task.attempts.includes(attempt);
 }
 
-/** Whether the order may be sent again now; a task that may have crashed its worker waits until that has been reviewed. */
-function mayRepeat({ attempt, cell }: PendingStart): boolean {
-    return cell.maySendOrders(cell.clock()) && !cell.crashes.isUnderReview(attempt.task);
+function isWanted(start: PendingStart): boolean {
+    return isUnconfirmed(start) && findObstacle(start) === undefined;
+}
+
+/**
+ * Whether the order may be sent now: to the life of the worker for which its lease is meant, and not while the worker runs what is
+ * unknown. A task that may have crashed its worker waits until that has been reviewed.
+ */
+function maySend({ attempt, cell, incarnation, worker }: PendingStart): boolean {
+    const now = cell.clock();
+    return cell.maySendOrders(now) && !cell.crashes.isUnderReview(attempt.task)
+        && worker.incarnation === incarnation && worker.failingSinceMilliseconds === undefined
+        && now >= worker.startsFromMilliseconds;
+}
+
+/** Whether the order may be repeated now, which renews its lease if its worker has begun a new life. */
+function mayRepeat(start: PendingStart): boolean {
+    return maySend({ ...start, incarnation: start.worker.incarnation });
 }
 
 function findObstacle({ attempt, cell, worker }: PendingStart): StartObstacle | undefined {
@@ -128,7 +143,7 @@
         leaseUntilMilliseconds,
         checkpoint: attempt.checkpoint,
         ...(ticket === undefined ? {} : { ticket }),
-    }, () => isUnconfirmed(start) && findObstacle(start) === undefined && cell.maySendOrders(clock()));
+    }, () => isWanted(start) && maySend(start));
     const now = clock();
     if (answer.isOk) {
         const { clockMilliseconds } = answer.value;
@@ -140,6 +155,13 @@
             );
             assumeLongestLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
         }
+        if (answer.value.kind === "refused" && answer.value.refusal !== "attempt-over" && tries > 1) {
+            // An earlier order may still be carried out, after this one.
+            logRefusal(cell, worker, attempt, answer.value.refusal);
+            worker.startsFromMilliseconds = Math.max(worker.startsFromMilliseconds, now + NO_CAPACITY_WAIT_MILLISECONDS);
+            handOverToStop(start);
+            return true;
+        }
         applyAnswer(cell, worker, attempt, answer.value, now);
         return true;
     }
@@ -159,8 +181,11 @@
     // The order was not executed, and no earlier order can be in flight.
     const wasNeverExecuted = code === "unavailable" && tries === 1;
     if (hasOtherWorker || wasNeverExecuted) {
+        // A start that this owner has kept back says nothing about its worker.
+        if (hasOtherWorker || isWanted(start) && maySend(start)) {
+            worker.startsFromMilliseconds = Math.max(worker.startsFromMilliseconds, now + UNAVAILABLE_WAIT_MILLISECONDS);
+        }
         withdrawAttempt(jobTable, attempt, now);
-        worker.startsFromMilliseconds = now + UNAVAILABLE_WAIT_MILLISECONDS;
         cell.requestDispatch();
         return true;
     }
@@ -195,7 +220,6 @@
 
 function applyAnswer(cell: CellContext, worker: CellWorker, attempt: Attempt, answer: StartAnswer, now: number): void {
     const { jobTable, metrics } = cell;
-    const { entry, key } = attempt.task;
     if (answer.kind === "started") {
         metrics.orders.inc({ order: "start", outcome: "started" });
         metrics.startSeconds.observe((now - attempt.orderedAtMilliseconds) / 1_000);
@@ -210,16 +234,7 @@
         return;
     }
     const { refusal, clockMilliseconds } = answer;
-    metrics.orders.inc({ order: "start", outcome: refusal });
-    cell.log.write("start-refused", {
-        job: entry.id,
-        task: key,
-        attempt: attempt.number,
-        worker: worker.listed.id,
-        refusal,
-        used: jobTable.occupancy.load(worker.listed.id).used,
-        capacity: worker.listed.capacity,
-    });
+    logRefusal(cell, worker, attempt, refusal);
     if (refusal === "attempt-over" && clockMilliseconds !== undefined) {
         // The attempt has run or was stopped on this worker; the next report contains its end or no longer lists it.
         confirmStart(jobTable, attempt, clockMilliseconds, now);
@@ -231,3 +246,16 @@
     withdrawAttempt(jobTable, attempt, now);
     cell.requestDispatch();
 }
+
+function logRefusal(cell: CellContext, { listed }: CellWorker, { number, task }: Attempt, refusal: StartRefusal): void {
+    cell.metrics.orders.inc({ order: "start", outcome: refusal });
+    cell.log.write("start-refused", {
+        job: task.entry.id,
+        task: task.key,
+        attempt: number,
+        worker: listed.id,
+        refusal,
+        used: cell.jobTable.occupancy.load(listed.id).used,
+        capacity: listed.capacity,
+    });
+}
