Scenario: an owner that releases its cell gives no orders meanwhile

Cause: a release is decided once, but orders go on until the store's answer has come; a successor counts on none. Change: a failing scenario; the simulated store can answer a release late.

--- a/features/jobs/order-conditions.feature
+++ b/features/jobs/order-conditions.feature
@@ -44,3 +44,7 @@
         Given a start that waits for a connection
         When its job is cancelled, and the start is given up unsent
         Then other starts may be sent to its worker at once
+
+    # Guards against two runs of a task (TWICE): its successor relies on a released cell having no owner that acts.
+    Scenario: An owner that releases its cell gives no orders while the store's answer is under way
+        Then an owner starts nothing from its release on, while the store's answer is under way
--- a/features/jobs/order-conditions.steps.ts
+++ b/features/jobs/order-conditions.steps.ts
@@ -20,6 +20,7 @@
 import type { StandInServer } from "../../stand-ins/users-platform/http.js";
 import { addTask, createEmptyJobTable, describeStep, describeWorker, runTask } from "./builders.js";
 import { createSimulatedCell } from "./simulated-cell.js";
+import { createTakeoverSimulation } from "./takeover-world.js";
 
 type StartResult = Result<StartAnswer, Failure>;
 
@@ -228,3 +229,30 @@
 Then("other starts may be sent to its worker at once", function(this: ConditionsWorld) {
     assert.ok(this.worker.startsFromMilliseconds <= systemClock(), "the worker gets no starts for a while");
 });
+
+Then("an owner starts nothing from its release on, while the store's answer is under way", LIMIT, async function() {
+    const simulation = createTakeoverSimulation(2, 1);
+    let answerRelease: () => void = () => undefined;
+    const releaseAnswer = new Promise<void>(resolve => {
+        answerRelease = resolve;
+    });
+    const reach = { workers: new Set(simulation.workerNames), store: true, releaseAnswer };
+    const owner = simulation.startOwner(reach);
+    try {
+        assert.ok(await simulation.passTime(5_000, () => simulation.runs.length > 0));
+        const released = owner.cell.release();
+        await pause(50);
+        const [first] = simulation.runs;
+        assert.ok(first !== undefined);
+        simulation.failTask(first.worker);
+        await simulation.passTime(1_200, () => simulation.runs.length > 1);
+        const startsAfter = simulation.runs.length - 1;
+        answerRelease();
+        assert.ok(await released);
+        assert.equal(startsAfter, 0);
+    }
+    finally {
+        answerRelease();
+        await simulation.close();
+    }
+});
--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -55,6 +55,8 @@
     store: boolean;
     /** Whether its successors reach it; absent means no. */
     successors?: boolean;
+    /** Resolves when the store answers a release, which takes effect at once. */
+    releaseAnswer?: Promise<void>;
 }
 
 /** An owner in simulated time. */
@@ -202,7 +204,7 @@
     const createLedger = (reach: Reach, { epoch, journal }: Succession): Ledger => ({
         ...journal,
         load: async () => Result.ok([...segments]),
-        async commit({ changes }) {
+        async commit({ changes, isRelease }) {
             if (!reach.store) {
                 return Result.err(createFailure("unavailable", "commit", "the store is out of reach"));
             }
@@ -210,6 +212,9 @@
                 return Result.err(createFailure("conflict", "commit", "the cell has another owner"));
             }
             append(changes);
+            if (isRelease === true) {
+                await reach.releaseAnswer;
+            }
             return Result.ok(undefined);
         },
     });
