An owner that releases its cell gives no orders meanwhile

Callers could see a task run twice: a successor counts on a released cell having no owner that acts, but the owner went on to start tasks and to grant leases until the store's answer to the release had come. Cause: maySendOrders turned false only with the end of the ownership, which follows that answer. Fix: it is false from the request to release the cell on. A double run itself was not brought about.

--- a/features/jobs/order-conditions.steps.ts
+++ b/features/jobs/order-conditions.steps.ts
@@ -153,7 +153,10 @@
 );
 
 Then("the attempt is still listed, and is to be stopped", function(this: ConditionsWorld) {
-    assert.ok(this.task.attempts.includes(this.attempt), "the attempt has been given up, and its task may start elsewhere");
+    assert.ok(
+        this.task.attempts.includes(this.attempt),
+        "the attempt has been given up, and its task may start elsewhere",
+    );
     assert.ok(this.jobTable.attemptsToStop.has(this.attempt));
 });
 
@@ -210,7 +213,11 @@
 });
 
 When("an order is sent and answered", LIMIT, async function(this: ConditionsWorld) {
-    const answer = await this.orders.stop(this.listed, { epoch: 1, task: "00000000000000e2.0.0.0", attempt: 1 }, () => true);
+    const answer = await this.orders.stop(
+        this.listed,
+        { epoch: 1, task: "00000000000000e2.0.0.0", attempt: 1 },
+        () => true,
+    );
     assert.ok(answer.isOk);
 });
 
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -107,6 +107,8 @@
         journal.settleFormerOwners();
     }
     const workers: CellContext["workers"] = new Map();
+    /** From then on a successor may act, whether or not the store's answer arrives. */
+    let isReleasing = false;
 
     const abandon = (reason: string): void => {
         if (!ownershipEnd.signal.aborted) {
@@ -193,7 +195,8 @@
         interference: createInterference(),
         durations: createDurations(),
         signal: ownershipEnd.signal,
-        maySendOrders: now => !ownershipEnd.signal.aborted && maySendOrders(listEvidence(), settings, now),
+        maySendOrders: now =>
+            !isReleasing && !ownershipEnd.signal.aborted && maySendOrders(listEvidence(), settings, now),
         listEvidence,
         handleOwnerReplaced: (reason, peer) => abandon(`${peer}: ${reason}`),
         requestDispatch,
@@ -238,7 +241,10 @@
         attachWrite: write => commits.attachWrite(write),
         recordConfirmation: at => commits.recordConfirmation(at),
         failingMilliseconds: now => now - (commits.failingSinceMilliseconds(now) ?? now),
-        release: () => commits.release(),
+        release() {
+            isReleasing = true;
+            return commits.release();
+        },
         isRecovering: () => recovery.unanswered().length > 0,
         leaseEnds() {
             const leaseEnds = new Map<string, number>();
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -158,7 +158,10 @@
         if (answer.value.kind === "refused" && answer.value.refusal !== "attempt-over" && tries > 1) {
             // An earlier order may still be carried out, after this one.
             logRefusal(cell, worker, attempt, answer.value.refusal);
-            worker.startsFromMilliseconds = Math.max(worker.startsFromMilliseconds, now + NO_CAPACITY_WAIT_MILLISECONDS);
+            worker.startsFromMilliseconds = Math.max(
+                worker.startsFromMilliseconds,
+                now + NO_CAPACITY_WAIT_MILLISECONDS,
+            );
             handOverToStop(start);
             return true;
         }
@@ -183,7 +186,10 @@
     if (hasOtherWorker || wasNeverExecuted) {
         // A start that this owner has kept back says nothing about its worker.
         if (hasOtherWorker || isWanted(start) && maySend(start)) {
-            worker.startsFromMilliseconds = Math.max(worker.startsFromMilliseconds, now + UNAVAILABLE_WAIT_MILLISECONDS);
+            worker.startsFromMilliseconds = Math.max(
+                worker.startsFromMilliseconds,
+                now + UNAVAILABLE_WAIT_MILLISECONDS,
+            );
         }
         withdrawAttempt(jobTable, attempt, now);
         cell.requestDispatch();
