--- a/features/jobs/commits.feature
+++ b/features/jobs/commits.feature
@@ -15,6 +15,12 @@
         When a caller submits a job to it
         Then the caller is told that the job was refused
 
+    # Guards against a job that a successor restores from the snapshot and starts, though its caller was told that it was refused (REFUSED).
+    Scenario: A job that is refused while a snapshot is written is not part of the snapshot
+        Given an owner whose commits write snapshots and take 1000 ms
+        When callers submit 4 jobs of 250000 bytes to it at once
+        Then some of the jobs are refused, and the snapshots contain none of these
+
     Scenario: A refusal that comes after a try without an answer is not passed on
         Given a front whose first owner gives no answer and whose second one refuses
         When a caller submits a job to the front
--- a/features/jobs/commits.steps.ts
+++ b/features/jobs/commits.steps.ts
@@ -31,6 +31,9 @@
     /** Leases of the writes that the owner's ledger has taken alongside a commit. */
     leasesWritten: (string | undefined)[];
     isReleased: boolean;
+    /** Jobs that the owner's snapshots contain. */
+    snapshotJobs: string[];
+    submitAnswers: Map<string, Result<SubmitAnswer, Failure>>;
 }
 
 const WATCH_MILLISECONDS = 20;
@@ -126,6 +129,34 @@
     },
 );
 
+Given("an owner whose commits write snapshots and take {int} ms", function(this: CommitsWorld, milliseconds: number) {
+    this.snapshotJobs = [];
+    openOwner(this, async ({ createSnapshot }) => {
+        this.snapshotJobs.push(...createSnapshot().accepted.map(({ id }) => id));
+        await pause(milliseconds);
+        return Result.ok(undefined);
+    });
+});
+
+When("callers submit {int} jobs of {int} bytes to it at once", LIMIT, async function(
+    this: CommitsWorld,
+    count: number,
+    bytes: number,
+) {
+    this.submitAnswers = new Map();
+    const submission = { payload: "x".repeat(bytes), steps: [describeStep({})] };
+    const ids = Array.from({ length: count }, (_, index) => `00000000000000c${index}`);
+    await Promise.all(ids.map(async id => {
+        this.submitAnswers.set(id, await this.submitToOwner({ ...REQUEST, id, submission }));
+    }));
+});
+
+Then("some of the jobs are refused, and the snapshots contain none of these", function(this: CommitsWorld) {
+    const refused = [...this.submitAnswers].filter(([, answer]) => answer.isOk && answer.value.kind === "refused");
+    assert.notDeepEqual(refused, []);
+    assert.deepEqual(refused.map(([id]) => id).filter(id => this.snapshotJobs.includes(id)), []);
+});
+
 Given("an owner whose commits work", function(this: CommitsWorld) {
     openOwner(this, answerAfter(0, Result.ok(undefined)));
 });
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -56,11 +56,14 @@
     table.changes = createChanges();
 }
 
-/** Returns the whole job table as changes to an empty one. */
+/** Returns the job table as changes to an empty one, without the jobs that are accepted in a later commit or refused until then. */
 export function createSnapshot(table: JobTable, workersInUse: ReadonlySet<string>): Changes {
     const snapshot = createChanges();
+    const acceptedLater = new Set(table.changes.accepted.map(({ id }) => id));
     for (const entry of table.jobs.values()) {
-        addJobToSnapshot(entry, snapshot);
+        if (!acceptedLater.has(entry.id)) {
+            addJobToSnapshot(entry, snapshot);
+        }
     }
     snapshot.workersUsed.push(...workersInUse);
     return snapshot;
--- a/src/jobs/ledger/ledger.ts
+++ b/src/jobs/ledger/ledger.ts
@@ -103,7 +103,7 @@
 /** A commit to a ledger. */
 export interface Commit {
     readonly changes: Changes;
-    /** Returns the whole job table, including these changes. */
+    /** Returns the job table, including these changes but not the jobs that a later commit accepts. */
     createSnapshot(): Changes;
     /** Whether the commit releases the cell. */
     readonly isRelease?: boolean;
