--- a/stand-ins/users-platform/worker.ts
+++ b/stand-ins/users-platform/worker.ts
@@ -50,7 +50,8 @@
     readonly startsOverCapacity: readonly number[];
     /** Reports that told of at least one end. */
     readonly reportsWithEnds: number;
-    fault: (path: string) => RequestFault;
+    /** Chooses the fault of each order, also by the owner's epoch that it carries; tests set it. */
+    fault: (path: string, epoch: number) => RequestFault;
     /** Changes the capacity, in thousandths of a core; what runs goes on. */
     resize(millicores: number): void;
     /** Cuts its links: it runs on, neither answers nor renews its entry, and its entry is removed in time. */
@@ -282,7 +283,10 @@
         },
     };
     const started: UsersWorker = worker;
-    const server = await serveJson(answer, ({ url }) => started.fault(url.pathname));
+    const server = await serveJson(
+        answer,
+        ({ body, url }) => started.fault(url.pathname, Number(body["fencingToken"] ?? 0)),
+    );
     const { address } = server;
     const key = `servers/${id}`;
     let beats = 0;
