Scheduler: a start is sent only while its rule runs and its attempt is wanted

Cause: the start of a committed task waits for the commit, for answers to stops, or is repeated every 400 ms after a worker was silent, and asked only whether the ledger had it committed as starting. A rule that ends changes the draft; while the store gives no answer the draft is not committed, and behind a commit that hangs not even changed, so that the start was repeated for up to the horizon (30 min). Change: findStartObstacle is asked when starts are about to be sent: the draft still starts the attempt, and its rule runs tasks by the configuration that the process knows then. An attempt that is not wanted gets its stop after the next commit.

--- /dev/null
+++ b/features/scheduler/asked-anew.feature
@@ -0,0 +1,5 @@
+Feature: Orders that wait or are repeated are sent only while they are wanted and allowed
+
+    Scenario: A start without an answer is not repeated once its rule has ended
+        When a worker leaves a start unanswered, and the rule ends before it answers again, while the store hangs
+        Then no start was sent after the rule had ended
--- /dev/null
+++ b/features/scheduler/asked-anew.steps.ts
@@ -0,0 +1,71 @@
+/**
+ * Steps for orders that wait or are repeated.
+ */
+import { Then, When } from "@cucumber/cucumber";
+import createDebug from "debug";
+import assert from "node:assert/strict";
+import { createStage } from "./support/parties.js";
+import type { Stage } from "./support/parties.js";
+import { createBatch } from "./support/rules.js";
+
+const LIMIT = { timeout: 60_000 };
+const SILENCE_MILLISECONDS = 600;
+const LONG_MILLISECONDS = 5_000;
+
+interface AskedWorld {
+    stage: Stage;
+    /** When the start ceased to be wanted. */
+    unwantedAt: number;
+}
+
+/** Plays a history in virtual time; the log would consist of its faults. */
+async function play(workerCount: number, history: (stage: Stage) => Promise<void>): Promise<Stage> {
+    const namespaces = createDebug.disable();
+    const stage = createStage(workerCount);
+    try {
+        await history(stage);
+    }
+    finally {
+        await stage.close();
+        createDebug.enable(namespaces);
+    }
+    return stage;
+}
+
+function silence(stage: Stage): void {
+    stage.workers.forEach(worker => {
+        worker.state = "silent";
+    });
+}
+
+/** Makes the workers silent just before a task is placed, so that its start is sent and gets no answer. */
+async function leaveStartUnanswered(stage: Stage): Promise<void> {
+    silence(stage);
+    stage.configuration.apply([createBatch("season-prep", { tasks: 1 })]);
+    await stage.time.advance(SILENCE_MILLISECONDS);
+    assert.ok(stage.orders.some(({ kind }) => kind === "start"), "no start was sent");
+}
+
+When(
+    "a worker leaves a start unanswered, and the rule ends before it answers again, while the store hangs",
+    LIMIT,
+    async function(this: AskedWorld) {
+        this.stage = await play(1, async stage => {
+            const owner = await stage.add("entry-1");
+            await leaveStartUnanswered(stage);
+            owner.storeLink.pause();
+            stage.configuration.apply([]);
+            this.unwantedAt = stage.time.now();
+            stage.workers.forEach(worker => worker.wake());
+            await stage.time.advance(LONG_MILLISECONDS);
+            owner.storeLink.resume();
+            await stage.time.advance(LONG_MILLISECONDS);
+        });
+    },
+);
+
+Then("no start was sent after the rule had ended", function(this: AskedWorld) {
+    const late = this.stage.orders.filter(({ kind, at }) => kind === "start" && at > this.unwantedAt);
+    assert.deepEqual(late, []);
+    assert.deepEqual(this.stage.listStarts(), []);
+});
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -14,7 +14,7 @@
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
 import type { Overflow } from "../jobs/overflow.js";
-import { listPlacements } from "../jobs/spec.js";
+import { listPlacements, listRunnable } from "../jobs/spec.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -112,6 +112,7 @@
         workers: options.workers,
         clock,
         horizon: () => journal.head().horizonMilliseconds,
+        listRules: now => nameRunnable(options.configuration(), now),
         emit: event => {
             inbox.push(event);
         },
@@ -277,3 +278,7 @@
         },
     };
 }
+
+function nameRunnable(configuration: Configuration | undefined, now: number): ReadonlySet<string> {
+    return new Set(configuration === undefined ? [] : listRunnable(configuration, now).map(({ rule }) => rule.name));
+}
--- a/src/scheduler/cell/worker-session.ts
+++ b/src/scheduler/cell/worker-session.ts
@@ -11,6 +11,7 @@
 import { nameAttempt } from "./link.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
 import { chooseRenewalInterval } from "./renewing.js";
+import { findStartObstacle } from "./start-obstacle.js";
 
 // Renewals sent to a silent worker after this share of a lease could extend the tasks by more than one lease.
 const RENEWABLE_SHARE_OF_LEASE = 0.5;
@@ -31,6 +32,8 @@
     readonly wake: Wake;
     /** Time until which leases may be renewed without reaching the store. */
     horizon(): number;
+    /** Names of the rules that run tasks at a time, as this process knows them. */
+    listRules(now: number): ReadonlySet<string>;
     emit(event: WorkerEvent): void;
     onReport(report: WorkerReport, now: number): void;
     /** Called when the worker has seen a newer epoch: this process no longer owns the cell. */
@@ -137,8 +140,14 @@
 
 async function sendStarts(options: WorkerSessionOptions): Promise<void> {
     const { link, ledger } = options;
-    const tasks = ledger.committedOn(link.instance.name)
+    const unanswered = ledger.committedOn(link.instance.name)
         .filter(task => task.state === "starting" && !link.answeredStarts.has(nameAttempt(task)));
+    if (unanswered.length === 0) {
+        return;
+    }
+    const context = { ledger, rules: options.listRules(options.clock()) };
+    // An attempt that is not wanted any more gets its stop once that is committed.
+    const tasks = unanswered.filter(task => findStartObstacle(context, task) === undefined);
     const acceptsWork = link.isListed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
     // The worker may have begun to leave during the commit: it gets no new starts, but sent ones are repeated.
     const sendable = tasks.filter(task => acceptsWork || link.unansweredStarts.has(nameAttempt(task)));
