Scheduler: a start without an answer is withdrawn from a worker that takes no new work

Cause: a start that was sent and not answered was repeated although its worker had begun to drain or to leave since, because the worker may have received the first order. A drain that had been acknowledged was followed by a start minutes later. Change: such an attempt gets a stop with a checkpoint instead. The worker answers with the end, or that it has no such attempt, after which it refuses orders that are still on their way; the task is then placed anew.

--- a/features/scheduler/asked-anew.steps.ts
+++ b/features/scheduler/asked-anew.steps.ts
@@ -4,6 +4,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import createDebug from "debug";
 import assert from "node:assert/strict";
+import { drainWorker } from "../../src/core/messages/operator.js";
 import { createStage } from "./support/parties.js";
 import type { Stage } from "./support/parties.js";
 import { createBatch } from "./support/rules.js";
@@ -39,11 +40,13 @@
 }
 
 /** Makes the workers silent just before a task is placed, so that its start is sent and gets no answer. */
-async function leaveStartUnanswered(stage: Stage): Promise<void> {
+async function leaveStartUnanswered(stage: Stage): Promise<string> {
     silence(stage);
     stage.configuration.apply([createBatch("season-prep", { tasks: 1 })]);
     await stage.time.advance(SILENCE_MILLISECONDS);
-    assert.ok(stage.orders.some(({ kind }) => kind === "start"), "no start was sent");
+    const start = stage.orders.find(({ kind }) => kind === "start");
+    assert.ok(start !== undefined, "no start was sent");
+    return start.worker;
 }
 
 When(
@@ -69,3 +72,21 @@
     assert.deepEqual(late, []);
     assert.deepEqual(this.stage.listStarts(), []);
 });
+
+When("a worker leaves a start unanswered, and is drained before it answers again", LIMIT, async function(
+    this: AskedWorld,
+) {
+    this.stage = await play(2, async stage => {
+        const owner = await stage.add("entry-1");
+        const worker = await leaveStartUnanswered(stage);
+        await owner.call(drainWorker.name, { worker, drain: true, by: "Aino" });
+        stage.workers.forEach(model => model.wake());
+        await stage.time.advance(LONG_MILLISECONDS);
+    });
+});
+
+Then("the worker started nothing, and the task was started on the other one", function(this: AskedWorld) {
+    const { worker } = this.stage.orders.find(({ kind }) => kind === "start") ?? assert.fail("no start was sent");
+    assert.deepEqual(this.stage.listStarts(worker), []);
+    assert.equal(this.stage.listStarts().length, 1);
+});
--- a/src/scheduler/cell/worker-session.ts
+++ b/src/scheduler/cell/worker-session.ts
@@ -148,17 +148,19 @@
     const context = { ledger, rules: options.listRules(options.clock()) };
     // An attempt that is not wanted any more gets its stop once that is committed.
     const tasks = unanswered.filter(task => findStartObstacle(context, task) === undefined);
-    const acceptsWork = link.isListed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
-    // The worker may have begun to leave during the commit: it gets no new starts, but sent ones are repeated.
-    const sendable = tasks.filter(task => acceptsWork || link.unansweredStarts.has(nameAttempt(task)));
-    tasks.filter(task => !sendable.includes(task)).forEach(task => returnPlacement(options, task));
-    if (sendable.length === 0) {
+    // The worker may have begun to leave meanwhile; a start that it may have received is withdrawn by a stop.
+    if (!acceptsWork(options)) {
+        tasks.filter(task => !link.unansweredStarts.has(nameAttempt(task)))
+            .forEach(task => returnPlacement(options, task));
         return;
     }
-    sendable.forEach(task => link.unansweredStarts.add(nameAttempt(task)));
+    if (tasks.length === 0) {
+        return;
+    }
+    tasks.forEach(task => link.unansweredStarts.add(nameAttempt(task)));
     const answer = await options.workers.start(link.instance.controlOrigin, {
         ...headerFor(options),
-        starts: sendable.map(task => toStart(options, task)),
+        starts: tasks.map(task => toStart(options, task)),
     });
     if (answer.isErr) {
         // The order is repeated later; it is idempotent.
@@ -177,6 +179,19 @@
     }
 }
 
+function acceptsWork({ link, ledger }: WorkerSessionOptions): boolean {
+    return link.isListed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
+}
+
+/** Starts without an answer on a worker that takes no new work: a stop ends the attempt, or keeps it from starting. */
+function listWithdrawn(options: WorkerSessionOptions): Task[] {
+    const { link, ledger } = options;
+    return acceptsWork(options) ? [] : ledger.committedOn(link.instance.name).filter(task => {
+        const name = nameAttempt(task);
+        return task.state === "starting" && link.unansweredStarts.has(name) && !link.answeredStarts.has(name);
+    });
+}
+
 /** Reports a start as refused that was not sent and never will be. */
 function returnPlacement(options: WorkerSessionOptions, { taskId, attempt }: Task): void {
     const { link } = options;
@@ -191,15 +206,16 @@
     const orphans = link.attempts.filter(status =>
         !ENDED_STATES.has(status.state) && !isCurrentAttempt(options, status)
     );
-    if (ending.length + orphans.length === 0) {
+    const withdrawn = listWithdrawn(options);
+    if (ending.length + orphans.length + withdrawn.length === 0) {
         return;
     }
     const answer = await options.workers.stop(link.instance.controlOrigin, {
         ...headerFor(options),
         stops: [
-            ...ending.map(task => ({
+            ...[...ending, ...withdrawn].map(task => ({
                 ...toAttempt(task),
-                checkpoint: task.state === "checkpointing",
+                checkpoint: task.state !== "stopping",
                 graceMilliseconds: settings.stopGraceMilliseconds,
             })),
             ...orphans.map(status => ({ ...toAttempt(status), checkpoint: false, graceMilliseconds: 0 })),
@@ -208,6 +224,10 @@
     if (answer.isErr) {
         return;
     }
+    for (const task of withdrawn) {
+        link.answeredStarts.add(nameAttempt(task));
+        link.unansweredStarts.delete(nameAttempt(task));
+    }
     const orphaned = new Set(orphans.map(nameAttempt));
     link.attempts = link.attempts.filter(status => !orphaned.has(nameAttempt(status)));
     for (const status of answer.value) {
