Scheduler: starts need a claim that the store has confirmed within one store lease

Cause: an owner without the store, or one that had stood still, went on sending the starts it had committed until its horizon (30 min), though another scheduler may own the cell since. Workers refuse a former owner only once its successor has reached them, so that a task whose cancelling the successor had acknowledged was started by the former owner. Change: a start is sent only while a commit or a check of the claims has named this scheduler as the owner within storeLeaseSeconds, the time in which a successor can't do so. Renewals, stops and throttles go on as before.

--- a/features/scheduler/asked-anew.feature
+++ b/features/scheduler/asked-anew.feature
@@ -7,3 +7,7 @@
     Scenario: A start without an answer is not repeated on a worker that drains
         When a worker leaves a start unanswered, and is drained before it answers again
         Then the worker started nothing, and the task was started on the other one
+
+    Scenario: A scheduler that the store has not confirmed for a while starts nothing
+        When an owner without the store keeps a start that its successor has cancelled
+        Then nothing was started after the cancelling had been acknowledged
--- a/features/scheduler/asked-anew.steps.ts
+++ b/features/scheduler/asked-anew.steps.ts
@@ -4,7 +4,7 @@
 import { Then, When } from "@cucumber/cucumber";
 import createDebug from "debug";
 import assert from "node:assert/strict";
-import { drainWorker } from "../../src/core/messages/operator.js";
+import { cancelTask, drainWorker } from "../../src/core/messages/operator.js";
 import { createStage } from "./support/parties.js";
 import type { Stage } from "./support/parties.js";
 import { createBatch } from "./support/rules.js";
@@ -12,6 +12,7 @@
 const LIMIT = { timeout: 60_000 };
 const SILENCE_MILLISECONDS = 600;
 const LONG_MILLISECONDS = 5_000;
+const TASK = "season-prep@once/0";
 
 interface AskedWorld {
     stage: Stage;
@@ -90,3 +91,28 @@
     assert.deepEqual(this.stage.listStarts(worker), []);
     assert.equal(this.stage.listStarts().length, 1);
 });
+
+When("an owner without the store keeps a start that its successor has cancelled", LIMIT, async function(
+    this: AskedWorld,
+) {
+    this.stage = await play(1, async stage => {
+        const owner = await stage.add("entry-1");
+        const worker = await leaveStartUnanswered(stage);
+        owner.storeLink.pause();
+        const successor = await stage.add("entry-2");
+        successor.unreachable.add(worker);
+        await stage.time.advance(LONG_MILLISECONDS);
+        assert.equal(successor.scheduler.ownedCells().length, 1, "the successor does not own the cell");
+        const answer = await successor.call(cancelTask.name, { taskId: TASK, by: "Aino" });
+        assert.deepEqual(answer, { known: true, state: "stopping" });
+        this.unwantedAt = stage.time.now();
+        stage.workers.forEach(model => model.wake());
+        await stage.time.advance(LONG_MILLISECONDS);
+    });
+});
+
+Then("nothing was started after the cancelling had been acknowledged", function(this: AskedWorld) {
+    assert.deepEqual(this.stage.listStarts(), []);
+    const late = this.stage.orders.filter(({ kind, at }) => kind === "start" && at > this.unwantedAt);
+    assert.deepEqual(late, []);
+});
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -4,6 +4,7 @@
 import { setMaxListeners } from "node:events";
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
+import { MILLISECONDS_PER_SECOND } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import { createWake } from "../../core/wake.js";
 import type { Comparison } from "../../platform/store.js";
@@ -54,6 +55,8 @@
     configuration(): Configuration | undefined;
     readonly assignments: Pick<Assignments, "find" | "version">;
     readonly overflow: Overflow;
+    /** Time of the last check in which the store named this scheduler as the owner. */
+    confirmedAtMilliseconds(): number;
     quotas(ledger: Ledger, configuration: Configuration): readonly QuotaSlice[];
     /** Called when the routes of the cell have changed. */
     onRoutesChanged(): void;
@@ -97,6 +100,8 @@
     let end: CellEnd | undefined;
     let isReleasing = false;
     let nextCleanupAt = 0;
+    // Time at which the last commit that succeeded was sent.
+    let committedAt = 0;
     let configuration: Configuration | undefined;
 
     const finish = (reason: CellEnd) => {
@@ -112,6 +117,9 @@
         workers: options.workers,
         clock,
         horizon: () => journal.head().horizonMilliseconds,
+        mayStart: now =>
+            now - Math.max(committedAt, options.confirmedAtMilliseconds())
+                < settings.storeLeaseSeconds * MILLISECONDS_PER_SECOND,
         listRules: now => nameRunnable(options.configuration(), now),
         emit: event => {
             inbox.push(event);
@@ -195,6 +203,7 @@
         if (committed.isErr) {
             return committed.error;
         }
+        committedAt = now;
         overflow.markCommitted();
         publish();
         workers.forEach(worker => sessions.wake(worker));
--- a/src/scheduler/cell/worker-session.ts
+++ b/src/scheduler/cell/worker-session.ts
@@ -34,6 +34,8 @@
     horizon(): number;
     /** Names of the rules that run tasks at a time, as this process knows them. */
     listRules(now: number): ReadonlySet<string>;
+    /** True while no other scheduler can have owned the cell for long: the store has confirmed the claim lately. */
+    mayStart(now: number): boolean;
     emit(event: WorkerEvent): void;
     onReport(report: WorkerReport, now: number): void;
     /** Called when the worker has seen a newer epoch: this process no longer owns the cell. */
@@ -53,7 +55,7 @@
         }
         if (link.incarnation !== undefined && !isStopped()) {
             await sendStops(options);
-            if (clock() < options.horizon()) {
+            if (clock() < options.horizon() && options.mayStart(clock())) {
                 await sendStarts(options);
             }
             await sendThrottles(options);
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -62,6 +62,8 @@
      * since the last standstill of the process.
      */
     isConfirmed(cell: string, now: number): boolean;
+    /** Time at which the last check was begun that found the claim of the cell in the store; 0 without one. */
+    confirmedAtMilliseconds(cell: string): number;
     /** Applies a new instance list. */
     update(instances: readonly PlatformInstance[], maps: readonly CellMap[]): void;
     /** Reads the store once, then claims and hands over cells that are due; false where the store did not answer. */
@@ -200,6 +202,7 @@
             return owner !== undefined && now < owner.horizonMilliseconds()
                 && (confirmedAt.get(cell) ?? 0) > lastStandstillAt;
         },
+        confirmedAtMilliseconds: cell => confirmedAt.get(cell) ?? 0,
         async check(signal) {
             const startedAt = clock();
             detectStandstill(startedAt);
--- a/src/scheduler/scheduler.ts
+++ b/src/scheduler/scheduler.ts
@@ -139,6 +139,7 @@
                 quotas: (current, configuration) =>
                     sliceQuotas(configuration, current, team => shares.get(map.cell)?.share(team) ?? 0),
                 onRoutesChanged: announceRoutes,
+                confirmedAtMilliseconds: () => ownership.confirmedAtMilliseconds(map.cell),
                 overflow: createOverflow({
                     cell: map.cell,
                     ledger,
