Scheduler: no start or throttle follows a stop after the cell was released

Cause: the session with a worker asked whether it had ended before its stops only. Starts and throttles that waited for the answer to a stop were sent under the old epoch after the cell had been released or lost, and by a session whose worker had been dropped. Change: the session asks again after each wait.

--- a/features/scheduler/asked-anew.feature
+++ b/features/scheduler/asked-anew.feature
@@ -11,3 +11,7 @@
     Scenario: A scheduler that the store has not confirmed for a while starts nothing
         When an owner without the store keeps a start that its successor has cancelled
         Then nothing was started after the cancelling had been acknowledged
+
+    Scenario: A scheduler that has released its cell starts nothing there any more
+        When a cell is released while its owner waits for the answer to a stop, with a start behind it
+        Then its owner sent no start after the release
--- a/features/scheduler/asked-anew.steps.ts
+++ b/features/scheduler/asked-anew.steps.ts
@@ -2,12 +2,11 @@
  * Steps for orders that wait or are repeated.
  */
 import { Then, When } from "@cucumber/cucumber";
-import createDebug from "debug";
 import assert from "node:assert/strict";
 import { cancelTask, drainWorker } from "../../src/core/messages/operator.js";
-import { createStage } from "./support/parties.js";
+import { playStage } from "./support/parties.js";
 import type { Stage } from "./support/parties.js";
-import { createBatch } from "./support/rules.js";
+import { createBatch, createService } from "./support/rules.js";
 
 const LIMIT = { timeout: 60_000 };
 const SILENCE_MILLISECONDS = 600;
@@ -20,20 +19,6 @@
     unwantedAt: number;
 }
 
-/** Plays a history in virtual time; the log would consist of its faults. */
-async function play(workerCount: number, history: (stage: Stage) => Promise<void>): Promise<Stage> {
-    const namespaces = createDebug.disable();
-    const stage = createStage(workerCount);
-    try {
-        await history(stage);
-    }
-    finally {
-        await stage.close();
-        createDebug.enable(namespaces);
-    }
-    return stage;
-}
-
 function silence(stage: Stage): void {
     stage.workers.forEach(worker => {
         worker.state = "silent";
@@ -54,7 +39,7 @@
     "a worker leaves a start unanswered, and the rule ends before it answers again, while the store hangs",
     LIMIT,
     async function(this: AskedWorld) {
-        this.stage = await play(1, async stage => {
+        this.stage = await playStage(1, async stage => {
             const owner = await stage.add("entry-1");
             await leaveStartUnanswered(stage);
             owner.storeLink.pause();
@@ -77,7 +62,7 @@
 When("a worker leaves a start unanswered, and is drained before it answers again", LIMIT, async function(
     this: AskedWorld,
 ) {
-    this.stage = await play(2, async stage => {
+    this.stage = await playStage(2, async stage => {
         const owner = await stage.add("entry-1");
         const worker = await leaveStartUnanswered(stage);
         await owner.call(drainWorker.name, { worker, drain: true, by: "Aino" });
@@ -95,7 +80,7 @@
 When("an owner without the store keeps a start that its successor has cancelled", LIMIT, async function(
     this: AskedWorld,
 ) {
-    this.stage = await play(1, async stage => {
+    this.stage = await playStage(1, async stage => {
         const owner = await stage.add("entry-1");
         const worker = await leaveStartUnanswered(stage);
         owner.storeLink.pause();
@@ -116,3 +101,30 @@
     const late = this.stage.orders.filter(({ kind, at }) => kind === "start" && at > this.unwantedAt);
     assert.deepEqual(late, []);
 });
+
+When("a cell is released while its owner waits for the answer to a stop, with a start behind it", LIMIT, async function(
+    this: AskedWorld,
+) {
+    this.stage = await playStage(1, async stage => {
+        const owner = await stage.add("entry-1");
+        stage.configuration.apply([createService("beacon-check")]);
+        await stage.time.advance(LONG_MILLISECONDS);
+        owner.stopAnswers.pause();
+        stage.configuration.apply([]);
+        await stage.time.advance(SILENCE_MILLISECONDS);
+        assert.equal(stage.orders.filter(({ kind }) => kind === "stop").length, 1);
+        stage.configuration.apply([createBatch("season-prep", { tasks: 1 })]);
+        await stage.time.advance(SILENCE_MILLISECONDS);
+        assert.equal(stage.orders.filter(({ kind }) => kind === "start").length, 1);
+        void owner.scheduler.handOver(0);
+        await stage.time.advance(SILENCE_MILLISECONDS);
+        this.unwantedAt = stage.time.now();
+        owner.stopAnswers.resume();
+        await stage.time.advance(LONG_MILLISECONDS);
+    });
+});
+
+Then("its owner sent no start after the release", function(this: AskedWorld) {
+    const late = this.stage.orders.filter(({ kind, at }) => kind === "start" && at >= this.unwantedAt);
+    assert.deepEqual(late, []);
+});
--- a/features/scheduler/support/parties.ts
+++ b/features/scheduler/support/parties.ts
@@ -2,6 +2,7 @@
  * Schedulers with stores, workers and links in memory, in virtual time. Each scheduler can be cut off from the store or from
  * single workers, and answers of its orders can be held up.
  */
+import createDebug from "debug";
 import { Result } from "true-myth/result";
 import { createFailure } from "../../../src/core/errors.js";
 import type { Failure } from "../../../src/core/errors.js";
@@ -90,8 +91,22 @@
     close(): Promise<void>;
 }
 
+/** Plays a history in virtual time; the log would consist of its faults. */
+export async function playStage(workerCount: number, history: (stage: Stage) => Promise<void>): Promise<Stage> {
+    const namespaces = createDebug.disable();
+    const stage = createStage(workerCount);
+    try {
+        await history(stage);
+    }
+    finally {
+        await stage.close();
+        createDebug.enable(namespaces);
+    }
+    return stage;
+}
+
 /** Creates a stage: one cell with some workers. */
-export function createStage(workerCount: number): Stage {
+function createStage(workerCount: number): Stage {
     const time = startVirtualTime(now => {
         store.step(now);
         models.all.forEach(worker => worker.step(now));
--- a/src/scheduler/cell/worker-session.ts
+++ b/src/scheduler/cell/worker-session.ts
@@ -55,10 +55,12 @@
         }
         if (link.incarnation !== undefined && !isStopped()) {
             await sendStops(options);
-            if (clock() < options.horizon() && options.mayStart(clock())) {
+            if (!isStopped() && clock() < options.horizon() && options.mayStart(clock())) {
                 await sendStarts(options);
             }
-            await sendThrottles(options);
+            if (!isStopped()) {
+                await sendThrottles(options);
+            }
         }
         const orderAt = hasPendingOrders(options) ? clock() + ORDER_RETRY_MILLISECONDS : Infinity;
         await wake.wait(Math.min(renewedAt + chooseRenewalInterval(options, clock()), orderAt) - clock(), signal);
