Scheduler: a claim replaces only the owner that it was decided about

Cause: that the last holder is gone is decided from the claims; the head is read later, after a wait, and was replaced whoever held it then. A claim that waited took the cell from an owner that had claimed it meanwhile, and with the proof for the former one: the leases of a living owner then counted as ended after two leases instead of at its horizon. Change: the claim names the epoch that it replaces, and is a conflict where the head has another one; the next check decides anew.

--- /dev/null
+++ b/features/scheduler/stale-writes.feature
@@ -0,0 +1,5 @@
+Feature: Records of the store are replaced only by who has seen the one that is replaced
+
+    Scenario: A claim that waited does not take the cell from an owner that has claimed it meanwhile
+        When a claim waits in the store while another scheduler claims the same cell
+        Then the cell keeps its first owner
--- a/src/scheduler/claims.ts
+++ b/src/scheduler/claims.ts
@@ -21,6 +21,8 @@
     | {
         readonly kind: "claim";
         readonly map: CellMap;
+        /** Epoch of the claim that this one replaces; 0 where there is none. */
+        readonly previousEpoch: number;
         /** The last holder has released the cell, or its process has provably ended. */
         readonly predecessorGone: boolean;
         /** The last holder does not renew its store lease, but its process may still run. */
@@ -48,16 +50,16 @@
 
 function findClaimAction(context: ClaimContext, map: CellMap): ClaimAction | undefined {
     const claim = context.claims.get(map.cell);
-    if (claim === undefined || claim.released) {
-        return { kind: "claim", map, predecessorGone: true, predecessorAbsent: false };
-    }
-    if (isProvenGone(context, claim.holder)) {
-        return { kind: "claim", map, predecessorGone: true, predecessorAbsent: false };
+    const previousEpoch = claim?.epoch ?? 0;
+    if (claim === undefined || claim.released || isProvenGone(context, claim.holder)) {
+        return { kind: "claim", map, previousEpoch, predecessorGone: true, predecessorAbsent: false };
     }
     const isHolderLive = context.liveSchedulers.some(({ instance, incarnation }) =>
         instance === claim.holder.instance && incarnation === claim.holder.incarnation
     );
-    return isHolderLive ? undefined : { kind: "claim", map, predecessorGone: false, predecessorAbsent: true };
+    return isHolderLive
+        ? undefined
+        : { kind: "claim", map, previousEpoch, predecessorGone: false, predecessorAbsent: true };
 }
 
 /** A holder has ended if its instance has a newer incarnation or is missing from the instance list. */
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -2,6 +2,7 @@
  * The cells that a scheduler owns: claims them, runs them, hands them over.
  */
 import { Result } from "true-myth/result";
+import { createFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
 import { limitSignal, pause } from "../core/time.js";
@@ -113,9 +114,14 @@
         if (found.isErr) {
             return Result.err(found.error);
         }
+        const { map: { cell }, previousEpoch } = action;
+        if ((found.value?.body.epoch ?? 0) !== previousEpoch) {
+            // The decision was about another owner than the present one.
+            return Result.err(createFailure("conflict", "claim", `${cell} has been claimed meanwhile`));
+        }
         const journal = await claimCell({
             store,
-            cell: action.map.cell,
+            cell,
             holder,
             previousHead: found.value,
             now: clock(),
