Scheduler: an assignment is replaced only in the revision that its successor was derived from

Cause: new assignments and marks of removed rules are derived at once and written one after another, or 16 at a time. One that waited behind others was compared with the revision that the cache had when it was sent, not with the one it was derived from, and so overwrote what another scheduler had written meanwhile: a rule created again lost its new generation and its cells. Change: each write carries the revision that it was derived from, and is left out where the cache has another one by then; the next round derives it anew.

--- a/src/scheduler/jobs/assignments.ts
+++ b/src/scheduler/jobs/assignments.ts
@@ -48,6 +48,13 @@
     run(signal: AbortSignal): Promise<void>;
 }
 
+/** A write that was derived from a record; it waits for other writes, and has no effect where the record is another by then. */
+interface Revision {
+    readonly next: Assignment;
+    /** Revision of the record in the store; 0 where there is none. */
+    readonly revision: number;
+}
+
 /** Creates an empty cache. */
 export function createAssignments(options: AssignmentsOptions): Assignments {
     const { store, clock, logger } = options;
@@ -103,11 +110,14 @@
         await watching;
     };
 
-    const write = async (next: Assignment, signal: AbortSignal): Promise<void> => {
+    const write = async ({ next, revision }: Revision, signal: AbortSignal): Promise<void> => {
+        if ((records.get(next.rule)?.revision ?? 0) !== revision) {
+            return;
+        }
         const committed = await commitRecord(store, {
             key: keyOfAssignment(next.rule),
             body: next,
-            expectedRevision: records.get(next.rule)?.revision ?? 0,
+            expectedRevision: revision,
             signal,
         });
         if (committed.isOk) {
@@ -134,14 +144,15 @@
     };
 
     const reviseNeeded = async (configuration: Configuration, signal: AbortSignal): Promise<void> => {
-        const writes: Assignment[] = [];
+        const writes: Revision[] = [];
         for (const need of listNeeds(configuration, options.cells(), clock())) {
-            const next = reviseAssignment(records.get(need.rule)?.body, need);
+            const current = records.get(need.rule);
+            const next = reviseAssignment(current?.body, need);
             if (next === undefined) {
                 neededSince.delete(need.rule);
             }
             else if (mayRevise(need.rule, need.cells)) {
-                writes.push(next);
+                writes.push({ next, revision: current?.revision ?? 0 });
             }
         }
         for (let start = 0; start < writes.length; start += WRITES_AT_ONCE) {
@@ -151,11 +162,11 @@
 
     const markRemoved = async (configuration: Configuration, signal: AbortSignal): Promise<void> => {
         const names = new Set(configuration.documents.flatMap(({ rules }) => rules.map(({ name }) => name)));
-        for (const { body } of [...records.values()]) {
+        for (const { body, revision } of [...records.values()]) {
             const isGone = body.removedRevision === undefined && !names.has(body.rule)
                 && body.generation <= configuration.revision;
             if (isGone && mayRevise(body.rule, options.cells())) {
-                await write({ ...body, removedRevision: configuration.revision }, signal);
+                await write({ next: { ...body, removedRevision: configuration.revision }, revision }, signal);
             }
         }
     };
