Scheduler: a release asked for during a commit is written by the next one

Cause: whether a commit releases the cell was asked before the store was called, and whether the cell is released was asked again after its answer. A hand-over in between ended the owner's loop without a release in the store: the claim still named a scheduler that is alive, so that nobody claimed the cell until that process ended or became its preferred owner again. Change: the round asks once; the release that came later goes with the next commit.

--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -183,11 +183,11 @@
         }
     };
 
-    const commit = async (): Promise<Failure | undefined> => {
+    const commit = async (release: boolean): Promise<Failure | undefined> => {
         const now = clock();
         const renewHorizon = now > journal.head().horizonMilliseconds - settings.horizonMilliseconds * 2 / 3;
         const alongside = overflow.writes();
-        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !isReleasing) {
+        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !release) {
             return undefined;
         }
         const { workers } = ledger.changes();
@@ -195,7 +195,7 @@
             ledger,
             now,
             horizonMilliseconds: settings.horizonMilliseconds,
-            release: isReleasing,
+            release,
             alongside,
             signal: ended.signal,
         });
@@ -231,10 +231,12 @@
         if (ledger.hasChanges()) {
             decisionTimer.requestDecision();
         }
-        const failure = await commit();
+        // A release that is asked for during the commit is left to the next one.
+        const release = isReleasing;
+        const failure = await commit(release);
         if (failure === undefined) {
             commands.settleCommitted();
-            if (isReleasing) {
+            if (release) {
                 finish("released");
             }
             return;
