Gateway: a queued request whose caller has gone is not sent

Cause: a request that waits for a replica and a connection asked for routes, health, credits and its deadline when its turn came, but not whether its caller was still there, and ran on an upstream for nobody. Change: it is taken out of the queue as not run (caller-left).

--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -32,6 +32,11 @@
         Then the waiting caller gets status 503 with outcome "not-run" and reason "deadline-passed"
         And only the first request arrived
 
+    Scenario: A request whose caller has gone while it waited is not sent
+        Given a service whose only replica takes one request at a time
+        When a caller goes away while it waits behind a request
+        Then only the first request arrived
+
     Scenario: A request that would wait longer than its deadline is refused at once
         Given a service whose only replica takes one request at a time and needs 50 ms for each
         When 40 callers call at once and wait at most 500 ms
--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -10,6 +10,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { connect as connectTls } from "node:tls";
+import { request } from "undici";
 import { pause } from "../../src/core/time.js";
 import { createConcurrencyLimit } from "../../src/gateway/admission/concurrency-limit.js";
 import type { ConcurrencyLimit } from "../../src/gateway/admission/concurrency-limit.js";
@@ -27,6 +28,7 @@
 const WARM_UP_CALLS = 40;
 const LARGEST_LIMIT = 4_096;
 const IDLE_MILLISECONDS = 50;
+const CLOSE_MILLISECONDS = 100;
 const STEP_LIMIT_MILLISECONDS = 60_000;
 
 interface LimitsWorld extends RequestWorld {
@@ -73,7 +75,7 @@
     const [upstream] = world.upstreams;
     assert.ok(upstream !== undefined);
     const held = new Promise<() => void>(resolve => {
-        upstream.behave((request, socket) => resolve(() => answerWhole(request, socket)));
+        upstream.behave((arrived, socket) => resolve(() => answerWhole(arrived, socket)));
     });
     const first = call(`${firstGateway(world).origin}/beacon-check/first`, { body: "x" });
     world.answerHeld = await held;
@@ -214,6 +216,23 @@
     await Promise.all(calls);
 });
 
+When("a caller goes away while it waits behind a request", async function(this: LimitsWorld) {
+    const calls = await holdFirstRequest(this);
+    const { origin, gateway } = firstGateway(this);
+    const leaving = new AbortController();
+    const left = request(`${origin}/beacon-check/second`, { method: "POST", body: "x", signal: leaving.signal })
+        .catch(() => undefined);
+    await waitUntil("the caller waits", () => gateway.waiting() === 1);
+    leaving.abort();
+    await left;
+    // The gateway hears of the closed connection a moment later.
+    await pause(CLOSE_MILLISECONDS);
+    this.answerHeld();
+    await Promise.all(calls);
+    await waitUntil("nobody waits", () => gateway.waiting() === 0);
+    await pause(CLOSE_MILLISECONDS);
+});
+
 Then(
     "the waiting caller gets status {int} with outcome {string} and reason {string}",
     function(this: LimitsWorld, status: number, outcome: string, reason: string) {
--- a/src/gateway/admission/selector.ts
+++ b/src/gateway/admission/selector.ts
@@ -30,6 +30,8 @@
     readonly deadlineMilliseconds: number;
     /** Replicas that have refused the request. */
     readonly tried: ReadonlySet<Route>;
+    /** True once nobody can read the answer any more. */
+    readonly hasCallerLeft: () => boolean;
 }
 
 /** A replica and a connection reserved for one attempt until `finish`. */
@@ -294,6 +296,10 @@
                 priority: request.priority,
                 deadlineMilliseconds: request.deadlineMilliseconds,
                 tryStart: now => {
+                    if (request.hasCallerLeft()) {
+                        resolve(Result.err(notRun(503, reasons.callerLeft, "the caller left while it was queued")));
+                        return true;
+                    }
                     const outcome = this.tryAcquire(requestForAnyReplica, state, now);
                     if (typeof outcome === "string") {
                         return false;
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -64,6 +64,8 @@
     readonly latestEndMilliseconds: number;
     /** Called right before the first byte of each attempt is sent. */
     maySend(now: number): boolean;
+    /** True once nobody can read the answer any more. */
+    readonly hasCallerLeft: () => boolean;
 }
 
 /** Makes attempts. Retries a request only where its last attempt provably did not run. */
@@ -78,7 +80,13 @@
     let lastRefusal: Refusal | undefined;
     for (let attempt = 1; attempt <= settings.attempts; attempt += 1) {
         const { service, priority, deadlineMilliseconds } = request;
-        const acquireRequest = { service, priority, deadlineMilliseconds, tried };
+        const acquireRequest = {
+            service,
+            priority,
+            deadlineMilliseconds,
+            tried,
+            hasCallerLeft: attemptsRequest.hasCallerLeft,
+        };
         if (lastRefusal !== undefined) {
             if (!selector.hasUntried(acquireRequest, clock()) || !budget.tryAcquire()) {
                 return { kind: "refused", refusal: lastRefusal };
--- a/src/gateway/counters.ts
+++ b/src/gateway/counters.ts
@@ -22,6 +22,7 @@
     upstreamTimeout: "upstream-timeout",
     upstreamFailed: "upstream-failed",
     callerTooSlow: "caller-too-slow",
+    callerLeft: "caller-left",
     answerTruncated: "answer-truncated",
     answerCrossed: "answer-crossed",
     answerOversized: "answer-oversized",
--- a/src/gateway/serve.ts
+++ b/src/gateway/serve.ts
@@ -121,7 +121,11 @@
             (earliest, permit) => Math.min(earliest, permit.latestEndMilliseconds ?? earliest),
             request.deadlineMilliseconds,
         );
-        result = await makeAttempts({ request, sink, maySend, latestEndMilliseconds }, options.attempts);
+        const hasCallerLeft = () => response.destroyed;
+        result = await makeAttempts(
+            { request, sink, maySend, latestEndMilliseconds, hasCallerLeft },
+            options.attempts,
+        );
         outcome = findPermitOutcome(result);
     }
     finally {
