Gateway: a request is not sent after its deadline

One whose body, guards or pause before a retry had taken that time was sent to an idle connection, and its caller told that it may have run. Change: the deadline is asked before each attempt; the request is refused as not run.

--- a/features/gateway/limits.feature
+++ b/features/gateway/limits.feature
@@ -37,6 +37,12 @@
         When a caller goes away while it waits behind a request
         Then only the first request arrived
 
+    Scenario: A request whose body arrives after its deadline is refused as not run
+        Given a service whose only replica takes one request at a time
+        When a caller sends its body 300 ms after a head that gives it 50 ms
+        Then the raw answer has status 503, outcome "not-run" and reason "deadline-passed"
+        And no request arrived
+
     Scenario: A request that would wait longer than its deadline is refused at once
         Given a service whose only replica takes one request at a time and needs 50 ms for each
         When 40 callers call at once and wait at most 500 ms
--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -14,6 +14,7 @@
 import { pause } from "../../src/core/time.js";
 import { createConcurrencyLimit } from "../../src/gateway/admission/concurrency-limit.js";
 import type { ConcurrencyLimit } from "../../src/gateway/admission/concurrency-limit.js";
+import { headers as headerNames } from "../../src/platform/worker.js";
 import { startGateway } from "./support/gateway.js";
 import { answerWhole } from "./support/upstream.js";
 import { call, firstGateway, startService, waitUntil } from "./support/world.js";
@@ -233,6 +234,23 @@
     await pause(CLOSE_MILLISECONDS);
 });
 
+When("a caller sends its body {int} ms after a head that gives it {int} ms", async function(
+    this: LimitsWorld,
+    wait: number,
+    deadline: number,
+) {
+    const { hostname, port } = new URL(firstGateway(this).origin);
+    const socket = connectTcp(Number(port), hostname);
+    this.sockets.push(socket);
+    socket.write(`${target}content-length: 1\r\nconnection: close\r\n${headerNames.deadline}: ${deadline}\r\n\r\n`);
+    await pause(wait);
+    socket.write("x");
+    const chunks: Buffer[] = [];
+    socket.on("data", (chunk: Buffer) => chunks.push(chunk));
+    await once(socket, "close");
+    this.raw = Buffer.concat(chunks).toString();
+});
+
 Then(
     "the waiting caller gets status {int} with outcome {string} and reason {string}",
     function(this: LimitsWorld, status: number, outcome: string, reason: string) {
--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -94,6 +94,11 @@
             options.counters.countRetry(lastRefusal.reason);
             await pause(jitter(settings.retryDelayMilliseconds, RETRY_SPREAD, options.random));
         }
+        // The body, the guards or the pause before a retry may have taken the time.
+        if (clock() >= deadlineMilliseconds) {
+            const refusal = notRun(503, reasons.deadlinePassed, "the deadline passed before the request could be sent");
+            return { kind: "refused", refusal };
+        }
         const acquired = await selector.acquire(acquireRequest, clock());
         if (acquired.isErr) {
             return { kind: "refused", refusal: lastRefusal ?? acquired.error };
