--- a/src/gateway/attempts.ts
+++ b/src/gateway/attempts.ts
@@ -64,6 +64,8 @@
     readonly latestEndMilliseconds: number;
     /** Called right before the first byte of each attempt is sent. */
     maySend(now: number): boolean;
+    /** True once nobody can read the answer any more. */
+    readonly hasCallerLeft: () => boolean;
 }
 
 /** Makes attempts. Retries a request only where its last attempt provably did not run. */
@@ -78,7 +80,13 @@
     let lastRefusal: Refusal | undefined;
     for (let attempt = 1; attempt <= settings.attempts; attempt += 1) {
         const { service, priority, deadlineMilliseconds } = request;
-        const acquireRequest = { service, priority, deadlineMilliseconds, tried };
+        const acquireRequest = {
+            service,
+            priority,
+            deadlineMilliseconds,
+            tried,
+            hasCallerLeft: attemptsRequest.hasCallerLeft,
+        };
         if (lastRefusal !== undefined) {
             if (!selector.hasUntried(acquireRequest, clock()) || !budget.tryAcquire()) {
                 return { kind: "refused", refusal: lastRefusal };
@@ -86,6 +94,11 @@
             options.counters.countRetry(lastRefusal.reason);
             await pause(jitter(settings.retryDelayMilliseconds, RETRY_SPREAD, options.random));
         }
+        // The body, the guards or the pause before a retry may have taken the time.
+        if (clock() >= deadlineMilliseconds) {
+            const refusal = notRun(503, reasons.deadlinePassed, "the deadline passed before the request could be sent");
+            return { kind: "refused", refusal };
+        }
         const acquired = await selector.acquire(acquireRequest, clock());
         if (acquired.isErr) {
             return { kind: "refused", refusal: lastRefusal ?? acquired.error };
--- a/src/scheduler/cell/cell.ts
+++ b/src/scheduler/cell/cell.ts
@@ -4,6 +4,7 @@
 import { setMaxListeners } from "node:events";
 import type { Failure } from "../../core/errors.js";
 import type { Logger } from "../../core/log.js";
+import { MILLISECONDS_PER_SECOND } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import { createWake } from "../../core/wake.js";
 import type { Comparison } from "../../platform/store.js";
@@ -14,7 +15,7 @@
 import type { CreditHooks } from "../hooks.js";
 import type { Assignments } from "../jobs/assignments.js";
 import type { Overflow } from "../jobs/overflow.js";
-import { listPlacements } from "../jobs/spec.js";
+import { listPlacements, listRunnable } from "../jobs/spec.js";
 import type { Journal } from "../ledger/journal.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { SchedulerMetrics } from "../metrics.js";
@@ -54,6 +55,8 @@
     configuration(): Configuration | undefined;
     readonly assignments: Pick<Assignments, "find" | "version">;
     readonly overflow: Overflow;
+    /** Time of the last check in which the store named this scheduler as the owner. */
+    confirmedAtMilliseconds(): number;
     quotas(ledger: Ledger, configuration: Configuration): readonly QuotaSlice[];
     /** Called when the routes of the cell have changed. */
     onRoutesChanged(): void;
@@ -97,6 +100,8 @@
     let end: CellEnd | undefined;
     let isReleasing = false;
     let nextCleanupAt = 0;
+    // Time at which the last commit that succeeded was sent.
+    let committedAt = 0;
     let configuration: Configuration | undefined;
 
     const finish = (reason: CellEnd) => {
@@ -112,6 +117,10 @@
         workers: options.workers,
         clock,
         horizon: () => journal.head().horizonMilliseconds,
+        mayStart: now =>
+            now - Math.max(committedAt, options.confirmedAtMilliseconds())
+                < settings.storeLeaseSeconds * MILLISECONDS_PER_SECOND,
+        listRules: now => nameRunnable(options.configuration(), now),
         emit: event => {
             inbox.push(event);
         },
@@ -174,11 +183,11 @@
         }
     };
 
-    const commit = async (): Promise<Failure | undefined> => {
+    const commit = async (release: boolean): Promise<Failure | undefined> => {
         const now = clock();
         const renewHorizon = now > journal.head().horizonMilliseconds - settings.horizonMilliseconds * 2 / 3;
         const alongside = overflow.writes();
-        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !isReleasing) {
+        if (!ledger.hasChanges() && alongside.length === 0 && !renewHorizon && !release) {
             return undefined;
         }
         const { workers } = ledger.changes();
@@ -186,7 +195,7 @@
             ledger,
             now,
             horizonMilliseconds: settings.horizonMilliseconds,
-            release: isReleasing,
+            release,
             alongside,
             signal: ended.signal,
         });
@@ -194,6 +203,7 @@
         if (committed.isErr) {
             return committed.error;
         }
+        committedAt = now;
         overflow.markCommitted();
         publish();
         workers.forEach(worker => sessions.wake(worker));
@@ -221,10 +231,12 @@
         if (ledger.hasChanges()) {
             decisionTimer.requestDecision();
         }
-        const failure = await commit();
+        // A release that is asked for during the commit is left to the next one.
+        const release = isReleasing;
+        const failure = await commit(release);
         if (failure === undefined) {
             commands.settleCommitted();
-            if (isReleasing) {
+            if (release) {
                 finish("released");
             }
             return;
@@ -277,3 +289,7 @@
         },
     };
 }
+
+function nameRunnable(configuration: Configuration | undefined, now: number): ReadonlySet<string> {
+    return new Set(configuration === undefined ? [] : listRunnable(configuration, now).map(({ rule }) => rule.name));
+}
--- a/src/scheduler/cell/worker-session.ts
+++ b/src/scheduler/cell/worker-session.ts
@@ -11,6 +11,7 @@
 import { nameAttempt } from "./link.js";
 import type { WorkerEvent, WorkerLink } from "./link.js";
 import { chooseRenewalInterval } from "./renewing.js";
+import { findStartObstacle } from "./start-obstacle.js";
 
 // Renewals sent to a silent worker after this share of a lease could extend the tasks by more than one lease.
 const RENEWABLE_SHARE_OF_LEASE = 0.5;
@@ -31,6 +32,10 @@
     readonly wake: Wake;
     /** Time until which leases may be renewed without reaching the store. */
     horizon(): number;
+    /** Names of the rules that run tasks at a time, as this process knows them. */
+    listRules(now: number): ReadonlySet<string>;
+    /** True while no other scheduler can have owned the cell for long: the store has confirmed the claim lately. */
+    mayStart(now: number): boolean;
     emit(event: WorkerEvent): void;
     onReport(report: WorkerReport, now: number): void;
     /** Called when the worker has seen a newer epoch: this process no longer owns the cell. */
@@ -50,10 +55,12 @@
         }
         if (link.incarnation !== undefined && !isStopped()) {
             await sendStops(options);
-            if (clock() < options.horizon()) {
+            if (!isStopped() && clock() < options.horizon() && options.mayStart(clock())) {
                 await sendStarts(options);
             }
-            await sendThrottles(options);
+            if (!isStopped()) {
+                await sendThrottles(options);
+            }
         }
         const orderAt = hasPendingOrders(options) ? clock() + ORDER_RETRY_MILLISECONDS : Infinity;
         await wake.wait(Math.min(renewedAt + chooseRenewalInterval(options, clock()), orderAt) - clock(), signal);
@@ -137,19 +144,27 @@
 
 async function sendStarts(options: WorkerSessionOptions): Promise<void> {
     const { link, ledger } = options;
-    const tasks = ledger.committedOn(link.instance.name)
+    const unanswered = ledger.committedOn(link.instance.name)
         .filter(task => task.state === "starting" && !link.answeredStarts.has(nameAttempt(task)));
-    const acceptsWork = link.isListed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
-    // The worker may have begun to leave during the commit: it gets no new starts, but sent ones are repeated.
-    const sendable = tasks.filter(task => acceptsWork || link.unansweredStarts.has(nameAttempt(task)));
-    tasks.filter(task => !sendable.includes(task)).forEach(task => returnPlacement(options, task));
-    if (sendable.length === 0) {
+    if (unanswered.length === 0) {
+        return;
+    }
+    const context = { ledger, rules: options.listRules(options.clock()) };
+    // An attempt that is not wanted any more gets its stop once that is committed.
+    const tasks = unanswered.filter(task => findStartObstacle(context, task) === undefined);
+    // The worker may have begun to leave meanwhile; a start that it may have received is withdrawn by a stop.
+    if (!acceptsWork(options)) {
+        tasks.filter(task => !link.unansweredStarts.has(nameAttempt(task)))
+            .forEach(task => returnPlacement(options, task));
         return;
     }
-    sendable.forEach(task => link.unansweredStarts.add(nameAttempt(task)));
+    if (tasks.length === 0) {
+        return;
+    }
+    tasks.forEach(task => link.unansweredStarts.add(nameAttempt(task)));
     const answer = await options.workers.start(link.instance.controlOrigin, {
         ...headerFor(options),
-        starts: sendable.map(task => toStart(options, task)),
+        starts: tasks.map(task => toStart(options, task)),
     });
     if (answer.isErr) {
         // The order is repeated later; it is idempotent.
@@ -168,6 +183,19 @@
     }
 }
 
+function acceptsWork({ link, ledger }: WorkerSessionOptions): boolean {
+    return link.isListed && link.instance.state === "live" && !ledger.drains.has(link.instance.name);
+}
+
+/** Starts without an answer on a worker that takes no new work: a stop ends the attempt, or keeps it from starting. */
+function listWithdrawn(options: WorkerSessionOptions): Task[] {
+    const { link, ledger } = options;
+    return acceptsWork(options) ? [] : ledger.committedOn(link.instance.name).filter(task => {
+        const name = nameAttempt(task);
+        return task.state === "starting" && link.unansweredStarts.has(name) && !link.answeredStarts.has(name);
+    });
+}
+
 /** Reports a start as refused that was not sent and never will be. */
 function returnPlacement(options: WorkerSessionOptions, { taskId, attempt }: Task): void {
     const { link } = options;
@@ -182,15 +210,16 @@
     const orphans = link.attempts.filter(status =>
         !ENDED_STATES.has(status.state) && !isCurrentAttempt(options, status)
     );
-    if (ending.length + orphans.length === 0) {
+    const withdrawn = listWithdrawn(options);
+    if (ending.length + orphans.length + withdrawn.length === 0) {
         return;
     }
     const answer = await options.workers.stop(link.instance.controlOrigin, {
         ...headerFor(options),
         stops: [
-            ...ending.map(task => ({
+            ...[...ending, ...withdrawn].map(task => ({
                 ...toAttempt(task),
-                checkpoint: task.state === "checkpointing",
+                checkpoint: task.state !== "stopping",
                 graceMilliseconds: settings.stopGraceMilliseconds,
             })),
             ...orphans.map(status => ({ ...toAttempt(status), checkpoint: false, graceMilliseconds: 0 })),
@@ -199,6 +228,10 @@
     if (answer.isErr) {
         return;
     }
+    for (const task of withdrawn) {
+        link.answeredStarts.add(nameAttempt(task));
+        link.unansweredStarts.delete(nameAttempt(task));
+    }
     const orphaned = new Set(orphans.map(nameAttempt));
     link.attempts = link.attempts.filter(status => !orphaned.has(nameAttempt(status)));
     for (const status of answer.value) {
--- a/src/scheduler/ownership.ts
+++ b/src/scheduler/ownership.ts
@@ -2,6 +2,7 @@
  * The cells that a scheduler owns: claims them, runs them, hands them over.
  */
 import { Result } from "true-myth/result";
+import { createFailure } from "../core/errors.js";
 import type { Failure } from "../core/errors.js";
 import type { Logger } from "../core/log.js";
 import { limitSignal, pause } from "../core/time.js";
@@ -62,6 +63,8 @@
      * since the last standstill of the process.
      */
     isConfirmed(cell: string, now: number): boolean;
+    /** Time at which the last check was begun that found the claim of the cell in the store; 0 without one. */
+    confirmedAtMilliseconds(cell: string): number;
     /** Applies a new instance list. */
     update(instances: readonly PlatformInstance[], maps: readonly CellMap[]): void;
     /** Reads the store once, then claims and hands over cells that are due; false where the store did not answer. */
@@ -111,9 +114,14 @@
         if (found.isErr) {
             return Result.err(found.error);
         }
+        const { map: { cell }, previousEpoch } = action;
+        if ((found.value?.body.epoch ?? 0) !== previousEpoch) {
+            // The decision was about another owner than the present one.
+            return Result.err(createFailure("conflict", "claim", `${cell} has been claimed meanwhile`));
+        }
         const journal = await claimCell({
             store,
-            cell: action.map.cell,
+            cell,
             holder,
             previousHead: found.value,
             now: clock(),
@@ -200,6 +208,7 @@
             return owner !== undefined && now < owner.horizonMilliseconds()
                 && (confirmedAt.get(cell) ?? 0) > lastStandstillAt;
         },
+        confirmedAtMilliseconds: cell => confirmedAt.get(cell) ?? 0,
         async check(signal) {
             const startedAt = clock();
             detectStandstill(startedAt);
