--- a/features/jobs/commits.steps.ts
+++ b/features/jobs/commits.steps.ts
@@ -131,8 +131,8 @@
 
 Given("an owner whose commits write snapshots and take {int} ms", function(this: CommitsWorld, milliseconds: number) {
     this.snapshotJobs = [];
-    openOwner(this, async ({ createSnapshot }) => {
-        this.snapshotJobs.push(...createSnapshot().accepted.map(({ id }) => id));
+    openOwner(this, async commit => {
+        this.snapshotJobs.push(...commit.createSnapshot().accepted.map(({ id }) => id));
         await pause(milliseconds);
         return Result.ok(undefined);
     });
--- a/features/jobs/order-conditions.steps.ts
+++ b/features/jobs/order-conditions.steps.ts
@@ -18,7 +18,8 @@
 import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import type { ListedWorker, OrderAnswer, OrderCheck, StartAnswer, WorkerOrders } from "../../src/jobs/model/worker.js";
 import type { StandInServer } from "../../stand-ins/users-platform/http.js";
-import { addTask, createEmptyJobTable, describeStep, describeWorker, runTask } from "./builders.js";
+import type { describeStep } from "./builders.js";
+import { addTask, createEmptyJobTable, describeWorker, runTask } from "./builders.js";
 import { createSimulatedCell } from "./simulated-cell.js";
 import { createTakeoverSimulation } from "./takeover-world.js";
 
@@ -222,8 +223,8 @@
 });
 
 Then("the worker has seen at most {int} connections", function(this: ConditionsWorld, most: number) {
-    const { connections } = this.server;
-    assert.ok(connections() <= most, `${connections()} connections`);
+    const connections = this.server.connections();
+    assert.ok(connections <= most, `${connections} connections`);
 });
 
 When("its job is cancelled, and the start is given up unsent", LIMIT, async function(this: ConditionsWorld) {
