An owner that waits to release its cell goes on giving orders

Callers saw fewer jobs served while the store was away during a planned stop: since an owner gave no orders from the request to release on, and that request waits for the commit under way. Cause: a successor can rely on the release only once it has been sent. Fix: Commits tells when the release has been sent; maySendOrders is false from then on.

--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -107,8 +107,6 @@
         journal.settleFormerOwners();
     }
     const workers: CellContext["workers"] = new Map();
-    /** From then on a successor may act, whether or not the store's answer arrives. */
-    let isReleasing = false;
 
     const abandon = (reason: string): void => {
         if (!ownershipEnd.signal.aborted) {
@@ -196,7 +194,7 @@
         durations: createDurations(),
         signal: ownershipEnd.signal,
         maySendOrders: now =>
-            !isReleasing && !ownershipEnd.signal.aborted && maySendOrders(listEvidence(), settings, now),
+            !ownershipEnd.signal.aborted && !commits.isReleaseSent() && maySendOrders(listEvidence(), settings, now),
         listEvidence,
         handleOwnerReplaced: (reason, peer) => abandon(`${peer}: ${reason}`),
         requestDispatch,
@@ -241,10 +239,7 @@
         attachWrite: write => commits.attachWrite(write),
         recordConfirmation: at => commits.recordConfirmation(at),
         failingMilliseconds: now => now - (commits.failingSinceMilliseconds(now) ?? now),
-        release() {
-            isReleasing = true;
-            return commits.release();
-        },
+        release: () => commits.release(),
         isRecovering: () => recovery.unanswered().length > 0,
         leaseEnds() {
             const leaseEnds = new Map<string, number>();
--- a/src/jobs/cell/commits.ts
+++ b/src/jobs/cell/commits.ts
@@ -59,6 +59,8 @@
     recordConfirmation(at: number): void;
     /** Releases the cell with a last commit. */
     release(): Promise<boolean>;
+    /** Whether that commit has been sent; from then on a successor may act, whether or not the store's answer arrives. */
+    isReleaseSent(): boolean;
     run(): Promise<void>;
 }
 
@@ -82,6 +84,7 @@
     let isUrgent = false;
     let isRequested = false;
     let isReleasing = false;
+    let isReleaseSent = false;
     let isConfirmationRequested = false;
     const commitRequest = createWake();
     let confirmedAt = options.claimSentAtMilliseconds;
@@ -107,6 +110,7 @@
     };
 
     const commitOnce = async (isRelease: boolean): Promise<boolean> => {
+        isReleaseSent = isRelease;
         const sequences = listUncommittedSequences();
         const pendingChanges = detachChanges(jobTable);
         if (isEmpty(pendingChanges) && attached.length === 0 && !isRelease && !isConfirmationRequested) {
@@ -250,6 +254,7 @@
             commitRequest.wake();
             return released.promise;
         },
+        isReleaseSent: () => isReleaseSent,
         async run() {
             while (!signal.aborted && !isReleasing) {
                 await waitUntilCommitDue();
