--- a/features/gateway/limits.steps.ts
+++ b/features/gateway/limits.steps.ts
@@ -4,18 +4,13 @@
 import { After, Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import { once } from "node:events";
-import { copyFile, mkdtemp } from "node:fs/promises";
 import { connect as connectTcp } from "node:net";
 import type { Socket } from "node:net";
-import { tmpdir } from "node:os";
-import { join } from "node:path";
-import { connect as connectTls } from "node:tls";
 import { request } from "undici";
 import { pause } from "../../src/core/time.js";
 import { createConcurrencyLimit } from "../../src/gateway/admission/concurrency-limit.js";
 import type { ConcurrencyLimit } from "../../src/gateway/admission/concurrency-limit.js";
 import { headers as headerNames } from "../../src/platform/worker.js";
-import { startGateway } from "./support/gateway.js";
 import { answerWhole } from "./support/upstream.js";
 import { call, firstGateway, startService, waitUntil } from "./support/world.js";
 import type { ReceivedAnswer, RequestWorld } from "./support/world.js";
@@ -23,9 +18,6 @@
 const BODY_LIMIT_BYTES = 1_000;
 const HEADER_LIMIT_BYTES = 2_048;
 const CALLER_TIMEOUT_MILLISECONDS = 300;
-const CERTIFICATES = new URL("../../../features/gateway/support/certificates/", import.meta.url);
-const CHECK_MILLISECONDS = 20;
-const CHECKS_WAITED = 5;
 const WARM_UP_CALLS = 40;
 const LARGEST_LIMIT = 4_096;
 const IDLE_MILLISECONDS = 50;
@@ -35,7 +27,6 @@
 interface LimitsWorld extends RequestWorld {
     sockets: Socket[];
     raw: string;
-    directory: string;
     /** Makes the replica answer the held request. */
     answerHeld: () => void;
     waiting: Promise<ReceivedAnswer>;
@@ -289,44 +280,3 @@
     assert.ok(refused.length > 0);
     assert.deepEqual(refused.filter(path => arrived.has(path)), []);
 });
-
-async function replaceFile(world: LimitsWorld, certificate: string, part: "key" | "certificate"): Promise<void> {
-    await copyFile(new URL(`${certificate}.${part}.pem`, CERTIFICATES), join(world.directory, `${part}.pem`));
-}
-
-async function readCommonName(origin: string): Promise<string> {
-    const { hostname, port } = new URL(origin);
-    const socket = connectTls({ host: hostname, port: Number(port), rejectUnauthorized: false });
-    await once(socket, "secureConnect");
-    const { subject } = socket.getPeerCertificate();
-    socket.destroy();
-    return String(subject.CN);
-}
-
-Given("a gateway that speaks TLS with the {string} certificate", async function(this: LimitsWorld, name: string) {
-    this.directory = await mkdtemp(join(tmpdir(), "flamingowell-"));
-    await replaceFile(this, name, "key");
-    await replaceFile(this, name, "certificate");
-    const tls = { certificateFile: join(this.directory, "certificate.pem"), keyFile: join(this.directory, "key.pem") };
-    const settings = { tls, certificateCheckMilliseconds: CHECK_MILLISECONDS };
-    this.gateways = [await startGateway({ schedulers: [], settings })];
-});
-
-When("the files are replaced by the {string} certificate", async function(this: LimitsWorld, name: string) {
-    await replaceFile(this, name, "key");
-    await replaceFile(this, name, "certificate");
-});
-
-When("only the key is replaced by the {string} one", async function(this: LimitsWorld, name: string) {
-    await replaceFile(this, name, "key");
-});
-
-When("the gateway has checked the files", async function(this: LimitsWorld) {
-    await pause(CHECKS_WAITED * CHECK_MILLISECONDS);
-});
-
-Then("callers see the {string} certificate", async function(this: LimitsWorld, name: string) {
-    const { origin } = firstGateway(this);
-    const wanted = `${name}.flamingowell.test`;
-    await waitUntil("the certificate", async () => (await readCommonName(origin)) === wanted);
-});
--- a/src/jobs/cell/start-obstacle.ts
+++ b/src/jobs/cell/start-obstacle.ts
@@ -11,7 +11,7 @@
 import type { CellContext } from "./context.js";
 import type { CellWorker } from "./worker.js";
 
-/** What has happened since the attempt was placed. */
+/** A change since the attempt was placed that stands against its start. */
 export type StartObstacle =
     | "job-ended"
     | "task-done"
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -103,8 +103,8 @@
 }
 
 /**
- * Whether the order may be sent now: to the life of the worker for which its lease is meant, and not while the worker runs what is
- * unknown. A task that may have crashed its worker waits until that has been reviewed.
+ * Whether the order may be sent now: to the life of the worker for which its lease is meant, and not while the worker runs
+ * attempts that this owner does not know. A task that may have crashed its worker waits until that has been reviewed.
  */
 function maySend({ attempt, cell, incarnation, worker }: PendingStart): boolean {
     const now = cell.clock();
@@ -113,7 +113,7 @@
         && now >= worker.startsFromMilliseconds;
 }
 
-/** Whether the order may be repeated now, which renews its lease if its worker has begun a new life. */
+/** Whether the order may be repeated now; its lease is renewed if its worker has begun a new life. */
 function mayRepeat(start: PendingStart): boolean {
     return maySend({ ...start, incarnation: start.worker.incarnation });
 }
--- a/src/scheduler/cell/start-obstacle.ts
+++ b/src/scheduler/cell/start-obstacle.ts
@@ -7,7 +7,7 @@
 import type { Ledger } from "../ledger/ledger.js";
 import type { Task } from "../ledger/task.js";
 
-/** What has happened since the task was placed. */
+/** A change since the task was placed that stands against its start. */
 export type StartObstacle =
     /** The draft ends the attempt; its commit is still to come. */
     | "attempt-ending"
