A gang is planned before anything of it is recorded

A try to place a gang added attempts and took them back, but left marks: a worker that gets a suspect takes no other start for 300 ms, and each try renewed that. It also used up attempt numbers, began the wait of the members anew and recorded trials of their image.

The members are now tried on copies of the workers' loads, and registered only when each has found a worker. When a worker last got an order follows from the attempts on it. Members of a gang may share a worker while they are suspects. A withdrawn start does not begin the wait of its task anew.

--- a/features/jobs/simulated-cell.ts
+++ b/features/jobs/simulated-cell.ts
@@ -31,6 +31,7 @@
         commits: {
             requestCommit: () => undefined,
             confirmedAtMilliseconds: systemClock,
+            committedAtMilliseconds: systemClock,
         } as unknown as CellContext["commits"],
         crashes: { record: () => undefined, isUnderReview: () => false, review: () => undefined },
         interference: createInterference(),
--- a/features/jobs/waiting-starts.steps.ts
+++ b/features/jobs/waiting-starts.steps.ts
@@ -171,7 +171,7 @@
 When("a worker refuses one of them", function(this: WaitingWorld) {
     const [refused] = this.gang;
     assert.ok(refused !== undefined);
-    withdrawAttempt(this.jobTable, refused, systemClock());
+    withdrawAttempt(this.jobTable, refused);
 });
 
 Then("the other members are to be stopped", function(this: WaitingWorld) {
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -3,13 +3,11 @@
  */
 import { isAborted, pause } from "../../core/time.js";
 import { createWake } from "../../core/wake.js";
-import { addAttempt } from "../job-table/attempts.js";
+import { registerAttempt } from "../job-table/attempts.js";
 import { gangMembersOf, stepProgressOf } from "../job-table/job-table.js";
 import type { StepProgress } from "../job-table/job.js";
 import { openDueOccurrences } from "../job-table/lifecycle.js";
 import { isServing } from "../job-table/occupancy.js";
-import { requeueTask } from "../job-table/progress.js";
-import { nextAttemptNumber } from "../job-table/task.js";
 import type { Attempt, Task } from "../job-table/task.js";
 import { needsCopy } from "../policy/copies.js";
 import { isSuspect } from "../policy/crashes.js";
@@ -30,6 +28,7 @@
 import { createDispatchRecord } from "./dispatch-work.js";
 import type { DispatchWork } from "./dispatch-work.js";
 import type { Recovery } from "./recovery.js";
+import { planStarts } from "./start-plan.js";
 import { startAttempt } from "./starting.js";
 import { stopAttempt } from "./stopping.js";
 import type { CellWorker } from "./worker.js";
@@ -111,24 +110,20 @@
             return false;
         }
         const members = gangMembersOf(task);
-        const placed: Attempt[] = [];
-        const number = Math.max(...members.map(member => nextAttemptNumber(member, cell.epoch)));
-        for (const member of members) {
-            const candidate = rankFor(member, candidates, now).choose(member);
-            if (candidate === undefined) {
-                break;
-            }
-            const pacePercent = startingPaceOf(member, candidate, cell.interference, now);
-            recordTrials(cell, member, candidate, now);
-            placed.push(addAttempt(jobTable, member, candidate.worker.id, number, now, { pacePercent }));
+        if (members.some(member => cell.crashes.isUnderReview(member))) {
+            return false;
         }
-        if (placed.length < members.length) {
-            // All members of a gang start, or none.
-            placed.forEach(attempt => discardAttempt(attempt, now));
-            latestRanking = undefined;
+        const planned = planStarts(members, candidates, {
+            epoch: cell.epoch,
+            rank: (member, tried) => rankFor(member, tried, now),
+            paceOf: (member, candidate) => startingPaceOf(member, candidate, cell.interference, now),
+        }, now);
+        if (planned === undefined) {
             return false;
         }
-        for (const attempt of placed) {
+        for (const attempt of planned) {
+            recordTrials(cell, attempt, now);
+            registerAttempt(jobTable, attempt);
             const worker = cell.workers.get(attempt.worker);
             if (worker !== undefined) {
                 cell.log.write("start-ordered", {
@@ -150,13 +145,6 @@
         return true;
     };
 
-    const discardAttempt = (attempt: Attempt, now: number): void => {
-        const { attempts } = attempt.task;
-        attempts.splice(attempts.indexOf(attempt), 1);
-        jobTable.occupancy.remove(attempt);
-        requeueTask(jobTable, attempt.task, now);
-    };
-
     const candidatesFor = (task: Task, candidates: ReadonlyMap<string, Candidate[]>): readonly Candidate[] => {
         const pool = cell.catalog().queues.get(task.entry.queue)?.pool;
         return pool === undefined ? [] : candidates.get(pool) ?? [];
@@ -239,7 +227,7 @@
                 continue;
             }
             const suitable = candidatesFor(task, candidates);
-            if (!place(task, suitable, now) && !isSuspect(task)) {
+            if (!place(task, suitable, now) && (!isSuspect(task) || task.step.isGang)) {
                 unplaceableSteps.add(step);
                 if (isOverdue(task, now) && reservations < MAXIMUM_RESERVATIONS) {
                     reservations += 1;
@@ -288,9 +276,10 @@
 }
 
 /** Records that a filler was placed beside serving tasks; its effect on their latency shows within a second. */
-function recordTrials({ interference }: CellContext, { step }: Task, { load }: Candidate, now: number): void {
+function recordTrials({ interference, jobTable }: CellContext, attempt: Attempt, now: number): void {
+    const { task: { step }, worker } = attempt;
     if (step.isFiller) {
-        load.attempts.filter(({ task }) => isServing(task.step))
+        jobTable.occupancy.load(worker).attempts.filter(({ task }) => isServing(task.step))
             .forEach(({ task }) => interference.recordTrial(task.step.image, step.image, now));
     }
 }
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -47,7 +47,7 @@
     );
     const leaseUntilMilliseconds = grantLease(worker, clock(), settings.leaseMilliseconds);
     if (leaseUntilMilliseconds === undefined) {
-        withdrawAttempt(jobTable, attempt, clock());
+        withdrawAttempt(jobTable, attempt);
         return;
     }
     const { incarnation } = worker;
@@ -191,7 +191,7 @@
                 now + UNAVAILABLE_WAIT_MILLISECONDS,
             );
         }
-        withdrawAttempt(jobTable, attempt, now);
+        withdrawAttempt(jobTable, attempt);
         cell.requestDispatch();
         return true;
     }
@@ -249,7 +249,7 @@
     if (refusal === "no-room") {
         worker.startsFromMilliseconds = now + NO_CAPACITY_WAIT_MILLISECONDS;
     }
-    withdrawAttempt(jobTable, attempt, now);
+    withdrawAttempt(jobTable, attempt);
     cell.requestDispatch();
 }
 
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -21,16 +21,15 @@
     readonly pacePercent?: number;
 }
 
-/** Adds an attempt to the table and reserves capacity on the worker. Called before the start order is sent. */
-export function addAttempt(
-    table: JobTable,
+/** Creates an attempt that is not in any table yet. */
+export function createAttempt(
     task: Task,
     worker: string,
     number: number,
     now: number,
     { pacePercent = FULL_PACE_PERCENT }: AttemptOptions = {},
 ): Attempt {
-    const attempt: Attempt = {
+    return {
         task,
         number,
         worker,
@@ -47,6 +46,11 @@
         overObjectiveSinceMilliseconds: undefined,
         pacedAtMilliseconds: 0,
     };
+}
+
+/** Adds an attempt to the table and reserves capacity on the worker. Called before the start order is sent. */
+export function registerAttempt(table: JobTable, attempt: Attempt): void {
+    const { number, task } = attempt;
     task.lastAttempt = Math.max(task.lastAttempt, number);
     task.attempts.push(attempt);
     if (task.phase !== "done") {
@@ -54,6 +58,19 @@
     }
     table.readyTasks.delete(task);
     table.occupancy.add(attempt);
+}
+
+/** Creates an attempt and adds it to the table. */
+export function addAttempt(
+    table: JobTable,
+    task: Task,
+    worker: string,
+    number: number,
+    now: number,
+    options: AttemptOptions = {},
+): Attempt {
+    const attempt = createAttempt(task, worker, number, now, options);
+    registerAttempt(table, attempt);
     return attempt;
 }
 
@@ -164,11 +181,12 @@
     return false;
 }
 
-/** Removes an attempt that certainly never started. It does not count as a failed attempt. */
-export function withdrawAttempt(table: JobTable, attempt: Attempt, now: number): void {
+/** Removes an attempt that certainly never started. It does not count as a failed attempt, and its task goes on waiting. */
+export function withdrawAttempt(table: JobTable, attempt: Attempt): void {
+    const { task } = attempt;
     removeAttempt(table, attempt);
     stopRun(table, attempt);
-    requeueTask(table, attempt.task, now);
+    requeueTask(table, task, task.readyAtMilliseconds);
 }
 
 /** Marks an attempt to be stopped, with those of its gang's other members, which would wait for it in vain. */
--- a/src/jobs/job-table/occupancy.ts
+++ b/src/jobs/job-table/occupancy.ts
@@ -18,9 +18,6 @@
     servingCount: number;
     /** Number of attempts that were added or removed so far. */
     changes: number;
-    /** When the latest attempt was ordered, and the latest one of a task under which a worker has crashed. */
-    orderedAtMilliseconds: number;
-    suspectOrderedAtMilliseconds: number;
 }
 
 /** Attempts on the workers of a cell. */
@@ -56,20 +53,14 @@
     return {
         load: loadOf,
         add(attempt) {
-            const load = loadOf(attempt.worker);
-            load.attempts.push(attempt);
-            load.orderedAtMilliseconds = Math.max(load.orderedAtMilliseconds, attempt.orderedAtMilliseconds);
-            if (attempt.task.crashedAttempts.length > 0) {
-                load.suspectOrderedAtMilliseconds = load.orderedAtMilliseconds;
-            }
-            addToLoad(load, attempt.task.step, 1);
+            addToLoad(loadOf(attempt.worker), attempt);
         },
         remove(attempt) {
             const load = loadOf(attempt.worker);
             const index = load.attempts.indexOf(attempt);
             if (index >= 0) {
                 load.attempts.splice(index, 1);
-                addToLoad(load, attempt.task.step, -1);
+                countStep(load, attempt.task.step, -1);
             }
         },
     };
@@ -83,12 +74,21 @@
         servingMillicores: 0,
         servingCount: 0,
         changes: 0,
-        orderedAtMilliseconds: -Infinity,
-        suspectOrderedAtMilliseconds: -Infinity,
     };
 }
 
-function addToLoad(load: WorkerLoad, step: JobStep, sign: 1 | -1): void {
+/** Copies a load, so that attempts can be added to the copy without any effect on the worker's. */
+export function copyLoad(load: Readonly<WorkerLoad>): WorkerLoad {
+    return { ...load, attempts: [...load.attempts] };
+}
+
+/** Adds an attempt to a load. */
+export function addToLoad(load: WorkerLoad, attempt: Attempt): void {
+    load.attempts.push(attempt);
+    countStep(load, attempt.task.step, 1);
+}
+
+function countStep(load: WorkerLoad, step: JobStep, sign: 1 | -1): void {
     load.changes += 1;
     load.used = addSize(load.used, reservedSize(step), sign);
     if (step.isFiller) {
--- a/src/jobs/model/size.ts
+++ b/src/jobs/model/size.ts
@@ -25,6 +25,15 @@
     };
 }
 
+/** Returns the larger amount of each resource. */
+export function maximumOf(left: Size, right: Size): Size {
+    return {
+        millicores: Math.max(left.millicores, right.millicores),
+        memoryMegabytes: Math.max(left.memoryMegabytes, right.memoryMegabytes),
+        accelerators: Math.max(left.accelerators, right.accelerators),
+    };
+}
+
 /** Whether a size fits into a capacity. */
 export function fitsInto(size: Size, capacity: Size): boolean {
     return size.millicores <= capacity.millicores
--- a/src/jobs/policy/crashes.ts
+++ b/src/jobs/policy/crashes.ts
@@ -48,8 +48,18 @@
     return simultaneous.length >= MANY_CRASHES;
 }
 
-/** Whether a worker may get a start now: suspects start by themselves, so that the next crash shows which task causes it. */
+/**
+ * Whether a worker may get a start now: suspects start by themselves, so that the next crash shows which task causes it. The members of a
+ * gang start together, and are given up together.
+ */
 export function mayStartBeside(task: Task, load: Readonly<WorkerLoad>, now: number): boolean {
-    return now - load.suspectOrderedAtMilliseconds >= TRIAL_MILLISECONDS
-        && (!isSuspect(task) || now - load.orderedAtMilliseconds >= QUIET_MILLISECONDS);
+    const quietMilliseconds = isSuspect(task) ? QUIET_MILLISECONDS : 0;
+    return load.attempts.every(({ orderedAtMilliseconds, task: other }) => {
+        const isolationMilliseconds = isSuspect(other) ? TRIAL_MILLISECONDS : quietMilliseconds;
+        return now - orderedAtMilliseconds >= isolationMilliseconds || isSameGang(task, other);
+    });
+}
+
+function isSameGang(left: Task, right: Task): boolean {
+    return left.step.isGang && left.occurrence === right.occurrence && left.stepIndex === right.stepIndex;
 }
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -8,7 +8,7 @@
 import type { WorkerLoad } from "../job-table/occupancy.js";
 import { isServing, reservedSize } from "../job-table/occupancy.js";
 import type { Task } from "../job-table/task.js";
-import { addSize, fitsInto, ZERO_SIZE } from "../model/size.js";
+import { addSize, fitsInto, maximumOf, ZERO_SIZE } from "../model/size.js";
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
 import { isSuspect, mayStartBeside } from "./crashes.js";
@@ -207,25 +207,31 @@
 export interface LargestRoom {
     readonly free: Size;
     readonly idleMillicores: number;
+    /** Free capacity of all candidates together. */
+    readonly totalFree: Size;
 }
 
 /** Finds the largest free capacity, which tasks that fit nowhere are compared with instead of with each worker. */
 export function findLargestRoom(candidates: Iterable<Candidate>): LargestRoom {
     const free = { ...ZERO_SIZE };
+    let totalFree = ZERO_SIZE;
     let idle = 0;
     for (const candidate of candidates) {
         const { load: { used }, worker: { capacity } } = candidate;
         free.millicores = Math.max(free.millicores, capacity.millicores - used.millicores);
         free.memoryMegabytes = Math.max(free.memoryMegabytes, capacity.memoryMegabytes - used.memoryMegabytes);
         free.accelerators = Math.max(free.accelerators, capacity.accelerators - used.accelerators);
+        totalFree = addSize(totalFree, maximumOf(addSize(capacity, used, -1), ZERO_SIZE));
         idle = Math.max(idle, idleMillicores(candidate));
     }
-    return { free, idleMillicores: idle };
+    return { free, idleMillicores: idle, totalFree };
 }
 
-/** Whether a worker may have enough room for a task; if not, none has. */
-export function mayFit({ step }: Task, { free, idleMillicores: idle }: LargestRoom): boolean {
-    return fitsInto(reservedSize(step), free)
+/** Whether a worker may have enough room for a task, and all of them for its gang; if not, they have not. */
+export function mayFit({ step }: Task, { free, idleMillicores: idle, totalFree }: LargestRoom): boolean {
+    const size = reservedSize(step);
+    return fitsInto(size, free)
+        && (!step.isGang || fitsInto(addSize(ZERO_SIZE, size, step.taskCount), totalFree))
         && (!step.isFiller || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
 }
 
