Crashes of many workers add up to evidence against the tasks that cause them

Four crashes within 150 ms were put down to no task, and the tasks of a step, which start together, crash as many in each round.

Such a crash is now doubtful evidence, kept in the ledger. Two make a task a suspect, which starts by itself; a crash on trial is certain evidence whatever crashes with it, unless a quarter of these workers had no start just before. A job ends after three crashes of a task if one is certain, else after five. A suspect that has survived its trial is not blamed for the next one on its worker, and evidence is committed at once.

--- a/features/jobs/crashes.feature
+++ b/features/jobs/crashes.feature
@@ -8,6 +8,23 @@
         And the task of job "00000000000000b2" was started at most 5 times
         And job "00000000000000b1" is shown as "completed" by every process
 
+    # Guards against deadly tasks that hide one another: the tasks of a step start together, and crash many workers at once.
+    Scenario: Tasks that crash many workers at once are given up, and the tasks beside them are completed
+        Given the users' platform with 14 workers and 2 processes
+        When a caller submits job "00000000000000b5" of 1 steps with 14 tasks of 3000 ms each
+        And a caller submits job "00000000000000b6" with 12 tasks apart that all crash their workers
+        Then job "00000000000000b6" is shown as "failed" by every process
+        And each task of job "00000000000000b6" was started at most 5 times
+        And job "00000000000000b5" is shown as "completed" by every process
+
+    # Guards against rounds of crashes that are forgotten with the owner that saw them.
+    Scenario: Rounds of many crashes before a takeover count after it
+        Given the users' platform with 8 workers and 3 processes
+        When a caller submits job "00000000000000b7" with 6 tasks apart that all crash their workers
+        And the owner of the cell is killed once 6 workers have crashed
+        Then job "00000000000000b7" is shown as "failed" by the other processes
+        And each task of job "00000000000000b7" was started at most 5 times
+
     Scenario: Crashes that were counted before a takeover count after it
         Given the users' platform with 5 workers and 3 processes
         When a caller submits job "00000000000000b3" whose only task crashes its worker
@@ -40,6 +57,35 @@
         When the reports of all of them fail with a refused connection at the same time
         Then no task is suspected
 
+    Scenario Outline: Rounds of crashes of many workers add up
+        Given <jobs> jobs of <tasks> tasks each, which crash the worker that starts them
+        When all of them are started in rounds, each on a worker of its own, and <others> other workers crash in the first <together> rounds
+        Then each job is given up after <rounds> rounds
+
+        Examples:
+            | jobs | tasks | others | together | rounds |
+            | 1    | 4     | 0      | 0        | 3      |
+            | 1    | 12    | 0      | 0        | 3      |
+            | 1    | 20    | 0      | 0        | 3      |
+            | 3    | 6     | 0      | 0        | 3      |
+            | 1    | 12    | 12     | 1        | 3      |
+            | 1    | 12    | 12     | 3        | 4      |
+            | 1    | 12    | 12     | 9        | 5      |
+
+    # Guards against innocent jobs that are given up, because their workers lose power together again and again.
+    Scenario: Tasks whose workers are lost with many others are not given up
+        Given 1 jobs of 12 tasks each, which crash the worker that starts them
+        When all of them are started in rounds, each on a worker of its own, and 12 other workers crash in the first 4 rounds
+        Then no job is given up after 4 rounds
+
+    # Guards against bystanders that are blamed: they are started again with the deadly tasks, on the same workers.
+    Scenario: A suspect that has survived its trial is not blamed for the trial of another
+        Given a worker that has started task "bystander" 400 ms before its reports fail, under which another worker has crashed
+        And it has started task "deadly" 20 ms before, under which another worker has crashed
+        When a report fails with a refused connection, and the worker is in service
+        Then task "deadly" is suspected of 2 crashes
+        And task "bystander" is suspected of 1 crashes
+
     Scenario: A crash is put down to the tasks that were started shortly before it
         Given a worker that has started task "old" 5000 ms before its reports fail
         And it has started task "new" 50 ms before
--- a/features/jobs/crashes.steps.ts
+++ b/features/jobs/crashes.steps.ts
@@ -10,7 +10,8 @@
 import type { Crashes } from "../../src/jobs/cell/crashes.js";
 import { createCellWorker } from "../../src/jobs/cell/worker.js";
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
-import { addAttempt, recordCrash } from "../../src/jobs/job-table/attempts.js";
+import { addAttempt, recordCrash, recordLostAttempt } from "../../src/jobs/job-table/attempts.js";
+import { listTasks } from "../../src/jobs/job-table/create.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import type { Task } from "../../src/jobs/job-table/task.js";
 import { needsCopy } from "../../src/jobs/policy/copies.js";
@@ -28,6 +29,8 @@
     crashes: Crashes;
     suspect: Task;
     stepTasks: readonly Task[];
+    round: number;
+    playRound(): void;
 }
 
 const LIMIT = { timeout: 90_000 };
@@ -35,6 +38,8 @@
 const OTHER_WORKER = "other";
 /** Time after which crashes have been reviewed. */
 const REVIEWED_MILLISECONDS = 1_000;
+const ROUND_MILLISECONDS = 5_000;
+const START_TO_CRASH_MILLISECONDS = 20;
 
 const FAILURES: Readonly<Record<string, Failure>> = {
     "a refused connection": createFailure("unavailable", "/hold", "connect ECONNREFUSED", {
@@ -114,6 +119,22 @@
     await waitUntil(() => runsOf(world, world.submittedId).length > count, `${count} workers have crashed`);
 }
 
+When(
+    "a caller submits job {string} with {int} tasks apart that all crash their workers",
+    LIMIT,
+    async function(this: PathWorld, id: string, count: number) {
+        const script = { milliseconds: 10_000, millicores: 1_000, crashes: true };
+        const step = { count, cpu: script.millicores, memMb: 100, estimateMs: 1_000, maxPerServer: 1 };
+        await submit(this, id, { spec: JSON.stringify(script), steps: [step] });
+    },
+);
+
+Then("each task of job {string} was started at most {int} times", function(this: PathWorld, id: string, most: number) {
+    const starts = new Map<string, number>();
+    runsOf(this, id).forEach(({ task }) => starts.set(task, (starts.get(task) ?? 0) + 1));
+    assert.ok(Math.max(...starts.values()) <= most, `starts: ${[...starts.values()].join(", ")}`);
+});
+
 Then("the task of job {string} was started at most {int} times", function(this: PathWorld, id: string, most: number) {
     const { length } = runsOf(this, id);
     assert.ok(length <= most, `${length} starts`);
@@ -128,6 +149,73 @@
     runTask(this.jobTable, addTask(this.jobTable, id, {}, NOW), "worker-0", NOW - milliseconds);
 });
 
+Given(
+    "a worker that has started task {string} {int} ms before its reports fail, under which another worker has crashed",
+    function(
+        this: CrashWorld,
+        id: string,
+        milliseconds: number,
+    ) {
+        prepare(this, 1);
+        addAttempt(this.jobTable, addSuspect(this, id), "worker-0", 2, NOW - milliseconds);
+    },
+);
+
+Given("{int} jobs of {int} tasks each, which crash the worker that starts them", function(
+    this: CrashWorld,
+    jobs: number,
+    taskCount: number,
+) {
+    prepare(this, 0);
+    for (let job = 0; job < jobs; job++) {
+        addTask(this.jobTable, `deadly-${job}`, { taskCount }, NOW);
+    }
+});
+
+When(
+    "all of them are started in rounds, each on a worker of its own, and {int} other workers crash in the first {int} rounds",
+    function(this: CrashWorld, others: number, together: number) {
+        this.round = 0;
+        this.playRound = () => {
+            this.round += 1;
+            const at = NOW + this.round * ROUND_MILLISECONDS;
+            const tasks = [...this.jobTable.jobs.values()].flatMap(listTasks);
+            tasks.forEach((task, index) => {
+                addAttempt(this.jobTable, task, `worker-${index}`, this.round, at - START_TO_CRASH_MILLISECONDS);
+            });
+            const count = tasks.length + (this.round <= together ? others : 0);
+            for (let index = 0; index < count; index++) {
+                const worker = createCellWorker(describeWorker(`worker-${index}`, WORKER_CORES), true, at);
+                const attempts = [...this.jobTable.occupancy.load(worker.listed.id).attempts];
+                worker.failingSinceMilliseconds = at;
+                this.crashes.record(worker, attempts, at);
+                attempts.forEach(attempt => recordLostAttempt(this.jobTable, attempt, at));
+            }
+            this.crashes.review(at + REVIEWED_MILLISECONDS);
+        };
+    },
+);
+
+function listStates({ jobTable }: CrashWorld): string[] {
+    return [...jobTable.jobs.values()].map(({ state }) => state);
+}
+
+Then("each job is given up after {int} rounds", function(this: CrashWorld, rounds: number) {
+    for (let round = 1; round < rounds; round++) {
+        this.playRound();
+        assert.ok(!listStates(this).includes("failed"), `given up after ${round} rounds`);
+    }
+    this.playRound();
+    assert.ok(listStates(this).every(state => state === "failed"), `not given up after ${rounds} rounds`);
+});
+
+Then("no job is given up after {int} rounds", function(this: CrashWorld, rounds: number) {
+    for (let round = 1; round <= rounds; round++) {
+        this.playRound();
+    }
+    assert.ok(!listStates(this).includes("failed"));
+});
+
 Given("it has started task {string} {int} ms before", function(this: CrashWorld, id: string, milliseconds: number) {
     runTask(this.jobTable, addTask(this.jobTable, id, {}, NOW), "worker-0", NOW - milliseconds);
 });
--- a/src/jobs/cell/crashes.ts
+++ b/src/jobs/cell/crashes.ts
@@ -4,7 +4,8 @@
 import type { Failure } from "../../core/errors.js";
 import { recordCrash } from "../job-table/attempts.js";
 import type { Attempt, Task } from "../job-table/task.js";
-import { isCrashOfMany, listSuspects } from "../policy/crashes.js";
+import { isOnTrial, judgeCrash, listSuspects, mayHaveCrashedAtStart } from "../policy/crashes.js";
+import type { CrashSign } from "../policy/crashes.js";
 import type { CellContext } from "./context.js";
 import type { CellWorker } from "./worker.js";
 
@@ -24,9 +25,8 @@
     review(now: number): void;
 }
 
-interface Crash {
+interface Crash extends CrashSign {
     readonly worker: string;
-    readonly atMilliseconds: number;
     readonly recordedAtMilliseconds: number;
     readonly suspects: readonly Attempt[];
     readonly attempts: number;
@@ -43,28 +43,30 @@
 ): Crashes {
     const { jobTable, log } = cell;
     let pending: Crash[] = [];
-    let crashTimes: number[] = [];
+    let known: CrashSign[] = [];
     let tasksUnderReview = new Set<Task>();
 
-    const reviewCrash = ({ atMilliseconds, attempts, suspects, worker }: Crash, now: number): void => {
-        const isOfMany = isCrashOfMany(crashTimes, atMilliseconds);
+    const reviewCrash = (crash: Crash, now: number): void => {
+        const { atMilliseconds, attempts, followsStart, suspects, worker } = crash;
+        const wasTrial = suspects.length > 0 && suspects.every(attempt => isOnTrial(attempt, atMilliseconds));
+        const evidence = judgeCrash(crash, known, wasTrial);
         log.write("worker-crashed", {
             worker,
             attempts,
-            isOfMany,
+            evidence,
+            followsStart,
+            wasTrial,
             suspects: suspects.map(({ task }) => task.key),
             crashedMillisecondsAgo: Math.round(now - atMilliseconds),
         }, "vital");
-        if (isOfMany) {
-            return;
-        }
         for (const attempt of suspects) {
-            const { entry, key } = attempt.task;
-            if (recordCrash(jobTable, attempt, now)) {
+            const { crashedAttempts, doubtedAttempts, entry, key } = attempt.task;
+            if (recordCrash(jobTable, attempt, now, evidence)) {
                 log.write("task-given-up", {
                     job: entry.id,
                     task: key,
-                    crashedAttempts: attempt.task.crashedAttempts,
+                    crashedAttempts,
+                    doubtedAttempts,
                     reason: "each worker that started it has crashed",
                 }, "vital");
             }
@@ -79,10 +81,12 @@
             worker.hasCrashed = true;
             const atMilliseconds = worker.failingSinceMilliseconds ?? now;
             const suspects = listSuspects(attempts, atMilliseconds);
-            crashTimes.push(atMilliseconds);
+            const followsStart = attempts.some(attempt => mayHaveCrashedAtStart(attempt, atMilliseconds));
+            known.push({ atMilliseconds, followsStart });
             pending.push({
                 worker: worker.listed.id,
                 atMilliseconds,
+                followsStart,
                 recordedAtMilliseconds: now,
                 suspects,
                 attempts: attempts.length,
@@ -98,8 +102,9 @@
             pending = pending.filter(crash => !due.includes(crash));
             due.forEach(crash => reviewCrash(crash, now));
             tasksUnderReview = new Set(pending.flatMap(({ suspects }) => suspects.map(({ task }) => task)));
-            crashTimes = crashTimes.filter(at => now - at < MEMORY_MILLISECONDS);
-            cell.commits.requestCommit(jobTable.changes.ended.length > 0);
+            known = known.filter(({ atMilliseconds }) => now - atMilliseconds < MEMORY_MILLISECONDS);
+            // What is not committed when the owner ends is lost for its successor, and the tasks crash workers meanwhile.
+            cell.commits.requestCommit(true);
             cell.requestDispatch();
         },
     };
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -6,6 +6,7 @@
 import type { TaskKey } from "../model/task-key.js";
 import type { EndedAttempt, RunningAttempt } from "../model/worker.js";
 import { isDeadly } from "../policy/crashes.js";
+import type { CrashEvidence } from "../policy/crashes.js";
 import { countOccurrences } from "./create.js";
 import { findTask, gangMembersOf, stepProgressOf } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
@@ -168,14 +169,27 @@
 }
 
 /** Counts a worker's crash against an attempt; returns whether its job is given up because of it. */
-export function recordCrash(table: JobTable, { number, task }: Attempt, now: number): boolean {
-    if (task.phase === "done" || FINAL_STATES.has(task.entry.state) || task.crashedAttempts.includes(number)) {
+export function recordCrash(
+    table: JobTable,
+    { number, task }: Attempt,
+    now: number,
+    evidence: CrashEvidence = "certain",
+): boolean {
+    const { crashedAttempts, doubtedAttempts, entry, key, phase } = task;
+    const isKnown = crashedAttempts.includes(number) || doubtedAttempts.includes(number);
+    if (phase === "done" || FINAL_STATES.has(entry.state) || isKnown) {
         return false;
     }
-    task.crashedAttempts.push(number);
-    table.changes.crashed.push([task.key, number]);
+    if (evidence === "certain") {
+        crashedAttempts.push(number);
+        table.changes.crashed.push([key, number]);
+    }
+    else {
+        doubtedAttempts.push(number);
+        table.changes.doubted.push([key, number]);
+    }
     if (isDeadly(task)) {
-        endJob(table, task.entry, "failed", now);
+        endJob(table, entry, "failed", now);
         return true;
     }
     return false;
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -101,6 +101,7 @@
         lastAttempt: 0,
         failedAttempts: [],
         crashedAttempts: [],
+        doubtedAttempts: [],
         checkpoint: "",
         readyAtMilliseconds: 0,
         wasSeenRunning: false,
--- a/src/jobs/job-table/job-table.ts
+++ b/src/jobs/job-table/job-table.ts
@@ -97,6 +97,7 @@
         done: [...detached.done, ...later.done],
         failed: [...detached.failed, ...later.failed],
         crashed: [...detached.crashed, ...later.crashed],
+        doubted: [...detached.doubted, ...later.doubted],
         checkpoints: [...detached.checkpoints, ...later.checkpoints],
         ended: [...detached.ended, ...later.ended],
         forgotten: [...detached.forgotten, ...later.forgotten],
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -2,7 +2,7 @@
  * Restores a job table from the ledger's segments, and exports it as a snapshot.
  */
 import { createChanges } from "../ledger/segment.js";
-import type { Changes, Ended } from "../ledger/segment.js";
+import type { Changes, Ended, Segment } from "../ledger/segment.js";
 import { FINAL_STATES } from "../model/job.js";
 import { findOrOpenTask } from "./attempts.js";
 import { createEndedEntry, createJobEntry, describeEnd, listTasks } from "./create.js";
@@ -10,6 +10,7 @@
 import type { JobTable } from "./job-table.js";
 import type { JobEntry } from "./job.js";
 import { finishTask, openOccurrence } from "./progress.js";
+import type { Task } from "./task.js";
 
 /** Applies a segment to the job table and updates the set of workers in use. */
 export function replaySegment(table: JobTable, segment: Changes, workersInUse: Set<string>, now: number): void {
@@ -28,20 +29,9 @@
             finishTask(table, task, now);
         }
     }
-    for (const [key, attempt] of segment.failed) {
-        const task = findOrOpenTask(table, key, now);
-        if (task !== undefined && !task.failedAttempts.includes(attempt)) {
-            task.failedAttempts.push(attempt);
-            task.lastAttempt = Math.max(task.lastAttempt, attempt);
-        }
-    }
-    for (const [key, attempt] of segment.crashed) {
-        const task = findOrOpenTask(table, key, now);
-        if (task !== undefined && !task.crashedAttempts.includes(attempt)) {
-            task.crashedAttempts.push(attempt);
-            task.lastAttempt = Math.max(task.lastAttempt, attempt);
-        }
-    }
+    restoreAttempts(table, segment.failed, task => task.failedAttempts, now);
+    restoreAttempts(table, segment.crashed, task => task.crashedAttempts, now);
+    restoreAttempts(table, segment.doubted, task => task.doubtedAttempts, now);
     for (const [key, checkpoint] of segment.checkpoints) {
         const task = findOrOpenTask(table, key, now);
         if (task !== undefined) {
@@ -56,6 +46,22 @@
     table.changes = createChanges();
 }
 
+/** Adds attempt numbers from the ledger to a list of their tasks. */
+function restoreAttempts(
+    table: JobTable,
+    attempts: Segment["failed"],
+    listOf: (task: Task) => number[],
+    now: number,
+): void {
+    for (const [key, attempt] of attempts) {
+        const task = findOrOpenTask(table, key, now);
+        if (task !== undefined && !listOf(task).includes(attempt)) {
+            listOf(task).push(attempt);
+            task.lastAttempt = Math.max(task.lastAttempt, attempt);
+        }
+    }
+}
+
 /** Returns the job table as changes to an empty one, without the jobs that are accepted in a later commit or refused until then. */
 export function createSnapshot(table: JobTable, workersInUse: ReadonlySet<string>): Changes {
     const snapshot = createChanges();
@@ -86,6 +92,7 @@
         }
         task.failedAttempts.forEach(attempt => snapshot.failed.push([task.key, attempt]));
         task.crashedAttempts.forEach(attempt => snapshot.crashed.push([task.key, attempt]));
+        task.doubtedAttempts.forEach(attempt => snapshot.doubted.push([task.key, attempt]));
         if (task.checkpoint !== "") {
             snapshot.checkpoints.push([task.key, task.checkpoint]);
         }
--- a/src/jobs/job-table/task.ts
+++ b/src/jobs/job-table/task.ts
@@ -60,6 +60,8 @@
     readonly failedAttempts: number[];
     /** Numbers of the attempts suspected of a crash of their worker. */
     readonly crashedAttempts: number[];
+    /** Numbers of the attempts that were started shortly before many workers crashed together, theirs among them. */
+    readonly doubtedAttempts: number[];
     /** Latest checkpoint; empty if there is none. */
     checkpoint: string;
     readyAtMilliseconds: number;
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -33,6 +33,8 @@
     failed: z.array(z.tuple([z.string(), z.int()])),
     /** Attempts suspected of a crash of their worker: task key and attempt number. Older builds wrote none. */
     crashed: z.array(z.tuple([z.string(), z.int()])).default([]),
+    /** Attempts that were started shortly before many workers crashed together. Older builds wrote none. */
+    doubted: z.array(z.tuple([z.string(), z.int()])).default([]),
     /** Latest checkpoints: task key and checkpoint. */
     checkpoints: z.array(z.tuple([z.string(), z.string()])),
     ended: z.array(Ended),
@@ -56,6 +58,7 @@
         done: [],
         failed: [],
         crashed: [],
+        doubted: [],
         checkpoints: [],
         ended: [],
         forgotten: [],
@@ -76,6 +79,7 @@
     "done",
     "failed",
     "crashed",
+    "doubted",
     "checkpoints",
     "ended",
     "forgotten",
