--- a/bench/colocation/contestants.ts
+++ b/bench/colocation/contestants.ts
@@ -21,7 +21,10 @@
         ...createInterference(),
         observe: () => undefined,
         isKnown: () => true,
-        estimateLoad: ({ tasks: [task] }, at) => task === undefined ? 0 : workload.loadOf(servingJobOf(task), at),
+        estimateLoad: ({ openTasks }, at) => {
+            const [task] = openTasks.values();
+            return task === undefined ? 0 : workload.loadOf(servingJobOf(task), at);
+        },
         estimateWeight: (serving, filler) => ({ mean: workload.weightOf(serving, filler), deviation: 0 }),
     });
 
--- a/bench/colocation/simulation.ts
+++ b/bench/colocation/simulation.ts
@@ -3,10 +3,11 @@
  */
 import type { Random } from "../../src/core/random.js";
 import { addAttempt, confirmStart, recordAttemptEnd, recordRunningAttempt } from "../../src/jobs/job-table/attempts.js";
-import { createJobTable } from "../../src/jobs/job-table/job-table.js";
+import { createJobTable, openAllTasks } from "../../src/jobs/job-table/job-table.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import { acceptJob, confirmJob } from "../../src/jobs/job-table/lifecycle.js";
 import { isServing } from "../../src/jobs/job-table/occupancy.js";
+import { removeReadyTask } from "../../src/jobs/job-table/ready.js";
 import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import type { JobStep } from "../../src/jobs/model/job.js";
 import type { AttemptEnd, ListedWorker } from "../../src/jobs/model/worker.js";
@@ -65,7 +66,7 @@
     createPolicy: (describeServingJob: (task: Task) => number) => FillerPolicy,
 ): ColocationFigures {
     const { options } = workload;
-    const jobTable = createJobTable({ epoch: 1, maximumAttempts: () => Infinity });
+    const jobTable = createJobTable({ epoch: 1, heldBytesLimit: Infinity, maximumAttempts: () => Infinity });
     const workers = Array.from(
         { length: options.workers },
         (_, index) => describeWorker(`worker-${index}`, options.coresPerWorker),
@@ -250,7 +251,7 @@
         for (const task of addJob(jobTable, `serving-${job}`, step, START_MILLISECONDS)) {
             const place = places.shift();
             if (place === undefined) {
-                jobTable.readyTasks.delete(task);
+                removeReadyTask(jobTable, task);
                 continue;
             }
             const attempt = addAttempt(jobTable, task, place, 1, START_MILLISECONDS);
@@ -265,5 +266,6 @@
     const submission = { payload: "", steps: [step] };
     acceptJob(jobTable, { id, queue: "queue", submission, acceptedAtMilliseconds: now });
     confirmJob(jobTable, id, now);
-    return jobTable.jobs.get(id)?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    const occurrence = jobTable.jobs.get(id)?.occurrences.get(0);
+    return occurrence === undefined ? [] : openAllTasks(occurrence, 0);
 }
--- a/features/jobs/builders.ts
+++ b/features/jobs/builders.ts
@@ -4,7 +4,7 @@
 import assert from "node:assert/strict";
 import { describeStep, POOL } from "../../bench/colocation/jobs.js";
 import { addAttempt, confirmStart, recordRunningAttempt } from "../../src/jobs/job-table/attempts.js";
-import { createJobTable } from "../../src/jobs/job-table/job-table.js";
+import { createJobTable, openAllTasks } from "../../src/jobs/job-table/job-table.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import { acceptJob, confirmJob } from "../../src/jobs/job-table/lifecycle.js";
 import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
@@ -26,8 +26,14 @@
 };
 
 /** Creates the empty state of a cell. */
-export function createEmptyJobTable(): JobTable {
-    return createJobTable({ epoch: 1, maximumAttempts: () => QUEUE.maximumAttempts });
+export function createEmptyJobTable(heldBytesLimit = Infinity): JobTable {
+    return createJobTable({ epoch: 1, heldBytesLimit, maximumAttempts: () => QUEUE.maximumAttempts });
+}
+
+/** Lists the tasks of a step in a job's first occurrence. */
+export function tasksOfStep(jobTable: JobTable, id: string, step = 0): Task[] {
+    const occurrence = jobTable.jobs.get(id)?.occurrences.get(0);
+    return occurrence === undefined ? [] : openAllTasks(occurrence, step);
 }
 
 /** Adds an accepted and confirmed job of one task; returns the task. */
@@ -35,7 +41,7 @@
     const submission = { payload: "", steps: [describeStep(fields)] };
     acceptJob(jobTable, { id, queue: QUEUE.name, submission, acceptedAtMilliseconds: at });
     confirmJob(jobTable, id, at);
-    const task = jobTable.jobs.get(id)?.occurrences.get(0)?.steps[0]?.tasks[0];
+    const [task] = tasksOfStep(jobTable, id);
     assert.ok(task !== undefined);
     return task;
 }
--- a/features/jobs/crashes.steps.ts
+++ b/features/jobs/crashes.steps.ts
@@ -11,14 +11,13 @@
 import { createCellWorker } from "../../src/jobs/cell/worker.js";
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
 import { addAttempt, recordCrash, recordLostAttempt } from "../../src/jobs/job-table/attempts.js";
-import { listTasks } from "../../src/jobs/job-table/create.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import type { Task } from "../../src/jobs/job-table/task.js";
 import { needsCopy } from "../../src/jobs/policy/copies.js";
 import { createDurations } from "../../src/jobs/policy/durations.js";
 import { createInterference } from "../../src/jobs/policy/interference.js";
 import { chooseWorker, isRankedAlike } from "../../src/jobs/policy/placement.js";
-import { addTask, createEmptyJobTable, describeWorker, NOW, runTask } from "./builders.js";
+import { addTask, createEmptyJobTable, describeWorker, NOW, runTask, tasksOfStep } from "./builders.js";
 import { silentLog } from "./successions.js";
 import { ownerOf, runningProcesses, runsOf, startAll, submit, waitUntil } from "./world.js";
 import type { PathWorld } from "./world.js";
@@ -74,7 +73,7 @@
 }
 
 function taskOf({ jobTable }: CrashWorld, id: string): Task {
-    const task = jobTable.jobs.get(id)?.occurrences.get(0)?.steps[0]?.tasks[0];
+    const [task] = tasksOfStep(jobTable, id);
     assert.ok(task !== undefined);
     return task;
 }
@@ -179,7 +178,7 @@
         this.playRound = () => {
             this.round += 1;
             const at = NOW + this.round * ROUND_MILLISECONDS;
-            const tasks = [...this.jobTable.jobs.values()].flatMap(listTasks);
+            const tasks = [...this.jobTable.jobs.keys()].flatMap(id => tasksOfStep(this.jobTable, id));
             tasks.forEach((task, index) => {
                 addAttempt(this.jobTable, task, `worker-${index}`, this.round, at - START_TO_CRASH_MILLISECONDS);
             });
@@ -305,7 +304,7 @@
 ) {
     prepare(this, 1);
     addTask(this.jobTable, "step", { taskCount }, NOW);
-    this.stepTasks = this.jobTable.jobs.get("step")?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    this.stepTasks = tasksOfStep(this.jobTable, "step");
     const [, second] = this.stepTasks;
     assert.ok(second !== undefined);
     recordCrash(this.jobTable, addAttempt(this.jobTable, second, OTHER_WORKER, 1, NOW), NOW);
--- a/features/jobs/lasting-ends.steps.ts
+++ b/features/jobs/lasting-ends.steps.ts
@@ -12,7 +12,7 @@
 import { createChanges } from "../../src/jobs/ledger/segment.js";
 import type { Changes } from "../../src/jobs/ledger/segment.js";
 import type { AttemptEnd } from "../../src/jobs/model/worker.js";
-import { createEmptyJobTable, describeStep, NOW, QUEUE } from "./builders.js";
+import { createEmptyJobTable, describeStep, NOW, QUEUE, tasksOfStep } from "./builders.js";
 import { byTask, runsOf, submit, waitUntil } from "./world.js";
 import type { PathWorld } from "./world.js";
 
@@ -27,8 +27,8 @@
 const TASK_MILLICORES = 1_500;
 
 function tasksOf(jobTable: JobTable, step = 0): readonly Task[] {
-    const tasks = jobTable.jobs.get(JOB)?.occurrences.get(0)?.steps[step]?.tasks;
-    assert.ok(tasks !== undefined);
+    const tasks = tasksOfStep(jobTable, JOB, step);
+    assert.ok(tasks.length > 0);
     return tasks;
 }
 
--- a/features/jobs/placement-cost.steps.ts
+++ b/features/jobs/placement-cost.steps.ts
@@ -13,7 +13,16 @@
 import { createInterference } from "../../src/jobs/policy/interference.js";
 import { chooseWorker, rankCandidates } from "../../src/jobs/policy/placement.js";
 import type { Candidate } from "../../src/jobs/policy/placement.js";
-import { addTask, createEmptyJobTable, describeStep, describeWorker, NOW, QUEUE, runTask } from "./builders.js";
+import {
+    addTask,
+    createEmptyJobTable,
+    describeStep,
+    describeWorker,
+    NOW,
+    QUEUE,
+    runTask,
+    tasksOfStep,
+} from "./builders.js";
 import { createTakeoverSimulation } from "./takeover-world.js";
 import type { TakeoverSimulation } from "./takeover-world.js";
 
@@ -51,7 +60,7 @@
     const submission = { payload: "", steps: [describeStep({ ...fields, taskCount })] };
     acceptJob(jobTable, { id, queue: QUEUE.name, submission, acceptedAtMilliseconds: NOW });
     confirmJob(jobTable, id, NOW);
-    return jobTable.jobs.get(id)?.occurrences.get(0)?.steps[0]?.tasks ?? [];
+    return tasksOfStep(jobTable, id);
 }
 
 /** Places tasks of one step, as the dispatcher does in one pass. */
--- a/features/jobs/serving.steps.ts
+++ b/features/jobs/serving.steps.ts
@@ -11,7 +11,7 @@
 import { createWorkload } from "../../bench/colocation/workload.js";
 import { createRandom } from "../../src/core/random.js";
 import { addAttempt, recordRunningAttempt } from "../../src/jobs/job-table/attempts.js";
-import { stepProgressOf } from "../../src/jobs/job-table/job-table.js";
+import { openAllTasks, stepProgressOf } from "../../src/jobs/job-table/job-table.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import { createInterference } from "../../src/jobs/policy/interference.js";
@@ -175,7 +175,7 @@
         isLasting: true,
         latencyObjectiveMilliseconds: OBJECTIVE_MILLISECONDS,
     }, NOW - 10_000);
-    const [, second] = stepProgressOf(first).tasks;
+    const [, second] = openAllTasks(first.occurrence, first.stepIndex);
     assert.ok(second !== undefined);
     this.otherTask = second;
     this.serving = runTask(this.jobTable, first, WORKER, NOW - 10_000, tailAt(HALF_LOAD), 100);
--- a/features/jobs/waiting-starts.steps.ts
+++ b/features/jobs/waiting-starts.steps.ts
@@ -12,6 +12,7 @@
 import { createCellWorker } from "../../src/jobs/cell/worker.js";
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
 import { addAttempt, withdrawAttempt } from "../../src/jobs/job-table/attempts.js";
+import { openAllTasks } from "../../src/jobs/job-table/job-table.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import { cancelJob } from "../../src/jobs/job-table/lifecycle.js";
 import { finishTask } from "../../src/jobs/job-table/progress.js";
@@ -164,7 +165,7 @@
 
 Given("a gang of {int} whose starts are unanswered", function(this: WaitingWorld, members: number) {
     const first = addTask(this.jobTable, "00000000000000d2", { isGang: true, taskCount: members }, systemClock());
-    const tasks = first.occurrence.steps[0]?.tasks ?? [];
+    const tasks = openAllTasks(first.occurrence, 0);
     this.gang = tasks.map(task => addAttempt(this.jobTable, task, this.worker.listed.id, 1, systemClock()));
 });
 
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -7,8 +7,9 @@
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import type { WriteOperation } from "../../platform/store.js";
+import { releaseEndedJobs } from "../job-table/held-jobs.js";
 import { createJobTable } from "../job-table/job-table.js";
-import { confirmJob, removeEndedJobs } from "../job-table/lifecycle.js";
+import { confirmJob, openDeferredJobs, removeEndedJobs } from "../job-table/lifecycle.js";
 import { replaySegment } from "../job-table/restore.js";
 import type { Ledger } from "../ledger/ledger.js";
 import type { Changes, Segment } from "../ledger/segment.js";
@@ -34,6 +35,9 @@
 /** Time between two removals of ended jobs; the load is logged as often. */
 const CLEANUP_INTERVAL_MILLISECONDS = 1_000;
 
+/** Time after its end at which a job is released except for its state; late orders to workers have been found by then. */
+const RELEASE_AFTER_MILLISECONDS = 15_000;
+
 /** Options of a cell's owner. */
 export interface CellOptions {
     readonly name: string;
@@ -93,9 +97,11 @@
     const workersInUse = new Set<string>();
     const jobTable = createJobTable({
         epoch,
+        heldBytesLimit: settings.heldBytesLimit,
         maximumAttempts: queue => options.catalog().queues.get(queue)?.maximumAttempts ?? Infinity,
     });
     claimed.segments.forEach(segment => replaySegment(jobTable, segment, workersInUse, clock()));
+    releaseEndedJobs(jobTable, clock() - RELEASE_AFTER_MILLISECONDS);
     const recovery = createRecovery({
         workers: workersInUse,
         claimedAtMilliseconds: claimed.claimedAtMilliseconds,
@@ -215,6 +221,8 @@
         while (!ownershipEnd.signal.aborted) {
             const now = clock();
             removeEndedJobs(jobTable, now - settings.keepEndedMilliseconds);
+            releaseEndedJobs(jobTable, now - RELEASE_AFTER_MILLISECONDS);
+            openDeferredJobs(jobTable, now);
             const load = summarizeLoad(context, recovery, now);
             log.write("cell-load", { cell: name, epoch, ...load, ...dispatcher.takeWork() }, "vital");
             showLoad(options.metrics, load);
--- a/src/jobs/cell/load.ts
+++ b/src/jobs/cell/load.ts
@@ -1,7 +1,10 @@
 /**
  * Summarises the load of a cell for the log, which helps to explain why a task waited.
  */
+import { stepProgressOf } from "../job-table/job-table.js";
+import type { StepProgress } from "../job-table/job.js";
 import { isServing } from "../job-table/occupancy.js";
+import { countUnopenedTasks } from "../job-table/ready.js";
 import type { JobsMetrics } from "../metrics.js";
 import { addSize, ZERO_SIZE } from "../model/size.js";
 import type { CellContext } from "./context.js";
@@ -10,6 +13,9 @@
 /** Load of a cell at one moment. */
 export interface CellLoad {
     readonly jobs: number;
+    /** Memory that the jobs are counted with, in bytes, and the number of those that wait for memory. */
+    readonly heldBytes: number;
+    readonly deferredJobs: number;
     readonly readyTasks: number;
     /** Ready tasks that wait because a worker that has not answered since the takeover may run them. */
     readonly heldTasks: number;
@@ -41,11 +47,17 @@
 export function summarizeLoad({ jobTable, workers }: CellContext, recovery: Recovery, now: number): CellLoad {
     const readyByQueue: Record<string, number> = {};
     let longestWaitMilliseconds = 0;
+    let readyTasks = 0;
     let heldTasks = 0;
+    const counted = new Set<StepProgress>();
     for (const task of jobTable.readyTasks) {
         const { entry: { queue }, readyAtMilliseconds } = task;
-        readyByQueue[queue] = (readyByQueue[queue] ?? 0) + 1;
-        heldTasks += recovery.mayStart(task) ? 0 : 1;
+        const step = stepProgressOf(task);
+        const count = 1 + (counted.has(step) ? 0 : countUnopenedTasks(step));
+        counted.add(step);
+        readyTasks += count;
+        readyByQueue[queue] = (readyByQueue[queue] ?? 0) + count;
+        heldTasks += recovery.mayStart(task) ? 0 : count;
         longestWaitMilliseconds = Math.max(longestWaitMilliseconds, now - readyAtMilliseconds);
     }
     const answering = [...workers.values()].filter(({ contact }) => contact === "answering");
@@ -56,7 +68,9 @@
     const sum = (amounts: readonly number[]): number => amounts.reduce((total, amount) => total + amount, 0);
     return {
         jobs: jobTable.jobs.size,
-        readyTasks: jobTable.readyTasks.size,
+        heldBytes: jobTable.heldBytes,
+        deferredJobs: jobTable.deferredJobs.size,
+        readyTasks,
         heldTasks,
         unansweredWorkers: recovery.unanswered().length,
         longestWaitMilliseconds: Math.round(longestWaitMilliseconds),
--- a/src/jobs/cell/request-handler.ts
+++ b/src/jobs/cell/request-handler.ts
@@ -6,10 +6,14 @@
 import type { Failure } from "../../core/errors.js";
 import type { EventLog } from "../../core/event-log.js";
 import type { Clock } from "../../core/time.js";
+import { estimateFootprint } from "../job-table/footprint.js";
+import { hasRoomFor } from "../job-table/held-jobs.js";
 import type { JobTable } from "../job-table/job-table.js";
 import { acceptJob, cancelJob, recordCancelling, withdrawJob } from "../job-table/lifecycle.js";
+import { isStorable } from "../ledger/ledger.js";
 import { FINAL_STATES } from "../model/job.js";
-import type { JobReference, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
+import { UNSTORABLE } from "../model/requests.js";
+import type { JobReference, Refusal, StateAnswer, SubmitAnswer, SubmitRequest } from "../model/requests.js";
 import type { Commits } from "./commits.js";
 
 /** Submissions are refused after commits have failed for this long; a lost answer is resolved faster. */
@@ -18,6 +22,9 @@
 /** Retry delay for a caller whose job could not be stored; outages last some seconds. */
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
+/** Retry delay for a caller whose job there is no memory for; jobs take seconds to end. */
+const FULL_RETRY_AFTER_MILLISECONDS = 5_000;
+
 const REFUSAL_REASON = "jobs cannot be stored now";
 
 /** Options of the request handler. */
@@ -84,6 +91,13 @@
             if (isUnknown && failingMilliseconds > REFUSE_AFTER_MILLISECONDS) {
                 return Result.ok(refuse(request, failingMilliseconds));
             }
+            const lack = isUnknown ? findLack(jobTable, request) : undefined;
+            if (lack !== undefined) {
+                const { heldBytes, heldBytesLimit } = jobTable;
+                const { reason } = lack;
+                log.write("job-refused", { job: id, queue, reason, heldBytes, heldBytesLimit, epoch }, "vital");
+                return Result.ok({ kind: "refused", ...lack });
+            }
             if (existing?.isUnsubmitted === true) {
                 log.write("submission-after-cancel", { job: id, queue, epoch });
             }
@@ -112,6 +126,9 @@
             const { id } = reference;
             const entry = jobTable.jobs.get(id);
             log.write("cancel-requested", { job: id, state: entry?.state, isKnown: entry !== undefined, epoch });
+            if (entry === undefined && jobTable.heldBytes >= jobTable.heldBytesLimit) {
+                return Result.err(createFailure("unavailable", "cancel", "the cell holds as many jobs as it can"));
+            }
             if (entry === undefined) {
                 recordCancelling(jobTable, reference, clock());
             }
@@ -140,3 +157,23 @@
         },
     };
 }
+
+/** Why an owner cannot hold a job, besides those that it holds; absent if it can. */
+function findLack(
+    jobTable: JobTable,
+    { submission }: SubmitRequest,
+): Omit<Refusal, "kind"> | undefined {
+    if (!isStorable(submission)) {
+        return UNSTORABLE;
+    }
+    if (hasRoomFor(jobTable, submission)) {
+        return undefined;
+    }
+    const { definitionBytes, progressBytes } = estimateFootprint(submission);
+    return definitionBytes + progressBytes > jobTable.heldBytesLimit
+        ? {
+            reason: "the job needs more memory than a cell has",
+            retryAfterMilliseconds: UNSTORABLE.retryAfterMilliseconds,
+        }
+        : { reason: "there is no memory for another job now", retryAfterMilliseconds: FULL_RETRY_AFTER_MILLISECONDS };
+}
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -8,9 +8,11 @@
 import { isDeadly } from "../policy/crashes.js";
 import type { CrashEvidence } from "../policy/crashes.js";
 import { countOccurrences } from "./create.js";
+import { undeferJob } from "./held-jobs.js";
 import { findTask, gangMembersOf, stepProgressOf } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
-import { endJob, finishTask, openOccurrence, requeueTask, startJob } from "./progress.js";
+import { closeTask, endJob, finishTask, openOccurrence, requeueTask, startJob } from "./progress.js";
+import { removeReadyTask } from "./ready.js";
 import type { Attempt, Task } from "./task.js";
 
 /** Pace of an attempt at its start, until another one is ordered. */
@@ -57,7 +59,9 @@
     if (task.phase !== "done") {
         task.phase = "active";
     }
-    table.readyTasks.delete(task);
+    // A task that is done, or whose job has ended, is kept only while it has attempts.
+    stepProgressOf(task).openTasks.set(task.index, task);
+    removeReadyTask(table, task);
     table.occupancy.add(attempt);
 }
 
@@ -260,6 +264,7 @@
         return undefined;
     }
     if (entry.isCommitted && !FINAL_STATES.has(entry.state)) {
+        undeferJob(table, entry);
         openOccurrence(table, entry, parts.occurrence, now);
     }
     return findTask(table, key);
@@ -273,6 +278,7 @@
     }
     table.attemptsToStop.delete(attempt);
     table.occupancy.remove(attempt);
+    closeTask(attempt.task);
 }
 
 function recordCheckpoint(table: JobTable, task: Task, checkpoint: string): void {
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -2,8 +2,10 @@
  * Creates job entries and the tasks of their occurrences.
  */
 import type { Ended } from "../ledger/segment.js";
+import { FINAL_STATES } from "../model/job.js";
 import type { Submission } from "../model/job.js";
 import { formatTaskKey } from "../model/task-key.js";
+import { createIndexSet } from "./index-set.js";
 import type { JobEntry, Occurrence, StepProgress } from "./job.js";
 import type { Task } from "./task.js";
 
@@ -19,6 +21,8 @@
 export function createJobEntry(job: NewJob, isInherited: boolean): JobEntry {
     return {
         ...job,
+        heldBytes: 0,
+        isDeferred: false,
         isCommitted: isInherited,
         isInherited,
         isUnsubmitted: false,
@@ -55,7 +59,7 @@
         : schedule.firstAtMilliseconds + occurrence * schedule.intervalMilliseconds;
 }
 
-/** Creates an occurrence with all its tasks, none of them ready. */
+/** Creates an occurrence. None of its tasks is open or ready. */
 export function createOccurrence(entry: JobEntry, number: number): Occurrence {
     const occurrence: Occurrence = {
         number,
@@ -64,30 +68,36 @@
         steps: [],
         doneSteps: 0,
     };
-    entry.submission.steps.forEach((_, index) => occurrence.steps.push(createStep(occurrence, index)));
+    entry.submission.steps.forEach((step, index) =>
+        occurrence.steps.push({
+            step,
+            index,
+            openTasks: new Map(),
+            done: createIndexSet(step.taskCount),
+            nextIndex: 0,
+            readyCount: 0,
+            readyAtMilliseconds: undefined,
+            unfinishedDependencies: new Set(step.after).size,
+            wasSeenRunning: false,
+        })
+    );
     return occurrence;
 }
 
-function createStep(occurrence: Occurrence, stepIndex: number): StepProgress {
-    const step = occurrence.entry.submission.steps[stepIndex];
-    if (step === undefined) {
-        throw new RangeError(`job ${occurrence.entry.id} has no step ${stepIndex}`);
+/** Finds an open task of a step, or opens it. One that is done, or whose job has ended, is not kept until it gets an attempt. */
+export function openTask(occurrence: Occurrence, progress: StepProgress, index: number): Task | undefined {
+    const open = progress.openTasks.get(index);
+    if (open !== undefined || index >= progress.step.taskCount) {
+        return open;
     }
-    const progress: StepProgress = {
-        step,
-        index: stepIndex,
-        tasks: [],
-        doneCount: 0,
-        unfinishedDependencies: new Set(step.after).size,
-        wasSeenRunning: false,
-    };
-    for (let index = 0; index < step.taskCount; index++) {
-        progress.tasks.push(createTask(occurrence, progress, index));
+    const task = createTask(occurrence, progress, index);
+    if (task.phase !== "done" && !FINAL_STATES.has(occurrence.entry.state)) {
+        progress.openTasks.set(index, task);
     }
-    return progress;
+    return task;
 }
 
-function createTask(occurrence: Occurrence, { step, index: stepIndex }: StepProgress, index: number): Task {
+function createTask(occurrence: Occurrence, { done, step, index: stepIndex }: StepProgress, index: number): Task {
     const { entry, number } = occurrence;
     return {
         key: formatTaskKey({ job: entry.id, occurrence: number, step: stepIndex, index }),
@@ -96,7 +106,7 @@
         step,
         stepIndex,
         index,
-        phase: "waiting",
+        phase: done.has(index) ? "done" : "waiting",
         attempts: [],
         lastAttempt: 0,
         failedAttempts: [],
@@ -109,7 +119,9 @@
     };
 }
 
-/** Lists all tasks of the open occurrences. */
-export function listTasks(entry: JobEntry): Task[] {
-    return [...entry.occurrences.values()].flatMap(({ steps }) => steps.flatMap(({ tasks }) => tasks));
+/** Lists the open tasks of a job. */
+export function listOpenTasks(entry: JobEntry): Task[] {
+    return [...entry.occurrences.values()].flatMap(({ steps }) =>
+        steps.flatMap(({ openTasks }) => [...openTasks.values()])
+    );
 }
--- a/src/jobs/job-table/job-table.ts
+++ b/src/jobs/job-table/job-table.ts
@@ -5,7 +5,8 @@
 import type { Changes } from "../ledger/segment.js";
 import { parseTaskKey } from "../model/task-key.js";
 import type { TaskKey } from "../model/task-key.js";
-import type { JobEntry, StepProgress } from "./job.js";
+import { openTask } from "./create.js";
+import type { JobEntry, Occurrence, StepProgress } from "./job.js";
 import { createOccupancy } from "./occupancy.js";
 import type { Occupancy } from "./occupancy.js";
 import type { Attempt, Task } from "./task.js";
@@ -14,6 +15,8 @@
 export interface JobTableOptions {
     /** Epoch of the cell's owner. */
     readonly epoch: number;
+    /** Memory that the jobs may take, in bytes as counted by `footprint.ts`. */
+    readonly heldBytesLimit: number;
     /** Number of failed attempts of a task after which its job fails, by queue. */
     maximumAttempts(queue: string): number;
 }
@@ -21,8 +24,15 @@
 /** The job state of a cell, modified by the functions in this folder. */
 export interface JobTable extends JobTableOptions {
     readonly jobs: Map<string, JobEntry>;
+    /** Memory that the jobs are counted with, in bytes. */
+    heldBytes: number;
+    /** Jobs whose tasks are opened once there is memory for them, oldest first. */
+    readonly deferredJobs: Set<JobEntry>;
     readonly occupancy: Occupancy;
-    /** Tasks that can start as soon as a worker has free capacity. */
+    /**
+     * Tasks that can start as soon as a worker has free capacity: of each step those with a history, and the next ones of the others. They
+     * are added and removed by the functions of `ready.ts`.
+     */
     readonly readyTasks: Set<Task>;
     /** Attempts that have to be stopped. */
     readonly attemptsToStop: Set<Attempt>;
@@ -35,6 +45,8 @@
     return {
         ...options,
         jobs: new Map(),
+        heldBytes: 0,
+        deferredJobs: new Set(),
         occupancy: createOccupancy(),
         readyTasks: new Set(),
         attemptsToStop: new Set(),
@@ -49,7 +61,10 @@
         return undefined;
     }
     const occurrence = table.jobs.get(parts.job)?.occurrences.get(parts.occurrence);
-    return occurrence?.steps[parts.step]?.tasks[parts.index];
+    const progress = occurrence?.steps[parts.step];
+    return occurrence === undefined || progress === undefined
+        ? undefined
+        : openTask(occurrence, progress, parts.index);
 }
 
 /** Returns the progress of the step that a task belongs to. */
@@ -61,9 +76,22 @@
     return progress;
 }
 
+/** Returns all tasks of a step, and opens those that are not done. */
+export function openAllTasks(occurrence: Occurrence, stepIndex: number): Task[] {
+    const progress = occurrence.steps[stepIndex];
+    const tasks: Task[] = [];
+    for (let index = 0; progress !== undefined && index < progress.step.taskCount; index++) {
+        const task = openTask(occurrence, progress, index);
+        if (task !== undefined) {
+            tasks.push(task);
+        }
+    }
+    return tasks;
+}
+
 /** Returns all tasks of the task's gang, or only the task itself if its step is not a gang. */
 export function gangMembersOf(task: Task): readonly Task[] {
-    return task.step.isGang ? stepProgressOf(task).tasks : [task];
+    return task.step.isGang ? openAllTasks(task.occurrence, task.stepIndex) : [task];
 }
 
 /** Returns the uncommitted changes and replaces them by an empty set. */
@@ -95,6 +123,7 @@
         accepted: [...detached.accepted, ...later.accepted],
         begun: [...detached.begun, ...later.begun],
         done: [...detached.done, ...later.done],
+        doneSets: [...detached.doneSets, ...later.doneSets],
         failed: [...detached.failed, ...later.failed],
         crashed: [...detached.crashed, ...later.crashed],
         doubted: [...detached.doubted, ...later.doubted],
--- a/src/jobs/job-table/job.ts
+++ b/src/jobs/job-table/job.ts
@@ -2,14 +2,25 @@
  * Types of the jobs, occurrences and steps in the job table.
  */
 import type { JobState, JobStep, Submission } from "../model/job.js";
+import type { IndexSet } from "./index-set.js";
 import type { Task } from "./task.js";
 
 /** Progress of one step of an occurrence. */
 export interface StepProgress {
     readonly step: JobStep;
     readonly index: number;
-    readonly tasks: Task[];
-    doneCount: number;
+    /**
+     * Tasks that have attempts or a history, and the next ones to start, by index. The others that wait or are done are not held as objects,
+     * so that a step with many tasks takes little memory.
+     */
+    readonly openTasks: Map<number, Task>;
+    readonly done: IndexSet;
+    /** Index of the first task that has not been opened for its start yet. */
+    nextIndex: number;
+    /** Number of open tasks that are ready. */
+    readyCount: number;
+    /** When the step's tasks became ready; absent while it waits for others. */
+    readyAtMilliseconds: number | undefined;
     /** Number of earlier steps this step waits for. */
     unfinishedDependencies: number;
     /** Whether a worker has reported one of the tasks as running to this owner, so that no former owner saw them all done. */
@@ -30,8 +41,13 @@
 export interface JobEntry {
     readonly id: string;
     readonly queue: string;
-    readonly submission: Submission;
+    /** Without payload and steps once the job has ended and been released. */
+    submission: Submission;
     readonly acceptedAtMilliseconds: number;
+    /** Memory that the job is counted with, in bytes. */
+    heldBytes: number;
+    /** Whether the job waits for memory before its tasks are opened. */
+    isDeferred: boolean;
     /** Whether the job is committed to the ledger. Its tasks do not start before that. */
     isCommitted: boolean;
     /** Whether the job comes from an earlier owner, which may have started attempts that the ledger does not list. */
--- a/src/jobs/job-table/lifecycle.ts
+++ b/src/jobs/job-table/lifecycle.ts
@@ -5,6 +5,7 @@
 import type { JobReference } from "../model/requests.js";
 import { countOccurrences, createEndedEntry, createJobEntry, describeEnd, dueTime } from "./create.js";
 import type { NewJob } from "./create.js";
+import { dropJob, holdJob, listUndeferrable, undeferJob } from "./held-jobs.js";
 import type { JobTable } from "./job-table.js";
 import { endJob, openOccurrence } from "./progress.js";
 
@@ -22,7 +23,7 @@
     if (existing !== undefined) {
         return false;
     }
-    table.jobs.set(job.id, createJobEntry(job, false));
+    holdJob(table, createJobEntry(job, false));
     table.changes.accepted.push(job);
     return true;
 }
@@ -43,7 +44,7 @@
         table.changes.ended = table.changes.ended.map(ended => ended.id === id ? describeEnd(entry) : ended);
     }
     else {
-        table.jobs.delete(id);
+        dropJob(table, id);
     }
     return true;
 }
@@ -52,7 +53,7 @@
 export function recordCancelling(table: JobTable, { id, queue }: JobReference, now: number): void {
     const entry = createEndedEntry({ id, queue, state: "cancelled", endedAtMilliseconds: now }, false);
     entry.isUnsubmitted = true;
-    table.jobs.set(id, entry);
+    holdJob(table, entry);
     endJob(table, entry, "cancelled", now);
 }
 
@@ -84,17 +85,28 @@
         const isExpired = FINAL_STATES.has(entry.reportedState)
             && (entry.endedAtMilliseconds ?? Infinity) < endedBefore;
         if (isExpired && ![...table.attemptsToStop].some(({ task }) => task.entry === entry)) {
-            table.jobs.delete(entry.id);
+            dropJob(table, entry.id);
             table.changes.forgotten.push(entry.id);
         }
     }
 }
 
+/** Opens the tasks of inherited jobs as memory allows. */
+export function openDeferredJobs(table: JobTable, now: number): void {
+    for (const entry of listUndeferrable(table)) {
+        undeferJob(table, entry);
+        if (entry.submission.schedule === undefined && !FINAL_STATES.has(entry.state)) {
+            openOccurrence(table, entry, 0, now);
+        }
+    }
+}
+
 /** Opens all occurrences that are due and returns the due time of the next one. */
 export function openDueOccurrences(table: JobTable, now: number): number | undefined {
     let next: number | undefined;
     for (const entry of table.jobs.values()) {
-        if (entry.submission.schedule === undefined || !entry.isCommitted || FINAL_STATES.has(entry.state)) {
+        const { isCommitted, isDeferred, state, submission: { schedule } } = entry;
+        if (schedule === undefined || !isCommitted || isDeferred || FINAL_STATES.has(state)) {
             continue;
         }
         const count = countOccurrences(entry);
--- a/src/jobs/job-table/progress.ts
+++ b/src/jobs/job-table/progress.ts
@@ -3,10 +3,11 @@
  */
 import { FINAL_STATES } from "../model/job.js";
 import type { JobState } from "../model/job.js";
-import { countOccurrences, createOccurrence, describeEnd, listTasks } from "./create.js";
+import { countOccurrences, createOccurrence, describeEnd, listOpenTasks } from "./create.js";
 import { gangMembersOf, stepProgressOf } from "./job-table.js";
 import type { JobTable } from "./job-table.js";
 import type { JobEntry, Occurrence, StepProgress } from "./job.js";
+import { makeStepReady, makeTaskReady, removeReadyTask } from "./ready.js";
 import type { Task } from "./task.js";
 
 /** Opens an occurrence and makes the tasks of its first steps ready. */
@@ -17,7 +18,7 @@
     const occurrence = createOccurrence(entry, number);
     entry.occurrences.set(number, occurrence);
     occurrence.steps.filter(({ unfinishedDependencies: blockers }) => blockers === 0).forEach(step =>
-        makeStepReady(table, step, now)
+        makeStepReady(table, occurrence, step, now)
     );
 }
 
@@ -38,9 +39,10 @@
 export function endJob(table: JobTable, entry: JobEntry, state: JobState, now: number): void {
     entry.state = state;
     entry.endedAtMilliseconds = now;
-    for (const task of listTasks(entry)) {
-        table.readyTasks.delete(task);
+    for (const task of listOpenTasks(entry)) {
+        removeReadyTask(table, task);
         task.attempts.forEach(attempt => table.attemptsToStop.add(attempt));
+        closeTask(task);
     }
     table.changes.ended.push(describeEnd(entry));
 }
@@ -57,19 +59,11 @@
     }
 }
 
-function makeStepReady(table: JobTable, progress: StepProgress, now: number): void {
-    progress.tasks.forEach(task => makeTaskReady(table, task, now));
-}
-
-function makeTaskReady(table: JobTable, task: Task, now: number): void {
-    if (task.phase === "done" || task.attempts.length > 0 || FINAL_STATES.has(task.entry.state)) {
-        return;
-    }
-    if (task.phase !== "ready") {
-        task.phase = "ready";
-        task.readyAtMilliseconds = now;
+/** Drops a task that will not be started any more, unless it has attempts whose end is not confirmed. */
+export function closeTask(task: Task): void {
+    if (task.attempts.length === 0 && (task.phase === "done" || FINAL_STATES.has(task.entry.state))) {
+        stepProgressOf(task).openTasks.delete(task.index);
     }
-    table.readyTasks.add(task);
 }
 
 function markDone(table: JobTable, task: Task, now: number): void {
@@ -77,12 +71,13 @@
         return;
     }
     task.phase = "done";
-    table.readyTasks.delete(task);
     task.attempts.forEach(attempt => table.attemptsToStop.add(attempt));
     table.changes.done.push(task.key);
     const progress = stepProgressOf(task);
-    progress.doneCount += 1;
-    if (progress.doneCount === progress.tasks.length) {
+    progress.done.add(task.index);
+    removeReadyTask(table, task);
+    closeTask(task);
+    if (progress.done.size === progress.step.taskCount) {
         completeStep(table, task.occurrence, progress, now);
     }
 }
@@ -93,7 +88,7 @@
     for (const dependent of steps.filter(({ step }) => step.after.includes(progress.index))) {
         dependent.unfinishedDependencies -= 1;
         if (dependent.unfinishedDependencies === 0) {
-            makeStepReady(table, dependent, now);
+            makeStepReady(table, occurrence, dependent, now);
         }
     }
     if (occurrence.doneSteps < steps.length) {
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -4,17 +4,22 @@
 import { createChanges } from "../ledger/segment.js";
 import type { Changes, Ended, Segment } from "../ledger/segment.js";
 import { FINAL_STATES } from "../model/job.js";
+import { formatTaskKey } from "../model/task-key.js";
 import { findOrOpenTask } from "./attempts.js";
-import { createEndedEntry, createJobEntry, describeEnd, listTasks } from "./create.js";
+import { createEndedEntry, createJobEntry, describeEnd, listOpenTasks } from "./create.js";
 import type { NewJob } from "./create.js";
+import { deferJob, dropJob, holdJob } from "./held-jobs.js";
+import { createIndexSet } from "./index-set.js";
 import type { JobTable } from "./job-table.js";
 import type { JobEntry } from "./job.js";
-import { finishTask, openOccurrence } from "./progress.js";
+import { openDeferredJobs } from "./lifecycle.js";
+import { finishTask } from "./progress.js";
+import { OPEN_READY_TASKS, removeReadyTask } from "./ready.js";
 import type { Task } from "./task.js";
 
 /** Applies a segment to the job table and updates the set of workers in use. */
 export function replaySegment(table: JobTable, segment: Changes, workersInUse: Set<string>, now: number): void {
-    segment.accepted.forEach(job => restoreJob(table, job, now));
+    segment.accepted.forEach(job => restoreJob(table, job));
     for (const id of segment.begun) {
         const entry = table.jobs.get(id);
         if (entry?.state === "queued") {
@@ -29,6 +34,7 @@
             finishTask(table, task, now);
         }
     }
+    segment.doneSets.forEach(doneSet => restoreDoneSet(table, doneSet, now));
     restoreAttempts(table, segment.failed, task => task.failedAttempts, now);
     restoreAttempts(table, segment.crashed, task => task.crashedAttempts, now);
     restoreAttempts(table, segment.doubted, task => task.doubtedAttempts, now);
@@ -39,13 +45,33 @@
         }
     }
     segment.ended.forEach(ended => restoreEndedJob(table, ended));
-    segment.forgotten.forEach(id => table.jobs.delete(id));
+    segment.forgotten.forEach(id => dropJob(table, id));
     segment.workersUsed.forEach(worker => workersInUse.add(worker));
     segment.workersLeft.forEach(worker => workersInUse.delete(worker));
+    openDeferredJobs(table, now);
     // Changes that were read from the ledger are not committed again.
     table.changes = createChanges();
 }
 
+function restoreDoneSet(
+    table: JobTable,
+    [job, occurrence, step, formatted]: Segment["doneSets"][number],
+    now: number,
+): void {
+    const taskCount = table.jobs.get(job)?.submission.steps[step]?.taskCount ?? 0;
+    const done = createIndexSet(taskCount, formatted);
+    for (let index = 0; index < taskCount; index++) {
+        const task = done.has(index)
+            ? findOrOpenTask(table, formatTaskKey({ job, occurrence, step, index }), now)
+            : undefined;
+        if (task !== undefined && !task.step.isLasting) {
+            finishTask(table, task, now);
+            // Changes that were read from the ledger are not committed again.
+            table.changes.done = [];
+        }
+    }
+}
+
 /** Adds attempt numbers from the ledger to a list of their tasks. */
 function restoreAttempts(
     table: JobTable,
@@ -85,9 +111,9 @@
     if (state === "running") {
         snapshot.begun.push(id);
     }
-    for (const task of listTasks(entry)) {
+    addDoneTasksToSnapshot(entry, snapshot);
+    for (const task of listOpenTasks(entry)) {
         if (task.phase === "done") {
-            snapshot.done.push(task.key);
             continue;
         }
         task.failedAttempts.forEach(attempt => snapshot.failed.push([task.key, attempt]));
@@ -99,25 +125,41 @@
     }
 }
 
-function restoreJob(table: JobTable, job: NewJob, now: number): void {
+function addDoneTasksToSnapshot({ id, occurrences }: JobEntry, snapshot: Changes): void {
+    for (const { number, steps } of occurrences.values()) {
+        for (const { done, index: step, step: { taskCount } } of steps) {
+            // The keys of a small step stay in the format that older builds read.
+            if (taskCount > OPEN_READY_TASKS && done.size > 0) {
+                snapshot.doneSets.push([id, number, step, done.format()]);
+                continue;
+            }
+            for (let index = 0; index < taskCount && done.size > 0; index++) {
+                if (done.has(index)) {
+                    snapshot.done.push(formatTaskKey({ job: id, occurrence: number, step, index }));
+                }
+            }
+        }
+    }
+}
+
+function restoreJob(table: JobTable, job: NewJob): void {
     if (table.jobs.has(job.id)) {
         return;
     }
-    const entry = createJobEntry(job, true);
-    table.jobs.set(job.id, entry);
-    if (job.submission.schedule === undefined) {
-        openOccurrence(table, entry, 0, now);
-    }
+    deferJob(table, createJobEntry(job, true));
 }
 
 function restoreEndedJob(table: JobTable, ended: Ended): void {
     const { id, state, endedAtMilliseconds, isUnsubmitted = false } = ended;
     const entry = table.jobs.get(id) ?? createEndedEntry(ended, true);
-    table.jobs.set(id, entry);
+    if (!table.jobs.has(id)) {
+        holdJob(table, entry);
+    }
+    table.deferredJobs.delete(entry);
     entry.isUnsubmitted = isUnsubmitted;
     entry.isCommitted = !isUnsubmitted;
     entry.state = state;
     entry.reportedState = state;
     entry.endedAtMilliseconds = endedAtMilliseconds;
-    listTasks(entry).forEach(task => table.readyTasks.delete(task));
+    listOpenTasks(entry).forEach(task => removeReadyTask(table, task));
 }
--- a/src/jobs/ledger/ledger.ts
+++ b/src/jobs/ledger/ledger.ts
@@ -12,7 +12,8 @@
 import type { Clock } from "../../core/time.js";
 import { commitRecord, readRecord } from "../../platform/commit.js";
 import type { StoredRecord } from "../../platform/commit.js";
-import type { KeyValue, Store, WriteOperation } from "../../platform/store.js";
+import type { Store, WriteOperation } from "../../platform/store.js";
+import type { Submission } from "../model/job.js";
 import { Segment, splitChanges } from "./segment.js";
 import type { Changes } from "./segment.js";
 
@@ -25,6 +26,9 @@
 /** Largest JSON value in bytes. The store accepts 1 MB, which includes base64 encoding and the envelope. */
 export const VALUE_LIMIT_BYTES = 600_000;
 
+/** Largest submission: a value holds at least one job, with its id and the other fields of a segment. */
+const LONGEST_SUBMISSION_BYTES = VALUE_LIMIT_BYTES - 2_000;
+
 /** Bytes of JSON in one snapshot chunk: 0.2 s on the slowest link of a deployment, 7 Mbit/s. */
 const SNAPSHOT_CHUNK_BYTES = 130_000;
 
@@ -113,6 +117,18 @@
     readonly onChunkWritten?: (sentAtMilliseconds: number) => void;
 }
 
+/** A segment or snapshot chunk as read from the store, with the length of its text. */
+interface StoredSegment {
+    readonly key: string;
+    readonly bytes: number;
+    readonly segment: Segment;
+}
+
+/** Whether a job fits into a value of the ledger. */
+export function isStorable(submission: Submission): boolean {
+    return JSON.stringify(submission).length <= LONGEST_SUBMISSION_BYTES;
+}
+
 /** Returns the prefix of a cell's keys. */
 function keyPrefixOf(cell: string): string {
     return `/flamingowell/cells/${cell}/`;
@@ -234,8 +250,9 @@
         ...Array.from({ length: snapshotChunks }, (_, index) => chunkKey(snapshotSequence, index)),
     ];
 
-    const readPrefix = async (keyPrefix: string): Promise<Result<KeyValue[], Failure>> => {
-        const entries: KeyValue[] = [];
+    /** Reads segments page by page, so that their text is held only until it has been parsed. */
+    const readSegments = async (keyPrefix: string): Promise<Result<StoredSegment[], Failure>> => {
+        const segments: StoredSegment[] = [];
         for (let after: string | undefined;;) {
             const page = await store.read({
                 key: keyPrefix,
@@ -246,10 +263,16 @@
             if (page.isErr) {
                 return Result.err(page.error);
             }
-            entries.push(...page.value.entries);
+            for (const { key, value } of page.value.entries) {
+                const segment = parseJson(Segment, value, `ledger ${key}`);
+                if (segment.isErr) {
+                    return Result.err(segment.error);
+                }
+                segments.push({ key, bytes: value.length, segment: segment.value });
+            }
             after = page.value.entries.at(-1)?.key;
             if (!page.value.more || after === undefined) {
-                return Result.ok(entries);
+                return Result.ok(segments);
             }
         }
     };
@@ -264,34 +287,30 @@
         async load() {
             const { sequence, snapshotChunks, snapshotSequence } = claimedHead;
             const snapshot = snapshotSequence === 0
-                ? Result.ok<KeyValue[], Failure>([])
-                : await readPrefix(chunkKey(snapshotSequence, 0).slice(0, -"0000".length));
+                ? Result.ok<StoredSegment[], Failure>([])
+                : await readSegments(chunkKey(snapshotSequence, 0).slice(0, -"0000".length));
             if (snapshot.isErr) {
                 return Result.err(snapshot.error);
             }
-            const log = await readPrefix(`${prefix}log/`);
+            const log = await readSegments(`${prefix}log/`);
             if (log.isErr) {
                 return Result.err(log.error);
             }
             const segments: Segment[] = [];
-            for (const entry of [...snapshot.value.slice(0, snapshotChunks), ...log.value]) {
-                const segment = parseJson(Segment, entry.value, `ledger ${entry.key}`);
-                if (segment.isErr) {
-                    return Result.err(segment.error);
-                }
-                const isChunk = entry.key.startsWith(`${prefix}snapshot/`);
+            for (const { bytes, key, segment } of [...snapshot.value.slice(0, snapshotChunks), ...log.value]) {
+                const isChunk = key.startsWith(`${prefix}snapshot/`);
                 if (isChunk) {
-                    snapshotBytes += entry.value.length;
+                    snapshotBytes += bytes;
                 }
                 else {
-                    logBytes += entry.value.length;
+                    logBytes += bytes;
                 }
                 // Segments that are part of the snapshot may not be deleted yet.
-                if (isChunk || segment.value.sequence > snapshotSequence && segment.value.sequence <= sequence) {
-                    segments.push(segment.value);
+                if (isChunk || segment.sequence > snapshotSequence && segment.sequence <= sequence) {
+                    segments.push(segment);
                 }
-                else if (segment.value.sequence <= snapshotSequence) {
-                    supersededKeys.push(entry.key);
+                else if (segment.sequence <= snapshotSequence) {
+                    supersededKeys.push(key);
                 }
             }
             return Result.ok(segments);
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -29,6 +29,8 @@
     begun: z.array(z.string()),
     /** Keys of tasks that are done. */
     done: z.array(z.string()),
+    /** Tasks of a large step that are done: job, occurrence, step, and their indexes as of `createIndexSet`. Older builds wrote none. */
+    doneSets: z.array(z.tuple([z.string(), z.int(), z.int(), z.string()])).default([]),
     /** Failed attempts: task key and attempt number. */
     failed: z.array(z.tuple([z.string(), z.int()])),
     /** Attempts suspected of a crash of their worker: task key and attempt number. Older builds wrote none. */
@@ -56,6 +58,7 @@
         accepted: [],
         begun: [],
         done: [],
+        doneSets: [],
         failed: [],
         crashed: [],
         doubted: [],
@@ -77,6 +80,7 @@
     "accepted",
     "begun",
     "done",
+    "doneSets",
     "failed",
     "crashed",
     "doubted",
@@ -89,9 +93,6 @@
 
 /** Splits changes into parts whose JSON fits the limit. Replaying the parts in order gives the same result. */
 export function splitChanges(changes: Changes, limitBytes: number): Changes[] {
-    if (JSON.stringify(changes).length <= limitBytes) {
-        return [changes];
-    }
     const parts: Changes[] = [];
     let part = createChanges();
     let bytes = 0;
--- a/src/jobs/model/requests.ts
+++ b/src/jobs/model/requests.ts
@@ -13,18 +13,29 @@
 export const SubmitRequest = JobReference.extend({ submission: Submission });
 export type SubmitRequest = z.infer<typeof SubmitRequest>;
 
+/** Answer to a job that was definitely not stored. */
+export const Refusal = z.object({
+    kind: z.literal("refused"),
+    reason: z.string(),
+    /** Suggested wait before a retry. */
+    retryAfterMilliseconds: z.number(),
+});
+export type Refusal = z.infer<typeof Refusal>;
+
 /** Answer to a submission: the job was stored, or was definitely not. */
 export const SubmitAnswer = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("accepted"), isNew: z.boolean() }),
-    z.object({
-        kind: z.literal("refused"),
-        reason: z.string(),
-        /** Suggested wait before a retry. */
-        retryAfterMilliseconds: z.number(),
-    }),
+    Refusal,
 ]);
 export type SubmitAnswer = z.infer<typeof SubmitAnswer>;
 
+/** Refuses a job that is too large for the ledger, now and later. */
+export const UNSTORABLE: Refusal = {
+    kind: "refused",
+    reason: "the job has more steps than the ledger can store",
+    retryAfterMilliseconds: 60_000,
+};
+
 /** Answer about a job's state. */
 export const StateAnswer = z.object({
     /** Absent if the job does not exist. */
--- a/src/jobs/policy/durations.ts
+++ b/src/jobs/policy/durations.ts
@@ -21,6 +21,9 @@
 /** Weight of a new duration in the moving average of an image. */
 const SMOOTHING_FACTOR = 0.2;
 
+/** Images whose durations are remembered; those that ended longest ago are forgotten first. */
+const MAXIMUM_IMAGES = 2_000;
+
 /** Creates an empty model. */
 export function createDurations(): Durations {
     const means = new Map<string, number>();
@@ -30,7 +33,13 @@
                 return;
             }
             const mean = means.get(image) ?? milliseconds;
+            // Puts the image last, so that the first one is the one to forget.
+            means.delete(image);
             means.set(image, mean + SMOOTHING_FACTOR * (milliseconds - mean));
+            const [oldest] = means.keys();
+            if (means.size > MAXIMUM_IMAGES && oldest !== undefined) {
+                means.delete(oldest);
+            }
         },
         estimate({ estimateMilliseconds, image }) {
             return means.get(image)
--- a/src/jobs/policy/interference.ts
+++ b/src/jobs/policy/interference.ts
@@ -84,6 +84,14 @@
 const SATURATED_PRESSURE = 0.9;
 const HIGHEST_PRESSURE = 0.97;
 
+/**
+ * Filler images remembered beside each serving image, serving images, and pairs of them with a trial. What was used longest ago is forgotten
+ * first, as callers may name any number of images.
+ */
+const MAXIMUM_FILLER_IMAGES = 150;
+const MAXIMUM_SERVING_IMAGES = 300;
+const MAXIMUM_TRIALS = 10_000;
+
 /** Weights of the filler images beside one serving image, with their covariance. */
 interface Fit {
     /** Tail latency, in milliseconds, at which pressure is 0. */
@@ -123,6 +131,7 @@
         if (found !== undefined) {
             return found;
         }
+        limitSize(fits, MAXIMUM_SERVING_IMAGES - 1);
         const fit: Fit = {
             unloadedMilliseconds: latencyObjectiveMilliseconds * UNLOADED_SHARE,
             index: new Map(),
@@ -173,10 +182,39 @@
             estimateWeight(servingImage, fillerImage, now).deviation < KNOWN_WEIGHT_DEVIATION,
         mayTry: (servingImage, fillerImage, now) =>
             now - (triedAt.get(nameOfPair(servingImage, fillerImage)) ?? 0) > TRIAL_MILLISECONDS,
-        recordTrial: (servingImage, fillerImage, now) => void triedAt.set(nameOfPair(servingImage, fillerImage), now),
+        recordTrial(servingImage, fillerImage, now) {
+            const pair = nameOfPair(servingImage, fillerImage);
+            triedAt.delete(pair);
+            triedAt.set(pair, now);
+            limitSize(triedAt, MAXIMUM_TRIALS);
+        },
     };
 }
 
+/** Deletes the entries that were added first, until the map has no more than the limit. */
+function limitSize(map: Map<string, unknown>, limit: number): void {
+    for (const key of map.keys()) {
+        if (map.size <= limit) {
+            return;
+        }
+        map.delete(key);
+    }
+}
+
+/** Forgets the filler image that was observed longest ago. */
+function forgetOldestWeight({ covariance, index, observedAt, weights }: Fit): void {
+    const oldest = observedAt.indexOf(Math.min(...observedAt));
+    for (const [image, place] of index) {
+        if (place === oldest) {
+            index.delete(image);
+        }
+        else if (place > oldest) {
+            index.set(image, place - 1);
+        }
+    }
+    [observedAt, weights, covariance, ...covariance].forEach(list => list.splice(oldest, 1));
+}
+
 function nameOfPair(servingImage: string, fillerImage: string): string {
     return `${servingImage} ${fillerImage}`;
 }
@@ -283,6 +321,9 @@
     now: number,
 ): void {
     advanceLoad(load, now);
+    while (fit.weights.length > 0 && fit.weights.length + shares.size > MAXIMUM_FILLER_IMAGES) {
+        forgetOldestWeight(fit);
+    }
     const inputs = [...shares].map(([image, share]) => ({ index: prepareWeight(fit, image, now), share }));
     const { covariance, weights } = fit;
     const spread = covariance.map(row => inputs.reduce((sum, { index, share }) => sum + (row[index] ?? 0) * share, 0));
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -99,11 +99,11 @@
 ): Assessment {
     const totalEnds: number[] = [];
     const left: number[] = [];
-    for (const { doneCount, step, tasks } of steps) {
+    for (const { done, step } of steps) {
         const duration = step.isLasting ? 0 : durations.estimate(step);
         const longest = (ends: readonly number[]) => Math.max(0, ...step.after.map(earlier => ends[earlier] ?? 0));
         totalEnds.push(longest(totalEnds) + duration);
-        left.push(doneCount === tasks.length ? 0 : longest(left) + duration);
+        left.push(done.size === step.taskCount ? 0 : longest(left) + duration);
     }
     const objective = Math.max(...totalEnds) * (queue?.stretchFactor ?? 1) + (queue?.latencyObjectiveMilliseconds ?? 0);
     const finish = now + Math.max(...left);
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -66,7 +66,7 @@
     if (!step.isFiller || now - readyAtMilliseconds < STARVING_MILLISECONDS) {
         return false;
     }
-    if (occurrence.steps.some(({ tasks }) => tasks.some(({ attempts }) => attempts.length > 0))) {
+    if (occurrence.steps.some(({ openTasks }) => [...openTasks.values()].some(({ attempts }) => attempts.length > 0))) {
         return false;
     }
     let capacity = 0;
--- a/src/jobs/routing/job-request-router.ts
+++ b/src/jobs/routing/job-request-router.ts
@@ -10,7 +10,8 @@
 import { pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import type { Cell } from "../cell/cell.js";
-import { cancelMethod, pendingMethod, stateMethod, SubmitAnswer, submitMethod } from "../model/requests.js";
+import { isStorable } from "../ledger/ledger.js";
+import { cancelMethod, pendingMethod, stateMethod, SubmitAnswer, submitMethod, UNSTORABLE } from "../model/requests.js";
 import type { JobReference, PendingAnswer, StateAnswer, SubmitRequest } from "../model/requests.js";
 import type { OwnerLinks } from "./owner-links.js";
 
@@ -87,6 +88,10 @@
 
     return {
         submit: async (request, deadline) => {
+            // Decoded, a job has many times the length of the caller's text, and would not fit into a line to the owner either.
+            if (!isStorable(request.submission)) {
+                return Result.ok(UNSTORABLE);
+            }
             const answer = await route(
                 submitMethod,
                 { ...request, cell: cellName },
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -35,6 +35,11 @@
      * takes up to half a second while the store is out of reach. All instances need the same value: successors rely on it.
      */
     contactMilliseconds: Milliseconds.default(1_800),
+    /**
+     * Memory that an owner's jobs may take, in bytes: half of the heap in `deploy/system.toml`. The other half is for requests, commits and
+     * snapshots.
+     */
+    heldBytesLimit: z.int().min(0).default(100_000_000),
     /** How long ended jobs are kept, so that callers can query their final state. */
     keepEndedMilliseconds: Milliseconds.default(120_000),
     /** Longest time that a worker takes to stop an attempt. */
