Only instances that show to be up count against an owner

An owner released its cell with connections from less than half of the members, which are listed for 10 s after their end; so the instances that were left passed the cell to and fro, and each takeover began the recovery anew.

An instance that cannot reach an owner reports that in the store. An owner leaves its cell when more report than are connected, and a successor that is reached no worse than the last owner keeps it.

--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -15,7 +15,7 @@
 import { createCell } from "../cell/cell.js";
 import type { Cell, CellOptions } from "../cell/cell.js";
 import { claimCell, readHead } from "../ledger/ledger.js";
-import type { FormerOwner, Head } from "../ledger/ledger.js";
+import type { Head } from "../ledger/ledger.js";
 import type { Retirement, RetireRequest } from "../model/requests.js";
 import type { OwnershipSettings } from "../settings.js";
 import { claimDelayOf, isBetterConnected } from "./candidate.js";
@@ -23,9 +23,11 @@
 import type { Directory } from "./directory.js";
 import { createFormerOwners } from "./former-owners.js";
 import type { FormerOwners, RetirementRequester } from "./former-owners.js";
+import { createIsolation } from "./isolation.js";
 import { keepLease } from "./lease.js";
 import { keepMembership } from "./membership.js";
 import { createOwnerEnds } from "./owner-ends.js";
+import { createReachReports } from "./reach-reports.js";
 import { describeOwner, keyOfOwner } from "./records.js";
 import type { Member, OwnerRecord } from "./records.js";
 import { createRetirements } from "./retirements.js";
@@ -43,6 +45,8 @@
     readonly log: EventLog;
     /** Number of connections from other members to this instance. */
     connections(): number;
+    /** Whether this instance has a connection to the owner of a cell. */
+    isConnectedToOwner(cell: string): boolean;
     /** Whether a cell can be run, because the workers and the catalog have been read. */
     isPrepared(): boolean;
     /** Asks the process at an address to stop. */
@@ -81,7 +85,8 @@
     const checkRequest = createWake();
     const handOverStart = new AbortController();
     let claimsPausedUntil = 0;
-    let isolatedSince: number | undefined;
+    const isolation = createIsolation(options);
+    const reachReports = createReachReports(options);
 
     /** Whether a cell has no owner; `certain` if the former owner cannot resume it. */
     const findVacancy = (cell: string, now: number): "none" | "likely" | "certain" => {
@@ -158,7 +163,9 @@
             journal,
             instance: self.instance,
             ends,
-            findAddress: owner => findAddress(owner, former),
+            // The record of an ownership tells the address also when that of the member has lapsed.
+            findAddress: ({ incarnation }) =>
+                directory.findMember(incarnation) ?? (former?.incarnation === incarnation ? former : undefined),
             requestRetirement: options.requestRetirement,
             clock,
             log,
@@ -171,6 +178,7 @@
             haveFormerOwnersStopped: () => formerOwners.haveStopped(),
             formerLeaseEnds: () => formerOwners.leaseEnds(),
         });
+        isolation.recordClaim(name, former);
         log.write("cell-claimed", {
             cell: name,
             epoch: journal.epoch,
@@ -184,11 +192,6 @@
         owner.incarnation === former?.incarnation || ends.isDead(owner.incarnation)
         || owner.instance === self.instance;
 
-    /** Finds the address of a former owner, also when the record of its ownership has lapsed. */
-    const findAddress = (owner: FormerOwner, former: OwnerRecord | undefined): Member | OwnerRecord | undefined =>
-        [...directory.members(), ...former === undefined ? [] : [former]]
-            .find(({ incarnation }) => incarnation === owner.incarnation);
-
     const runCell = async (
         cell: Cell,
         leaseId: string,
@@ -239,34 +242,41 @@
         running.set(name, task);
     };
 
-    const release = (cell: Cell): Promise<boolean> => {
+    const release = (cell: Cell, connections?: number): Promise<boolean> => {
         const owner = directory.owner(cell.name);
         if (owner?.incarnation === self.incarnation) {
-            const value = JSON.stringify({ ...owner, isReleased: true });
+            const released: OwnerRecord = {
+                ...owner,
+                isReleased: true,
+                ...(connections === undefined ? {} : { connections }),
+            };
+            const value = JSON.stringify(released);
             cell.attachWrite({ kind: "put", key: keyOfOwner(cell.name), value });
         }
         return cell.release();
     };
 
-    /** Releases all cells if too few members can reach this instance. */
-    const checkIsolation = (now: number): void => {
-        const others = directory.members().length - 1;
-        const isIsolated = owned.size > 0 && others > 0 && options.connections() < others / 2;
-        isolatedSince = isIsolated ? isolatedSince ?? now : undefined;
-        if (isolatedSince !== undefined && now - isolatedSince > settings.isolationMilliseconds) {
-            log.write("owner-isolated", { connections: options.connections(), members: others + 1 }, "vital");
+    const leaveIsolatedCells = (now: number): void => {
+        for (const cell of isolation.listCellsToLeave([...owned.values()], now)) {
             claimsPausedUntil = now + CLAIM_PAUSE_MILLISECONDS;
-            isolatedSince = undefined;
-            owned.forEach(cell => void release(cell));
+            void release(cell, options.connections());
         }
     };
 
+    /** Reports an owner that this instance cannot reach, though its record is there. */
+    const checkReach = (name: string, owner: OwnerRecord | undefined, now: number, signal: AbortSignal): void => {
+        const isReached = owner === undefined || owner.isReleased || owned.has(name)
+            || owner.instance === self.instance || ends.isDead(owner.incarnation) || options.isConnectedToOwner(name);
+        reachReports.update(name, isReached ? undefined : owner, now, signal);
+    };
+
     const checkCells = (signal: AbortSignal): void => {
         const now = clock();
-        checkIsolation(now);
+        leaveIsolatedCells(now);
         for (const name of options.cells) {
             const cell = owned.get(name);
             const owner = directory.owner(name);
+            checkReach(name, owner, now, signal);
             if (cell !== undefined) {
                 if (owner !== undefined && owner.epoch > cell.epoch) {
                     cell.abandon(`${owner.instance} owns it in epoch ${owner.epoch}`);
@@ -306,7 +316,7 @@
         async handOver(limitMilliseconds) {
             handOverStart.abort();
             await Promise.race([
-                Promise.all([...owned.values()].map(release)),
+                Promise.all([...owned.values()].map(cell => release(cell))),
                 pause(limitMilliseconds),
             ]);
         },
--- a/src/jobs/ownership/records.ts
+++ b/src/jobs/ownership/records.ts
@@ -31,6 +31,8 @@
     port: PeerPort,
     /** Whether the owner has released the cell, so that any instance may claim it. */
     isReleased: z.boolean(),
+    /** Connections from other instances, if the owner has released the cell because of too few. */
+    connections: z.int().optional(),
 });
 export type OwnerRecord = z.infer<typeof OwnerRecord>;
 
@@ -52,6 +54,21 @@
 });
 export type StopRecord = z.infer<typeof StopRecord>;
 
+/** Report of an instance that cannot reach the owner of a cell. */
+export const ReachReport = z.object({
+    cell: z.string(),
+    instance: z.string(),
+    incarnation: z.string(),
+    /** Incarnation of the owner. */
+    owner: z.string(),
+});
+export type ReachReport = z.infer<typeof ReachReport>;
+
+/** Key of the report that an instance cannot reach the owner of a cell. */
+export function keyOfReachReport(cell: string, instance: string): string {
+    return `${DIRECTORY_PREFIX}unreached/${cell}/${instance}`;
+}
+
 /** Key of a member's record. */
 export function keyOfMember(instance: string): string {
     return `${DIRECTORY_PREFIX}members/${instance}`;
--- a/src/jobs/settings.ts
+++ b/src/jobs/settings.ts
@@ -67,7 +67,10 @@
     lookMilliseconds: Milliseconds.default(200),
     /** How long an owner may be unable to commit before an instance that can commit replaces it. */
     troubleMilliseconds: Milliseconds.default(700),
-    /** How long an owner may be connected to less than half of the members before it releases its cell. */
+    /**
+     * How long an owner may be connected to less than half of the members before it releases its cell, if more instances report that they
+     * cannot reach it than are connected.
+     */
     isolationMilliseconds: Milliseconds.default(1_500),
 });
 export type OwnershipSettings = z.infer<typeof OwnershipSettings>;
--- a/src/jobs/wiring.ts
+++ b/src/jobs/wiring.ts
@@ -96,6 +96,7 @@
         clock,
         log,
         connections: () => server.connections(),
+        isConnectedToOwner: cell => links.find(cell) !== undefined,
         isPrepared: () => catalog.current() !== undefined && options.workerList.isUpToDate(clock()),
         requestRetirement,
     });
