Owners record the lives of workers, and what orders to former lives may have left

An order to a worker's former life may reach the new one, late and with a time of the former clock, so that it grants the longest lease. The owner counted that only where it saw the new life answer the order, and its successor never did.

The last unanswered lease counts for 12 s, and the ledger lists the lives of workers with the leases that they may hold. A successor waits for these, and for the longest lease where it meets a young life that the ledger does not list.

--- a/features/jobs/gang-plans.steps.ts
+++ b/features/jobs/gang-plans.steps.ts
@@ -128,7 +128,7 @@
         workers: [],
         claimedAtMilliseconds: systemClock(),
         predecessorActiveMilliseconds: 0,
-        longestLeaseMilliseconds: 0,
+        longestLeaseOf: () => 0,
         contactMilliseconds: 0,
     });
     const dispatched = createDispatcher(cell, recovery).run();
--- a/features/jobs/recovery.steps.ts
+++ b/features/jobs/recovery.steps.ts
@@ -22,7 +22,7 @@
             workers: Array.from({ length: count }, (_, index) => `worker-${index}`),
             claimedAtMilliseconds: NOW,
             predecessorActiveMilliseconds: HORIZON_MILLISECONDS,
-            longestLeaseMilliseconds: LEASE_MILLISECONDS,
+            longestLeaseOf: () => LEASE_MILLISECONDS,
             contactMilliseconds: CONTACT_MILLISECONDS,
         });
     },
--- a/features/jobs/takeover-path.feature
+++ b/features/jobs/takeover-path.feature
@@ -146,6 +146,22 @@
         And every lasting task runs again
         And no task ran twice at the same time or after its end was acknowledged
 
+    # Guards against a successor that counts its own leases alone: a hold to the former life has given the new one the longest lease.
+    Scenario Outline: A task on a worker that has started again, and is cut off <when>, does not run elsewhere too early
+        Given the workers have been up for 12 s
+        When a hold reaches a worker late, after it has started again
+        And a lasting job of 1 tasks runs on that worker
+        And the owner is killed, and the worker is cut off <when> for 14 s
+        Then every lasting task runs again
+        When the silence is over
+        Then every lasting task runs again
+        And no task ran twice at the same time or after its end was acknowledged
+
+        Examples:
+            | when                                 |
+            | before its successor has reached it  |
+            | after its successor has reached it   |
+
     Scenario Outline: Nothing is lost or runs twice while faults of several machines overlap, drawn from seed <seed>
         Given a lasting job of 4 tasks runs
         And callers submit jobs at all processes
--- a/features/jobs/takeover-path.steps.ts
+++ b/features/jobs/takeover-path.steps.ts
@@ -184,6 +184,65 @@
     },
 );
 
+Given("the workers have been up for {int} s", LIMIT, async function(this: TakeoverPathWorld, seconds: number) {
+    this.formerOwner = await ownerOf(this);
+    await wait(seconds * SECOND);
+});
+
+When("a hold reaches a worker late, after it has started again", LIMIT, async function(this: TakeoverPathWorld) {
+    const [worker] = this.usersPlatform.workers;
+    assert.ok(worker !== undefined);
+    this.lostWorker = worker;
+    let hasRestarted = false;
+    worker.fault = path => {
+        if (path !== "/hold" || hasRestarted) {
+            return "none";
+        }
+        hasRestarted = true;
+        worker.cutPower();
+        setTimeout(() => worker.restart(), RESTART_MILLISECONDS);
+        return "late";
+    };
+    const owner = await ownerOf(this);
+    await waitUntil(() => owner.events.some(({ event }) => event === "worker-reborn"), "the worker has started again");
+    await wait(SECOND);
+});
+
+When("a lasting job of {int} tasks runs on that worker", LIMIT, async function(this: TakeoverPathWorld, count: number) {
+    this.lastingTasks = namesOfTasks(count);
+    const { lostWorker, usersPlatform: { workers } } = this;
+    const others = workers.filter(worker => worker !== lostWorker);
+    others.forEach(worker => {
+        worker.fault = path => path === "/run-start" ? "refused" : "none";
+    });
+    await submit(this, LASTING_JOB, describeLastingJob(count));
+    await waitUntil(() => idleTasks(this).length === 0, "every lasting task runs");
+    others.forEach(worker => {
+        worker.fault = () => "none";
+    });
+    assert.ok(lostWorker?.runs.some(({ endedAt }) => endedAt === undefined));
+});
+
+When(
+    /^the owner is killed, and the worker is cut off (before|after) its successor has reached it for (\d+) s$/,
+    LIMIT,
+    async function(this: TakeoverPathWorld, when: string, seconds: string) {
+        this.formerOwner = await ownerOf(this);
+        const { lostWorker } = this;
+        assert.ok(lostWorker !== undefined);
+        if (when === "before") {
+            lostWorker.disconnect();
+        }
+        await this.formerOwner.kill();
+        if (when === "after") {
+            await waitForSuccessor(this);
+            await wait(SECOND);
+            lostWorker.disconnect();
+        }
+        this.silence = wait(Number(seconds) * SECOND).then(() => lostWorker.reconnect());
+    },
+);
+
 When("the silence is over", LIMIT, async function(this: TakeoverPathWorld) {
     await this.silence;
 });
--- a/features/jobs/worker-lives.steps.ts
+++ b/features/jobs/worker-lives.steps.ts
@@ -10,10 +10,10 @@
 import { applyReport } from "../../src/jobs/cell/report.js";
 import { runSession } from "../../src/jobs/cell/session.js";
 import { startAttempt } from "../../src/jobs/cell/starting.js";
-import { attemptsLapsedAt, createCellWorker } from "../../src/jobs/cell/worker.js";
+import { attemptsLapsedAt, createCellWorker, longestFormerLease } from "../../src/jobs/cell/worker.js";
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
 import { addAttempt } from "../../src/jobs/job-table/attempts.js";
-import type { JobTable } from "../../src/jobs/job-table/job-table.js";
+import type { JobTable, WorkerLife } from "../../src/jobs/job-table/job-table.js";
 import type { HoldOrder, StartAnswer, StartOrder, WorkerOrders, WorkerReport } from "../../src/jobs/model/worker.js";
 import type { CellSettings } from "../../src/jobs/settings.js";
 import { addTask, createEmptyJobTable, describeWorker, runTask } from "./builders.js";
@@ -30,6 +30,8 @@
     /** Reports, in turn; no answer once they are used up. */
     reports: WorkerReport[];
     ordersEnd: AbortController;
+    knownLife: string;
+    formerLease: number;
     cell: CellContext;
 }
 
@@ -126,6 +128,76 @@
     await order(this);
 });
 
+When("a new life reports after a hold of the former life got no answer", LIMIT, async function(this: LivesWorld) {
+    const end = new AbortController();
+    const session = runSession(this.cell, this.worker, end.signal);
+    while (this.holds.length < 2) {
+        await pause(1);
+    }
+    assert.ok(this.holds[0]?.leaseUntilMilliseconds !== undefined);
+    assert.equal(this.holds[1]?.leaseUntilMilliseconds, undefined);
+    this.reports = [describeReport(NEW_LIFE, NEW_CLOCK_MILLISECONDS)];
+    while (this.worker.incarnation !== NEW_LIFE) {
+        await pause(1);
+    }
+    end.abort();
+    await session;
+});
+
+Then("the ledger gets the new life, with a lease that ends after {int} ms", function(
+    this: LivesWorld,
+    milliseconds: number,
+) {
+    const life = this.jobTable.changes.lives.find(([, incarnation]) => incarnation === NEW_LIFE);
+    assert.ok(life !== undefined && life[2] > NEW_CLOCK_MILLISECONDS + milliseconds - SECOND, JSON.stringify(life));
+});
+
+Given(/^a successor, whose ledger lists (.*)$/, function(this: LivesWorld, known: string) {
+    this.knownLife = known;
+    this.worker = createCellWorker(describeWorker("worker-0", 8), true, systemClock());
+});
+
+/** Sets up a life of this age as of the ledger; returns its incarnation. */
+function beginLife({ jobTable, knownLife }: LivesWorld, seconds: number): number {
+    const incarnation = Math.round(systemClock() - seconds * SECOND);
+    const lives: Readonly<Record<string, WorkerLife>> = {
+        "the worker's former life": { incarnation: FORMER_LIFE, leaseUntilMilliseconds: 0 },
+        "the life with a lease of 16 s": { incarnation, leaseUntilMilliseconds: 16 * SECOND },
+        "the life without a doubtful lease": { incarnation, leaseUntilMilliseconds: 0 },
+    };
+    const life = lives[knownLife];
+    if (life !== undefined) {
+        jobTable.lives.set("worker-0", life);
+    }
+    return incarnation;
+}
+
+When(/^a life of (\d+) s reports to it for the first time$/, LIMIT, async function(this: LivesWorld, seconds: string) {
+    const incarnation = beginLife(this, Number(seconds));
+    this.reports = [describeReport(incarnation, Number(seconds) * SECOND)];
+    const end = new AbortController();
+    const session = runSession(this.cell, this.worker, end.signal);
+    while (this.worker.incarnation !== incarnation) {
+        await pause(1);
+    }
+    end.abort();
+    await session;
+});
+
+When(/^it does not reach a life of (\d+) s$/, function(this: LivesWorld, seconds: string) {
+    const incarnation = beginLife(this, Number(seconds));
+    this.formerLease = longestFormerLease(
+        incarnation,
+        this.jobTable.lives.get("worker-0"),
+        this.settings,
+        systemClock(),
+    );
+});
+
+Then("it waits for a lease of {int} ms", function(this: LivesWorld, milliseconds: number) {
+    assert.equal(this.formerLease, milliseconds);
+});
+
 When(/^a new life reports after (a start|a hold|no order) of the former life was sent$/, LIMIT, async function(
     this: LivesWorld,
     sent: string,
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -30,7 +30,7 @@
 import { createRecovery } from "./recovery.js";
 import { createRequestHandler } from "./request-handler.js";
 import { createWorkerSessions } from "./worker-sessions.js";
-import { attemptsLapsedAt } from "./worker.js";
+import { attemptsLapsedAt, longestFormerLease } from "./worker.js";
 
 /** Time between two removals of ended jobs; the load is logged as often. */
 const CLEANUP_INTERVAL_MILLISECONDS = 1_000;
@@ -102,18 +102,20 @@
     });
     claimed.segments.forEach(segment => replaySegment(jobTable, segment, workersInUse, clock()));
     releaseEndedJobs(jobTable, clock() - RELEASE_AFTER_MILLISECONDS);
+    const workers: CellContext["workers"] = new Map();
     const recovery = createRecovery({
         workers: workersInUse,
         claimedAtMilliseconds: claimed.claimedAtMilliseconds,
         predecessorActiveMilliseconds: claimed.haveFormerOwnersStopped() ? 0 : settings.horizonMilliseconds,
-        longestLeaseMilliseconds: settings.leaseMilliseconds,
+        longestLeaseOf(id, lastOrdersAt) {
+            const listed = workers.get(id)?.listed ?? options.workerList.current().get(id);
+            return longestFormerLease(listed?.incarnation, jobTable.lives.get(id), settings, lastOrdersAt);
+        },
         contactMilliseconds: settings.contactMilliseconds,
     });
     if (recovery.unanswered().length === 0) {
         journal.settleFormerOwners();
     }
-    const workers: CellContext["workers"] = new Map();
-
     const abandon = (reason: string): void => {
         if (!ownershipEnd.signal.aborted) {
             log.write("cell-lost", { cell: name, epoch, reason }, "vital");
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -16,7 +16,8 @@
     readonly claimedAtMilliseconds: number;
     /** How long the predecessor may have sent orders after the claim; 0 if it certainly sent none. */
     readonly predecessorActiveMilliseconds: number;
-    readonly longestLeaseMilliseconds: number;
+    /** Longest lease that a former owner may have left on a worker by its last orders, in milliseconds. */
+    longestLeaseOf(worker: string, lastOrdersAtMilliseconds: number): number;
     /** How long an owner sends orders after most workers have last answered it. */
     readonly contactMilliseconds: number;
 }
@@ -42,17 +43,22 @@
 export function createRecovery(options: RecoveryOptions): Recovery {
     const unanswered = new Set(options.workers);
     const workerCount = unanswered.size;
-    /** Time after which no attempt of a former owner runs on any worker. */
-    let endsAtMilliseconds = options.claimedAtMilliseconds
-        + withClockTolerance(options.predecessorActiveMilliseconds + options.longestLeaseMilliseconds);
+    /** Time after which no former owner sends orders. */
+    let ordersEndAtMilliseconds = options.claimedAtMilliseconds
+        + withClockTolerance(options.predecessorActiveMilliseconds);
     let answeredCount = 0;
     let areEnoughAnswered = false;
     let formerLeaseEnds: ReadonlyMap<string, number> | undefined;
     const expectPredecessorEnd = (at: number): void => {
-        endsAtMilliseconds = Math.min(endsAtMilliseconds, at + withClockTolerance(options.longestLeaseMilliseconds));
+        ordersEndAtMilliseconds = Math.min(ordersEndAtMilliseconds, at);
+    };
+    const heldUntil = (worker: string): number => {
+        const lease = options.longestLeaseOf(worker, ordersEndAtMilliseconds);
+        return Math.min(
+            ordersEndAtMilliseconds + withClockTolerance(lease),
+            formerLeaseEnds === undefined ? Infinity : formerLeaseEnds.get(worker) ?? 0,
+        );
     };
-    const heldUntil = (worker: string): number =>
-        Math.min(endsAtMilliseconds, formerLeaseEnds === undefined ? Infinity : formerLeaseEnds.get(worker) ?? 0);
     return {
         unanswered: () => [...unanswered],
         recordAnswer(worker, now) {
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -5,16 +5,25 @@
 import type { Failure } from "../../core/errors.js";
 import { isAborted, pause } from "../../core/time.js";
 import { recordLostAttempt } from "../job-table/attempts.js";
-import type { RunningAttempt } from "../model/worker.js";
+import type { RunningAttempt, WorkerReport } from "../model/worker.js";
 import { isSlow, listStalledAttempts, quarantine, recordFailedJob, recordSuccess } from "../policy/health.js";
 import { choosePaces, isWorthMoving } from "../policy/pacing.js";
 import type { CellContext } from "./context.js";
 import { isProofOfCrash } from "./crashes.js";
+import { recordPresentLife } from "./lives.js";
 import { paceAttempt } from "./pacing.js";
 import { applyReport } from "./report.js";
 import { describeStart } from "./starting.js";
 import { orderStop } from "./stopping.js";
-import { assumeLongestLease, attemptsLapsedAt, grantLease, hasUnreportedStart } from "./worker.js";
+import {
+    assumeFormerLease,
+    assumeLongestLease,
+    attemptsLapsedAt,
+    expectLateLease,
+    grantLease,
+    hasUnreportedStart,
+    recordUnansweredLease,
+} from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Failed hold orders after which a worker counts as silent; a single failure may be just a lost connection. */
@@ -64,6 +73,9 @@
         if (answer.isErr) {
             failures += 1;
             worker.failingSinceMilliseconds ??= now;
+            if (lease !== undefined && answer.error.code !== "unavailable") {
+                recordUnansweredLease(worker, lease, sentAt, now);
+            }
             if (answer.error.code === "fenced") {
                 cell.handleOwnerReplaced(formatFailure(answer.error), worker.listed.id);
                 return;
@@ -74,20 +86,30 @@
         }
         failures = 0;
         isLeased = lease !== undefined;
-        logContact(cell, worker);
+        logContact(cell, worker, answer.value);
         const isNews = worker.hasReportedAll || worker.contact === "unknown";
         // If this report comes from a new life, an order with a time of the former life's clock may have reached it.
         const hasFormerTime = lease !== undefined || hasUnreportedStart(worker);
+        const isFirstReport = worker.clock === undefined;
+        const { clockMilliseconds } = answer.value;
         const outcome = applyReport(cell.jobTable, worker, answer.value, sentAt, now);
+        if (isFirstReport && worker.isInherited) {
+            const known = cell.jobTable.lives.get(worker.listed.id);
+            assumeFormerLease(worker, clockMilliseconds, known, settings, now);
+        }
         if (outcome.hasRestarted) {
             isLeased = false;
             if (hasFormerTime) {
-                assumeLongestLease(worker, answer.value.clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
+                assumeLongestLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
             }
+            expectLateLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
             const { attempts } = cell.jobTable.occupancy.load(worker.listed.id);
             const unanswered = attempts.filter(({ phase }) => phase === "ordered");
             cell.crashes.record(worker, [...outcome.lost, ...unanswered], now);
         }
+        if (isFirstReport || outcome.hasRestarted) {
+            recordPresentLife(cell, worker, outcome.hasRestarted);
+        }
         if (isNews && !worker.hasReportedAll) {
             cell.log.write("report-incomplete", { worker: worker.listed.id, ends: answer.value.ended.length }, "vital");
         }
@@ -197,10 +219,12 @@
     }
 }
 
-function logContact(cell: CellContext, worker: CellWorker): void {
+function logContact(cell: CellContext, worker: CellWorker, { clockMilliseconds, incarnation }: WorkerReport): void {
     if (worker.contact !== "answering") {
         cell.log.write("worker-answers", {
             worker: worker.listed.id,
+            incarnation,
+            clockMilliseconds,
             before: worker.contact,
             silentMilliseconds: Math.round(cell.clock() - worker.lastAnswerAtMilliseconds),
         }, "vital");
@@ -265,7 +289,14 @@
 ): void {
     const { id } = worker.listed;
     if (hasRestarted) {
-        cell.log.write("worker-reborn", { worker: id, incarnation: worker.incarnation, lost: lost.length }, "vital");
+        const { clock, incarnation, leaseUntilMilliseconds } = worker;
+        cell.log.write("worker-reborn", {
+            worker: id,
+            incarnation,
+            lost: lost.length,
+            clockMilliseconds: clock?.workerMilliseconds,
+            leaseUntilMilliseconds,
+        }, "vital");
     }
     if (adopted > 0) {
         cell.log.write("runs-adopted", { worker: id, attempts: adopted });
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -10,7 +10,7 @@
 import { paceAttempt } from "./pacing.js";
 import { findStartObstacle } from "./start-obstacle.js";
 import type { StartObstacle } from "./start-obstacle.js";
-import { assumeLongestLease, grantLease, isAnswerOfNewLife } from "./worker.js";
+import { assumeLongestLease, expectLateLease, grantLease, isAnswerOfNewLife, recordUnansweredLease } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Number of start orders without an answer after which the attempt is stopped. */
@@ -154,6 +154,7 @@
                 "vital",
             );
             assumeLongestLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
+            expectLateLease(worker, clockMilliseconds, now, settings.workerLeaseLimitMilliseconds);
         }
         if (answer.value.kind === "refused" && answer.value.refusal !== "attempt-over" && tries > 1) {
             // An earlier order may still be carried out, after this one.
@@ -169,6 +170,9 @@
         return true;
     }
     const { code } = answer.error;
+    if (code !== "unavailable") {
+        recordUnansweredLease(worker, leaseUntilMilliseconds, sentAt, now);
+    }
     metrics.orders.inc({ order: "start", outcome: code });
     cell.log.write("start-unanswered", {
         ...describeStart(attempt, now),
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -1,6 +1,7 @@
 /**
  * The owner's state of a worker: its clock, its lease, and the sequences of the ends that were recorded and committed.
  */
+import type { WorkerLife } from "../job-table/job-table.js";
 import type { ListedWorker } from "../model/worker.js";
 import { createWorkerHealth } from "../policy/health.js";
 import type { WorkerHealth } from "../policy/health.js";
@@ -8,6 +9,13 @@
 /** Whether a worker answers. */
 export type WorkerContact = "unknown" | "answering" | "silent";
 
+/** A lease in an order without an answer. */
+export interface UnansweredLease {
+    /** Latest end of the lease in this order and those before it that may still be carried out. */
+    readonly untilMilliseconds: number;
+    readonly sentAtMilliseconds: number;
+}
+
 /** A worker of a cell. */
 export interface CellWorker {
     /** Latest entry in the platform's list. */
@@ -18,6 +26,8 @@
     drainingSinceMilliseconds: number | undefined;
     /** Earliest announced time at which the worker leaves; absent if it has announced none. */
     leavesAtMilliseconds: number | undefined;
+    /** Whether former owners may have sent orders to the worker. */
+    readonly isInherited: boolean;
     /** Whether the ledger lists the worker as in use; no attempt is started on it before. */
     isRecorded: boolean;
     contact: WorkerContact;
@@ -32,6 +42,8 @@
     hasCrashed: boolean;
     /** Latest end of all leases that may have been granted, on the worker's clock. */
     leaseUntilMilliseconds: number;
+    /** The last order with a lease that got no answer; it may still be carried out, also by a new life. */
+    unansweredLease: UnansweredLease | undefined;
     /** When the last order to start an attempt was sent. */
     lastStartSentAtMilliseconds: number;
     /** Whether the latest report listed all ends. */
@@ -56,6 +68,12 @@
     return milliseconds / SLOWEST_CLOCK_RATE;
 }
 
+/** Longest time after which an order without an answer is still carried out, as the platform documents it. */
+const LATEST_ORDER_MILLISECONDS = 12_000;
+
+/** Largest difference between the clocks of two machines, as the platform documents it. */
+const CLOCK_SKEW_MILLISECONDS = 5_000;
+
 /** Creates the state of a worker that has not been contacted yet. */
 export function createCellWorker(listed: ListedWorker, isRecorded: boolean, now: number): CellWorker {
     return {
@@ -63,6 +81,7 @@
         unlistedSinceMilliseconds: undefined,
         drainingSinceMilliseconds: undefined,
         leavesAtMilliseconds: undefined,
+        isInherited: isRecorded,
         isRecorded,
         contact: "unknown",
         incarnation: undefined,
@@ -71,6 +90,7 @@
         failingSinceMilliseconds: undefined,
         hasCrashed: false,
         leaseUntilMilliseconds: 0,
+        unansweredLease: undefined,
         lastStartSentAtMilliseconds: -Infinity,
         hasReportedAll: false,
         recordedSequence: 0,
@@ -139,6 +159,85 @@
     worker.leaseUntilMilliseconds = clockMilliseconds + leaseLimitMilliseconds;
 }
 
+/** Records an order with a lease that got no answer. */
+export function recordUnansweredLease(
+    worker: CellWorker,
+    untilMilliseconds: number,
+    sentAtMilliseconds: number,
+    now: number,
+): void {
+    const former = mayStillArrive(worker.unansweredLease, now) ? worker.unansweredLease : undefined;
+    worker.unansweredLease = {
+        untilMilliseconds: Math.max(untilMilliseconds, former?.untilMilliseconds ?? 0),
+        sentAtMilliseconds: Math.max(sentAtMilliseconds, former?.sentAtMilliseconds ?? 0),
+    };
+}
+
+/**
+ * Counts what orders to the former life may bring about in a new one, whose clock is at this value now: they arrive some seconds late, with
+ * a lease that ends far ahead on the new clock, of which the worker grants the longest part that it accepts.
+ */
+export function expectLateLease(
+    worker: CellWorker,
+    clockMilliseconds: number,
+    now: number,
+    leaseLimitMilliseconds: number,
+): void {
+    const { unansweredLease } = worker;
+    if (!mayStillArrive(unansweredLease, now)) {
+        return;
+    }
+    const latestArrivalMilliseconds = clockMilliseconds
+        + withClockTolerance(unansweredLease.sentAtMilliseconds + LATEST_ORDER_MILLISECONDS - now);
+    worker.leaseUntilMilliseconds = Math.max(
+        worker.leaseUntilMilliseconds,
+        Math.min(unansweredLease.untilMilliseconds, latestArrivalMilliseconds + leaseLimitMilliseconds),
+    );
+}
+
+function mayStillArrive(lease: UnansweredLease | undefined, now: number): lease is UnansweredLease {
+    return lease !== undefined && now - lease.sentAtMilliseconds < LATEST_ORDER_MILLISECONDS;
+}
+
+/** Leases that an owner grants, and the longest that a worker accepts, in milliseconds. */
+export interface LeaseLengths {
+    readonly leaseMilliseconds: number;
+    readonly workerLeaseLimitMilliseconds: number;
+}
+
+/**
+ * Longest lease that former owners may have left on a worker's present life, by its last orders or late ones. `known` is the last life that
+ * they have recorded in the ledger: one that began shortly before, and that they have not known or not without doubt, may have carried out
+ * orders to the life before it, and has then granted the longest lease.
+ */
+export function longestFormerLease(
+    incarnation: number | undefined,
+    known: WorkerLife | undefined,
+    { leaseMilliseconds, workerLeaseLimitMilliseconds }: LeaseLengths,
+    now: number,
+): number {
+    const youngMilliseconds = LATEST_ORDER_MILLISECONDS + workerLeaseLimitMilliseconds + CLOCK_SKEW_MILLISECONDS;
+    const isYoung = incarnation !== undefined && now - incarnation < youngMilliseconds;
+    const isDoubtful = known !== undefined && (known.incarnation !== incarnation || known.leaseUntilMilliseconds > 0);
+    return isYoung && isDoubtful ? workerLeaseLimitMilliseconds : leaseMilliseconds;
+}
+
+/** Counts the leases that former owners may have left on a worker's life, when it reports to this owner for the first time. */
+export function assumeFormerLease(
+    worker: CellWorker,
+    clockMilliseconds: number,
+    known: WorkerLife | undefined,
+    lengths: LeaseLengths,
+    now: number,
+): void {
+    const isKnown = known !== undefined && known.incarnation === worker.incarnation;
+    worker.leaseUntilMilliseconds = Math.max(
+        worker.leaseUntilMilliseconds,
+        clockMilliseconds + longestFormerLease(worker.incarnation, known, lengths, now),
+        isKnown ? known.leaseUntilMilliseconds : 0,
+    );
+}
+
 /** Time after which all leases of this owner have certainly lapsed, even if the worker's clock is slow. */
 export function leasesLapsedAt({ clock, leaseUntilMilliseconds }: CellWorker): number {
     if (clock === undefined) {
--- a/src/jobs/job-table/job-table.ts
+++ b/src/jobs/job-table/job-table.ts
@@ -11,6 +11,13 @@
 import type { Occupancy } from "./occupancy.js";
 import type { Attempt, Task } from "./task.js";
 
+/** A life of a worker, from one start to the next, as recorded in the ledger. */
+export interface WorkerLife {
+    readonly incarnation: number;
+    /** Latest end of leases that it may hold from orders to the life before it, on its clock; 0 if there were none. */
+    readonly leaseUntilMilliseconds: number;
+}
+
 /** Options of a job table. */
 export interface JobTableOptions {
     /** Epoch of the cell's owner. */
@@ -34,6 +41,8 @@
      * are added and removed by the functions of `ready.ts`.
      */
     readonly readyTasks: Set<Task>;
+    /** Last known lives of the workers. */
+    readonly lives: Map<string, WorkerLife>;
     /** Attempts that have to be stopped. */
     readonly attemptsToStop: Set<Attempt>;
     /** Changes that are not part of a commit yet. */
@@ -49,6 +58,7 @@
         deferredJobs: new Set(),
         occupancy: createOccupancy(),
         readyTasks: new Set(),
+        lives: new Map(),
         attemptsToStop: new Set(),
         changes: createChanges(),
     };
@@ -107,8 +117,21 @@
     changes.workersUsed.push(id);
 }
 
+/** Records a life of a worker for later owners; returns whether that is news to them. */
+export function recordLife({ changes, lives }: JobTable, id: string, life: WorkerLife): boolean {
+    const { incarnation, leaseUntilMilliseconds } = life;
+    const known = lives.get(id);
+    if (known?.incarnation === incarnation && known.leaseUntilMilliseconds >= leaseUntilMilliseconds) {
+        return false;
+    }
+    lives.set(id, life);
+    changes.lives.push([id, incarnation, leaseUntilMilliseconds]);
+    return true;
+}
+
 /** Records that no attempt runs on a worker any more. */
-export function recordWorkerUnused({ changes }: JobTable, id: string): void {
+export function recordWorkerUnused({ changes, lives }: JobTable, id: string): void {
+    lives.delete(id);
     changes.workersUsed = changes.workersUsed.filter(other => other !== id);
     changes.workersLeft.push(id);
 }
@@ -131,6 +154,7 @@
         ended: [...detached.ended, ...later.ended],
         forgotten: [...detached.forgotten, ...later.forgotten],
         workersUsed: [...usedBefore, ...later.workersUsed],
+        lives: [...detached.lives, ...later.lives],
         workersLeft: [...unusedBefore, ...later.workersLeft],
     };
 }
--- a/src/jobs/job-table/restore.ts
+++ b/src/jobs/job-table/restore.ts
@@ -47,7 +47,13 @@
     segment.ended.forEach(ended => restoreEndedJob(table, ended));
     segment.forgotten.forEach(id => dropJob(table, id));
     segment.workersUsed.forEach(worker => workersInUse.add(worker));
-    segment.workersLeft.forEach(worker => workersInUse.delete(worker));
+    segment.lives.forEach(([worker, incarnation, leaseUntilMilliseconds]) =>
+        table.lives.set(worker, { incarnation, leaseUntilMilliseconds })
+    );
+    segment.workersLeft.forEach(worker => {
+        workersInUse.delete(worker);
+        table.lives.delete(worker);
+    });
     openDeferredJobs(table, now);
     // Changes that were read from the ledger are not committed again.
     table.changes = createChanges();
@@ -98,6 +104,9 @@
         }
     }
     snapshot.workersUsed.push(...workersInUse);
+    table.lives.forEach(({ incarnation, leaseUntilMilliseconds }, worker) =>
+        snapshot.lives.push([worker, incarnation, leaseUntilMilliseconds])
+    );
     return snapshot;
 }
 
--- a/src/jobs/ledger/segment.ts
+++ b/src/jobs/ledger/segment.ts
@@ -44,6 +44,8 @@
     forgotten: z.array(z.string()),
     /** Workers that may run attempts from now on. */
     workersUsed: z.array(z.string()),
+    /** Lives of workers: worker, incarnation, and the lease as of `WorkerLife`. Older builds wrote none. */
+    lives: z.array(z.tuple([z.string(), z.number(), z.number()])).default([]),
     /** Workers on which no attempt runs any more. */
     workersLeft: z.array(z.string()),
 });
@@ -66,6 +68,7 @@
         ended: [],
         forgotten: [],
         workersUsed: [],
+        lives: [],
         workersLeft: [],
     };
 }
@@ -88,6 +91,7 @@
     "ended",
     "forgotten",
     "workersUsed",
+    "lives",
     "workersLeft",
 ] as const;
 
