Reports on unreached owners stay out of the directory; a cheaper check for suspects

After a loss of power, 33 of 42 instances reported within a second that they could not reach an owner which was busy with its takeover; all instances followed these reports, and the owner left the cell. A search for a worker looked at all attempts on all workers for suspects.

Only an owner in doubt reads the reports. An instance that has not been connected to an owner yet reports it after 3 s. The suspects on a worker are kept apart, and the loads that a gang is tried on are copied as they are needed.

--- a/features/jobs/gang-plans.steps.ts
+++ b/features/jobs/gang-plans.steps.ts
@@ -67,7 +67,7 @@
 function copyLoads({ jobTable, workers }: GangPlansWorld): WorkerLoad[] {
     return workers.map(({ listed }) => {
         const load = jobTable.occupancy.load(listed.id);
-        return { ...load, attempts: [...load.attempts] };
+        return { ...load, attempts: [...load.attempts], suspects: [...load.suspects] };
     });
 }
 
--- a/features/jobs/isolation.feature
+++ b/features/jobs/isolation.feature
@@ -40,3 +40,9 @@
         And it has reported the owner after 1100 ms
         When it has a connection to the owner again
         Then its report is removed
+
+    # Guards against reports on an owner that is only busy with its takeover, which add to its load.
+    Scenario: An instance that has not been connected to the owner yet gives it more time
+        Given an instance that has not had a connection to the owner
+        Then it has reported nothing after 2900 ms
+        And it has reported the owner after 3100 ms
--- a/src/jobs/cell/start-plan.ts
+++ b/src/jobs/cell/start-plan.ts
@@ -6,6 +6,7 @@
  */
 import { createAttempt } from "../job-table/attempts.js";
 import { addToLoad, copyLoad } from "../job-table/occupancy.js";
+import type { WorkerLoad } from "../job-table/occupancy.js";
 import { nextAttemptNumber } from "../job-table/task.js";
 import type { Attempt, Task } from "../job-table/task.js";
 import type { Candidate, CandidateRanking } from "../policy/placement.js";
@@ -26,12 +27,9 @@
     now: number,
 ): Attempt[] | undefined {
     const number = members.reduce((highest, member) => Math.max(highest, nextAttemptNumber(member, options.epoch)), 0);
-    const loads = members.length > 1
-        ? new Map(candidates.map(({ load, worker }) => [worker.id, copyLoad(load)]))
-        : undefined;
-    const tried = loads === undefined
-        ? candidates
-        : candidates.map(candidate => ({ ...candidate, load: loads.get(candidate.worker.id) ?? candidate.load }));
+    const tried = members.length > 1 ? candidates.map(candidate => ({ ...candidate })) : candidates;
+    /** Copies of the loads that the plan adds attempts to, by worker. */
+    const loads = new Map<string, WorkerLoad>();
     const planned: Attempt[] = [];
     for (const member of members) {
         const candidate = options.rank(member, tried).choose(member);
@@ -41,9 +39,11 @@
         const { id } = candidate.worker;
         const attempt = createAttempt(member, id, number, now, { pacePercent: options.paceOf(member, candidate) });
         planned.push(attempt);
-        const load = loads?.get(id);
-        if (load !== undefined) {
+        if (members.length > 1) {
+            const load = loads.get(id) ?? copyLoad(candidate.load);
+            loads.set(id, load);
             addToLoad(load, attempt);
+            candidate.load = load;
         }
     }
     return planned;
--- a/src/jobs/job-table/occupancy.ts
+++ b/src/jobs/job-table/occupancy.ts
@@ -4,11 +4,14 @@
 import type { JobStep } from "../model/job.js";
 import { addSize, ZERO_SIZE } from "../model/size.js";
 import type { Size } from "../model/size.js";
+import { isSuspect } from "../policy/crashes.js";
 import type { Attempt } from "./task.js";
 
 /** Attempts on a worker and the capacity they use. */
 export interface WorkerLoad {
     readonly attempts: Attempt[];
+    /** Those of the attempts whose tasks were suspects of a crash when they were added. */
+    readonly suspects: Attempt[];
     /** Capacity in use; the cores of fillers are not counted. */
     used: Size;
     /** Sum of the cores that fillers request, in thousandths of a core. */
@@ -57,9 +60,8 @@
         },
         remove(attempt) {
             const load = loadOf(attempt.worker);
-            const index = load.attempts.indexOf(attempt);
-            if (index >= 0) {
-                load.attempts.splice(index, 1);
+            if (removeFrom(load.attempts, attempt)) {
+                removeFrom(load.suspects, attempt);
                 countStep(load, attempt.task.step, -1);
             }
         },
@@ -69,6 +71,7 @@
 function createLoad(): WorkerLoad {
     return {
         attempts: [],
+        suspects: [],
         used: ZERO_SIZE,
         fillerMillicores: 0,
         servingMillicores: 0,
@@ -79,15 +82,26 @@
 
 /** Copies a load, so that attempts can be added to the copy without any effect on the worker's. */
 export function copyLoad(load: Readonly<WorkerLoad>): WorkerLoad {
-    return { ...load, attempts: [...load.attempts] };
+    return { ...load, attempts: [...load.attempts], suspects: [...load.suspects] };
 }
 
 /** Adds an attempt to a load. */
 export function addToLoad(load: WorkerLoad, attempt: Attempt): void {
     load.attempts.push(attempt);
+    if (isSuspect(attempt.task)) {
+        load.suspects.push(attempt);
+    }
     countStep(load, attempt.task.step, 1);
 }
 
+function removeFrom(attempts: Attempt[], attempt: Attempt): boolean {
+    const index = attempts.indexOf(attempt);
+    if (index >= 0) {
+        attempts.splice(index, 1);
+    }
+    return index >= 0;
+}
+
 function countStep(load: WorkerLoad, step: JobStep, sign: 1 | -1): void {
     load.changes += 1;
     load.used = addSize(load.used, reservedSize(step), sign);
--- a/src/jobs/ownership/directory.ts
+++ b/src/jobs/ownership/directory.ts
@@ -10,7 +10,7 @@
 import { createMirror } from "../../platform/mirror.js";
 import type { Mirror } from "../../platform/mirror.js";
 import type { Store } from "../../platform/store.js";
-import { DIRECTORY_PREFIX, keyOfOwner, keyOfStop, Member, OwnerRecord, ReachReport, StopRecord } from "./records.js";
+import { DIRECTORY_PREFIX, keyOfOwner, keyOfStop, Member, OwnerRecord, StopRecord } from "./records.js";
 
 /** Wait before a failed read of the store is retried. */
 const RETRY_MILLISECONDS = 100;
@@ -19,7 +19,6 @@
 const KINDS = [
     { prefix: `${DIRECTORY_PREFIX}owners/`, kind: "owner" },
     { prefix: `${DIRECTORY_PREFIX}stops/`, kind: "stop" },
-    { prefix: `${DIRECTORY_PREFIX}unreached/`, kind: "reach-report" },
 ] as const;
 
 /** An instance's view of the directory. */
@@ -31,8 +30,6 @@
     owner(cell: string): OwnerRecord | undefined;
     /** The last time that an instance has stopped being the cell's owner, if its record has not lapsed. */
     stop(cell: string, instance: string): StopRecord | undefined;
-    /** Number of instances that report that they cannot reach a process as the cell's owner. */
-    countReachReports(cell: string, owner: string): number;
     /** Calls a function after each change. */
     onChange(listener: () => void): void;
     run(signal: AbortSignal): Promise<void>;
@@ -44,7 +41,6 @@
     const members = new Map<string, Member>();
     const owners = new Map<string, OwnerRecord>();
     const stops = new Map<string, StopRecord>();
-    const reachReports = new Map<string, ReachReport>();
     const mirror = createMirror({
         store,
         prefix: DIRECTORY_PREFIX,
@@ -62,7 +58,6 @@
         members.delete(key);
         owners.delete(key);
         stops.delete(key);
-        reachReports.delete(key);
         if (entry === undefined) {
             log.write(`${kind}-gone`, { key }, "vital");
             return;
@@ -71,15 +66,13 @@
             ? parseJson(OwnerRecord, entry.value, key).map(owner => void owners.set(key, owner))
             : kind === "stop"
             ? parseJson(StopRecord, entry.value, key).map(stop => void stops.set(key, stop))
-            : kind === "reach-report"
-            ? parseJson(ReachReport, entry.value, key).map(report => void reachReports.set(key, report))
             : parseJson(Member, entry.value, key).map(member => void members.set(key, member));
         log.write(`${kind}-seen`, {
             key,
             revision: entry.modRevision,
             ...(decoded.isErr
                 ? { failure: formatFailure(decoded.error) }
-                : { record: owners.get(key) ?? stops.get(key) ?? reachReports.get(key) ?? members.get(key) }),
+                : { record: owners.get(key) ?? stops.get(key) ?? members.get(key) }),
         }, "vital");
     };
     return {
@@ -88,8 +81,6 @@
         findMember: incarnation => [...members.values()].find(member => member.incarnation === incarnation),
         owner: cell => owners.get(keyOfOwner(cell)),
         stop: (cell, instance) => stops.get(keyOfStop(cell, instance)),
-        countReachReports: (cell, owner) =>
-            [...reachReports.values()].filter(report => report.cell === cell && report.owner === owner).length,
         onChange: listener => void events.on("changed", listener),
         run: signal => mirror.run(signal),
     };
--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -256,23 +256,19 @@
         return cell.release();
     };
 
-    const leaveIsolatedCells = (now: number): void => {
-        for (const cell of isolation.listCellsToLeave([...owned.values()], now)) {
-            claimsPausedUntil = now + CLAIM_PAUSE_MILLISECONDS;
-            void release(cell, options.connections());
-        }
-    };
-
     /** Reports an owner that this instance cannot reach, though its record is there. */
     const checkReach = (name: string, owner: OwnerRecord | undefined, now: number, signal: AbortSignal): void => {
-        const isReached = owner === undefined || owner.isReleased || owned.has(name)
-            || owner.instance === self.instance || ends.isDead(owner.incarnation) || options.isConnectedToOwner(name);
-        reachReports.update(name, isReached ? undefined : owner, now, signal);
+        const isReached = owner?.isReleased === true || owned.has(name) || owner?.instance === self.instance
+            || owner !== undefined && ends.isDead(owner.incarnation) || options.isConnectedToOwner(name);
+        reachReports.update(name, owner, isReached, now, signal);
     };
 
     const checkCells = (signal: AbortSignal): void => {
         const now = clock();
-        leaveIsolatedCells(now);
+        isolation.check([...owned.values()], now, (cell, connections) => {
+            claimsPausedUntil = clock() + CLAIM_PAUSE_MILLISECONDS;
+            void release(cell, connections);
+        });
         for (const name of options.cells) {
             const cell = owned.get(name);
             const owner = directory.owner(name);
--- a/src/jobs/ownership/reach-reports.ts
+++ b/src/jobs/ownership/reach-reports.ts
@@ -1,16 +1,22 @@
 /**
  * Reports of this instance, in the store, that it cannot reach the owner of a cell.
  */
+import type { Result } from "true-myth/result";
+import type { Failure } from "../../core/errors.js";
 import type { EventLog } from "../../core/event-log.js";
+import { parseJson } from "../../core/parse.js";
 import type { Clock } from "../../core/time.js";
 import type { Store } from "../../platform/store.js";
 import { keepLease } from "./lease.js";
-import { keyOfReachReport } from "./records.js";
-import type { Member, OwnerRecord, ReachReport } from "./records.js";
+import { keyOfReachReport, prefixOfReachReports, ReachReport } from "./records.js";
+import type { Member, OwnerRecord } from "./records.js";
 
 /** Time without a connection to the owner before it is reported; the record of an owner that is gone has lapsed by then. */
 const REPORT_AFTER_MILLISECONDS = 1_000;
 
+/** The same for an owner that this instance has not been connected to yet: an owner is busy with its takeover for some seconds. */
+const FIRST_REPORT_AFTER_MILLISECONDS = 3_000;
+
 /** Lease of a report, which ends with the connection, and the time between its renewals. */
 const LEASE_MILLISECONDS = 3_000;
 const RENEW_MILLISECONDS = 1_000;
@@ -25,8 +31,8 @@
 
 /** Reports on the owners of cells. */
 export interface ReachReports {
-    /** Begins, keeps or ends the report on a cell; `unreached` is its owner, if there is one without a connection. */
-    update(cell: string, unreached: OwnerRecord | undefined, now: number, signal: AbortSignal): void;
+    /** Begins, keeps or ends the report on a cell, by its owner and whether this instance reaches it. */
+    update(cell: string, owner: OwnerRecord | undefined, isReached: boolean, now: number, signal: AbortSignal): void;
 }
 
 interface Outage {
@@ -36,9 +42,21 @@
     isReported: boolean;
 }
 
+/** Counts the instances that report that they cannot reach a process as the owner of a cell. */
+export async function countReachReports(store: Store, cell: string, owner: string): Promise<Result<number, Failure>> {
+    const found = await store.read({ key: prefixOfReachReports(cell), prefix: true });
+    return found.map(({ entries }) =>
+        entries.filter(({ key, value }) =>
+            parseJson(ReachReport, value, key).map(report => report.owner === owner).unwrapOr(false)
+        ).length
+    );
+}
+
 /** Starts without reports. */
 export function createReachReports({ clock, log, self, store }: ReachReportsOptions): ReachReports {
     const outages = new Map<string, Outage>();
+    /** Incarnations of the last owners that this instance was connected to, by cell. */
+    const reached = new Map<string, string>();
 
     const keepReport = (cell: string, outage: Outage, signal: AbortSignal): Promise<void> => {
         const { incarnation, instance } = self;
@@ -65,24 +83,27 @@
     };
 
     return {
-        update(cell, unreached, now, signal) {
+        update(cell, owner, isReached, now, signal) {
             const former = outages.get(cell);
-            if (former !== undefined && former.owner !== unreached?.incarnation) {
+            if (former !== undefined && (isReached || former.owner !== owner?.incarnation)) {
                 former.end.abort();
                 outages.delete(cell);
             }
-            if (unreached === undefined) {
+            if (owner === undefined) {
+                return;
+            }
+            const { incarnation } = owner;
+            if (isReached) {
+                reached.set(cell, incarnation);
                 return;
             }
             const outage = outages.get(cell)
-                ?? {
-                    owner: unreached.incarnation,
-                    sinceMilliseconds: now,
-                    end: new AbortController(),
-                    isReported: false,
-                };
+                ?? { owner: incarnation, sinceMilliseconds: now, end: new AbortController(), isReported: false };
             outages.set(cell, outage);
-            if (!outage.isReported && now - outage.sinceMilliseconds >= REPORT_AFTER_MILLISECONDS) {
+            const limitMilliseconds = reached.get(cell) === incarnation
+                ? REPORT_AFTER_MILLISECONDS
+                : FIRST_REPORT_AFTER_MILLISECONDS;
+            if (!outage.isReported && now - outage.sinceMilliseconds >= limitMilliseconds) {
                 outage.isReported = true;
                 void keepReport(cell, outage, signal);
             }
--- a/src/jobs/ownership/records.ts
+++ b/src/jobs/ownership/records.ts
@@ -64,9 +64,14 @@
 });
 export type ReachReport = z.infer<typeof ReachReport>;
 
+/** Prefix of the reports on a cell's owner. Only the owner reads them, so they are not part of the directory that all instances watch. */
+export function prefixOfReachReports(cell: string): string {
+    return `/flamingowell/unreached/${cell}/`;
+}
+
 /** Key of the report that an instance cannot reach the owner of a cell. */
 export function keyOfReachReport(cell: string, instance: string): string {
-    return `${DIRECTORY_PREFIX}unreached/${cell}/${instance}`;
+    return `${prefixOfReachReports(cell)}${instance}`;
 }
 
 /** Key of a member's record. */
--- a/src/jobs/policy/crashes.ts
+++ b/src/jobs/policy/crashes.ts
@@ -105,11 +105,12 @@
  * gang start together, and are given up together.
  */
 export function mayStartBeside(task: Task, load: Readonly<WorkerLoad>, now: number): boolean {
-    const quietMilliseconds = isSuspect(task) ? QUIET_MILLISECONDS : 0;
-    return load.attempts.every(({ orderedAtMilliseconds, task: other }) => {
-        const isolationMilliseconds = isSuspect(other) ? TRIAL_MILLISECONDS : quietMilliseconds;
-        return now - orderedAtMilliseconds >= isolationMilliseconds || isSameGang(task, other);
-    });
+    const isApart = (attempts: readonly Attempt[], milliseconds: number): boolean =>
+        attempts.every(({ orderedAtMilliseconds, task: other }) =>
+            now - orderedAtMilliseconds >= milliseconds || isSameGang(task, other)
+        );
+    return isApart(load.suspects, TRIAL_MILLISECONDS)
+        && (!isSuspect(task) || isApart(load.attempts, QUIET_MILLISECONDS));
 }
 
 function isSameGang(left: Task, right: Task): boolean {
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -5,6 +5,7 @@
  * tasks on the same worker. Serving tasks are packed together, and fillers go to other workers while there are any.
  */
 import { stepProgressOf } from "../job-table/job-table.js";
+import type { StepProgress } from "../job-table/job.js";
 import type { WorkerLoad } from "../job-table/occupancy.js";
 import { isServing, reservedSize } from "../job-table/occupancy.js";
 import type { Task } from "../job-table/task.js";
@@ -21,7 +22,8 @@
 /** A worker on which tasks may be started. */
 export interface Candidate {
     readonly worker: ListedWorker;
-    readonly load: Readonly<WorkerLoad>;
+    /** Load of the worker, or a copy with the attempts of a plan. */
+    load: Readonly<WorkerLoad>;
     /** Capacity reserved for a task that has waited long for a worker with enough of it. */
     reserved?: Size;
     /** When the worker last reported its measurements. */
@@ -66,7 +68,7 @@
     if (!step.isFiller || now - readyAtMilliseconds < STARVING_MILLISECONDS) {
         return false;
     }
-    if (occurrence.steps.some(({ openTasks }) => [...openTasks.values()].some(({ attempts }) => attempts.length > 0))) {
+    if (occurrence.steps.some(hasAttempts)) {
         return false;
     }
     let capacity = 0;
@@ -78,6 +80,15 @@
     return used < capacity * STARVING_USE_SHARE;
 }
 
+function hasAttempts({ openTasks }: StepProgress): boolean {
+    for (const { attempts } of openTasks.values()) {
+        if (attempts.length > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /**
  * Assumed use of the cores reserved for serving tasks. The sites' data sheets state 0.42 on average; while the use is higher,
  * fillers get less, and pacing keeps the serving tasks within their objectives.
