--- a/src/jobs/cell/request-handler.ts
+++ b/src/jobs/cell/request-handler.ts
@@ -95,7 +95,7 @@
             if (lack !== undefined) {
                 const { heldBytes, heldBytesLimit } = jobTable;
                 const { reason } = lack;
-                log.write("job-refused", { job: id, queue, reason, heldBytes, heldBytesLimit, epoch }, "vital");
+                log.write("job-refused", { job: id, queue, reason, heldBytes, heldBytesLimit, epoch });
                 return Result.ok({ kind: "refused", ...lack });
             }
             if (existing?.isUnsubmitted === true) {
