--- a/features/jobs/worker-lives.steps.ts
+++ b/features/jobs/worker-lives.steps.ts
@@ -57,6 +57,17 @@
     return startAttempt(cell, worker, addAttempt(jobTable, task, worker.listed.id, 1, systemClock()), undefined);
 }
 
+/** Runs the session with the worker until it has reported from a life. */
+async function runSessionUntilLife({ cell, worker }: LivesWorld, incarnation: number): Promise<void> {
+    const end = new AbortController();
+    const session = runSession(cell, worker, end.signal);
+    while (worker.incarnation !== incarnation) {
+        await pause(1);
+    }
+    end.abort();
+    await session;
+}
+
 async function untilRepeated({ starts }: LivesWorld): Promise<void> {
     while (starts.length < 2) {
         await pause(10);
@@ -175,13 +186,7 @@
 When(/^a life of (\d+) s reports to it for the first time$/, LIMIT, async function(this: LivesWorld, seconds: string) {
     const incarnation = beginLife(this, Number(seconds));
     this.reports = [describeReport(incarnation, Number(seconds) * SECOND)];
-    const end = new AbortController();
-    const session = runSession(this.cell, this.worker, end.signal);
-    while (this.worker.incarnation !== incarnation) {
-        await pause(1);
-    }
-    end.abort();
-    await session;
+    await runSessionUntilLife(this, incarnation);
 });
 
 When(/^it does not reach a life of (\d+) s$/, function(this: LivesWorld, seconds: string) {
@@ -210,13 +215,7 @@
     this.cell = { ...this.cell, maySendOrders: () => isLeased };
     this.reports = [describeReport(NEW_LIFE, NEW_CLOCK_MILLISECONDS)];
     await pause(1);
-    const end = new AbortController();
-    const session = runSession(this.cell, this.worker, end.signal);
-    while (this.worker.incarnation !== NEW_LIFE) {
-        await pause(1);
-    }
-    end.abort();
-    await session;
+    await runSessionUntilLife(this, NEW_LIFE);
     assert.equal(this.holds[0]?.leaseUntilMilliseconds !== undefined, isLeased);
 });
 
