Placement: what stands against a start is found by the code that decides

Cause: the conditions of a placement said yes or no, so that nothing could tell which of them keeps a task from a worker.

The list of the workers that take starts moves to cell/pools.ts, and the dispatcher tells what its latest pass has left.

--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -14,10 +14,10 @@
 import type { CellContext } from "./context.js";
 import { createDispatchRecord } from "./dispatch-work.js";
 import type { DispatchWork } from "./dispatch-work.js";
+import { listPools } from "./pools.js";
 import type { Recovery } from "./recovery.js";
 import { startAttempt } from "./starting.js";
 import { stopAttempt } from "./stopping.js";
-import type { CellWorker } from "./worker.js";
 
 /** Longest time between two passes, so that conditions which depend on time alone are noticed. */
 const LONGEST_IDLE_WAIT_MILLISECONDS = 250;
@@ -40,11 +40,21 @@
 /** Changes within this time are handled in one pass; a short job has some hundred milliseconds of slack. */
 const BATCHING_MILLISECONDS = 5;
 
+/** What a pass has left, which tells why a task was not started. */
+export interface LatestPass {
+    /** Workers on which tasks could be started, by pool, with the starts and the reservations of the pass. */
+    readonly pools: ReadonlyMap<string, readonly Candidate[]>;
+    /** Whether the pass has ended at its limit of starts, before it looked at all tasks. */
+    readonly isLimitReached: boolean;
+}
+
 /** Starts and stops attempts on the workers of a cell. */
 export interface Dispatcher {
     requestDispatch(): void;
     /** Returns the work since the last call. */
     takeWork(): DispatchWork;
+    /** Returns what the latest pass has left. */
+    latestPass(): LatestPass;
     run(): Promise<void>;
 }
 
@@ -59,6 +69,7 @@
     const record = createDispatchRecord();
     const lookAhead = createLookAhead();
     let latestPools: ReadonlyMap<string, Candidate[]> = new Map<string, Candidate[]>();
+    let isLimitReached = false;
 
     const stopUnwanted = (): void => {
         for (const attempt of jobTable.attemptsToStop) {
@@ -145,8 +156,10 @@
         openDueOccurrences(jobTable, now);
         stopUnwanted();
         if (cell.maySendOrders(now) && cell.closures.areConfirmed(now)) {
-            const { moves, starts, ...planned } = planPass(takeSnapshot(now), now);
+            const snapshot = takeSnapshot(now);
+            const { moves, starts, ...planned } = planPass(snapshot, now);
             work = planned;
+            isLimitReached = starts.length >= snapshot.startLimit;
             moves.forEach(planned => move(planned, now));
             stopUnwanted();
             starts.forEach(attempt => start(attempt, now));
@@ -159,6 +172,7 @@
     return {
         requestDispatch: () => dispatchRequest.wake(),
         takeWork: () => record.take(),
+        latestPass: () => ({ pools: latestPools, isLimitReached }),
         async run() {
             while (!signal.aborted) {
                 const requestedAt = clock();
@@ -173,37 +187,6 @@
     };
 }
 
-/** Workers on which tasks may be started now, by pool. They keep what was computed for them in the former pass. */
-function listPools(
-    { closures, jobTable, settings, workers }: CellContext,
-    former: ReadonlyMap<string, readonly Candidate[]>,
-    now: number,
-): Map<string, Candidate[]> {
-    const plans = new Map([...former.values()].flat().map(({ plan, worker }) => [worker.id, plan]));
-    const pools = new Map<string, Candidate[]>();
-    for (const worker of workers.values()) {
-        const isOpen = !closures.isClosed(worker.listed.dataCentre);
-        if (!isOpen || !mayStartOn(worker, now, settings.unlistedGraceMilliseconds)) {
-            continue;
-        }
-        const { lastAnswerAtMilliseconds: reportedAtMilliseconds, listed } = worker;
-        const candidates = pools.get(listed.pool) ?? [];
-        const load = jobTable.occupancy.load(listed.id);
-        candidates.push({ worker: listed, load, reportedAtMilliseconds, plan: plans.get(listed.id) });
-        pools.set(listed.pool, candidates);
-    }
-    return pools;
-}
-
-function mayStartOn(worker: CellWorker, now: number, graceMilliseconds: number): boolean {
-    const isListed = worker.unlistedSinceMilliseconds === undefined
-        || now - worker.unlistedSinceMilliseconds < graceMilliseconds;
-    // An order is not sent while it is in doubt which life of the worker it would reach.
-    return worker.contact === "answering" && worker.failingSinceMilliseconds === undefined && worker.isRecorded
-        && isListed && !worker.listed.isDraining
-        && now >= worker.startsFromMilliseconds && now >= worker.health.quarantinedUntilMilliseconds;
-}
-
 function listReviewedWorkers({ jobTable, workers }: CellContext, now: number): ReviewedWorker[] {
     return [...workers.values()].map(worker => ({
         id: worker.listed.id,
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -58,19 +58,63 @@
     readonly expectedEndMilliseconds?: number;
 }
 
+/** What a worker lacks for a task. */
+export type Ineligibility =
+    | "label-missing"
+    /** Too little of its capacity is free; what is reserved for other tasks is not. */
+    | "no-room"
+    /** It runs as many tasks of the step as one worker may. */
+    | "limit-per-worker";
+
 /** Whether the worker may run the task and has enough free capacity. Capacity that is reserved for other tasks is not free. */
 export function isEligible(task: Task, candidate: Candidate, options: EligibilityOptions = {}): boolean {
+    return findIneligibility(task, candidate, options) === undefined;
+}
+
+/** Finds what a worker lacks for a task; absent if it is eligible. */
+export function findIneligibility(
+    task: Task,
+    candidate: Candidate,
+    options: EligibilityOptions = {},
+): Ineligibility | undefined {
     const { load, worker } = candidate;
     const { step } = task;
     const { requiredLabel } = step;
     if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel)) {
-        return false;
+        return "label-missing";
     }
     const freeCapacity = maximumOf(
         addSize(addSize(worker.capacity, load.used, -1), reservedFrom(task, candidate, options), -1),
         ZERO_SIZE,
     );
-    return fitsInto(reservedSize(step), freeCapacity) && isWithinLimit(task, load);
+    if (!fitsInto(reservedSize(step), freeCapacity)) {
+        return "no-room";
+    }
+    return isWithinLimit(task, load) ? undefined : "limit-per-worker";
+}
+
+/** Why a worker has no room for a task. */
+export type RoomObstacle =
+    /** The task is larger than the whole worker. */
+    | "never-fits"
+    /** Other tasks use the room. */
+    | "no-room"
+    /** The room is kept for a task that fitted nowhere, until it is expected to be enough. */
+    | "reserved-ahead"
+    /** The room is kept for a lasting task that has waited too long. */
+    | "reserved-for-overdue";
+
+/** Tells why a worker that `findIneligibility` found without room for a task has none. */
+export function explainRoom({ step }: Task, { load, reservation, worker }: Candidate): RoomObstacle {
+    const size = reservedSize(step);
+    if (!fitsInto(size, worker.capacity)) {
+        return "never-fits";
+    }
+    const isFreeOfOthers = fitsInto(size, maximumOf(addSize(worker.capacity, load.used, -1), ZERO_SIZE));
+    if (reservation === undefined || !isFreeOfOthers) {
+        return "no-room";
+    }
+    return reservation.expectedAtMilliseconds === -Infinity ? "reserved-for-overdue" : "reserved-ahead";
 }
 
 /** Capacity of a worker that a task has to leave to others. */
--- a/src/jobs/policy/crashes.ts
+++ b/src/jobs/policy/crashes.ts
@@ -100,17 +100,35 @@
     return wasTrial && unexplained < simultaneous.length * COMMON_CAUSE_SHARE ? "certain" : "doubtful";
 }
 
+/** What keeps a task from a worker so that the next crash shows which task causes it. */
+export type CrashPrecaution =
+    /** A suspect of a crash was ordered there a moment ago. */
+    | "beside-suspect"
+    /** The task is a suspect itself, and another one was ordered there a moment ago. */
+    | "suspect-needs-quiet";
+
+/** Whether a worker may get a start now, see `findCrashPrecaution`. */
+export function mayStartBeside(task: Task, load: Readonly<WorkerLoad>, now: number): boolean {
+    return findCrashPrecaution(task, load, now) === undefined;
+}
+
 /**
- * Whether a worker may get a start now: suspects start by themselves, so that the next crash shows which task causes it. The members of a
- * gang start together, and are given up together.
+ * Finds what keeps a task from a worker for now; absent if nothing does. Suspects start by themselves, so that the next crash shows which
+ * task causes it. The members of a gang start together, and are given up together.
  */
-export function mayStartBeside(task: Task, load: Readonly<WorkerLoad>, now: number): boolean {
+export function findCrashPrecaution(
+    task: Task,
+    load: Readonly<WorkerLoad>,
+    now: number,
+): CrashPrecaution | undefined {
     const isApart = (attempts: readonly Attempt[], milliseconds: number): boolean =>
         attempts.every(({ orderedAtMilliseconds, task: other }) =>
             now - orderedAtMilliseconds >= milliseconds || isSameGang(task, other)
         );
-    return isApart(load.suspects, TRIAL_MILLISECONDS)
-        && (!isSuspect(task) || isApart(load.attempts, QUIET_MILLISECONDS));
+    if (!isApart(load.suspects, TRIAL_MILLISECONDS)) {
+        return "beside-suspect";
+    }
+    return !isSuspect(task) || isApart(load.attempts, QUIET_MILLISECONDS) ? undefined : "suspect-needs-quiet";
 }
 
 function isSameGang(left: Task, right: Task): boolean {
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -7,9 +7,10 @@
 import { stepProgressOf } from "../job-table/job-table.js";
 import { isServing } from "../job-table/occupancy.js";
 import type { Task } from "../job-table/task.js";
-import { idleMillicores, isEligible, MINIMUM_FILLER_SHARE } from "./candidate.js";
-import type { Candidate } from "./candidate.js";
-import { isSuspect, mayStartBeside } from "./crashes.js";
+import { findIneligibility, idleMillicores, MINIMUM_FILLER_SHARE } from "./candidate.js";
+import type { Candidate, Ineligibility } from "./candidate.js";
+import { findCrashPrecaution, isSuspect } from "./crashes.js";
+import type { CrashPrecaution } from "./crashes.js";
 import type { Interference } from "./interference.js";
 import { isOverdue } from "./order.js";
 import { chooseStartingPace, hasHeadroom, planPressures } from "./pacing.js";
@@ -58,13 +59,10 @@
     now: number,
     options: PlacementOptions = {},
 ): CandidateRanking {
-    const eligibility = {
-        ignoresReservations: isOverdue(task, now),
-        expectedEndMilliseconds: options.expectedEndMilliseconds ?? Infinity,
-    };
+    const findObstacle = createObstacleSearch(task, model, now, options);
     const score = (candidate: Candidate): number =>
-        mayStartBeside(task, candidate.load, now) && isEligible(task, candidate, eligibility)
-            ? scoreCandidate(task, candidate, model, now, options)
+        findObstacle(candidate) === undefined
+            ? scoreCandidate(task, candidate, model, now)
                 - (isSuspect(task) ? candidate.load.attempts.length * SUSPECT_NEIGHBOR_PENALTY : 0)
                 - (candidate.worker.isCold ? COLD_PENALTY : 0)
             : -Infinity;
@@ -75,6 +73,55 @@
     };
 }
 
+/** What stands against a filler on a worker. */
+export type FillerObstacle =
+    /** It would get too small a share of its cores. */
+    | "too-few-idle-cores"
+    /** It is expected to slow down serving tasks, or its effect on them is being measured elsewhere. */
+    | "interference";
+
+/** What stands against the start of a task on a worker that takes starts. */
+export type PlacementObstacle = CrashPrecaution | FillerObstacle | Ineligibility;
+
+/** Returns a function that finds what stands against the start of a task on a candidate; absent if nothing does. */
+export function createObstacleSearch(
+    task: Task,
+    model: Interference,
+    now: number,
+    { expectedEndMilliseconds = Infinity, isStarving = false }: PlacementOptions,
+): (candidate: Candidate) => PlacementObstacle | undefined {
+    const eligibility = { ignoresReservations: isOverdue(task, now), expectedEndMilliseconds };
+    return candidate =>
+        findCrashPrecaution(task, candidate.load, now)
+            ?? findIneligibility(task, candidate, eligibility)
+            ?? findFillerObstacle(task, candidate, model, now, isStarving);
+}
+
+function findFillerObstacle(
+    { step }: Task,
+    candidate: Candidate,
+    model: Interference,
+    now: number,
+    mayInterfere: boolean,
+): FillerObstacle | undefined {
+    // A serving task is ranked as one, whatever else it is.
+    if (!step.isFiller || isServing(step)) {
+        return undefined;
+    }
+    const { load, worker } = candidate;
+    if (idleMillicores(candidate) < step.size.millicores * MINIMUM_FILLER_SHARE) {
+        return "too-few-idle-cores";
+    }
+    if (load.servingCount === 0) {
+        return undefined;
+    }
+    const share = step.size.millicores / worker.capacity.millicores;
+    const pressures = pressuresOf(candidate, model, now);
+    const isFit = chooseStartingPace(step.image, share, pressures, model, now) !== undefined
+        || mayInterfere && hasHeadroom(load, pressures);
+    return isFit ? undefined : "interference";
+}
+
 /** Whether the workers rank alike for two tasks. */
 export function isRankedAlike(left: Task, right: Task, now: number): boolean {
     return stepProgressOf(left) === stepProgressOf(right) && isOverdue(left, now) === isOverdue(right, now)
@@ -119,14 +166,8 @@
     }, 0);
 }
 
-/** Scores a worker for a task; the highest score wins, and -Infinity excludes the worker. */
-function scoreCandidate(
-    task: Task,
-    candidate: Candidate,
-    model: Interference,
-    now: number,
-    { isStarving: mayInterfere = false }: PlacementOptions,
-): number {
+/** Scores a worker that nothing stands against for a task; the highest score wins. */
+function scoreCandidate(task: Task, candidate: Candidate, model: Interference, now: number): number {
     const { load, worker } = candidate;
     const { step } = task;
     const idle = idleMillicores(candidate);
@@ -147,17 +188,9 @@
             - load.fillerMillicores - freeMillicores - distancePenalty;
     }
     if (step.isFiller) {
-        if (idle < step.size.millicores * MINIMUM_FILLER_SHARE) {
-            return -Infinity;
-        }
         if (load.servingCount > 0) {
             const share = step.size.millicores / worker.capacity.millicores;
             const pressures = pressuresOf(candidate, model, now);
-            const isFit = chooseStartingPace(step.image, share, pressures, model, now) !== undefined
-                || mayInterfere && hasHeadroom(load, pressures);
-            if (!isFit) {
-                return -Infinity;
-            }
             return Math.min(idle, step.size.millicores) - BESIDE_SERVING_PENALTY
                 - takenTolerance(task, share, pressures, model, now) * TOLERANCE_PENALTY - distancePenalty;
         }
