Lines that tell why a task whose turn has come is not started

Cause: the logs named no reason for a ready task that is not started, but the number of those held after a takeover.

Change: the owner writes task-waiting for the longest-waiting task of each step, for an attempt whose outcome is not known, and for a job that waits for memory: reason, deciding part, how long the reason has held, how long the task has waited, and the pool's workers by obstacle. After 2 s, when the reason changes, and every 5 s; at most 10 lines a second, those first that have been due longest. cell-load has waitingByReason, the metrics have flamingowell_cell_waiting_tasks.

--- /dev/null
+++ b/features/jobs/waiting-looks.steps.ts
@@ -0,0 +1,139 @@
+/**
+ * Steps for what a look at the workers finds, beside what a pass decides and what an owner writes.
+ */
+import { After, Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { EventLog } from "../../src/core/event-log.js";
+import { createRandom } from "../../src/core/random.js";
+import type { JobTable } from "../../src/jobs/job-table/job-table.js";
+import type { Attempt } from "../../src/jobs/job-table/task.js";
+import { planPass } from "../../src/jobs/policy/pass.js";
+import { explainPlacement } from "../../src/jobs/policy/waiting.js";
+import { addTask, NOW, QUEUE } from "./builders.js";
+import type { describeStep } from "./builders.js";
+import { createTakeoverSimulation } from "./takeover-world.js";
+import type { TakeoverSimulation } from "./takeover-world.js";
+import { occupy } from "./waiting-world.js";
+import type { WaitingCell, WaitingLine } from "./waiting-world.js";
+
+interface WaitingLooksWorld {
+    jobTable: JobTable;
+    waiting: WaitingCell;
+    others: Attempt[];
+    simulation?: TakeoverSimulation;
+    ownerEvents: { readonly event: string; readonly fields: WaitingLine; }[];
+}
+
+type StepFields = Parameters<typeof describeStep>[0];
+
+const LABEL = "rack-7";
+const READY_TASKS = 200;
+const LIMIT = { timeout: 60_000 };
+const SEED = 17;
+
+After(async function(this: Partial<WaitingLooksWorld>) {
+    await this.simulation?.close();
+});
+
+When("tasks of different kinds are ready at workers that run others", function(this: WaitingLooksWorld) {
+    const random = createRandom(SEED);
+    const pick = <Value>(values: readonly Value[]): Value => values[Math.floor(random() * values.length)] as Value;
+    const describeAny = (): StepFields => ({
+        cores: pick([1, 2, 4, 6, 9]),
+        limitPerWorker: pick([0, 0, 1]),
+        ...pick<StepFields>([
+            {},
+            { isLasting: true },
+            { requiredLabel: LABEL },
+            { isFiller: true, image: "booking" },
+            { image: "desk", latencyObjectiveMilliseconds: 100 },
+        ]),
+    });
+    for (const worker of this.waiting.workers.keys()) {
+        occupy(this, worker, { image: "desk", latencyObjectiveMilliseconds: 100, cores: 2 });
+        occupy(this, worker, { isFiller: true, image: "other", cores: pick([1, 3]) });
+    }
+    for (let index = 0; index < READY_TASKS; index++) {
+        addTask(this.jobTable, `any-${index}`, describeAny(), NOW - pick([0, 3_500, 5_000]));
+    }
+});
+
+Then("a pass starts a task exactly where a look tells of a worker that suits", function(this: WaitingLooksWorld) {
+    const { jobTable, waiting } = this;
+    const { durations, epoch, interference } = waiting.cell;
+    const tasks = [...jobTable.readyTasks];
+    let started = 0;
+    for (const task of tasks) {
+        const { queues } = waiting.cell.catalog();
+        const { reason, suitableWorkers } = explainPlacement(task, {
+            candidates: waiting.pools().get(QUEUE.pool) ?? [],
+            unavailable: new Map(),
+            isLimitReached: false,
+            durations,
+            interference,
+        }, NOW);
+        const { starts } = planPass({
+            epoch,
+            startableTasks: [task],
+            pools: waiting.pools(),
+            queues,
+            reviewedWorkers: [],
+            attemptsToStop: new Set(),
+            interference,
+            durations,
+            startLimit: Infinity,
+            stopLimitMilliseconds: 0,
+            mayGiveWay: false,
+            mayStartCopies: false,
+            isUnderReview: () => false,
+        }, NOW);
+        assert.equal(starts.length > 0, suitableWorkers > 0, task.key);
+        assert.equal(starts.length > 0, reason === "worker-suits", task.key);
+        started += starts.length;
+    }
+    assert.ok(started > 0 && started < tasks.length, `${started} of ${tasks.length}`);
+});
+
+Given("a cell of {int} workers with a job of {int} tasks, of which a worker may run one", function(
+    this: WaitingLooksWorld,
+    workers: number,
+    tasks: number,
+) {
+    this.ownerEvents = [];
+    const log: EventLog = {
+        write: (event, fields) => void this.ownerEvents.push({ event, fields }),
+        flush: async () => undefined,
+    };
+    this.simulation = createTakeoverSimulation(workers, tasks, log);
+});
+
+function findEvents({ ownerEvents }: WaitingLooksWorld, event: string): WaitingLine[] {
+    return ownerEvents.filter(written => written.event === event).map(({ fields }) => fields);
+}
+
+When("an owner has had it for {int} simulated seconds", LIMIT, async function(
+    this: WaitingLooksWorld,
+    seconds: number,
+) {
+    const { simulation } = this;
+    assert.ok(simulation !== undefined);
+    simulation.startOwner({ workers: new Set(simulation.workerNames), store: true });
+    await simulation.passTime(seconds * 1_000);
+});
+
+Then("it has written a line on the third task that says {string}", function(this: WaitingLooksWorld, reason: string) {
+    const line = findEvents(this, "task-waiting").at(-1);
+    assert.equal(line?.["reason"], reason);
+    assert.equal(line["tasks"], 1);
+    const started = new Set(findEvents(this, "start-ordered").map(({ task }) => task));
+    assert.equal(started.size, 2);
+    assert.ok(!started.has(line["task"]));
+});
+
+Then("its load counts {int} task that waits for {string}", function(
+    this: WaitingLooksWorld,
+    tasks: number,
+    reason: string,
+) {
+    assert.deepEqual(findEvents(this, "cell-load").at(-1)?.["waitingByReason"], { [reason]: tasks });
+});
--- a/src/jobs/cell/cell.ts
+++ b/src/jobs/cell/cell.ts
@@ -32,6 +32,7 @@
 import { clearLoad, showLoad, summarizeLoad } from "./load.js";
 import { createRecovery, listLeaseEnds } from "./recovery.js";
 import { createRequestHandler } from "./request-handler.js";
+import { createWaitingLines } from "./waiting-lines.js";
 import { createWorkerSessions } from "./worker-sessions.js";
 import { longestFormerLease } from "./worker.js";
 
@@ -234,13 +235,15 @@
         onRecovered: () => journal.settleFormerOwners(),
     });
 
+    const waitingLines = createWaitingLines({ cell: context, recovery, latestPass: () => dispatcher.latestPass() });
+
     const cleanUp = async (): Promise<void> => {
         while (!ownershipEnd.signal.aborted) {
             const now = clock();
             removeEndedJobs(jobTable, now - settings.keepEndedMilliseconds);
             releaseEndedJobs(jobTable, now - RELEASE_AFTER_MILLISECONDS);
             openDeferredJobs(jobTable, now);
-            const load = summarizeLoad(context, recovery, now);
+            const load = summarizeLoad(context, recovery, waitingLines.check(now), now);
             log.write("cell-load", { cell: name, epoch, ...load, ...dispatcher.takeWork() }, "vital");
             showLoad(options.metrics, load);
             await pause(CLEANUP_INTERVAL_MILLISECONDS, ownershipEnd.signal);
--- a/src/jobs/cell/load.ts
+++ b/src/jobs/cell/load.ts
@@ -9,6 +9,7 @@
 import { addSize, ZERO_SIZE } from "../model/size.js";
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
+import type { WaitingCounts } from "./waiting-lines.js";
 
 /** Load of a cell at one moment. */
 export interface CellLoad {
@@ -25,6 +26,8 @@
     readonly longestWaitMilliseconds: number;
     /** Number of ready tasks by queue. */
     readonly readyByQueue: Readonly<Record<string, number>>;
+    /** Number of tasks that have waited for 2 seconds or more, by what holds them. */
+    readonly waitingByReason: WaitingCounts;
     readonly workers: number;
     readonly answeringWorkers: number;
     /** Workers that run serving tasks. */
@@ -44,7 +47,12 @@
 const MILLICORES_PER_CORE = 1_000;
 
 /** Summarises the load of a cell. */
-export function summarizeLoad({ jobTable, workers }: CellContext, recovery: Recovery, now: number): CellLoad {
+export function summarizeLoad(
+    { jobTable, workers }: CellContext,
+    recovery: Recovery,
+    waitingByReason: WaitingCounts,
+    now: number,
+): CellLoad {
     const readyByQueue: Record<string, number> = {};
     let longestWaitMilliseconds = 0;
     let readyTasks = 0;
@@ -75,6 +83,7 @@
         unansweredWorkers: recovery.unanswered().length,
         longestWaitMilliseconds: Math.round(longestWaitMilliseconds),
         readyByQueue,
+        waitingByReason,
         workers: workers.size,
         answeringWorkers: answering.length,
         servingWorkers: loads.filter(({ servingCount }) => servingCount > 0).length,
@@ -93,9 +102,14 @@
 }
 
 /** Sets the gauges of a cell's load. */
-export function showLoad(metrics: JobsMetrics, { heldTasks, readyByQueue, unansweredWorkers }: CellLoad): void {
+export function showLoad(
+    metrics: JobsMetrics,
+    { heldTasks, readyByQueue, unansweredWorkers, waitingByReason }: CellLoad,
+): void {
     metrics.readyTasks.reset();
     Object.entries(readyByQueue).forEach(([queue, tasks]) => metrics.readyTasks.set({ queue }, tasks));
+    metrics.waitingTasks.reset();
+    Object.entries(waitingByReason).forEach(([reason, tasks]) => metrics.waitingTasks.set({ reason }, tasks));
     metrics.heldTasks.set(heldTasks);
     metrics.unansweredWorkers.set(unansweredWorkers);
 }
@@ -103,6 +117,7 @@
 /** Resets the gauges of a cell that this instance no longer owns. */
 export function clearLoad(metrics: JobsMetrics): void {
     metrics.readyTasks.reset();
+    metrics.waitingTasks.reset();
     metrics.heldTasks.set(0);
     metrics.unansweredWorkers.set(0);
 }
--- a/src/jobs/metrics.ts
+++ b/src/jobs/metrics.ts
@@ -43,6 +43,11 @@
         readyTasks: metrics.gauge("flamingowell_cell_ready_tasks", "Tasks of the owned cell that could start", [
             "queue",
         ]),
+        waitingTasks: metrics.gauge(
+            "flamingowell_cell_waiting_tasks",
+            "Tasks of the owned cell that have waited for 2 seconds or more since their turn came, by what holds them",
+            ["reason"],
+        ),
         heldTasks: metrics.gauge(
             "flamingowell_cell_held_tasks",
             "Ready tasks that wait because a worker that has not answered since the takeover may run them",
