A backlog of late jobs drains without leaving any of them standing still

Cause: late jobs got their turns by lateness and age, each with all of its tasks. Fillers use what serving tasks leave, so that a backlog of them drains for longer than a minute; until then a hundred jobs waited for those before them. What was to prevent it, a slow start beside serving tasks for a job that starves, did not act: it took the pool for full, as it counted the cores that fillers ask for, and they ask for all that is idle.

Change: while others than fillers use less than about half of a pool, a late job of which nothing runs gets a turn for one task before other late ones, the one that has stood still longest first. After 0.5 s a filler of it may share the cores of a worker that runs only fillers, each of which keeps 0.4 of its share or more; after 1.5 s (3 s before) it may start slowly where it is expected to disturb serving tasks. The placements of a pass move to a file of their own.

--- a/features/jobs/decisions.steps.ts
+++ b/features/jobs/decisions.steps.ts
@@ -24,7 +24,7 @@
 import { choosePaces } from "../../src/jobs/policy/pacing.js";
 import { chooseWorker } from "../../src/jobs/policy/placement.js";
 import { reserveCapacity } from "../../src/jobs/policy/reservation.js";
-import { isStarving } from "../../src/jobs/policy/starvation.js";
+import { assessStarvation, isHalfEmpty } from "../../src/jobs/policy/starvation.js";
 import { addTask, CORE, createEmptyJobTable, describeWorker, NOW, QUEUE, runTask } from "./builders.js";
 
 interface DecisionWorld {
@@ -291,7 +291,7 @@
         pressure: (_, milliseconds) => 1 - 5 / milliseconds,
     };
     const task = addTask(jobTable, `filler-${waited}`, { image: "booking", isFiller: true, cores }, NOW - waited);
-    const options = { isStarving: isStarving(task, candidates, NOW) };
+    const options = { starvation: assessStarvation(task, isHalfEmpty(candidates), NOW) };
     return chooseWorker(task, candidates, model, NOW, options) !== undefined;
 }
 
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -140,6 +140,7 @@
     if (attempt !== undefined) {
         removeAttempt(table, attempt);
     }
+    task.occurrence.lastEndedAtMilliseconds = now;
     const isLatest = ended.attempt >= task.lastAttempt;
     task.lastAttempt = Math.max(task.lastAttempt, ended.attempt);
     if (FINAL_STATES.has(task.entry.state) || task.phase === "done") {
@@ -165,6 +166,7 @@
 export function recordLostAttempt(table: JobTable, attempt: Attempt, now: number): void {
     const { task } = attempt;
     removeAttempt(table, attempt);
+    task.occurrence.lastEndedAtMilliseconds = now;
     if (attempt.number >= task.lastAttempt) {
         recordCheckpoint(table, task, attempt.checkpoint);
     }
--- a/src/jobs/job-table/create.ts
+++ b/src/jobs/job-table/create.ts
@@ -67,6 +67,7 @@
         dueAtMilliseconds: dueTime(entry, number),
         steps: [],
         doneSteps: 0,
+        lastEndedAtMilliseconds: undefined,
     };
     entry.submission.steps.forEach((step, index) =>
         occurrence.steps.push({
--- a/src/jobs/job-table/job.ts
+++ b/src/jobs/job-table/job.ts
@@ -35,6 +35,8 @@
     readonly dueAtMilliseconds: number;
     readonly steps: StepProgress[];
     doneSteps: number;
+    /** When an attempt of the occurrence last ended, as far as this owner knows. */
+    lastEndedAtMilliseconds: number | undefined;
 }
 
 /** A job in the job table. */
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -50,6 +50,15 @@
 /** A filler is not placed where it would get less than this share of its cores. */
 export const MINIMUM_FILLER_SHARE = 0.6;
 
+/** A filler that shares the cores of others is not placed where all of them would get less than this share of theirs. */
+const MINIMUM_SHARED_SHARE = 0.4;
+
+/** Whether a filler may share the cores of a worker with those that run there. Cores that others have reserved are not shared. */
+export function canShareCores({ step }: Task, { load, worker }: Candidate): boolean {
+    const requested = load.fillerMillicores + step.size.millicores;
+    return load.used.millicores === 0 && requested * MINIMUM_SHARED_SHARE <= worker.capacity.millicores;
+}
+
 /** How a task treats capacity that is reserved for others. */
 export interface EligibilityOptions {
     /** The task has waited so long that it may not fit again for a long time. */
@@ -173,11 +182,15 @@
 }
 
 /** Whether a worker may have enough room for a task, and all of them for its gang; if not, they have not. */
-export function mayFit({ step }: Task, { free, idleMillicores: idle, totalFree }: LargestRoom): boolean {
+export function mayFit(
+    { step }: Task,
+    { free, idleMillicores: idle, totalFree }: LargestRoom,
+    { mayShareCores }: { readonly mayShareCores: boolean; },
+): boolean {
     const size = reservedSize(step);
     return fitsInto(size, free)
         && (!step.isGang || fitsInto(addSize(ZERO_SIZE, size, step.taskCount), totalFree))
-        && (!step.isFiller || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
+        && (!step.isFiller || mayShareCores || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
 }
 
 /** Whether a worker may have room for a task twice over; if not, none has. */
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -2,7 +2,8 @@
  * Order in which ready tasks are placed.
  *
  * Workload: interactive short jobs beside batch work of some seconds; during a burst both exceed the capacity. Jobs that can
- * still be on time go first, by due time. Late jobs follow, so that they do not delay the others as well. Lasting tasks keep
+ * still be on time go first, by due time. Late jobs follow, so that they do not delay the others as well; while the pool is half empty, those
+ * that stand still get a task each before others get more. Lasting tasks keep
  * what they get, so that those that wait leave scarce room to short tasks that are due soon, but not to late ones.
  */
 import { stepProgressOf } from "../job-table/job-table.js";
@@ -10,6 +11,7 @@
 import type { Task } from "../job-table/task.js";
 import type { Queue } from "../model/catalog.js";
 import type { Durations } from "./durations.js";
+import { idleSince } from "./starvation.js";
 
 /** Options of the order. */
 export interface OrderingOptions {
@@ -18,6 +20,8 @@
     readonly durations: Durations;
     /** Whether a worker may have room for the task twice over, so that others do not have to wait for it; never if absent. */
     readonly hasAmpleRoom?: (task: Task) => boolean;
+    /** Whether nothing of the task's job runs although its pool is half empty; never if absent. */
+    readonly isStandingStill?: (task: Task) => boolean;
 }
 
 /** Jobs beyond this many times their objective go last. */
@@ -42,8 +46,9 @@
     returning: 0,
     timely: 1,
     overdue: 2,
-    late: 3,
-    lasting: 4,
+    standingStill: 3,
+    late: 4,
+    lasting: 5,
 } as const;
 
 /** Ready tasks of one step that are equally urgent. Sorting them together keeps thousands of waiting tasks cheap. */
@@ -81,10 +86,28 @@
         });
     }
     return groupsByKind.flatMap(groups => [...groups.values()])
+        .flatMap(group => {
+            const isStandingStill = group.turn === TURNS.late && options.isStandingStill?.(group.first) === true;
+            return isStandingStill ? putFirstTaskApart(group) : [group];
+        })
         .sort(compare)
         .flatMap(({ tasks }) => tasks.sort((left, right) => left.index - right.index));
 }
 
+/** Gives the first task of a job that stands still a turn before other late ones; the job that has stood still longest comes first. */
+function putFirstTaskApart(group: RankedTasks): RankedTasks[] {
+    const [first = group.first, ...others] = group.tasks.sort((left, right) => left.index - right.index);
+    const apart: RankedTasks = {
+        ...group,
+        first,
+        tasks: [first],
+        turn: TURNS.standingStill,
+        timeliness: 0,
+        dueAtMilliseconds: idleSince(first),
+    };
+    return others[0] === undefined ? [apart] : [apart, { ...group, first: others[0], tasks: others }];
+}
+
 /** Whether a lasting task has waited longer than its limit. */
 export function isOverdue({ readyAtMilliseconds, step }: Task, now: number): boolean {
     return step.isLasting && now - readyAtMilliseconds >= LASTING_WAIT_LIMIT_MILLISECONDS;
--- a/src/jobs/policy/pass.ts
+++ b/src/jobs/policy/pass.ts
@@ -5,30 +5,26 @@
  * worker's load, so that those after it see it. Only the model of interference learns of placements at once, because it allows an image one
  * trial at a time.
  */
-import { gangMembersOf, stepProgressOf } from "../job-table/job-table.js";
+import { stepProgressOf } from "../job-table/job-table.js";
 import type { StepProgress } from "../job-table/job.js";
-import { addToLoad, copyLoad, isServing } from "../job-table/occupancy.js";
-import type { WorkerLoad } from "../job-table/occupancy.js";
 import type { Attempt, Task } from "../job-table/task.js";
 import type { Queue } from "../model/catalog.js";
-import { findLargestRoom, isHeldByLasting, mayFit, mayFitTwice } from "./candidate.js";
-import type { Candidate, LargestRoom } from "./candidate.js";
+import type { Candidate } from "./candidate.js";
 import { needsCopy } from "./copies.js";
 import { isSuspect } from "./crashes.js";
 import type { Durations } from "./durations.js";
-import { expectedEndIfStarted } from "./forecast.js";
 import type { Interference } from "./interference.js";
 import type { LookAhead } from "./look-ahead.js";
 import { chooseMoves } from "./moves.js";
 import type { LeftWorker, Move } from "./moves.js";
 import { isOverdue, orderTasks } from "./order.js";
 import type { OrderingOptions } from "./order.js";
-import { chooseWorker, isRankedAlike, rankCandidates, startingPaceOf } from "./placement.js";
-import type { CandidateRanking } from "./placement.js";
+import { chooseWorker } from "./placement.js";
+import { createPlacements } from "./placements.js";
+import type { Placements } from "./placements.js";
 import { isPausing, planGivingWay } from "./preemption.js";
 import { reserveCapacity } from "./reservation.js";
-import { planStarts } from "./start-plan.js";
-import { isStarving } from "./starvation.js";
+import { isIdle } from "./starvation.js";
 
 /** Limit of workers that are reserved for lasting tasks at the same time; the others stay available to short tasks. */
 const MAXIMUM_RESERVATIONS = 2;
@@ -117,6 +113,7 @@
         durations,
         hasAmpleRoom: task =>
             placements.hasAmpleRoom(task, candidatesFor(task)) || !placements.isHeldByLasting(candidatesFor(task)),
+        isStandingStill: task => placements.isHalfEmpty(candidatesFor(task)) && isIdle(task.occurrence),
     };
     const lookAheadPass = lookAhead?.startPass(now);
     // The tasks of one step have the same requirements, except suspects: if one cannot be placed, neither can the others.
@@ -180,120 +177,3 @@
         }
     }
 }
-
-/** Placements of a pass so far. */
-interface Placements {
-    readonly starts: readonly Attempt[];
-    /** Whether a worker may have enough room for a task; if not, none has. */
-    mayFit(task: Task, candidates: readonly Candidate[]): boolean;
-    /** Places a task, or all members of its gang; returns false if it has to wait. */
-    place(task: Task, candidates: readonly Candidate[]): boolean;
-    readonly isPlaced: (task: Task) => boolean;
-    /** Whether a worker may have had room for the task twice over at the beginning of the pass. */
-    hasAmpleRoom(task: Task, candidates: readonly Candidate[]): boolean;
-    /** Whether lasting tasks hold nearly all of a pool, so that little is left for others. */
-    isHeldByLasting(candidates: readonly Candidate[]): boolean;
-    searches(): number;
-}
-
-function createPlacements(snapshot: CellSnapshot, now: number): Placements {
-    const { durations, epoch, interference } = snapshot;
-    const starts: Attempt[] = [];
-    const placedTasks = new Set<Task>();
-    const copiedLoads = new Set<Readonly<WorkerLoad>>();
-    const largestRooms = new WeakMap<readonly Candidate[], LargestRoom>();
-    const heldPools = new WeakMap<readonly Candidate[], boolean>();
-    let latestRanking: { readonly key: RankingKey; readonly ranking: CandidateRanking; } | undefined;
-    let searches = 0;
-
-    /** Ranks the candidates for a task; the tasks of a step that follow one another in a pass share a ranking. */
-    const rankFor = (task: Task, candidates: readonly Candidate[]): CandidateRanking => {
-        const options = { isStarving: isStarving(task, candidates, now) };
-        const key: RankingKey = { candidates, task, ...options };
-        if (latestRanking === undefined || !isSameKey(latestRanking.key, key, now)) {
-            searches += 1;
-            const expectedEndMilliseconds = expectedEndIfStarted(task.step, durations, now);
-            const ranking = rankCandidates(task, candidates, interference, now, {
-                ...options,
-                expectedEndMilliseconds,
-            });
-            latestRanking = { key, ranking };
-        }
-        return latestRanking.ranking;
-    };
-
-    /** Largest room at the beginning of the pass; placements only make it smaller. */
-    const largestRoomOf = (candidates: readonly Candidate[]): LargestRoom => {
-        const room = largestRooms.get(candidates) ?? findLargestRoom(candidates);
-        largestRooms.set(candidates, room);
-        return room;
-    };
-
-    const add = (attempt: Attempt, candidates: readonly Candidate[]): void => {
-        starts.push(attempt);
-        placedTasks.add(attempt.task);
-        const candidate = candidates.find(({ worker }) => worker.id === attempt.worker);
-        if (candidate === undefined) {
-            return;
-        }
-        recordTrials(interference, attempt, candidate.load, now);
-        const load = copiedLoads.has(candidate.load) ? candidate.load : copyLoad(candidate.load);
-        copiedLoads.add(load);
-        addToLoad(load, attempt);
-        candidate.load = load;
-    };
-
-    return {
-        starts,
-        isPlaced: task => placedTasks.has(task),
-        hasAmpleRoom: (task, candidates) => mayFitTwice(task, largestRoomOf(candidates)),
-        isHeldByLasting(candidates) {
-            const isHeld = heldPools.get(candidates) ?? isHeldByLasting(candidates);
-            heldPools.set(candidates, isHeld);
-            return isHeld;
-        },
-        searches: () => searches,
-        mayFit: (task, candidates) => mayFit(task, largestRoomOf(candidates)),
-        place(task, candidates) {
-            if (!mayFit(task, largestRoomOf(candidates))) {
-                return false;
-            }
-            const members = gangMembersOf(task);
-            if (members.some(member => snapshot.isUnderReview(member))) {
-                return false;
-            }
-            const planned = planStarts(members, candidates, {
-                epoch,
-                rank: rankFor,
-                paceOf: (member, candidate) => startingPaceOf(member, candidate, interference, now),
-            }, now);
-            planned?.forEach(attempt => add(attempt, candidates));
-            return planned !== undefined;
-        },
-    };
-}
-
-/** What a ranking depends on, besides the placements. */
-interface RankingKey {
-    readonly candidates: readonly Candidate[];
-    readonly isStarving: boolean;
-    readonly task: Task;
-}
-
-function isSameKey(left: RankingKey, right: RankingKey, now: number): boolean {
-    return left.candidates === right.candidates && left.isStarving === right.isStarving
-        && isRankedAlike(left.task, right.task, now);
-}
-
-/** Records that a filler was placed beside serving tasks; its effect on their latency shows within a second. */
-function recordTrials(
-    interference: Interference,
-    { task: { step } }: Attempt,
-    load: Readonly<WorkerLoad>,
-    now: number,
-): void {
-    if (step.isFiller) {
-        load.attempts.filter(({ task }) => isServing(task.step))
-            .forEach(({ task }) => interference.recordTrial(task.step.image, step.image, now));
-    }
-}
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -7,7 +7,7 @@
 import { stepProgressOf } from "../job-table/job-table.js";
 import { isServing } from "../job-table/occupancy.js";
 import type { Task } from "../job-table/task.js";
-import { findIneligibility, idleMillicores, MINIMUM_FILLER_SHARE } from "./candidate.js";
+import { canShareCores, findIneligibility, idleMillicores, MINIMUM_FILLER_SHARE } from "./candidate.js";
 import type { Candidate, Ineligibility } from "./candidate.js";
 import { findCrashPrecaution, isSuspect } from "./crashes.js";
 import type { CrashPrecaution } from "./crashes.js";
@@ -16,14 +16,15 @@
 import { chooseStartingPace, hasHeadroom, planPressures } from "./pacing.js";
 import type { ExpectedPressure } from "./pacing.js";
 import { createRanking } from "./ranking.js";
+import type { Starvation } from "./starvation.js";
 
 /** A plan is computed again after this, because the load of serving tasks changes by itself. */
 const PLAN_VALID_MILLISECONDS = 100;
 
 /** Options of a placement. */
 export interface PlacementOptions {
-    /** Allows workers where interference is expected but not measured; if it occurs, the task is slowed down. */
-    readonly isStarving?: boolean;
+    /** How badly the task's job needs it to start, which allows workers that a filler does not start on otherwise. */
+    readonly starvation?: Starvation;
     /** When the task is expected to have ended if it starts now; it may use capacity that is reserved for a later time. */
     readonly expectedEndMilliseconds?: number;
 }
@@ -88,28 +89,29 @@
     task: Task,
     model: Interference,
     now: number,
-    { expectedEndMilliseconds = Infinity, isStarving = false }: PlacementOptions,
+    { expectedEndMilliseconds = Infinity, starvation = "none" }: PlacementOptions,
 ): (candidate: Candidate) => PlacementObstacle | undefined {
     const eligibility = { ignoresReservations: isOverdue(task, now), expectedEndMilliseconds };
     return candidate =>
         findCrashPrecaution(task, candidate.load, now)
             ?? findIneligibility(task, candidate, eligibility)
-            ?? findFillerObstacle(task, candidate, model, now, isStarving);
+            ?? findFillerObstacle(task, candidate, model, now, starvation);
 }
 
 function findFillerObstacle(
-    { step }: Task,
+    task: Task,
     candidate: Candidate,
     model: Interference,
     now: number,
-    mayInterfere: boolean,
+    starvation: Starvation,
 ): FillerObstacle | undefined {
+    const { step } = task;
     // A serving task is ranked as one, whatever else it is.
     if (!step.isFiller || isServing(step)) {
         return undefined;
     }
     const { load, worker } = candidate;
-    if (idleMillicores(candidate) < step.size.millicores * MINIMUM_FILLER_SHARE) {
+    if (!hasIdleCores(task, candidate) && !(starvation !== "none" && canShareCores(task, candidate))) {
         return "too-few-idle-cores";
     }
     if (load.servingCount === 0) {
@@ -118,10 +120,15 @@
     const share = step.size.millicores / worker.capacity.millicores;
     const pressures = pressuresOf(candidate, model, now);
     const isFit = chooseStartingPace(step.image, share, pressures, model, now) !== undefined
-        || mayInterfere && hasHeadroom(load, pressures);
+        || starvation === "starving" && hasHeadroom(load, pressures);
     return isFit ? undefined : "interference";
 }
 
+/** Whether a filler would get enough of the cores that stay unused. */
+function hasIdleCores({ step }: Task, candidate: Candidate): boolean {
+    return idleMillicores(candidate) >= step.size.millicores * MINIMUM_FILLER_SHARE;
+}
+
 /** Whether the workers rank alike for two tasks. */
 export function isRankedAlike(left: Task, right: Task, now: number): boolean {
     return stepProgressOf(left) === stepProgressOf(right) && isOverdue(left, now) === isOverdue(right, now)
@@ -194,7 +201,7 @@
             return Math.min(idle, step.size.millicores) - BESIDE_SERVING_PENALTY
                 - takenTolerance(task, share, pressures, model, now) * TOLERANCE_PENALTY - distancePenalty;
         }
-        return idle - distancePenalty;
+        return idle - (hasIdleCores(task, candidate) ? 0 : SHARING_PENALTY) - distancePenalty;
     }
     // Best fit, so that larger gaps stay free for larger tasks, except where fillers leave the task too few cores.
     return -freeMillicores - Math.max(0, -idle) * STARVING_WEIGHT - distancePenalty;
@@ -217,6 +224,9 @@
 /** Outweighs any amount of idle cores, in thousandths of a core. */
 const BESIDE_SERVING_PENALTY = 1_000_000;
 
+/** Outweighs a worker with serving tasks: a filler that shares cores slows down those that run there. */
+const SHARING_PENALTY = 2_000_000;
+
 /** Outweighs a worker with serving tasks: a crash ends all tasks beside the suspect. */
 const SUSPECT_NEIGHBOR_PENALTY = 2_000_000;
 
--- a/src/jobs/policy/starvation.ts
+++ b/src/jobs/policy/starvation.ts
@@ -1,33 +1,58 @@
 /**
- * Whether the job of a filler starves: it has waited long, although its pool is half empty.
+ * Whether a job stands still although its pool is half empty.
+ *
+ * Workload: after a disturbance, a backlog of late jobs drains for a minute or more. Each of them is to go on meanwhile, not only those whose
+ * turn comes first.
  */
-import type { StepProgress } from "../job-table/job.js";
+import type { Occurrence, StepProgress } from "../job-table/job.js";
 import type { Task } from "../job-table/task.js";
 import type { Candidate } from "./candidate.js";
 
-/** A job without a running attempt starves after this; the platform counts it as starved three seconds later. */
-const STARVING_MILLISECONDS = 3_000;
+/** Time without a running attempt after which a filler of the job shares the cores of other fillers. */
+const SHARING_MILLISECONDS = 500;
 
-/** Share of a pool's cores in use below which no job may starve; the platform's documentation requires half. */
+/** Time without a running attempt after which the job starves; the platform's documentation allows twice that. */
+const STARVING_MILLISECONDS = 1_500;
+
+/** Share of a pool's cores that others than fillers use, below which no job may starve; the platform's documentation requires half. */
 const STARVING_USE_SHARE = 0.55;
 
-/** Whether a filler's job has waited long without a running attempt although its pool is half empty. */
-export function isStarving(
-    { occurrence, readyAtMilliseconds, step }: Task,
-    pool: Iterable<Candidate>,
-    now: number,
-): boolean {
-    if (!step.isFiller || now - readyAtMilliseconds < STARVING_MILLISECONDS) {
-        return false;
-    }
-    if (occurrence.steps.some(hasAttempts)) {
-        return false;
+/** How badly a job needs one of its tasks to start. */
+export type Starvation =
+    | "none"
+    /** A filler may start where it gets few cores, beside no tasks but other fillers. */
+    | "idle"
+    /** A filler may also start slowly where it is expected to disturb serving tasks. */
+    | "starving";
+
+/** Assesses how badly a filler's job needs it to start. No job starves in a pool that others than fillers use for more than half. */
+export function assessStarvation(task: Task, isPoolHalfEmpty: boolean, now: number): Starvation {
+    const idleMilliseconds = now - idleSince(task);
+    if (
+        !task.step.isFiller || !isPoolHalfEmpty || idleMilliseconds < SHARING_MILLISECONDS || !isIdle(task.occurrence)
+    ) {
+        return "none";
     }
+    return idleMilliseconds < STARVING_MILLISECONDS ? "idle" : "starving";
+}
+
+/** Whether no attempt of an occurrence runs. */
+export function isIdle({ steps }: Occurrence): boolean {
+    return !steps.some(hasAttempts);
+}
+
+/** Since when a task has been ready while nothing of its occurrence has run. */
+export function idleSince({ occurrence: { lastEndedAtMilliseconds }, readyAtMilliseconds }: Task): number {
+    return Math.max(readyAtMilliseconds, lastEndedAtMilliseconds ?? -Infinity);
+}
+
+/** Whether about half of a pool's cores are free. Those that fillers use count as free, as fillers reserve none. */
+export function isHalfEmpty(pool: Iterable<Candidate>): boolean {
     let capacity = 0;
     let used = 0;
     for (const { load, worker } of pool) {
         capacity += worker.capacity.millicores;
-        used += load.used.millicores + load.fillerMillicores;
+        used += load.used.millicores;
     }
     return used < capacity * STARVING_USE_SHARE;
 }
--- a/src/jobs/policy/waiting.ts
+++ b/src/jobs/policy/waiting.ts
@@ -12,7 +12,7 @@
 import type { Interference } from "./interference.js";
 import { createObstacleSearch } from "./placement.js";
 import { isPausing } from "./preemption.js";
-import { isStarving } from "./starvation.js";
+import { assessStarvation, isHalfEmpty } from "./starvation.js";
 import type { EarlyReason, WaitingObstacle, WaitingReason, WorkerObstacle } from "./waiting-reasons.js";
 
 /** What holds tasks of a cell before any worker is looked at for them. */
@@ -73,7 +73,7 @@
 export function explainPlacement(task: Task, pool: PoolSituation, now: number): PlacementExplanation {
     const { candidates, durations, interference, unavailable } = pool;
     const findObstacle = createObstacleSearch(task, interference, now, {
-        isStarving: isStarving(task, candidates, now),
+        starvation: assessStarvation(task, isHalfEmpty(candidates), now),
         expectedEndMilliseconds: expectedEndIfStarted(task.step, durations, now),
     });
     const counts = new Map<WaitingObstacle, number>(unavailable);
