A worker that answers and lists no more ends is given up after its lease

Seen: after a takeover, one worker that answers and never lists all its ends kept every inherited task that was not seen running from starting, without any limit.

Cause: the recovery waits for a complete report of each worker that answers. Only that worker can bring it about, and each hold renews the lease under which what it has not told of may have ended.

Now a worker that has listed no new end for 5 s, though all that it listed have been committed, gets no leases and no starts once the limit for the former owners' orders has passed. When its lease has lapsed on its own clock, an end that it tells of later doesn't count any more, and it is given up. It gets leases again after that. Ends that wait for a commit of the owner count as progress, so that an outage of the store withholds nothing. What runs on such a worker lapses with its lease, and is started again.

--- a/features/jobs/wait-bounds.feature
+++ b/features/jobs/wait-bounds.feature
@@ -14,3 +14,12 @@
         And a successor takes over 1 s later, and is answered for 7 s
         And "worker-0" is silent from now on
         Then the task that was finished unseen is started again within 8 s, after the lease of "worker-0"
+
+    # One worker that answers and never lists its ends would otherwise keep all inherited tasks from starting.
+    Scenario: A worker that answers and never lists its ends is given up once its lease was withheld and has lapsed
+        Given an owner of 3 workers, of which the first 2 run a task each
+        When the owner loses power, and "worker-0" finishes its task and lists no ends
+        And a successor takes over 1 s later, and is answered for 5 s
+        Then the task that was finished unseen is started again within 9 s, after a lease of "worker-0"
+        And leases are granted to "worker-0" again within 1 s
+        And the task of "worker-1" has run on
--- a/features/jobs/wait-bounds.steps.ts
+++ b/features/jobs/wait-bounds.steps.ts
@@ -103,3 +103,32 @@
         assert.ok(run !== undefined && run.startedAtMilliseconds > bounds.leaseEnd(worker));
     },
 );
+
+Then(
+    "the task that was finished unseen is started again within {int} s, after a lease of {string}",
+    LIMIT,
+    async function(this: BoundsWorld, seconds: number, worker: string) {
+        const { bounds } = this;
+        let hasLapsed = false;
+        const isStarted = await bounds.passTime(seconds * SECOND, () => {
+            const isAgain = laterRuns(this).length > 0;
+            hasLapsed ||= !isAgain && bounds.now() > bounds.leaseEnd(worker);
+            return isAgain;
+        });
+        assert.ok(isStarted, "the task still waits");
+        assert.ok(hasLapsed, "the task was started again under the lease of the worker that may have run it");
+    },
+);
+
+Then("leases are granted to {string} again within {int} s", LIMIT, async function(
+    this: BoundsWorld,
+    worker: string,
+    seconds: number,
+) {
+    const { bounds } = this;
+    assert.ok(await bounds.passTime(seconds * SECOND, () => bounds.leaseEnd(worker) > bounds.now()));
+});
+
+Then("the task of {string} has run on", function(this: BoundsWorld, worker: string) {
+    assert.equal(this.bounds.runs.filter(run => run.worker === worker && isRunning(run)).length, 1);
+});
--- a/src/jobs/cell/pools.ts
+++ b/src/jobs/cell/pools.ts
@@ -56,6 +56,9 @@
     if (listed.isDraining) {
         return "worker-draining";
     }
+    if (worker.isLeaseWithheld) {
+        return "lease-withheld";
+    }
     if (now < worker.startsFromMilliseconds) {
         return "starts-refused";
     }
--- a/src/jobs/cell/recovery.ts
+++ b/src/jobs/cell/recovery.ts
@@ -34,6 +34,8 @@
     recordLeaseEnds(leaseEnds: ReadonlyMap<string, number>): void;
     /** Time after which no attempt of a former owner runs on a worker that has not answered. */
     heldUntil(worker: string): number;
+    /** Whether the worker has not answered, or not listed all ends, after the time limit for what former owners have started on it. */
+    isOverdue(worker: string, now: number): boolean;
     /**
      * Gives up the workers whose time limits have passed, and returns them. What one that has answered has still to list may have ended
      * under a lease of the present owner, so that this lease has to lapse as well.
@@ -81,6 +83,7 @@
             formerLeaseEnds = leaseEnds;
         },
         heldUntil,
+        isOverdue: (worker, now) => unanswered.has(worker) && now >= heldUntil(worker),
         expire(now, leasesLapsedAt) {
             const expired = [...unanswered].filter(worker => now >= heldUntil(worker) && now >= leasesLapsedAt(worker));
             expired.forEach(worker => unanswered.delete(worker));
--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -58,6 +58,10 @@
         worker.recordedSequence = end.sequence;
         return { end, attempt: recordAttemptEnd(jobTable, id, end, now) };
     });
+    const isCommitAwaited = worker.recordedSequence > worker.committedSequence;
+    if (hasRestarted || report.isComplete || ended.length > 0 || isCommitAwaited) {
+        worker.endsProgressedAtMilliseconds = now;
+    }
     const before = new Set(jobTable.occupancy.load(id).attempts);
     const reported = new Set<Attempt>();
     const foreign: RunningAttempt[] = [];
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -52,7 +52,7 @@
     let isLeased = false;
     while (!signal.aborted) {
         const sentAt = clock();
-        const mayGrant = cell.maySendOrders(sentAt);
+        const mayGrant = cell.maySendOrders(sentAt) && !worker.isLeaseWithheld;
         // An order without an answer may have been executed. If the worker receives orders but its answers get lost,
         // extending its lease with each retry would never let the lease lapse.
         const lease = failures === 0 && mayGrant
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -9,7 +9,7 @@
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { runSession } from "./session.js";
-import { applyListing, attemptsLapsedAt, createCellWorker, leasesLapsedAt } from "./worker.js";
+import { applyListing, attemptsLapsedAt, createCellWorker, hasStoppedListing, leasesLapsedAt } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Time between two checks of unlisted workers and of the recovery. */
@@ -194,6 +194,19 @@
         }
     };
 
+    /**
+     * Withholds leases from a worker of which nothing else shows what has ended on it. Once they have lapsed, nothing that it has still to
+     * tell of stands against starting the tasks elsewhere.
+     */
+    const updateWithholding = (worker: CellWorker, now: number): void => {
+        const { id } = worker.listed;
+        const isWithheld = recovery.isOverdue(id, now) && hasStoppedListing(worker, now);
+        if (isWithheld !== worker.isLeaseWithheld) {
+            worker.isLeaseWithheld = isWithheld;
+            cell.log.write(isWithheld ? "lease-withheld" : "lease-allowed", { worker: id }, "vital");
+        }
+    };
+
     /** Updates the recovery, and removes silent unlisted workers once no attempt can be running on them. */
     const checkWorkers = (now: number): void => {
         if (!areFormerStopsRecorded && options.haveFormerOwnersStopped()) {
@@ -208,6 +221,7 @@
         cell.crashes.review(now);
         for (const worker of workers.values()) {
             updateUse(worker, now);
+            updateWithholding(worker, now);
             const hasReportedAll = worker.contact === "answering" && worker.hasReportedAll;
             if (hasReportedAll && recovery.recordAnswer(worker.listed.id, now)) {
                 endRecovery();
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -48,6 +48,10 @@
     lastStartSentAtMilliseconds: number;
     /** Whether the latest report listed all ends. */
     hasReportedAll: boolean;
+    /** When a report last listed all ends or a new one, or listed ends that were not committed yet. */
+    endsProgressedAtMilliseconds: number;
+    /** Whether the worker gets no leases, so that all that it runs lapses. */
+    isLeaseWithheld: boolean;
     /** Sequence of the last end that was recorded. */
     recordedSequence: number;
     /** Sequence of the last end that was committed to the ledger and may be acknowledged. */
@@ -71,6 +75,9 @@
 /** Longest time after which an order without an answer is still carried out, as the platform documents it. */
 const LATEST_ORDER_MILLISECONDS = 12_000;
 
+/** Time without a new end after which a worker counts as one that lists no more; it is asked several times a second meanwhile. */
+const LISTING_LIMIT_MILLISECONDS = 5_000;
+
 /** Largest difference between the clocks of two machines, as the platform documents it. */
 const CLOCK_SKEW_MILLISECONDS = 5_000;
 
@@ -93,6 +100,8 @@
         unansweredLease: undefined,
         lastStartSentAtMilliseconds: -Infinity,
         hasReportedAll: false,
+        endsProgressedAtMilliseconds: now,
+        isLeaseWithheld: false,
         recordedSequence: 0,
         committedSequence: 0,
         startsFromMilliseconds: 0,
@@ -238,6 +247,14 @@
     );
 }
 
+/**
+ * Whether a worker that has answered has listed no new end for so long, though all that it listed have been acknowledged, that it may never list
+ * the rest.
+ */
+export function hasStoppedListing({ clock, endsProgressedAtMilliseconds }: CellWorker, now: number): boolean {
+    return clock !== undefined && now - endsProgressedAtMilliseconds > LISTING_LIMIT_MILLISECONDS;
+}
+
 /** Time after which all leases of this owner have certainly lapsed, even if the worker's clock is slow. */
 export function leasesLapsedAt({ clock, leaseUntilMilliseconds }: CellWorker): number {
     if (clock === undefined) {
--- a/src/jobs/policy/waiting-reasons.ts
+++ b/src/jobs/policy/waiting-reasons.ts
@@ -16,6 +16,8 @@
     | "worker-unrecorded"
     | "worker-unlisted"
     | "worker-draining"
+    /** It gets no leases, so that what it runs unseen or for nobody lapses. */
+    | "lease-withheld"
     /** It refused a start a moment ago, or runs attempts of others. */
     | "starts-refused"
     | "worker-quarantined";
@@ -93,6 +95,7 @@
     "worker-unrecorded": "commits",
     "worker-unlisted": "worker-list",
     "worker-draining": "worker-list",
+    "lease-withheld": "worker-sessions",
     "starts-refused": "worker-sessions",
     "worker-quarantined": "worker-health",
     "label-missing": "placement",
