A foreign run that no stop ends keeps its worker from starts for a bound

Seen: a worker that lists a run of no job, and on which stops have no effect, never gets a start again. A task that fits on it alone waits without limit.

Cause: each report with foreign runs keeps starts away for 1.5 s more, since the capacity that these use is unknown. Only the stop can end them, as the owner's own holds go on renewing the lease under which they run.

Now leases are withheld from a worker that has listed foreign runs for longer than a late stop takes to be carried out (12 s). All that it runs lapses with its lease; then it gets leases and starts again. The bound is 12 s, a lease (4.6 s), and 1.5 s after the last report that lists the run.

Evidence: the scenario of features/jobs/wait-bounds.feature failed before ("the task still waits" after 20 s), and holds now: the task starts on the worker after the foreign run has ended.

--- a/features/jobs/takeover-world.ts
+++ b/features/jobs/takeover-world.ts
@@ -31,6 +31,9 @@
 
 const WORKER_CORES = 8;
 
+/** A task of no job. */
+const FOREIGN_TASK = "00000000000000f0.0.0.0";
+
 /** Time after which nothing may be started in a closed data centre. */
 const CLOSURE_LIMIT_MILLISECONDS = 5_000;
 
@@ -88,6 +91,8 @@
     finishTask(worker: string): SimulatedRun;
     /** End of the last lease that an order has granted the worker. */
     leaseEnd(worker: string): number;
+    /** Starts a run on the worker that belongs to no job and ends only when the worker's lease lapses: no stop has an effect on it. */
+    startForeignRun(worker: string): SimulatedRun;
     /** Lets the worker's reports leave out all ends, or list them again. */
     hideEnds(worker: string, isHidden: boolean): void;
     cutPower(worker: string): void;
@@ -217,7 +222,7 @@
         stop: (listed, { attempt, epoch: orderEpoch, task }) =>
             order(reach, listed, orderEpoch, 0, () => {
                 activeRuns(listed.id)
-                    .filter(run => run.task === task && run.attempt === attempt)
+                    .filter(run => run.task === task && run.attempt === attempt && task !== FOREIGN_TASK)
                     .forEach(run => endRun(run, "stopped"));
                 return { clockMilliseconds: now };
             }),
@@ -301,6 +306,17 @@
         failTask: worker => endTask(worker, "failed"),
         finishTask: worker => endTask(worker, "done"),
         leaseEnd: id => workers.get(id)?.leaseUntilMilliseconds ?? 0,
+        startForeignRun(worker) {
+            const run = {
+                task: FOREIGN_TASK,
+                attempt: 1,
+                worker,
+                startedAtMilliseconds: now,
+                endedAtMilliseconds: undefined,
+            };
+            runs.push(run);
+            return run;
+        },
         hideEnds(id, isHidden) {
             const worker = workers.get(id);
             if (worker !== undefined) {
--- a/features/jobs/wait-bounds.feature
+++ b/features/jobs/wait-bounds.feature
@@ -23,3 +23,9 @@
         Then the task that was finished unseen is started again within 9 s, after a lease of "worker-0"
         And leases are granted to "worker-0" again within 1 s
         And the task of "worker-1" has run on
+
+    # A run of no job that no stop ends would otherwise keep its worker from all starts, under leases that its owner renews.
+    Scenario: A worker whose foreign run no stop ends gets starts again once its lease was withheld and has lapsed
+        Given an owner of 2 workers, of which the first 2 run a task each
+        When a run of no job that no stop ends is on "worker-1", and the task there fails
+        Then the failed task is started again within 20 s, after the end of the foreign run
--- a/features/jobs/wait-bounds.steps.ts
+++ b/features/jobs/wait-bounds.steps.ts
@@ -10,6 +10,7 @@
     bounds: TakeoverSimulation;
     owner: SimulatedOwner;
     finished: SimulatedRun;
+    foreign: SimulatedRun;
 }
 
 const LIMIT = { timeout: 60_000 };
@@ -132,3 +133,23 @@
 Then("the task of {string} has run on", function(this: BoundsWorld, worker: string) {
     assert.equal(this.bounds.runs.filter(run => run.worker === worker && isRunning(run)).length, 1);
 });
+
+When("a run of no job that no stop ends is on {string}, and the task there fails", function(
+    this: BoundsWorld,
+    worker: string,
+) {
+    this.finished = this.bounds.failTask(worker);
+    this.foreign = this.bounds.startForeignRun(worker);
+});
+
+Then(
+    "the failed task is started again within {int} s, after the end of the foreign run",
+    LIMIT,
+    async function(this: BoundsWorld, seconds: number) {
+        const { bounds, foreign } = this;
+        const isAgain = await bounds.passTime(seconds * SECOND, () => laterRuns(this).length > 0);
+        assert.ok(isAgain, "the task still waits");
+        const [run] = laterRuns(this);
+        assert.ok(run !== undefined && run.startedAtMilliseconds >= (foreign.endedAtMilliseconds ?? Infinity));
+    },
+);
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -118,6 +118,9 @@
         logOutcome(cell, worker, outcome, now);
         reviewHealth(cell, worker, outcome.ended, now);
         adjustPaces(cell, worker, now);
+        worker.foreignSinceMilliseconds = outcome.foreign.length > 0
+            ? worker.foreignSinceMilliseconds ?? now
+            : undefined;
         if (outcome.foreign.length > 0) {
             // The capacity that these attempts use is unknown.
             worker.startsFromMilliseconds = now + FOREIGN_RUN_WAIT_MILLISECONDS;
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -9,7 +9,14 @@
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { runSession } from "./session.js";
-import { applyListing, attemptsLapsedAt, createCellWorker, hasStoppedListing, leasesLapsedAt } from "./worker.js";
+import {
+    applyListing,
+    attemptsLapsedAt,
+    createCellWorker,
+    hasStoppedListing,
+    leasesLapsedAt,
+    runsForeignDespiteStops,
+} from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Time between two checks of unlisted workers and of the recovery. */
@@ -195,12 +202,13 @@
     };
 
     /**
-     * Withholds leases from a worker of which nothing else shows what has ended on it. Once they have lapsed, nothing that it has still to
-     * tell of stands against starting the tasks elsewhere.
+     * Withholds leases from a worker of which nothing else shows what has ended on it, or ends what it runs for nobody. Once they have
+     * lapsed, nothing runs on it, and nothing that it has still to tell of stands against starting the tasks elsewhere.
      */
     const updateWithholding = (worker: CellWorker, now: number): void => {
         const { id } = worker.listed;
-        const isWithheld = recovery.isOverdue(id, now) && hasStoppedListing(worker, now);
+        const isWithheld = recovery.isOverdue(id, now) && hasStoppedListing(worker, now)
+            || runsForeignDespiteStops(worker, now);
         if (isWithheld !== worker.isLeaseWithheld) {
             worker.isLeaseWithheld = isWithheld;
             cell.log.write(isWithheld ? "lease-withheld" : "lease-allowed", { worker: id }, "vital");
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -50,6 +50,8 @@
     hasReportedAll: boolean;
     /** When a report last listed all ends or a new one, or listed ends that were not committed yet. */
     endsProgressedAtMilliseconds: number;
+    /** Since when each report has listed attempts that belong to no task; absent while the latest lists none. */
+    foreignSinceMilliseconds: number | undefined;
     /** Whether the worker gets no leases, so that all that it runs lapses. */
     isLeaseWithheld: boolean;
     /** Sequence of the last end that was recorded. */
@@ -101,6 +103,7 @@
         lastStartSentAtMilliseconds: -Infinity,
         hasReportedAll: false,
         endsProgressedAtMilliseconds: now,
+        foreignSinceMilliseconds: undefined,
         isLeaseWithheld: false,
         recordedSequence: 0,
         committedSequence: 0,
@@ -255,6 +258,11 @@
     return clock !== undefined && now - endsProgressedAtMilliseconds > LISTING_LIMIT_MILLISECONDS;
 }
 
+/** Whether the worker has run attempts of no task for so long that stop orders have no effect on them. */
+export function runsForeignDespiteStops({ foreignSinceMilliseconds }: CellWorker, now: number): boolean {
+    return foreignSinceMilliseconds !== undefined && now - foreignSinceMilliseconds > LATEST_ORDER_MILLISECONDS;
+}
+
 /** Time after which all leases of this owner have certainly lapsed, even if the worker's clock is slow. */
 export function leasesLapsedAt({ clock, leaseUntilMilliseconds }: CellWorker): number {
     if (clock === undefined) {
