Scenarios: bounds of waits for workers' entries, quarantines and orders

Cause: it was read, and not shown, what ends these waits. Change: scenarios for a worker's entry that is back after a gap of the watch, the longest quarantine, a new life of a worker, and an owner that neither the store nor most workers answer. The code is unchanged.

--- a/features/jobs/wait-bounds.feature
+++ b/features/jobs/wait-bounds.feature
@@ -29,3 +29,26 @@
         Given an owner of 2 workers, of which the first 2 run a task each
         When a run of no job that no stop ends is on "worker-1", and the task there fails
         Then the failed task is started again within 20 s, after the end of the foreign run
+
+    Scenario Outline: A worker whose entry was removed and written again while the watch <gap> is listed again
+        Given an owner's list of one worker
+        When its entry is removed, and written again while the watch <gap>
+        Then the worker is listed again
+
+        Examples:
+            | gap                   |
+            | is broken             |
+            | has lost its history  |
+
+    Scenario: No quarantine lasts longer than 12 s, however many came before
+        Then a worker that fails again after each quarantine is never kept from starts for more than 12000 ms at a time
+
+    Scenario: A new life of a worker is kept from starts by its former life for 1.5 s at most
+        Given a worker in quarantine for 12000 ms, which has listed a foreign run
+        When a new life of it reports
+        Then it is in no quarantine, and gets starts after 1500 ms at the latest
+
+    Scenario: An owner that neither the store nor most workers answer gives orders again after one commit
+        Given an owner of 3 workers, of which the first 2 run a task each
+        When it reaches only "worker-2", and not the store, for 15 s, and then the store again
+        Then the tasks that were lost are started on "worker-2" within 1 s
--- a/features/jobs/wait-bounds.steps.ts
+++ b/features/jobs/wait-bounds.steps.ts
@@ -153,3 +153,30 @@
         assert.ok(run !== undefined && run.startedAtMilliseconds >= (foreign.endedAtMilliseconds ?? Infinity));
     },
 );
+
+When(
+    "it reaches only {string}, and not the store, for {int} s, and then the store again",
+    LIMIT,
+    async function(this: BoundsWorld, worker: string, seconds: number) {
+        const { bounds, owner: { reach } } = this;
+        const before = bounds.runs.length;
+        reach.workers = new Set([worker]);
+        reach.store = false;
+        await bounds.passTime(seconds * SECOND);
+        assert.equal(bounds.runs.length, before, "the owner has given orders without evidence");
+        reach.store = true;
+    },
+);
+
+Then("the tasks that were lost are started on {string} within {int} s", LIMIT, async function(
+    this: BoundsWorld,
+    worker: string,
+    seconds: number,
+) {
+    const { bounds } = this;
+    const isStarted = await bounds.passTime(
+        seconds * SECOND,
+        () => bounds.runs.some(run => run.worker === worker && isRunning(run)),
+    );
+    assert.ok(isStarted, JSON.stringify(bounds.runs));
+});
