--- /dev/null
+++ b/features/jobs/task-bounds.feature
@@ -0,0 +1,15 @@
+Feature: What a task whose turn has come waits for has an end
+
+    # Guards against a suspect that is never started (LOST): orders arrive at each worker more often than it is quiet.
+    Scenario Outline: A suspect of a crash starts within 3 seconds though orders go on to all workers: <suspect>
+        Given a pool of 4 workers of 8 cores, and <rate> short tasks of one core arrive each second
+        When <suspect> waits under which a worker has crashed
+        Then it has started after at most 3000 ms
+        And short tasks have started on each worker meanwhile
+
+        Examples:
+            | suspect          | rate |
+            | a short task     | 80   |
+            | a large task     | 80   |
+            | a lasting task   | 80   |
+            | a gang           | 76   |
--- /dev/null
+++ b/features/jobs/task-bounds.steps.ts
@@ -0,0 +1,86 @@
+/**
+ * Steps for the bounds of what tasks wait for, in simulated time.
+ */
+import { Given, Then, When } from "@cucumber/cucumber";
+import assert from "node:assert/strict";
+import type { describeStep } from "../../bench/colocation/jobs.js";
+import { createAttempt, recordCrash } from "../../src/jobs/job-table/attempts.js";
+import { NOW, tasksOfStep } from "./builders.js";
+import { createPlay } from "./look-ahead-play.js";
+import type { Play } from "./look-ahead-play.js";
+
+interface BoundsWorld {
+    play: Play;
+    /** Lets time pass while short tasks arrive. */
+    advance(milliseconds: number): void;
+    startsByWorker: Map<string, number>;
+    waitingSince: number;
+}
+
+const SUSPECT = "ffffffffffffffe1";
+const SHORT_MILLISECONDS = 400;
+const WARM_UP_MILLISECONDS = 2_000;
+const PLAY_MILLISECONDS = 12_000;
+const PASSES_PER_SECOND = 50;
+
+const SUSPECTS: Readonly<Record<string, Parameters<typeof describeStep>[0]>> = {
+    "a short task": {},
+    "a large task": { cores: 6 },
+    "a lasting task": { cores: 2, isLasting: true },
+    "a gang": { cores: 2, isGang: true, taskCount: 3 },
+};
+
+Given(
+    "a pool of {int} workers of {int} cores, and {int} short tasks of one core arrive each second",
+    function(this: BoundsWorld, workers: number, cores: number, rate: number) {
+        const play = createPlay({ workers, cores, looksAhead: true });
+        let due = 0;
+        let count = 0;
+        this.play = play;
+        this.advance = milliseconds =>
+            play.advance(milliseconds, () => {
+                due += rate / PASSES_PER_SECOND;
+                for (; due >= 1; due--) {
+                    count += 1;
+                    const id = count.toString(16).padStart(16, "0");
+                    const fields = { estimateMilliseconds: SHORT_MILLISECONDS };
+                    play.submit({ id, fields, runMilliseconds: SHORT_MILLISECONDS });
+                }
+            });
+        this.advance(WARM_UP_MILLISECONDS);
+    },
+);
+
+When(/^(a .*) waits under which a worker has crashed$/, function(this: BoundsWorld, suspect: string) {
+    const { jobTable } = this.play;
+    const fields = SUSPECTS[suspect];
+    assert.ok(fields !== undefined);
+    this.play.submit({ id: SUSPECT, fields, runMilliseconds: PLAY_MILLISECONDS });
+    for (const task of tasksOfStep(jobTable, SUSPECT)) {
+        recordCrash(jobTable, createAttempt(task, "worker-0", 1, NOW), NOW);
+    }
+    this.waitingSince = this.play.elapsed();
+    this.startsByWorker = new Map();
+    for (let elapsed = 0; elapsed < PLAY_MILLISECONDS; elapsed += SHORT_MILLISECONDS / 2) {
+        this.advance(SHORT_MILLISECONDS / 2);
+        const workers = new Set(["worker-0", "worker-1", "worker-2", "worker-3"]);
+        for (const worker of workers) {
+            const { attempts } = jobTable.occupancy.load(worker);
+            const recent = attempts.filter(({ orderedAtMilliseconds, task }) =>
+                task.entry.id !== SUSPECT && orderedAtMilliseconds - NOW >= this.waitingSince
+            );
+            this.startsByWorker.set(worker, (this.startsByWorker.get(worker) ?? 0) + recent.length);
+        }
+    }
+});
+
+Then("it has started after at most {int} ms", function(this: BoundsWorld, milliseconds: number) {
+    const startedAt = this.play.outcomes.get(SUSPECT)?.lastStartAt;
+    assert.ok(startedAt !== undefined, `not started within ${PLAY_MILLISECONDS} ms`);
+    assert.ok(startedAt - this.waitingSince <= milliseconds, `started after ${startedAt - this.waitingSince} ms`);
+});
+
+Then("short tasks have started on each worker meanwhile", function(this: BoundsWorld) {
+    assert.equal(this.startsByWorker.size, 4);
+    this.startsByWorker.forEach((starts, worker) => assert.ok(starts > 0, `none on ${worker}`));
+});
