Give up a start once its worker cannot carry it out any more

Until the worker confirms a start or a stop, no report without the attempt counts as its end, since the start may be carried out late. A worker that answers reports and leaves all orders unanswered so kept the attempt, its room and its task for as long as it went on: only the part that failed could end the wait. Callers would see a task that is never started, beside workers with room.

The platform carries out an order at most 12 s after it was sent, which leases across two lives of a worker count with already. A complete report that was requested later than that after the last order to start, and does not list the attempt, shows that it neither runs nor will: it is lost, and its task is started elsewhere. The time counts from the order that was sent last, at the moment of its sending, so that no run can come after it.

features/jobs/task-bounds.feature: before, the attempt stays for good; now it counts as alive after 11 s, and is lost after the first report past 12 s.

--- a/features/jobs/simulated-cell.ts
+++ b/features/jobs/simulated-cell.ts
@@ -15,7 +15,7 @@
 
 /** Parts of a simulated cell that scenarios look at or change. */
 export interface SimulatedCellOptions
-    extends Partial<Pick<CellContext, "catalog" | "closures" | "crashes" | "maySendOrders">>
+    extends Partial<Pick<CellContext, "catalog" | "clock" | "closures" | "crashes" | "maySendOrders">>
 {
     readonly jobTable: JobTable;
     readonly orders: Partial<WorkerOrders>;
--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -13,3 +13,11 @@
             | a large task     | 80   |
             | a lasting task   | 80   |
             | a gang           | 76   |
+
+    # Guards against a task that waits as long as its worker answers reports and no orders (LOST); not earlier, as the start may come (TWICE).
+    Scenario: A start that is not carried out ends 12 seconds after its order though no stop is answered
+        Given a start and its stops that a worker leaves unanswered, while it reports each second
+        When 11 seconds have passed
+        Then the attempt still counts as alive
+        When 3 seconds have passed
+        Then the attempt is lost, and its task is ready
--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -6,6 +6,7 @@
 import type { Attempt } from "../job-table/task.js";
 import type { EndedAttempt, RunningAttempt, WorkerReport } from "../model/worker.js";
 import { recordSuccess } from "../policy/health.js";
+import { LATEST_ORDER_MILLISECONDS } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Changes that a report led to. */
@@ -82,11 +83,13 @@
         }
     }
     for (const attempt of before) {
-        const { confirmedClockMilliseconds } = attempt;
-        // The worker may have written this report before it confirmed the start, and may not have listed all ends.
-        const isMissing = report.isComplete && !reported.has(attempt) && confirmedClockMilliseconds !== undefined
-            && confirmedClockMilliseconds < report.clockMilliseconds;
-        if (isMissing) {
+        const { confirmedClockMilliseconds, sentAtMilliseconds = Infinity } = attempt;
+        // The worker may have written this report before it confirmed the start, and may not have listed all ends. Without an answer to starts
+        // and stops, the time after which no start is carried out any more has to pass.
+        const isCovered = confirmedClockMilliseconds === undefined
+            ? sentAt - sentAtMilliseconds > LATEST_ORDER_MILLISECONDS
+            : confirmedClockMilliseconds < report.clockMilliseconds;
+        if (report.isComplete && !reported.has(attempt) && isCovered) {
             markLost(attempt);
         }
     }
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -135,6 +135,7 @@
     const { entry, key } = attempt.task;
     const sentAt = clock();
     worker.lastStartSentAtMilliseconds = sentAt;
+    attempt.sentAtMilliseconds = sentAt;
     const answer = await cell.orders.start(worker.listed, {
         epoch: cell.epoch,
         task: key,
@@ -143,7 +144,11 @@
         leaseUntilMilliseconds,
         checkpoint: attempt.checkpoint,
         ...(ticket === undefined ? {} : { ticket }),
-    }, () => isWanted(start) && maySend(start));
+    }, () => {
+        const isSent = isWanted(start) && maySend(start);
+        attempt.sentAtMilliseconds = isSent ? clock() : attempt.sentAtMilliseconds;
+        return isSent;
+    });
     const now = clock();
     if (answer.isOk) {
         const { clockMilliseconds } = answer.value;
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -75,7 +75,7 @@
 }
 
 /** Longest time after which an order without an answer is still carried out, as the platform documents it. */
-const LATEST_ORDER_MILLISECONDS = 12_000;
+export const LATEST_ORDER_MILLISECONDS = 12_000;
 
 /** Time without a new end after which a worker counts as one that lists no more; it is asked several times a second meanwhile. */
 const LISTING_LIMIT_MILLISECONDS = 5_000;
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -37,6 +37,7 @@
         number,
         worker,
         orderedAtMilliseconds: now,
+        sentAtMilliseconds: undefined,
         phase: "ordered",
         confirmedClockMilliseconds: undefined,
         runningSinceMilliseconds: undefined,
--- a/src/jobs/job-table/task.ts
+++ b/src/jobs/job-table/task.ts
@@ -19,6 +19,8 @@
     readonly number: number;
     readonly worker: string;
     readonly orderedAtMilliseconds: number;
+    /** When the latest order to start it was sent; absent if this owner has sent none. */
+    sentAtMilliseconds: number | undefined;
     phase: AttemptPhase;
     /** The worker's clock when it confirmed the start. Reports with an earlier clock do not cover this attempt. */
     confirmedClockMilliseconds: number | undefined;
