Keep memory for the inherited job that has waited longest

A successor opens inherited jobs as memory allows, looked at once a second; new jobs were admitted at any time, counted with what is held but not with what the waiting jobs need. Under steady submissions new jobs took each bit of memory that others gave back, and a large inherited job was never opened: callers would see an accepted job stay queued as long as others hand in jobs.

A new job is admitted only if there is memory for the oldest waiting job beside it. What the others give back then goes to inherited jobs first, of which there are only as many as at the takeover. Others are refused meanwhile with the answer that there is no memory now, as before.

--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -21,3 +21,9 @@
         Then the attempt still counts as alive
         When 3 seconds have passed
         Then the attempt is lost, and its task is ready
+
+    # Guards against an inherited job that is never begun (LOST): new jobs take each bit of memory that others give back.
+    Scenario: An inherited job that waits for memory is opened though callers go on handing in jobs
+        Given an owner that has no memory for the largest of its 4 inherited jobs
+        When a caller hands in a new job whenever there is memory for it, and the oldest job ends each second
+        Then the largest inherited job is opened before 4 more jobs have ended
--- a/src/jobs/job-table/held-jobs.ts
+++ b/src/jobs/job-table/held-jobs.ts
@@ -12,10 +12,12 @@
 
 const RELEASED_SUBMISSION: Submission = { payload: "", steps: [] };
 
-/** Whether there is memory for another job. */
+/** Whether there is memory for another job besides the oldest deferred one, which new jobs would keep waiting for ever. */
 export function hasRoomFor(table: JobTable, submission: Submission): boolean {
     const { definitionBytes, progressBytes } = estimateFootprint(submission);
-    return table.heldBytes + definitionBytes + progressBytes <= table.heldBytesLimit;
+    const [deferred] = table.deferredJobs;
+    const awaitedBytes = deferred === undefined ? 0 : estimateFootprint(deferred.submission).progressBytes;
+    return table.heldBytes + awaitedBytes + definitionBytes + progressBytes <= table.heldBytesLimit;
 }
 
 /** Adds a job to the table, with its whole memory. */
