Open an inherited job where no other goes on that gives memory back

Inherited jobs wait until the memory of others comes back. Where the definitions of the inherited jobs take all of it (a successor with a lower limit, or cancellings beyond the limit), no job was opened, none ended, and nothing ever came back: callers would see all accepted jobs stay queued.

If no job is open and none can be opened within the limit, the oldest is opened beyond it. That is one job at a time, whose parts the limit admitted before.

features/jobs/task-bounds.feature: before, no job is opened; now one is, and the next after its end.

--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -27,3 +27,10 @@
         Given an owner that has no memory for the largest of its 4 inherited jobs
         When a caller hands in a new job whenever there is memory for it, and the oldest job ends each second
         Then the largest inherited job is opened before 4 more jobs have ended
+
+    # Guards against a successor with a lower limit, or one that counts more than the owner before it: nothing would ever be opened.
+    Scenario: An inherited job is opened where no other job goes on that could give memory back
+        Given an owner whose memory is taken by the definitions of its 4 inherited jobs
+        Then one of them is opened
+        When it has ended
+        Then one of the others is opened
--- a/src/jobs/job-table/held-jobs.ts
+++ b/src/jobs/job-table/held-jobs.ts
@@ -44,7 +44,10 @@
     }
 }
 
-/** Lists deferred jobs for which there is memory by now, oldest first. One that is too large for it does not hold up the others. */
+/**
+ * Lists deferred jobs for which there is memory by now, oldest first. One that is too large for it does not hold up the others. Where no
+ * other job goes on that could give memory back, the oldest is opened beyond the limit.
+ */
 export function listUndeferrable(table: JobTable): JobEntry[] {
     let heldBytes = table.heldBytes;
     const undeferrable: JobEntry[] = [];
@@ -55,7 +58,14 @@
             undeferrable.push(entry);
         }
     }
-    return undeferrable;
+    const [oldest] = table.deferredJobs;
+    return undeferrable.length === 0 && oldest !== undefined && ![...table.jobs.values()].some(isOpen)
+        ? [oldest]
+        : undeferrable;
+}
+
+function isOpen({ isDeferred, state }: JobEntry): boolean {
+    return !isDeferred && !FINAL_STATES.has(state);
 }
 
 /** Removes a job from the table. */
