Lines on waiting work: scenarios for suspects of a crash and for room kept ahead

Cause: four reasons of task-waiting had no scenario that names them.

Change: lines where a suspect was just ordered to each worker, or the task is a suspect itself; a look at workers whose room is kept ahead, for a task that would outlast the reservation and for one that would not.

--- a/features/jobs/waiting-lines.feature
+++ b/features/jobs/waiting-lines.feature
@@ -38,11 +38,22 @@
             | a filler of 4 cores        | other fillers use the idle cores                     | too-few-idle-cores   | placement          | {"obstacles":{"too-few-idle-cores":2}}                              |
             | a filler of 4 cores        | its effect on serving tasks is being measured        | interference         | interference-model | {"obstacles":{"interference":2}}                                    |
             | a lasting task             | it gave way a moment ago, and room is scarce         | giving-way-pause     | preemption         | {}                                                                  |
+            | a task | a suspect of a crash was ordered to each worker a moment ago | beside-suspect | crash-review | {"obstacles":{"beside-suspect":2}} |
+            | a suspect of a crash | tasks were ordered to each worker a moment ago | suspect-needs-quiet | crash-review | {"obstacles":{"suspect-needs-quiet":2}} |
 
     Scenario: Each look at the workers agrees with what a pass decides
         When tasks of different kinds are ready at workers that run others
         Then a pass starts a task exactly where a look tells of a worker that suits
 
+    Scenario Outline: Room that is kept ahead is told of with the task it is kept for, where it binds
+        When all room is kept for another task that gets it in 1000 ms, and a task of <milliseconds> ms becomes ready
+        Then a look at the workers says "<reason>", and names <tasks> tasks that room is kept for
+
+        Examples:
+            | milliseconds | reason         | tasks |
+            | 3000         | reserved-ahead | 1     |
+            | 100          | worker-suits   | 0     |
+
     Scenario: A changed reason gives a new line, and counts from the change
         When a task is ready, and the owner may not send orders
         And 3000 ms pass with a look at what waits each second
--- a/features/jobs/waiting-lines.steps.ts
+++ b/features/jobs/waiting-lines.steps.ts
@@ -10,7 +10,7 @@
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import { traceEvents } from "../../src/jobs/trace.js";
-import { addTask, createEmptyJobTable, describeStep, NOW, QUEUE } from "./builders.js";
+import { addTask, createEmptyJobTable, describeStep, NOW, QUEUE, runTask } from "./builders.js";
 import { createWaitingCell, occupy } from "./waiting-world.js";
 import type { WaitingCell, WaitingLine } from "./waiting-world.js";
 
@@ -41,12 +41,22 @@
     "a gang of 3 of 6 cores": { taskCount: 3, isGang: true, cores: 6 },
     "a filler of 4 cores": { cores: 4, isFiller: true, image: "booking" },
     "a lasting task": { cores: 4, isLasting: true },
+    "a suspect of a crash": {},
 };
 
 function occupyAll(world: WaitingLinesWorld, fields: StepFields): void {
     [...world.waiting.workers.keys()].forEach(worker => occupy(world, worker, fields));
 }
 
+/** Orders a task to each worker shortly before the line is due. */
+function orderToAll({ jobTable, waiting }: WaitingLinesWorld, crashedAttempts: readonly number[]): void {
+    for (const worker of waiting.workers.keys()) {
+        const task = addTask(jobTable, `ordered-${worker}`, {}, NOW);
+        task.crashedAttempts.push(...crashedAttempts);
+        runTask(jobTable, task, worker, NOW + 1_900);
+    }
+}
+
 const CONDITIONS: Readonly<Record<string, (world: WaitingLinesWorld) => void>> = {
     "the owner may not send orders": ({ waiting }) => waiting.conditions.maySendOrders = false,
     "the closed data centres are not confirmed": ({ waiting }) => waiting.conditions.areClosuresConfirmed = false,
@@ -96,6 +106,11 @@
         occupyAll(world, { image: "desk", latencyObjectiveMilliseconds: 100, isLasting: true });
         world.waiting.conditions.isTrialUnderWay = true;
     },
+    "a suspect of a crash was ordered to each worker a moment ago": world => orderToAll(world, [1]),
+    "tasks were ordered to each worker a moment ago"(world) {
+        world.task.crashedAttempts.push(1);
+        orderToAll(world, []);
+    },
     "it gave way a moment ago, and room is scarce"(world) {
         occupyAll(world, { cores: 3 });
         world.task.gaveWayAtMilliseconds = NOW + 500;
--- a/features/jobs/waiting-looks.steps.ts
+++ b/features/jobs/waiting-looks.steps.ts
@@ -5,10 +5,12 @@
 import assert from "node:assert/strict";
 import type { EventLog } from "../../src/core/event-log.js";
 import { createRandom } from "../../src/core/random.js";
+import { stepProgressOf } from "../../src/jobs/job-table/job-table.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
 import type { Attempt } from "../../src/jobs/job-table/task.js";
 import { planPass } from "../../src/jobs/policy/pass.js";
 import { explainPlacement } from "../../src/jobs/policy/waiting.js";
+import type { PlacementExplanation } from "../../src/jobs/policy/waiting.js";
 import { addTask, NOW, QUEUE } from "./builders.js";
 import type { describeStep } from "./builders.js";
 import { createTakeoverSimulation } from "./takeover-world.js";
@@ -20,6 +22,7 @@
     jobTable: JobTable;
     waiting: WaitingCell;
     others: Attempt[];
+    explanation: PlacementExplanation;
     simulation?: TakeoverSimulation;
     ownerEvents: { readonly event: string; readonly fields: WaitingLine; }[];
 }
@@ -94,6 +97,35 @@
     assert.ok(started > 0 && started < tasks.length, `${started} of ${tasks.length}`);
 });
 
+When(
+    "all room is kept for another task that gets it in {int} ms, and a task of {int} ms becomes ready",
+    function(this: WaitingLooksWorld, milliseconds: number, estimateMilliseconds: number) {
+        const reserving = addTask(this.jobTable, "reserving", { cores: 8 }, NOW);
+        const task = addTask(this.jobTable, "task", { estimateMilliseconds }, NOW);
+        const { durations, interference } = this.waiting.cell;
+        const candidates = this.waiting.pools().get(QUEUE.pool) ?? [];
+        for (const candidate of candidates) {
+            candidate.reservation = {
+                step: stepProgressOf(reserving),
+                size: reserving.step.size,
+                expectedAtMilliseconds: NOW + milliseconds,
+            };
+        }
+        const pool = { candidates, unavailable: new Map(), isLimitReached: false, durations, interference };
+        this.explanation = explainPlacement(task, pool, NOW);
+    },
+);
+
+Then("a look at the workers says {string}, and names {int} tasks that room is kept for", function(
+    this: WaitingLooksWorld,
+    reason: string,
+    tasks: number,
+) {
+    assert.equal(this.explanation.reason, reason);
+    assert.equal(this.explanation.reservedFor.length, tasks);
+    assert.ok(this.explanation.reservedFor.every(key => key.startsWith("reserving.")));
+});
+
 Given("a cell of {int} workers with a job of {int} tasks, of which a worker may run one", function(
     this: WaitingLooksWorld,
     workers: number,
