Lines on waiting work: the agreement with passes covers fillers that starve

Change: the fillers of the scenario wait for the result of a trial, so that only those that starve find a worker.

--- a/features/jobs/waiting-looks.steps.ts
+++ b/features/jobs/waiting-looks.steps.ts
@@ -54,8 +54,10 @@
     });
     for (const worker of this.waiting.workers.keys()) {
         occupy(this, worker, { image: "desk", latencyObjectiveMilliseconds: 100, cores: 2 });
-        occupy(this, worker, { isFiller: true, image: "other", cores: pick([1, 3]) });
+        occupy(this, worker, { isFiller: true, image: "other", cores: 1 });
     }
+    // Fillers wait for the result of a trial, unless they starve.
+    this.waiting.cell.interference.recordTrial("desk", "booking", NOW);
     for (let index = 0; index < READY_TASKS; index++) {
         addTask(this.jobTable, `any-${index}`, describeAny(), NOW - pick([0, 3_500, 5_000]));
     }
