--- a/features/jobs/waiting-lines.steps.ts
+++ b/features/jobs/waiting-lines.steps.ts
@@ -101,9 +101,14 @@
         const lasting = addTask(world.jobTable, OTHER_JOB, { cores: 6, isLasting: true }, LONG_AGO);
         lasting.gaveWayAtMilliseconds = LONG_AGO;
     },
-    "other fillers use the idle cores": world => occupyAll(world, { cores: CORES, isFiller: true, image: "other" }),
+    // No job starves where others than fillers use more than half of the pool.
+    "other fillers use the idle cores"(world) {
+        occupyAll(world, { cores: 5 });
+        occupyAll(world, { cores: CORES, isFiller: true, image: "other" });
+    },
     "its effect on serving tasks is being measured"(world) {
         occupyAll(world, { image: "desk", latencyObjectiveMilliseconds: 100, isLasting: true });
+        occupyAll(world, { cores: 4 });
         world.waiting.conditions.isTrialUnderWay = true;
     },
     "a suspect of a crash was ordered to each worker a moment ago": world => orderToAll(world, [1]),
