Repeat a stop that the former life of a worker has confirmed

After a stop has been confirmed, the first report with a later clock that does not list the attempt shows its end. If the worker began a new life while the stop was on its way, and that life reported before the answer arrived, the attempt was covered only by reports past the clock of the former life: after minutes or hours, by how long that life had lasted. An attempt without an answer to its start is kept over the new life, so that its task and its room would have waited all that time.

A confirmation counts only if the worker's life is still the one that was known when the stop was sent. Otherwise the stop is sent again, and the present life rejects a late start from then on, so that no second run can come of it.

features/jobs/task-bounds.feature: before, the attempt stays; now it is lost with the next report of the present life.

--- a/features/jobs/task-bounds-orders.steps.ts
+++ b/features/jobs/task-bounds-orders.steps.ts
@@ -7,6 +7,7 @@
 import { createFailure } from "../../src/core/errors.js";
 import { applyReport } from "../../src/jobs/cell/report.js";
 import { startAttempt } from "../../src/jobs/cell/starting.js";
+import { stopAttempt } from "../../src/jobs/cell/stopping.js";
 import { createCellWorker } from "../../src/jobs/cell/worker.js";
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
 import { addAttempt, stopRun } from "../../src/jobs/job-table/attempts.js";
@@ -28,12 +29,12 @@
 const CLOCK_MILLISECONDS = 500_000;
 const NO_ANSWER = createFailure("ambiguous", "/run-start", "no answer within the time limit");
 
-function report({ boundWorker, jobTable, now }: OrdersWorld): void {
-    const clockMilliseconds = CLOCK_MILLISECONDS + now - NOW;
+function report({ boundWorker, jobTable, now }: OrdersWorld, incarnation = 1): void {
+    const clockMilliseconds = (incarnation === 1 ? CLOCK_MILLISECONDS : 0) + now - NOW;
     applyReport(
         jobTable,
         boundWorker,
-        { incarnation: 1, clockMilliseconds, running: [], ended: [], isComplete: true },
+        { incarnation, clockMilliseconds, running: [], ended: [], isComplete: true },
         now,
         now,
     );
@@ -83,3 +84,39 @@
     assert.deepEqual(this.boundTask.attempts, []);
     assert.ok(this.jobTable.readyTasks.has(this.boundTask));
 });
+
+Given("a start without an answer, and a stop that is on its way", function(this: OrdersWorld) {
+    prepare(this);
+    stopRun(this.jobTable, this.boundAttempt);
+});
+
+When("the worker's former life has confirmed the stop after the first report of the next", async function(
+    this: OrdersWorld,
+) {
+    const clocks = [CLOCK_MILLISECONDS, 0];
+    const cell = createSimulatedCell({
+        jobTable: this.jobTable,
+        signal: this.boundOrdersEnd.signal,
+        clock: () => this.now,
+        orders: {
+            stop: async () => {
+                const clockMilliseconds = clocks.shift() ?? 0;
+                this.now += 1_000;
+                report(this, 2);
+                return Result.ok({ clockMilliseconds });
+            },
+        },
+    });
+    this.boundWorker.contact = "answering";
+    await stopAttempt(cell, this.boundWorker, this.boundAttempt);
+});
+
+Then(
+    "the attempt is lost with the next report of the present life, and its task is ready",
+    function(this: OrdersWorld) {
+        this.now += 1_000;
+        report(this, 2);
+        assert.deepEqual(this.boundTask.attempts, []);
+        assert.ok(this.jobTable.readyTasks.has(this.boundTask));
+    },
+);
--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -45,3 +45,9 @@
         Given a pool of 2 workers of 8 cores, and 40 short tasks of one core arrive each second
         When a lasting task of 5 cores waits
         Then it has started after at most 7000 ms
+
+    # Guards against a task that waits until the clock of a worker's present life has come as far as that of the former one (LOST).
+    Scenario: A stop that the former life of a worker has confirmed is repeated at the present one
+        Given a start without an answer, and a stop that is on its way
+        When the worker's former life has confirmed the stop after the first report of the next
+        Then the attempt is lost with the next report of the present life, and its task is ready
--- a/src/jobs/cell/stopping.ts
+++ b/src/jobs/cell/stopping.ts
@@ -15,8 +15,10 @@
     const isWanted = (): boolean => jobTable.attemptsToStop.has(attempt) && cell.maySendOrders(clock());
     while (!cell.signal.aborted && jobTable.attemptsToStop.has(attempt)) {
         if (worker.contact === "answering" && isWanted()) {
+            const { incarnation } = worker;
             const confirmedClock = await orderStop(cell, worker, attempt.task.key, attempt.number, isWanted);
-            if (confirmedClock !== undefined) {
+            // The clock of a former life says nothing about the reports of the present one, which may still get the start.
+            if (confirmedClock !== undefined && worker.incarnation === incarnation) {
                 // From now on a report without the attempt means that it has ended, and the worker rejects a delayed start order.
                 attempt.phase = "stopping";
                 attempt.confirmedClockMilliseconds = confirmedClock;
