Look ahead only for steps that the pool can hold

Room is gathered for 32 steps at most, first come. Gangs or tasks that need more than the pool has, as while a rack is away or a label is missing, took these places and kept them as long as they waited: no room was gathered for any other step, and a large task lost each gap to short ones. Callers would see it wait until the traffic ends.

A step gets a place only if the pool's workers could hold it with nothing else on them. It is looked at before a place is taken, up to the first workers that are enough.

--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -51,3 +51,13 @@
         Given a start without an answer, and a stop that is on its way
         When the worker's former life has confirmed the stop after the first report of the next
         Then the attempt is lost with the next report of the present life, and its task is ready
+
+    # Guards against a large task for which no room is gathered (LOST), as steps that find none anywhere take all places of the search.
+    Scenario: Room is gathered for a large task beside 40 gangs that the pool cannot hold
+        Given a pool of 4 workers of 8 cores, and 70 short tasks of one core arrive each second
+        When 40 gangs wait that need more than the pool has, and then a large task of 7 cores
+        Then it has started after at most 6000 ms
+
+    Scenario: A task that may have crashed its worker waits for the review for at most 300 ms
+        Given a worker that has crashed under a task that was started shortly before
+        Then the task is under review until 300 ms have passed, and not after it
--- a/features/jobs/task-bounds.steps.ts
+++ b/features/jobs/task-bounds.steps.ts
@@ -4,13 +4,19 @@
 import { Given, Then, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
 import type { describeStep } from "../../bench/colocation/jobs.js";
+import type { Commits } from "../../src/jobs/cell/commits.js";
+import { createCrashes } from "../../src/jobs/cell/crashes.js";
+import type { Crashes } from "../../src/jobs/cell/crashes.js";
+import { createCellWorker } from "../../src/jobs/cell/worker.js";
 import { createAttempt, recordCrash } from "../../src/jobs/job-table/attempts.js";
-import { NOW, tasksOfStep } from "./builders.js";
+import { describeWorker, NOW, tasksOfStep } from "./builders.js";
 import { createPlay } from "./look-ahead-play.js";
 import type { Play } from "./look-ahead-play.js";
+import { silentLog } from "./successions.js";
 
 interface BoundsWorld {
     play: Play;
+    crashes: Crashes;
     /** Lets time pass while short tasks arrive. */
     advance(milliseconds: number): void;
     startsByWorker: Map<string, number>;
@@ -107,3 +113,47 @@
     this.play.submit({ id: WAITING, fields: { cores, isLasting: true }, runMilliseconds: Infinity });
     this.advance(PLAY_MILLISECONDS);
 });
+
+When(
+    "{int} gangs wait that need more than the pool has, and then a large task of {int} cores",
+    function(this: BoundsWorld, gangs: number, cores: number) {
+        for (let index = 0; index < gangs; index++) {
+            const fields = { cores: 8, isGang: true, taskCount: 8, estimateMilliseconds: 60_000 };
+            const id = (index + 1).toString(16).padStart(16, "a");
+            this.play.submit({ id, fields, runMilliseconds: SHORT_MILLISECONDS });
+        }
+        this.advance(SHORT_MILLISECONDS);
+        this.waitingSince = this.play.elapsed();
+        const fields = { cores, estimateMilliseconds: 4_000 };
+        this.play.submit({ id: WAITING, fields, runMilliseconds: PLAY_MILLISECONDS });
+        this.advance(PLAY_MILLISECONDS);
+    },
+);
+
+Given("a worker that has crashed under a task that was started shortly before", function(this: BoundsWorld) {
+    this.play = createPlay({ workers: 1, cores: 8, looksAhead: true });
+    const { jobTable } = this.play;
+    this.play.submit({ id: WAITING, fields: {}, runMilliseconds: SHORT_MILLISECONDS });
+    this.crashes = createCrashes({
+        commits: { requestCommit: () => undefined } as unknown as Commits,
+        jobTable,
+        log: silentLog,
+        requestDispatch: () => undefined,
+    });
+    const [task] = tasksOfStep(jobTable, WAITING);
+    assert.ok(task !== undefined);
+    const worker = createCellWorker(describeWorker("worker-0", 8), true, NOW);
+    this.crashes.record(worker, [createAttempt(task, "worker-0", 1, NOW)], NOW);
+});
+
+Then("the task is under review until {int} ms have passed, and not after it", function(
+    this: BoundsWorld,
+    milliseconds: number,
+) {
+    const [task] = tasksOfStep(this.play.jobTable, WAITING);
+    assert.ok(task !== undefined);
+    this.crashes.review(NOW + milliseconds - 1);
+    assert.ok(this.crashes.isUnderReview(task));
+    this.crashes.review(NOW + milliseconds);
+    assert.ok(!this.crashes.isUnderReview(task));
+});
--- a/src/jobs/policy/gap.ts
+++ b/src/jobs/policy/gap.ts
@@ -59,6 +59,31 @@
     }));
 }
 
+/** Whether the workers could hold a task, or all members of its gang, if nothing else ran on them. */
+export function isWithinPool({ step }: Task, candidates: readonly Candidate[]): boolean {
+    const { isGang, limitPerWorker, requiredLabel, size, taskCount } = step;
+    const limit = limitPerWorker > 0 ? limitPerWorker : Infinity;
+    let missing = isGang ? taskCount : 1;
+    for (const { worker: { capacity, labels } } of candidates) {
+        if (requiredLabel === undefined || labels.includes(requiredLabel)) {
+            missing -= Math.min(
+                limit,
+                countWithin(size.millicores, capacity.millicores),
+                countWithin(size.memoryMegabytes, capacity.memoryMegabytes),
+                countWithin(size.accelerators, capacity.accelerators),
+            );
+        }
+        if (missing <= 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+function countWithin(size: number, capacity: number): number {
+    return size > 0 ? Math.floor(capacity / size) : Infinity;
+}
+
 function isSuited(task: Task, { capacity, labels }: Candidate["worker"], load: Candidate["load"]): boolean {
     const { requiredLabel, size } = task.step;
     return fitsInto(size, capacity) && isWithinLimit(task, load)
--- a/src/jobs/policy/look-ahead.ts
+++ b/src/jobs/policy/look-ahead.ts
@@ -11,7 +11,7 @@
 import type { JobStep } from "../model/job.js";
 import { addSize, fitsInto, ZERO_SIZE } from "../model/size.js";
 import type { Candidate } from "./candidate.js";
-import { findGap } from "./gap.js";
+import { findGap, isWithinPool } from "./gap.js";
 import type { Hold } from "./gap.js";
 import { isPressed, isWorthWaiting } from "./urgency.js";
 import type { UrgencyOptions } from "./urgency.js";
@@ -86,18 +86,19 @@
 
     const waitingStepOf = (
         task: Task,
-        pool: string | undefined,
+        candidates: readonly Candidate[],
         priority: number,
         now: number,
     ): WaitingStep | undefined => {
         const step = stepProgressOf(task);
         const found = waitingSteps.get(step);
-        if (found !== undefined || waitingSteps.size >= MAXIMUM_STEPS) {
+        // A step that the pool cannot hold would keep its place from others as long as it waits.
+        if (found !== undefined || waitingSteps.size >= MAXIMUM_STEPS || !isWithinPool(task, candidates)) {
             return found;
         }
         const created: WaitingStep = {
             step,
-            pool,
+            pool: candidates[0]?.worker.pool,
             priority,
             holds: [],
             avoidedUntil: new Map(),
@@ -185,7 +186,7 @@
                         return;
                     }
                     const priority = options.queue?.priority ?? 0;
-                    const waiting = waitingStepOf(task, candidates[0]?.worker.pool, priority, now);
+                    const waiting = waitingStepOf(task, candidates, priority, now);
                     if (waiting === undefined) {
                         return;
                     }
