Scenarios on the list of workers: as the linter wants them

Cause: eslint reported a method without its object and a condition that always holds. Change: the steps name the request whole, and the watch that may be absent. Result: 9 scenarios of wait-bounds.feature hold; eslint is clean.

--- a/features/jobs/wait-bounds-list.steps.ts
+++ b/features/jobs/wait-bounds-list.steps.ts
@@ -25,7 +25,7 @@
     revision: number;
     hasHistory: boolean;
     /** Breaks the watch that is under way. */
-    breakWatch: (code: "unavailable" | "not-found") => void;
+    breakWatch: ((code: "unavailable" | "not-found") => void) | undefined;
     worker: CellWorker;
 }
 
@@ -70,12 +70,13 @@
     world.history.push({ kind, entry });
 }
 
-function watch(world: ListWorld, { fromRevision, onEvents, signal }: WatchRequest): ReturnType<Store["watch"]> {
+function watch(world: ListWorld, request: WatchRequest): ReturnType<Store["watch"]> {
     if (!world.hasHistory) {
         world.hasHistory = true;
         return Promise.resolve(Result.err(createFailure("not-found", "watch", "this history is gone")));
     }
-    onEvents(world.history.filter(({ entry }) => entry.modRevision >= fromRevision), world.revision);
+    const { fromRevision, signal } = request;
+    request.onEvents(world.history.filter(({ entry }) => entry.modRevision >= fromRevision), world.revision);
     return new Promise(resolve => {
         signal.addEventListener("abort", () => resolve(Result.ok(undefined)), { once: true });
         world.breakWatch = code => resolve(Result.err(createFailure(code, "watch", "the watch is broken")));
@@ -117,11 +118,11 @@
     ) {
         const { breakWatch } = this;
         change(this, "delete");
-        breakWatch("unavailable");
+        breakWatch?.("unavailable");
         await until(() => this.follower.current().size === 0);
         this.hasHistory = gap === "is broken";
-        const next = this.breakWatch;
-        next("unavailable");
+        const { breakWatch: breakNextWatch } = this;
+        breakNextWatch?.("unavailable");
         change(this, "put");
         if (!this.hasHistory) {
             this.history = [];
