Jobs that last or recur give no memory back to those that wait for it

Found by review: where a job that lasts goes on and the oldest inherited job does not fit beside it, new jobs were refused for memory that nothing would give back, and the inherited one was never opened.

Cause: any open job counted as one that may give memory back.

Change: only jobs that end count. Where none goes on, the oldest waiting job is opened beyond the limit, and new jobs need no memory for it besides.

Evidence: the scenario "An inherited job is opened where only jobs go on that have no end" failed before.

--- a/features/jobs/task-bounds-memory.steps.ts
+++ b/features/jobs/task-bounds-memory.steps.ts
@@ -116,6 +116,20 @@
     openDeferredJobs(this.jobTable, NOW);
 });
 
+Given("an owner with an inherited job that lasts, and memory for nine tenths of another one besides", function(
+    this: MemoryWorld,
+) {
+    const lasting: Submission = { payload: "", steps: [describeStep({ taskCount: 4, isLasting: true })] };
+    const submissions = new Map([[describeId(1), lasting], [LARGEST, LARGE]]);
+    this.jobTable = inherit(bytesOf(lasting) + bytesOf(LARGE) * 0.9, submissions);
+});
+
+Then("the other one is opened", function(this: MemoryWorld) {
+    openDeferredJobs(this.jobTable, NOW);
+    assert.equal(this.jobTable.deferredJobs.size, 0);
+    assert.ok(openJobs(this.jobTable).some(({ id }) => id === LARGEST));
+});
+
 Then(/^one of (?:them|the others) is opened$/, function(this: MemoryWorld) {
     openDeferredJobs(this.jobTable, NOW);
     assert.equal(openJobs(this.jobTable).length, 1);
--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -35,6 +35,11 @@
         When it has ended
         Then one of the others is opened
 
+    # Guards against new jobs that are refused for memory which nothing gives back.
+    Scenario: An inherited job is opened where only jobs go on that have no end
+        Given an owner with an inherited job that lasts, and memory for nine tenths of another one besides
+        Then the other one is opened
+
     # Guards against room that is kept for good (LOST): what a lasting task holds does not become free.
     Scenario: Room is not kept for a lasting task that waits for what another lasting task holds
         Given a pool of one worker of 8 cores, a lasting task of 5 cores that runs and another that waits for 6 seconds
--- a/src/jobs/job-table/held-jobs.ts
+++ b/src/jobs/job-table/held-jobs.ts
@@ -16,7 +16,8 @@
 export function hasRoomFor(table: JobTable, submission: Submission): boolean {
     const { definitionBytes, progressBytes } = estimateFootprint(submission);
     const [deferred] = table.deferredJobs;
-    const awaitedBytes = deferred === undefined ? 0 : estimateFootprint(deferred.submission).progressBytes;
+    const isAwaited = deferred !== undefined && hasJobThatEnds(table);
+    const awaitedBytes = isAwaited ? estimateFootprint(deferred.submission).progressBytes : 0;
     return table.heldBytes + awaitedBytes + definitionBytes + progressBytes <= table.heldBytesLimit;
 }
 
@@ -59,13 +60,18 @@
         }
     }
     const [oldest] = table.deferredJobs;
-    return undeferrable.length === 0 && oldest !== undefined && ![...table.jobs.values()].some(isOpen)
-        ? [oldest]
-        : undeferrable;
+    return undeferrable.length === 0 && oldest !== undefined && !hasJobThatEnds(table) ? [oldest] : undeferrable;
 }
 
-function isOpen({ isDeferred, state }: JobEntry): boolean {
-    return !isDeferred && !FINAL_STATES.has(state);
+/** Whether a job goes on that gives its memory back at its end. Those that last or recur may go on without one. */
+function hasJobThatEnds({ jobs }: JobTable): boolean {
+    for (const { isDeferred, state, submission: { schedule, steps } } of jobs.values()) {
+        const hasEnd = schedule === undefined && steps.every(({ isLasting }) => !isLasting);
+        if (!isDeferred && !FINAL_STATES.has(state) && hasEnd) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /** Removes a job from the table. */
