Workers are kept for suspects only where their room can come

Found by review: two suspects that fit beside no lasting task reserved a worker each without end. Short tasks lost that room, and a third suspect, which would fit, was never started. A suspect that is a filler was not started either while others keep all cores busy.

Cause: a suspect without room reserved the emptiest worker, whatever holds the rest of it, and counted as one of the two for which workers are kept. For a filler, the cores that other fillers use had to become idle, which none waits for.

Change: room is gathered only on workers where the task fits beside what lasting tasks hold; a suspect without such a worker counts for none. A filler needs cores that no other task reserves.

--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -14,6 +14,19 @@
             | a lasting task   | 80   |
             | a gang           | 76   |
 
+    Scenario: A filler that is suspected of a crash starts within 3 seconds though fillers go on on all workers
+        Given a pool of 4 workers of 8 cores, and 80 fillers of one core arrive each second
+        When a filler of 4 cores waits under which a worker has crashed
+        Then it has started after at most 3000 ms
+
+    # Guards against room that is kept for suspects where it cannot come, from all others and from further suspects (LOST).
+    Scenario: A suspect that fits beside no lasting task keeps neither room from others nor their turn from other suspects
+        Given a pool of 4 workers of 32 cores, and 110 short tasks of one core arrive each second
+        And 2 tasks of 24 cores under which workers have crashed wait beside a lasting task of 20 cores on each worker
+        When a short task waits under which a worker has crashed
+        Then it has started after at most 3000 ms
+        And 95 of 100 short tasks have ended
+
     # Guards against a task that waits as long as its worker answers reports and no orders (LOST); not earlier, as the start may come (TWICE).
     Scenario: A start that is not carried out ends 12 seconds after its order though no stop is answered
         Given a start and its stops that a worker leaves unanswered, while it reports each second
--- a/features/jobs/task-bounds.steps.ts
+++ b/features/jobs/task-bounds.steps.ts
@@ -34,11 +34,14 @@
     "a large task": { cores: 6 },
     "a lasting task": { cores: 2, isLasting: true },
     "a gang": { cores: 2, isGang: true, taskCount: 3 },
+    "a filler of 4 cores": { cores: 4, isFiller: true, image: "booking" },
 };
 
 Given(
-    "a pool of {int} workers of {int} cores, and {int} short tasks of one core arrive each second",
-    function(this: BoundsWorld, workers: number, cores: number, rate: number) {
+    /^a pool of (\d+) workers of (\d+) cores, and (\d+) (short tasks|fillers) of one core arrive each second$/,
+    function(this: BoundsWorld, workerCount: string, coreCount: string, arrivals: string, kind: string) {
+        const [workers, cores, rate] = [Number(workerCount), Number(coreCount), Number(arrivals)];
+        const filling = kind === "fillers" ? { isFiller: true, image: "booking" } : {};
         const play = createPlay({ workers, cores, looksAhead: true });
         let due = 0;
         let count = 0;
@@ -49,7 +52,7 @@
                 for (; due >= 1; due--) {
                     count += 1;
                     const id = count.toString(16).padStart(16, "0");
-                    const fields = { estimateMilliseconds: SHORT_MILLISECONDS };
+                    const fields = { estimateMilliseconds: SHORT_MILLISECONDS, ...filling };
                     play.submit({ id, fields, runMilliseconds: SHORT_MILLISECONDS });
                 }
             });
@@ -80,6 +83,30 @@
     }
 });
 
+Given(
+    "{int} tasks of {int} cores under which workers have crashed wait beside a lasting task of {int} cores on each worker",
+    function(this: BoundsWorld, count: number, cores: number, lastingCores: number) {
+        const { jobTable } = this.play;
+        const lasting = { cores: lastingCores, taskCount: 4, limitPerWorker: 1, isLasting: true };
+        this.play.submit({ id: "ffffffffffffffd0", fields: lasting, runMilliseconds: Infinity });
+        this.advance(6_000);
+        for (let index = 1; index <= count; index++) {
+            const id = `ffffffffffffffd${index}`;
+            this.play.submit({ id, fields: { cores }, runMilliseconds: SHORT_MILLISECONDS });
+            for (const task of tasksOfStep(jobTable, id)) {
+                recordCrash(jobTable, createAttempt(task, "worker-0", 1, NOW), NOW);
+            }
+        }
+        this.advance(WARM_UP_MILLISECONDS);
+    },
+);
+
+Then("{int} of {int} short tasks have ended", function(this: BoundsWorld, share: number, whole: number) {
+    const outcomes = [...this.play.outcomes.values()].filter(({ job }) => job.id.startsWith("0"));
+    const ended = outcomes.filter(({ endedAt }) => endedAt !== undefined);
+    assert.ok(ended.length >= outcomes.length * share / whole, `${ended.length} of ${outcomes.length}`);
+});
+
 Then("it has started after at most {int} ms", function(this: BoundsWorld, milliseconds: number) {
     const startedAt = this.play.outcomes.get(WAITING)?.lastStartAt;
     assert.ok(startedAt !== undefined, `not started within ${PLAY_MILLISECONDS} ms`);
--- a/src/jobs/policy/trials.ts
+++ b/src/jobs/policy/trials.ts
@@ -9,7 +9,7 @@
 import type { Task } from "../job-table/task.js";
 import { addSize, fitsInto, ZERO_SIZE } from "../model/size.js";
 import type { Size } from "../model/size.js";
-import { idleMillicores, isEligible, MINIMUM_FILLER_SHARE } from "./candidate.js";
+import { isEligible, MINIMUM_FILLER_SHARE } from "./candidate.js";
 import type { Candidate } from "./candidate.js";
 import { isSuspect } from "./crashes.js";
 import { reserveCapacity } from "./reservation.js";
@@ -63,7 +63,8 @@
         missing -= count;
     }
     if (missing > 0) {
-        return !isGang && !isFiller && reserveCapacity(task, candidates) !== undefined;
+        return !isGang && !isFiller
+            && reserveCapacity(task, candidates.filter(candidate => fitsBesideLasting(size, candidate))) !== undefined;
     }
     for (const { candidate, count } of kept) {
         candidate.reservation = {
@@ -81,7 +82,8 @@
     const { isFiller, size } = task.step;
     return candidate.reservation === undefined && isEligible(task, candidate)
         && (!isFiller || candidate.load.servingCount === 0
-                && idleMillicores(candidate) >= size.millicores * MINIMUM_FILLER_SHARE);
+                && candidate.worker.capacity.millicores - candidate.load.used.millicores
+                    >= size.millicores * MINIMUM_FILLER_SHARE);
 }
 
 /** Workers that the task does not avoid first, then those whose last order is the oldest. */
@@ -99,3 +101,12 @@
     }
     return count;
 }
+
+/** Whether a worker has room for a size once all that ends has ended. */
+function fitsBesideLasting(size: Size, { load, worker }: Candidate): boolean {
+    const held = load.attempts.reduce(
+        (sum, { task: { step } }) => step.isLasting ? addSize(sum, reservedSize(step)) : sum,
+        ZERO_SIZE,
+    );
+    return fitsInto(size, addSize(worker.capacity, held, -1));
+}
