Fillers that stand still are searched for only where one can share cores

Cause: a filler whose job stands still passed the quick check of a pool's largest room in any case, so that each of them cost a search in each pass.

Change: the largest room tells how many cores a filler may ask for where it shares them; an upper bound, so that no decision changes.

--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -175,6 +175,8 @@
 export interface LargestRoom {
     readonly free: Size;
     readonly idleMillicores: number;
+    /** Most cores that a filler may ask for where it shares those of others, see `canShareCores`. */
+    readonly sharedMillicores: number;
     /** Free capacity of all candidates together. */
     readonly totalFree: Size;
 }
@@ -184,27 +186,32 @@
     const free = { ...ZERO_SIZE };
     let totalFree = ZERO_SIZE;
     let idle = 0;
+    let shared = -Infinity;
     for (const candidate of candidates) {
-        const { load: { used }, worker: { capacity } } = candidate;
+        const { load: { fillerMillicores, used }, worker: { capacity } } = candidate;
         free.millicores = Math.max(free.millicores, capacity.millicores - used.millicores);
         free.memoryMegabytes = Math.max(free.memoryMegabytes, capacity.memoryMegabytes - used.memoryMegabytes);
         free.accelerators = Math.max(free.accelerators, capacity.accelerators - used.accelerators);
         totalFree = addSize(totalFree, maximumOf(addSize(capacity, used, -1), ZERO_SIZE));
         idle = Math.max(idle, idleMillicores(candidate));
+        if (used.millicores === 0) {
+            shared = Math.max(shared, capacity.millicores / MINIMUM_SHARED_SHARE - fillerMillicores);
+        }
     }
-    return { free, idleMillicores: idle, totalFree };
+    return { free, idleMillicores: idle, sharedMillicores: shared, totalFree };
 }
 
 /** Whether a worker may have enough room for a task, and all of them for its gang; if not, they have not. */
 export function mayFit(
     { step }: Task,
-    { free, idleMillicores: idle, totalFree }: LargestRoom,
+    { free, idleMillicores: idle, sharedMillicores, totalFree }: LargestRoom,
     { mayShareCores }: { readonly mayShareCores: boolean; },
 ): boolean {
     const size = reservedSize(step);
     return fitsInto(size, free)
         && (!step.isGang || fitsInto(addSize(ZERO_SIZE, size, step.taskCount), totalFree))
-        && (!step.isFiller || mayShareCores || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
+        && (!step.isFiller || mayShareCores && step.size.millicores <= sharedMillicores
+            || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
 }
 
 /** Whether a worker may have room for a task twice over; if not, none has. */
