--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -9,7 +9,6 @@
 import { addSize, fitsInto, maximumOf, ZERO_SIZE } from "../model/size.js";
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
-import { isSuspect } from "./crashes.js";
 import type { ExpectedPressure } from "./pacing.js";
 
 /** A worker on which tasks may be started. */
@@ -31,8 +30,6 @@
     readonly size: Size;
     /** When the capacity is expected to be free. Tasks that are expected to end before may use it. */
     readonly expectedAtMilliseconds: number;
-    /** Whether a suspect of a crash is to start there, which starts by itself. */
-    readonly isTrial?: boolean;
 }
 
 /** Expected pressures on the serving tasks of a worker, and what they were computed from. */
@@ -73,8 +70,6 @@
 /** What a worker lacks for a task. */
 export type Ineligibility =
     | "label-missing"
-    /** It is kept for a suspect of a crash, which starts by itself. */
-    | "kept-for-suspect"
     /** Too little of its capacity is free; what is reserved for other tasks is not. */
     | "no-room"
     /** It runs as many tasks of the step as one worker may. */
@@ -97,9 +92,6 @@
     if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel)) {
         return "label-missing";
     }
-    if (isKeptForTrial(task, candidate)) {
-        return "kept-for-suspect";
-    }
     const freeCapacity = maximumOf(
         addSize(addSize(worker.capacity, load.used, -1), reservedFrom(task, candidate, options), -1),
         ZERO_SIZE,
@@ -134,12 +126,6 @@
     return reservation.expectedAtMilliseconds === -Infinity ? "reserved-for-overdue" : "reserved-ahead";
 }
 
-/** Whether a worker is to get no start but those of a suspect or its gang, so that it becomes quiet enough for them. */
-function isKeptForTrial(task: Task, { reservation }: Candidate): boolean {
-    return reservation?.isTrial === true
-        && !(reservation.step === stepProgressOf(task) && (isSuspect(task) || task.step.isGang));
-}
-
 /** Capacity of a worker that a task has to leave to others. */
 function reservedFrom(
     task: Task,
