--- a/src/jobs/cell/pools.ts
+++ b/src/jobs/cell/pools.ts
@@ -6,7 +6,7 @@
 import type { CellContext } from "./context.js";
 import type { CellWorker } from "./worker.js";
 
-/** Workers on which tasks may be started now, by pool. They keep what was computed for them in the former pass. */
+/** Lists the workers on which tasks may be started now, by pool. They keep their expected pressures from the former pass. */
 export function listPools(
     cell: CellContext,
     former: ReadonlyMap<string, readonly Candidate[]>,
--- a/src/jobs/cell/waiting-lines.ts
+++ b/src/jobs/cell/waiting-lines.ts
@@ -1,8 +1,8 @@
 /**
  * Writes why work whose turn has come is not started: for one step, task or job a line, while it waits.
  *
- * Workload: thousands of tasks wait at an owner with a third of a core. What waits is listed once a second; the workers are looked at only
- * for the lines that are written, which are limited, those first that have been due longest.
+ * Workload: thousands of tasks wait at an owner with a third of a core. Waiting steps are listed once a second. Their workers are only looked
+ * at for the lines that are written; these are limited, and those that have been due longest come first.
  */
 import { DECIDED_BY } from "../policy/waiting-reasons.js";
 import type { WaitingReason } from "../policy/waiting-reasons.js";
@@ -24,7 +24,7 @@
 /** Number of tasks that have waited for 2 seconds or more, by reason. */
 export type WaitingCounts = Readonly<Partial<Record<WaitingReason, number>>>;
 
-/** Follows what waits in a cell. */
+/** Follows the waiting tasks and jobs of a cell. */
 export interface WaitingLines {
     /** Writes the lines that are due. To be called once a second. */
     check(now: number): WaitingCounts;
@@ -37,7 +37,7 @@
     readonly latestPass: () => LatestPass;
 }
 
-/** What is known of waiting work from earlier checks. */
+/** Waiting work with its state from earlier checks. */
 interface FollowedWork {
     /** As the latest check has listed it. */
     work: WaitingWork;
@@ -70,7 +70,7 @@
         const { entry, readyAtMilliseconds, task, tasks } = line.work;
         const { details, reason } = line.work.explain();
         if (reason !== line.reason) {
-            // The first look at the workers tells what has held the work since passes began to look at it.
+            // The reason found by the first look at the workers counts from when passes began to consider the work.
             setReason(line, reason, line.reason === "unexplained" ? line.reasonSinceMilliseconds : now);
         }
         line.dueAtMilliseconds = now + NEXT_LINE_MILLISECONDS;
--- a/src/jobs/cell/waiting-list.ts
+++ b/src/jobs/cell/waiting-list.ts
@@ -150,7 +150,7 @@
                 unavailable.set(obstacle, (unavailable.get(obstacle) ?? 0) + 1);
             }
         }
-        // Copies, so that what is computed for the lines has no effect on the next pass.
+        // Copies, because explanations store expected pressures on the candidates that they look at.
         const candidates = (pools.get(pool ?? "") ?? []).filter(({ worker }) => available.has(worker.id))
             .map(candidate => ({ ...candidate }));
         return { candidates, unavailable, isLimitReached, interference, durations };
--- a/src/jobs/cell/worker-sessions.ts
+++ b/src/jobs/cell/worker-sessions.ts
@@ -202,8 +202,8 @@
     };
 
     /**
-     * Withholds leases from a worker of which nothing else shows what has ended on it, or ends what it runs for nobody. Once they have
-     * lapsed, nothing runs on it, and nothing that it has still to tell of stands against starting the tasks elsewhere.
+     * Withholds leases from a worker that does not list its ends, or runs attempts of no task in spite of stop orders. Once its leases have
+     * lapsed, it runs nothing, so that its tasks can be started elsewhere.
      */
     const updateWithholding = (worker: CellWorker, now: number): void => {
         const { id } = worker.listed;
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -70,7 +70,7 @@
 /** What a worker lacks for a task. */
 export type Ineligibility =
     | "label-missing"
-    /** Too little of its capacity is free; what is reserved for other tasks is not. */
+    /** Too little of its capacity is free; capacity that is reserved for other tasks is not free. */
     | "no-room"
     /** It runs as many tasks of the step as one worker may. */
     | "limit-per-worker";
--- a/src/jobs/policy/waiting.ts
+++ b/src/jobs/policy/waiting.ts
@@ -28,7 +28,7 @@
 
 /** Workers of a pool, as the latest pass left them. */
 export interface PoolSituation {
-    /** Workers on which tasks may be started: copies, as what is computed for them is kept with them. */
+    /** Copies of the workers on which tasks may be started; explanations change them. */
     readonly candidates: readonly Candidate[];
     /** Numbers of the others, by what keeps them from starts. */
     readonly unavailable: ReadonlyMap<WorkerObstacle, number>;
