Fillers of late jobs share cores as soon as nothing of their job runs

Cause: such a job goes on task by task, with half a second or more between two of its tasks. A task that has ended leaves its room to the job that has waited longest, and until 0.5 s have passed a filler shares no cores; then it shares them only while each filler gets 0.4 of its own. With more jobs than places, 16 to 18 of 100 jobs run nothing at any moment, and some of them run nothing whenever somebody looks.

Change: a filler of a job that cannot be on time any more shares cores at once, down to 0.15 of its own; others as before, after 0.5 s, down to 0.4.

Evidence: the new scenario fails on the code before (a job of 120 runs nothing at looks 1.5 s apart).

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -7,6 +7,13 @@
         When 12 seconds have passed, after which none of them can be on time
         Then none of them has nothing running for 3 s on end in the 20 seconds after that
 
+    # Guards against jobs that go on task by task, and are found between two of them whenever somebody looks (LOST).
+    Scenario: No job is found between two of its tasks at three looks 1500 ms apart
+        Given 4 workers of 32 cores whose tasks slow each other down
+        And 120 jobs of 40 fillers of 4 cores that each run for 400 ms are handed in at once
+        When 12 seconds have passed, after which none of them can be on time
+        Then none of them runs nothing at each of three looks 1500 ms apart in the 20 seconds after that
+
     Scenario: In a pool that is mostly reserved, a backlog drains in order of age
         Given 4 workers of 32 cores
         And a lasting task of 24 cores on each of them
@@ -34,6 +41,17 @@
             | 20 fillers of 4 cores              | 600          | does not start on |
             | 8 fillers of 4 cores, and a task of 2 cores | 600 | does not start on |
 
+    Scenario Outline: A filler of a late job of which nothing runs <outcome> a worker that runs <others>
+        Given a worker of 32 cores that runs <others>
+        Then a filler of 4 cores whose late job has stood still for <milliseconds> ms <outcome> it
+
+        Examples:
+            | others                                      | milliseconds | outcome           |
+            | 8 fillers of 4 cores                        | 0            | starts on         |
+            | 52 fillers of 4 cores                       | 0            | starts on         |
+            | 53 fillers of 4 cores                       | 1000         | does not start on |
+            | 8 fillers of 4 cores, and a task of 2 cores | 0            | does not start on |
+
     Scenario: Cores that fillers ask for do not make a pool count as full
         Given a worker of 32 cores with a task that serves on 4 of them, beside which all fillers are known to do harm
         And a second worker of 32 cores that runs 8 fillers of 4 cores
--- a/features/jobs/backlog.steps.ts
+++ b/features/jobs/backlog.steps.ts
@@ -49,6 +49,13 @@
     this.play = createPlay({ workers, cores, looksAhead: true });
 });
 
+Given(
+    "{int} workers of {int} cores whose tasks slow each other down",
+    function(this: BacklogWorld, workers: number, cores: number) {
+        this.play = createPlay({ workers, cores, looksAhead: true, dividesCores: true });
+    },
+);
+
 Given("a lasting task of {int} cores on each of them", function(this: BacklogWorld, cores: number) {
     const fields = { cores, taskCount: 4, limitPerWorker: 1, isLasting: true };
     this.play.submit({ id: describeId(1_000), fields, runMilliseconds: Infinity });
@@ -99,6 +106,35 @@
     assert.ok(longest < LIMIT_MILLISECONDS, `a job stood still for ${longest} ms`);
 });
 
+Then("none of them runs nothing at each of three looks {int} ms apart in the {int} seconds after that", function(
+    this: BacklogWorld,
+    intervalMilliseconds: number,
+    seconds: number,
+) {
+    const { play } = this;
+    const { jobTable } = play;
+    const idleMoments = new Map<string, Set<number>>();
+    let idleBefore = new Set<string>();
+    play.advance(seconds * SECOND, () => {
+        const idle = [...play.outcomes.keys()].filter(id =>
+            waitingTasks(jobTable, id).length > 0 && runsNothing(jobTable, id)
+        );
+        // A job whose task has just ended may be given its next one in the pass that follows.
+        idle.filter(id => idleBefore.has(id)).forEach(id =>
+            idleMoments.set(id, (idleMoments.get(id) ?? new Set()).add(play.elapsed()))
+        );
+        idleBefore = new Set(idle);
+    });
+    const waiting = [...play.outcomes.keys()].filter(id => waitingTasks(jobTable, id).length > 0);
+    assert.ok(waiting.length > 0, "the backlog lasts as long as the scenario looks");
+    for (const [id, moments] of idleMoments) {
+        const missed = [...moments].filter(moment =>
+            moments.has(moment + intervalMilliseconds) && moments.has(moment + 2 * intervalMilliseconds)
+        );
+        assert.deepEqual(missed, [], `job ${id} runs nothing at these moments, and at the two looks after them`);
+    }
+});
+
 Then("the job that goes on is the oldest one", function(this: BacklogWorld) {
     const { jobTable, outcomes } = this.play;
     const unfinished = [...outcomes.keys()].filter(id =>
@@ -201,11 +237,14 @@
 });
 
 Then(
-    /^a filler of (\d+) cores whose job has stood still for (\d+) ms (starts|does not start) on it$/,
-    function(this: BacklogWorld, cores: string, milliseconds: string, outcome: string) {
+    /^a filler of (\d+) cores whose (late )?job has stood still for (\d+) ms (starts|does not start) on it$/,
+    function(this: BacklogWorld, cores: string, late: string | null, milliseconds: string, outcome: string) {
         const fields = { image: "booking", isFiller: true, cores: Number(cores) };
         const task = addTask(this.jobTable, "waiting", fields, NOW - Number(milliseconds));
-        const starvation = assessStarvation(task, isHalfEmpty(this.candidates), NOW);
+        const starvation = assessStarvation(task, {
+            isPoolHalfEmpty: isHalfEmpty(this.candidates),
+            isLate: () => late !== null,
+        }, NOW);
         const chosen = chooseWorker(task, this.candidates, createInterference(), NOW, { starvation });
         assert.equal(chosen !== undefined, outcome === "starts");
     },
--- a/features/jobs/decisions.steps.ts
+++ b/features/jobs/decisions.steps.ts
@@ -291,7 +291,9 @@
         pressure: (_, milliseconds) => 1 - 5 / milliseconds,
     };
     const task = addTask(jobTable, `filler-${waited}`, { image: "booking", isFiller: true, cores }, NOW - waited);
-    const options = { starvation: assessStarvation(task, isHalfEmpty(candidates), NOW) };
+    const options = {
+        starvation: assessStarvation(task, { isPoolHalfEmpty: isHalfEmpty(candidates), isLate: () => false }, NOW),
+    };
     return chooseWorker(task, candidates, model, NOW, options) !== undefined;
 }
 
--- a/features/jobs/look-ahead-play.ts
+++ b/features/jobs/look-ahead-play.ts
@@ -42,6 +42,8 @@
     readonly workers: number;
     readonly cores: number;
     readonly looksAhead: boolean;
+    /** Whether tasks that ask for more cores than their worker has run slower in proportion; all run at full speed if absent. */
+    readonly dividesCores?: boolean;
 }
 
 /** A pool in simulated time. */
@@ -61,10 +63,11 @@
 const PASS_MILLISECONDS = 20;
 
 /** Creates a pool of empty workers. */
-export function createPlay({ cores, looksAhead, workers }: PlayOptions): Play {
+export function createPlay({ cores, dividesCores = false, looksAhead, workers }: PlayOptions): Play {
     const jobTable = createEmptyJobTable();
     const outcomes = new Map<string, PlayedOutcome>();
-    const running = new Set<Attempt>();
+    /** Work done, as the time that it takes at full speed. */
+    const running = new Map<Attempt, number>();
     const listed = Array.from({ length: workers }, (_, index) => describeWorker(`worker-${index}`, cores));
     const durations = createDurations();
     const interference = createInterference();
@@ -73,13 +76,19 @@
     let now = NOW;
     let sequence = 0;
 
+    const speedOn = (worker: string): number => {
+        const { fillerMillicores, used } = jobTable.occupancy.load(worker);
+        return dividesCores ? Math.min(1, cores * 1_000 / (used.millicores + fillerMillicores)) : 1;
+    };
+
     const recordEnds = (): void => {
-        for (const attempt of running) {
+        for (const [attempt, before] of running) {
             const { number, task, worker } = attempt;
             const outcome = outcomes.get(task.entry.id);
-            const ran = now - attempt.orderedAtMilliseconds;
+            const ran = before + PASS_MILLISECONDS * speedOn(worker);
             const runMilliseconds = outcome?.job.runMilliseconds ?? 0;
             if (ran < runMilliseconds) {
+                running.set(attempt, ran);
                 const percent = Math.floor(100 * ran / runMilliseconds);
                 recordRunningAttempt(jobTable, worker, {
                     task: task.key,
@@ -125,7 +134,7 @@
         }, now);
         for (const attempt of starts) {
             registerAttempt(jobTable, attempt);
-            running.add(attempt);
+            running.set(attempt, 0);
             const outcome = outcomes.get(attempt.task.entry.id);
             if (outcome !== undefined) {
                 outcome.firstStartAt ??= now - NOW;
--- a/features/jobs/waiting-looks.steps.ts
+++ b/features/jobs/waiting-looks.steps.ts
@@ -76,6 +76,7 @@
             isLimitReached: false,
             durations,
             interference,
+            queues,
         }, NOW);
         const { starts } = planPass({
             epoch,
@@ -113,7 +114,8 @@
                 expectedAtMilliseconds: NOW + milliseconds,
             };
         }
-        const pool = { candidates, unavailable: new Map(), isLimitReached: false, durations, interference };
+        const { queues } = this.waiting.cell.catalog();
+        const pool = { candidates, unavailable: new Map(), isLimitReached: false, durations, interference, queues };
         this.explanation = explainPlacement(task, pool, NOW);
     },
 );
--- a/src/jobs/cell/waiting-list.ts
+++ b/src/jobs/cell/waiting-list.ts
@@ -153,7 +153,7 @@
         // Copies, because explanations store expected pressures on the candidates that they look at.
         const candidates = (pools.get(pool ?? "") ?? []).filter(({ worker }) => available.has(worker.id))
             .map(candidate => ({ ...candidate }));
-        return { candidates, unavailable, isLimitReached, interference, durations };
+        return { candidates, unavailable, isLimitReached, interference, durations, queues: cell.catalog().queues };
     };
     return pool => {
         const situation = described.get(pool) ?? describe(pool);
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -10,6 +10,8 @@
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
 import type { ExpectedPressure } from "./pacing.js";
+import { STARVATIONS } from "./starvation.js";
+import type { Starvation } from "./starvation.js";
 
 /** A worker on which tasks may be started. */
 export interface Candidate {
@@ -51,12 +53,22 @@
 export const MINIMUM_FILLER_SHARE = 0.6;
 
 /** A filler that shares the cores of others is not placed where all of them would get less than this share of theirs. */
-const MINIMUM_SHARED_SHARE = 0.4;
+const MINIMUM_SHARED_SHARES: Readonly<Record<Starvation, number>> = {
+    none: Infinity,
+    idle: 0.4,
+    late: 0.15,
+    starving: 0.15,
+};
 
 /** Whether a filler may share the cores of a worker with those that run there. Cores that others have reserved are not shared. */
-export function canShareCores({ step }: Task, { load, worker }: Candidate): boolean {
-    const requested = load.fillerMillicores + step.size.millicores;
-    return load.used.millicores === 0 && requested * MINIMUM_SHARED_SHARE <= worker.capacity.millicores;
+export function canShareCores({ step }: Task, { load, worker }: Candidate, starvation: Starvation): boolean {
+    return load.used.millicores === 0
+        && step.size.millicores <= sharedMillicoresOf({ load, worker }, starvation);
+}
+
+/** Most cores that a filler may ask for where it shares those of others, in thousandths. */
+function sharedMillicoresOf({ load, worker }: Candidate, starvation: Starvation): number {
+    return worker.capacity.millicores / MINIMUM_SHARED_SHARES[starvation] - load.fillerMillicores;
 }
 
 /** How a task treats capacity that is reserved for others. */
@@ -162,7 +174,7 @@
     readonly free: Size;
     readonly idleMillicores: number;
     /** Most cores that a filler may ask for where it shares those of others, see `canShareCores`. */
-    readonly sharedMillicores: number;
+    readonly sharedMillicores: Readonly<Record<Starvation, number>>;
     /** Free capacity of all candidates together. */
     readonly totalFree: Size;
 }
@@ -172,16 +184,18 @@
     const free = { ...ZERO_SIZE };
     let totalFree = ZERO_SIZE;
     let idle = 0;
-    let shared = -Infinity;
+    const shared = { none: -Infinity, idle: -Infinity, late: -Infinity, starving: -Infinity };
     for (const candidate of candidates) {
-        const { load: { fillerMillicores, used }, worker: { capacity } } = candidate;
+        const { load: { used }, worker: { capacity } } = candidate;
         free.millicores = Math.max(free.millicores, capacity.millicores - used.millicores);
         free.memoryMegabytes = Math.max(free.memoryMegabytes, capacity.memoryMegabytes - used.memoryMegabytes);
         free.accelerators = Math.max(free.accelerators, capacity.accelerators - used.accelerators);
         totalFree = addSize(totalFree, maximumOf(addSize(capacity, used, -1), ZERO_SIZE));
         idle = Math.max(idle, idleMillicores(candidate));
         if (used.millicores === 0) {
-            shared = Math.max(shared, capacity.millicores / MINIMUM_SHARED_SHARE - fillerMillicores);
+            for (const starvation of STARVATIONS) {
+                shared[starvation] = Math.max(shared[starvation], sharedMillicoresOf(candidate, starvation));
+            }
         }
     }
     return { free, idleMillicores: idle, sharedMillicores: shared, totalFree };
@@ -191,12 +205,12 @@
 export function mayFit(
     { step }: Task,
     { free, idleMillicores: idle, sharedMillicores, totalFree }: LargestRoom,
-    { mayShareCores }: { readonly mayShareCores: boolean; },
+    starvation: Starvation,
 ): boolean {
     const size = reservedSize(step);
     return fitsInto(size, free)
         && (!step.isGang || fitsInto(addSize(ZERO_SIZE, size, step.taskCount), totalFree))
-        && (!step.isFiller || mayShareCores && step.size.millicores <= sharedMillicores
+        && (!step.isFiller || step.size.millicores <= sharedMillicores[starvation]
             || idle >= step.size.millicores * MINIMUM_FILLER_SHARE);
 }
 
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -135,6 +135,16 @@
     return hasGivenWay(task) || hasAmpleRoom?.(task) === true ? TURNS.returning : TURNS.overdue;
 }
 
+/** Whether the occurrence of a task cannot be on time any more. */
+export function isLate(
+    { entry, occurrence }: Task,
+    queues: ReadonlyMap<string, Queue>,
+    durations: Durations,
+    now: number,
+): boolean {
+    return assessTimeliness(occurrence, queues.get(entry.queue), durations, now).timeliness > 0;
+}
+
 /** Computes when an occurrence is due and whether it can still be on time. */
 export function assessTimeliness(
     { dueAtMilliseconds: startedAt, steps }: Occurrence,
--- a/src/jobs/policy/placement.ts
+++ b/src/jobs/policy/placement.ts
@@ -111,7 +111,7 @@
         return undefined;
     }
     const { load, worker } = candidate;
-    if (!hasIdleCores(task, candidate) && !(starvation !== "none" && canShareCores(task, candidate))) {
+    if (!hasIdleCores(task, candidate) && !canShareCores(task, candidate, starvation)) {
         return "too-few-idle-cores";
     }
     if (load.servingCount === 0) {
--- a/src/jobs/policy/placements.ts
+++ b/src/jobs/policy/placements.ts
@@ -10,6 +10,7 @@
 import type { Candidate, LargestRoom } from "./candidate.js";
 import { expectedEndIfStarted } from "./forecast.js";
 import type { Interference } from "./interference.js";
+import { isLate } from "./order.js";
 import type { CellSnapshot } from "./pass.js";
 import { isRankedAlike, rankCandidates, startingPaceOf } from "./placement.js";
 import type { CandidateRanking } from "./placement.js";
@@ -36,7 +37,7 @@
 
 /** Starts without placements. */
 export function createPlacements(snapshot: CellSnapshot, now: number): Placements {
-    const { durations, epoch, interference } = snapshot;
+    const { durations, epoch, interference, queues } = snapshot;
     const starts: Attempt[] = [];
     const placedTasks = new Set<Task>();
     const copiedLoads = new Set<Readonly<WorkerLoad>>();
@@ -44,6 +45,7 @@
     const heldPools = new WeakMap<readonly Candidate[], boolean>();
     const halfEmptyPools = new WeakMap<readonly Candidate[], boolean>();
     const placedOccurrences = new Set<Occurrence>();
+    const lateOccurrences = new Map<Occurrence, boolean>();
     let latestRanking: { readonly key: RankingKey; readonly ranking: CandidateRanking; } | undefined;
     let searches = 0;
 
@@ -53,14 +55,22 @@
         return isPoolHalfEmpty;
     };
 
+    const checkLate = (task: Task): boolean => {
+        const isTaskLate = lateOccurrences.get(task.occurrence) ?? isLate(task, queues, durations, now);
+        lateOccurrences.set(task.occurrence, isTaskLate);
+        return isTaskLate;
+    };
+
     const starvationOf = (task: Task, candidates: readonly Candidate[]): Starvation =>
         placedOccurrences.has(task.occurrence)
             ? "none"
-            : assessStarvation(task, checkHalfEmpty(candidates), now);
+            : assessStarvation(task, {
+                isPoolHalfEmpty: checkHalfEmpty(candidates),
+                isLate: () => checkLate(task),
+            }, now);
 
     const mayFitOn = (task: Task, candidates: readonly Candidate[]): boolean => {
-        const mayShareCores = starvationOf(task, candidates) !== "none";
-        return mayFit(task, largestRoomOf(candidates), { mayShareCores });
+        return mayFit(task, largestRoomOf(candidates), starvationOf(task, candidates));
     };
 
     /** Ranks the candidates for a task; the tasks of a step that follow one another in a pass share a ranking. */
--- a/src/jobs/policy/starvation.ts
+++ b/src/jobs/policy/starvation.ts
@@ -8,7 +8,7 @@
 import type { Task } from "../job-table/task.js";
 import type { Candidate } from "./candidate.js";
 
-/** Time without a running attempt after which a filler of the job shares the cores of other fillers. */
+/** Time without a running attempt after which a filler of a job that can still be on time shares the cores of other fillers. */
 const SHARING_MILLISECONDS = 500;
 
 /** Time without a running attempt after which the job starves; the platform's documentation allows twice that. */
@@ -17,23 +17,45 @@
 /** Share of a pool's cores that others than fillers use, below which no job may starve; the platform's documentation requires half. */
 const STARVING_USE_SHARE = 0.55;
 
-/** How badly a job needs one of its tasks to start. */
-export type Starvation =
-    | "none"
+/** How badly a job needs one of its tasks to start, least first. */
+export const STARVATIONS = [
+    "none",
     /** A filler may start where it gets few cores, beside no tasks but other fillers. */
-    | "idle"
+    "idle",
+    /** The same with still fewer cores: a late job gains more by going on than by speed. */
+    "late",
     /** A filler may also start slowly where it is expected to disturb serving tasks. */
-    | "starving";
+    "starving",
+] as const;
 
-/** Assesses how badly a filler's job needs it to start. No job starves in a pool that others than fillers use for more than half. */
-export function assessStarvation(task: Task, isPoolHalfEmpty: boolean, now: number): Starvation {
-    const idleMilliseconds = now - idleSince(task);
-    if (
-        !task.step.isFiller || !isPoolHalfEmpty || idleMilliseconds < SHARING_MILLISECONDS || !isIdle(task.occurrence)
-    ) {
+/** How badly a job needs one of its tasks to start. */
+export type Starvation = typeof STARVATIONS[number];
+
+/** What the assessment of a task's job depends on besides the task. */
+export interface StarvationConditions {
+    /** Whether others than fillers use less than about half of the pool; no job starves elsewhere. */
+    readonly isPoolHalfEmpty: boolean;
+    /** Whether the job cannot be on time any more. */
+    readonly isLate: () => boolean;
+}
+
+/** Assesses how badly a filler's job needs it to start. */
+export function assessStarvation(
+    task: Task,
+    { isLate, isPoolHalfEmpty }: StarvationConditions,
+    now: number,
+): Starvation {
+    if (!task.step.isFiller || !isPoolHalfEmpty || !isIdle(task.occurrence)) {
         return "none";
     }
-    return idleMilliseconds < STARVING_MILLISECONDS ? "idle" : "starving";
+    const idleMilliseconds = now - idleSince(task);
+    if (idleMilliseconds >= STARVING_MILLISECONDS) {
+        return "starving";
+    }
+    if (isLate()) {
+        return "late";
+    }
+    return idleMilliseconds >= SHARING_MILLISECONDS ? "idle" : "none";
 }
 
 /** Whether no attempt of an occurrence runs. */
--- a/src/jobs/policy/waiting.ts
+++ b/src/jobs/policy/waiting.ts
@@ -10,6 +10,7 @@
 import type { Durations } from "./durations.js";
 import { expectedEndIfStarted } from "./forecast.js";
 import type { Interference } from "./interference.js";
+import { isLate } from "./order.js";
 import { createObstacleSearch } from "./placement.js";
 import { isPausing } from "./preemption.js";
 import { assessStarvation, isHalfEmpty } from "./starvation.js";
@@ -36,6 +37,7 @@
     readonly isLimitReached: boolean;
     readonly interference: Interference;
     readonly durations: Durations;
+    readonly queues: ReadonlyMap<string, Queue>;
 }
 
 /** Why a task that the passes look at is not started. */
@@ -71,9 +73,12 @@
 
 /** Explains why a task that the passes look at is not started. Computes as much as one search for a worker. */
 export function explainPlacement(task: Task, pool: PoolSituation, now: number): PlacementExplanation {
-    const { candidates, durations, interference, unavailable } = pool;
+    const { candidates, durations, interference, queues, unavailable } = pool;
     const findObstacle = createObstacleSearch(task, interference, now, {
-        starvation: assessStarvation(task, isHalfEmpty(candidates), now),
+        starvation: assessStarvation(task, {
+            isPoolHalfEmpty: isHalfEmpty(candidates),
+            isLate: () => isLate(task, queues, durations, now),
+        }, now),
         expectedEndMilliseconds: expectedEndIfStarted(task.step, durations, now),
     });
     const counts = new Map<WaitingObstacle, number>(unavailable);
