A filler that needs no less than one that found no worker costs no search

Cause: while hundreds of late jobs wait, each of their steps costs a search through all workers in each pass. Passes take 650 to 860 ms of each second, and a job whose task has ended waits for the next one.

Change: a pass remembers the fillers that found no worker. One of the same image and label that is no smaller, no shorter and no closer to starving finds none either, as placements only make room smaller.

Evidence: the new scenario makes 400 searches on the code before, and at most 120 now; what a pass leaves out finds no worker by a search of its own.

--- a/features/jobs/placement-cost.feature
+++ b/features/jobs/placement-cost.feature
@@ -14,3 +14,10 @@
         Given 3 workers with a serving task of the same image each
         When tasks of a filler that has not been seen beside it are placed one after the other
         Then one of them is placed
+
+    # Guards against passes that take most of a small owner's time while hundreds of jobs wait (LOST).
+    Scenario: Fillers of hundreds of jobs that fit nowhere do not cost a search each
+        Given 12 workers with serving tasks and fillers of their own
+        When a pass looks at 400 fillers of 4 images and of several sizes, half of them of late jobs
+        Then it starts some of them, and makes at most 120 searches
+        And none of those that it leaves out would find a worker by a search of its own
--- a/src/jobs/policy/placements.ts
+++ b/src/jobs/policy/placements.ts
@@ -8,6 +8,7 @@
 import type { Attempt, Task } from "../job-table/task.js";
 import { findLargestRoom, isHeldByLasting, mayFit, mayFitTwice } from "./candidate.js";
 import type { Candidate, LargestRoom } from "./candidate.js";
+import { createFillerSearches } from "./filler-searches.js";
 import { expectedEndIfStarted } from "./forecast.js";
 import type { Interference } from "./interference.js";
 import { isLate } from "./order.js";
@@ -73,6 +74,11 @@
         return mayFit(task, largestRoomOf(candidates), starvationOf(task, candidates));
     };
 
+    const fillerSearches = createFillerSearches({
+        starvationOf,
+        durationOf: ({ step }) => durations.estimate(step),
+    });
+
     /** Ranks the candidates for a task; the tasks of a step that follow one another in a pass share a ranking. */
     const rankFor = (task: Task, candidates: readonly Candidate[]): CandidateRanking => {
         const options = { starvation: starvationOf(task, candidates) };
@@ -124,7 +130,7 @@
         isHalfEmpty: checkHalfEmpty,
         mayFit: mayFitOn,
         place(task, candidates) {
-            if (!mayFitOn(task, candidates)) {
+            if (!mayFitOn(task, candidates) || fillerSearches.hasFailedFor(task, candidates)) {
                 return false;
             }
             const members = gangMembersOf(task);
@@ -137,6 +143,9 @@
                 paceOf: (member, candidate) => startingPaceOf(member, candidate, interference, now),
             }, now);
             planned?.forEach(attempt => add(attempt, candidates));
+            if (planned === undefined) {
+                fillerSearches.recordFailure(task, candidates);
+            }
             return planned !== undefined;
         },
     };
