A task that takes long for a percent is not stopped as stalled

Cause: an attempt counted as stalled after 2 s without a further percent, however long a percent of it takes.

Change: the limit is three times what a percent is expected to take by the estimate and by the share of the cores that fillers get, and 2 s at least.

Evidence: the rows of 60 s and 600 s of the new outline fail with the limit of 2 s (the one of 10 s hold).

--- a/features/jobs/decisions.feature
+++ b/features/jobs/decisions.feature
@@ -90,6 +90,19 @@
         Then it counts as standing still
         But it does not when it was told to stand still
 
+    # Guards against tasks that are stopped as stalled again and again, though a percent of them takes longer than that (LOST).
+    Scenario Outline: A task that takes <seconds> s beside <others> others that share its cores stands still after <limit> ms without progress
+        Given a task that usually takes <seconds> s, on a worker that runs <others> other fillers of all its cores
+        Then after <before> ms without progress it passes as working
+        But after <limit> ms without progress it counts as standing still
+
+        Examples:
+            | seconds | others | before | limit |
+            | 10      | 0      | 1900   | 2000  |
+            | 10      | 5      | 1900   | 2000  |
+            | 60      | 5      | 10700  | 10800 |
+            | 600     | 0      | 17900  | 18000 |
+
     Scenario: A filler gives way within a second where a task that serves nears its objective
         Given a worker on which a filler presses on a task that serves, at 1.2 of its objective
         Then the filler is told to slow down
--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -167,7 +167,7 @@
     now: number,
 ): void {
     const { jobTable, durations } = cell;
-    const { id } = worker.listed;
+    const { capacity, id } = worker.listed;
     const logQuarantine = (reason: string, evidence: object): void =>
         cell.log.write("worker-quarantined", {
             worker: id,
@@ -192,7 +192,7 @@
         return;
     }
     const load = jobTable.occupancy.load(id);
-    const stalled = listStalledAttempts(load, now);
+    const stalled = listStalledAttempts(load, { capacityMillicores: capacity.millicores, durations }, now);
     if (stalled.length > 0) {
         stalled.forEach(attempt => jobTable.attemptsToStop.add(attempt));
         cell.requestDispatch();
--- a/src/jobs/policy/health.ts
+++ b/src/jobs/policy/health.ts
@@ -28,9 +28,15 @@
 const QUARANTINE_MILLISECONDS = 1_500;
 const LONGEST_QUARANTINE_MILLISECONDS = 12_000;
 
-/** A task without progress for this long is stalled; on a slow worker it would have progressed by some percent. */
+/** Shortest time without progress after which a task is stalled; a task of some seconds progresses by some percent in it. */
 const STALLED_AFTER_MILLISECONDS = 2_000;
 
+/** Percents that a stalled task is behind what its image and its share of the cores lead to expect; estimates are often off by half. */
+const STALLED_PERCENTS = 3;
+
+/** Share of a worker's cores that fillers are expected to get at least, as other tasks rarely use all that they have reserved. */
+const LEAST_FREE_SHARE = 0.05;
+
 /** A task that is expected to take this many times the usual duration indicates a slow worker. */
 const SLOW_FACTOR = 2.5;
 
@@ -73,12 +79,34 @@
     return true;
 }
 
+/** What the expected progress of an attempt depends on besides its worker's load. */
+export interface ProgressConditions {
+    readonly capacityMillicores: number;
+    readonly durations: Durations;
+}
+
 /** Lists the stalled attempts on a worker. */
-export function listStalledAttempts(load: Readonly<WorkerLoad>, now: number): Attempt[] {
-    return load.attempts.filter(attempt =>
-        attempt.phase === "running" && attempt.pacePercent === 100 && attempt.percent < 100
-        && now - Math.max(attempt.progressedAtMilliseconds, attempt.pacedAtMilliseconds) >= STALLED_AFTER_MILLISECONDS
-    );
+export function listStalledAttempts(
+    load: Readonly<WorkerLoad>,
+    { capacityMillicores, durations }: ProgressConditions,
+    now: number,
+): Attempt[] {
+    const fillerShare = fillerShareOf(load, capacityMillicores);
+    return load.attempts.filter(attempt => {
+        const { pacePercent, pacedAtMilliseconds, percent, phase, progressedAtMilliseconds, task: { step } } = attempt;
+        if (phase !== "running" || pacePercent < 100 || percent >= 100) {
+            return false;
+        }
+        const percentMilliseconds = durations.estimate(step) / 100 / (step.isFiller ? fillerShare : 1);
+        const limit = Math.max(STALLED_AFTER_MILLISECONDS, percentMilliseconds * STALLED_PERCENTS);
+        return now - Math.max(progressedAtMilliseconds, pacedAtMilliseconds) >= limit;
+    });
+}
+
+/** Share of the cores they ask for that the fillers of a worker get, if the other tasks use all that they have reserved. */
+function fillerShareOf({ fillerMillicores, used }: Readonly<WorkerLoad>, capacityMillicores: number): number {
+    const free = Math.max(capacityMillicores - used.millicores, capacityMillicores * LEAST_FREE_SHARE);
+    return Math.min(1, free / Math.max(1, fillerMillicores));
 }
 
 /** Expected duration of an attempt as a multiple of the usual one; absent while it cannot be estimated. */
