Test: no job stands still after workers shrink and leave a backlog

The plays of the tests can change the cores of workers. The new scenario is the cause of the jobs that stood still, with workers whose room shrinks: while three of four workers have an eighth of their cores, more jobs become late than have places afterwards.

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -14,6 +14,13 @@
         When 12 seconds have passed, after which none of them can be on time
         Then none of them runs nothing at each of three looks 1500 ms apart in the 20 seconds after that
 
+    # Guards against accepted jobs that stand still after the room of the pool has shrunk for a while: 32 tasks have cores of their own (LOST).
+    Scenario: No job stands still for 3 s after workers shrink for a while and leave a backlog
+        Given 4 workers of 32 cores whose tasks slow each other down
+        When a job of 16 fillers of 4 cores that each run for 2200 ms is handed in each 1200 ms
+        And 3 of the workers shrink from 32 to 4 cores from 10 to 80 seconds, which leaves more than 32 jobs late
+        Then none of them has nothing running for 3 s on end in the 12 seconds after that
+
     Scenario: In a pool that is mostly reserved, a backlog drains in order of age
         Given 4 workers of 32 cores
         And a lasting task of 24 cores on each of them
--- a/features/jobs/look-ahead-play.ts
+++ b/features/jobs/look-ahead-play.ts
@@ -53,6 +53,8 @@
     /** Milliseconds since the beginning. */
     elapsed(): number;
     submit(job: PlayedJob): void;
+    /** Changes the cores of the first workers; what runs there goes on. */
+    resize(workers: number, cores: number): void;
     /** Puts a successor in place, which knows of no reservation. */
     takeOver(): void;
     /** Lets time pass; `everyPass` is called before each pass. */
@@ -76,9 +78,10 @@
     let now = NOW;
     let sequence = 0;
 
-    const speedOn = (worker: string): number => {
-        const { fillerMillicores, used } = jobTable.occupancy.load(worker);
-        return dividesCores ? Math.min(1, cores * 1_000 / (used.millicores + fillerMillicores)) : 1;
+    const speedOn = (id: string): number => {
+        const { fillerMillicores, used } = jobTable.occupancy.load(id);
+        const millicores = listed.find(worker => worker.id === id)?.capacity.millicores ?? 0;
+        return dividesCores ? Math.min(1, millicores / (used.millicores + fillerMillicores)) : 1;
     };
 
     const recordEnds = (): void => {
@@ -155,6 +158,9 @@
             confirmJob(jobTable, id, now);
             outcomes.set(id, { job, submittedAt: now - NOW, startedTasks: 0 });
         },
+        resize(resized, coresLeft) {
+            listed.splice(0, resized, ...listed.slice(0, resized).map(({ id }) => describeWorker(id, coresLeft)));
+        },
         takeOver() {
             lookAhead = looksAhead ? createLookAhead() : undefined;
         },
