Cores held beyond the room of a shrunk worker do not make a pool count as full

Callers saw: nothing yet; found by reading. With one of two workers shrunk to 8 cores under a task of 28 and no core of the other one reserved, the pool counted as used by 0.7, so that no late job got a turn there.

Cause: the use of all workers was summed, whatever room each of them has.

Change: the use of a worker counts up to its cores.

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -63,3 +63,9 @@
         Given a worker of 32 cores with a task that serves on 4 of them, beside which all fillers are known to do harm
         And a second worker of 32 cores that runs 8 fillers of 4 cores
         Then a filler of 3 cores whose job has waited 4000 ms is placed there
+
+    # Guards against late jobs that stand still in a half empty pool since one of its workers has shrunk below what it runs (LOST).
+    Scenario: Cores that are held beyond the room of a shrunk worker do not make a pool count as full
+        Given a worker that has shrunk to 8 cores under a task of 28
+        And a second worker of 32 cores that runs 8 fillers of 4 cores
+        Then a filler of 4 cores whose late job has stood still for 0 ms starts on it
--- a/features/jobs/shrunk-backlog.steps.ts
+++ b/features/jobs/shrunk-backlog.steps.ts
@@ -1,15 +1,19 @@
 /**
  * Steps for a backlog that forms while the room of workers has shrunk, in simulated time.
  */
-import { When } from "@cucumber/cucumber";
+import { Given, When } from "@cucumber/cucumber";
 import assert from "node:assert/strict";
+import type { JobTable } from "../../src/jobs/job-table/job-table.js";
+import type { Candidate } from "../../src/jobs/policy/candidate.js";
 import { createDurations } from "../../src/jobs/policy/durations.js";
 import { isLate } from "../../src/jobs/policy/order.js";
-import { NOW, QUEUE } from "./builders.js";
+import { addTask, createEmptyJobTable, describeWorker, NOW, QUEUE, runTask } from "./builders.js";
 import type { Play, PlayedJob } from "./look-ahead-play.js";
 
 interface ShrunkBacklogWorld {
     play: Play;
+    jobTable: JobTable;
+    candidates: Candidate[];
     /** The jobs that are handed in without end, and the time between two of them. */
     arrivals: { readonly job: Omit<PlayedJob, "id">; readonly intervalMilliseconds: number; };
 }
@@ -52,6 +56,17 @@
     },
 );
 
+Given("a worker that has shrunk to {int} cores under a task of {int}", function(
+    this: ShrunkBacklogWorld,
+    coresLeft: number,
+    cores: number,
+) {
+    const id = "worker-0";
+    this.jobTable = createEmptyJobTable();
+    runTask(this.jobTable, addTask(this.jobTable, "large", { cores }, NOW), id, NOW);
+    this.candidates = [{ worker: describeWorker(id, coresLeft), load: this.jobTable.occupancy.load(id) }];
+});
+
 function handIn({ arrivals: { intervalMilliseconds, job }, play }: ShrunkBacklogWorld): void {
     if (play.elapsed() % intervalMilliseconds === 0) {
         play.submit({ ...job, id: play.outcomes.size.toString(16).padStart(16, "0") });
--- a/src/jobs/policy/starvation.ts
+++ b/src/jobs/policy/starvation.ts
@@ -68,13 +68,16 @@
     return Math.max(readyAtMilliseconds, lastEndedAtMilliseconds ?? -Infinity);
 }
 
-/** Whether about half of a pool's cores are free. Those that fillers use count as free, as fillers reserve none. */
+/**
+ * Whether about half of a pool's cores are free. Those that fillers use count as free, as fillers reserve none. What tasks hold beyond the cores
+ * of a worker that has shrunk takes nothing from other workers.
+ */
 export function isHalfEmpty(pool: Iterable<Candidate>): boolean {
     let capacity = 0;
     let used = 0;
     for (const { load, worker } of pool) {
         capacity += worker.capacity.millicores;
-        used += load.used.millicores;
+        used += Math.min(load.used.millicores, worker.capacity.millicores);
     }
     return used < capacity * STARVING_USE_SHARE;
 }
