--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -14,6 +14,13 @@
         When 12 seconds have passed, after which none of them can be on time
         Then none of them runs nothing at each of three looks 1500 ms apart in the 20 seconds after that
 
+    # Guards against accepted jobs that stand still after the room of the pool has shrunk for a while: 32 tasks have cores of their own (LOST).
+    Scenario: No job stands still for 3 s after workers shrink for a while and leave a backlog
+        Given 4 workers of 32 cores whose tasks slow each other down
+        When a job of 16 fillers of 4 cores that each run for 2200 ms is handed in each 1200 ms
+        And 3 of the workers shrink from 32 to 4 cores from 10 to 80 seconds, which leaves more than 32 jobs late
+        Then none of them has nothing running for 3 s on end in the 12 seconds after that
+
     Scenario: In a pool that is mostly reserved, a backlog drains in order of age
         Given 4 workers of 32 cores
         And a lasting task of 24 cores on each of them
@@ -56,3 +63,9 @@
         Given a worker of 32 cores with a task that serves on 4 of them, beside which all fillers are known to do harm
         And a second worker of 32 cores that runs 8 fillers of 4 cores
         Then a filler of 3 cores whose job has waited 4000 ms is placed there
+
+    # Guards against late jobs that stand still in a half empty pool since one of its workers has shrunk below what it runs (LOST).
+    Scenario: Cores that are held beyond the room of a shrunk worker do not make a pool count as full
+        Given a worker that has shrunk to 8 cores under a task of 28
+        And a second worker of 32 cores that runs 8 fillers of 4 cores
+        Then a filler of 4 cores whose late job has stood still for 0 ms starts on it
