A starving job gets its turn whatever its queue's priority

Callers saw: with two queues of different priority in one pool, no job of the lower one went on as long as the higher one had late work, though more than half of the workers' cores were free.

Cause: the priority of the queue is compared before all else, so that a turn for a late job of which nothing runs counts within its own queue only.

Change: the first task of a late job of which nothing has run for 1.5 s, in a pool that is half empty, goes before late tasks of queues of higher priority. It stays behind all tasks of its pool that can be on time and behind lasting tasks that have waited, of its own queue and of those of higher priority.

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -14,6 +14,40 @@
         When 12 seconds have passed, after which none of them can be on time
         Then none of them runs nothing at each of three looks 1500 ms apart in the 20 seconds after that
 
+    # Guards against jobs of one queue that stand still as long as one of higher priority has late work (LOST).
+    Scenario: No job of either of two queues stands still for 3 s while their backlog of late fillers drains
+        Given 4 workers of 32 cores
+        And a lasting task of 1 cores on each of them
+        And 8 jobs of 80 fillers of 4 cores that each run for 2200 ms are handed in at once in each of two queues of different priority
+        When 12 seconds have passed, after which none of them can be on time
+        Then none of them has nothing running for 3 s on end in the 20 seconds after that
+
+    Scenario Outline: The first task of a late job that has stood still for <milliseconds> ms goes <place> <other> of a queue of higher priority
+        Given a late job that has stood still for <milliseconds> ms in a <pool> pool
+        And <other> in a queue of higher priority
+        Then its first task goes <place> that, and its second one after that
+
+        Examples:
+            | milliseconds | pool       | other                                              | place  |
+            | 1600         | half empty | a late job of which something runs                 | before |
+            | 1600         | half empty | a late job that has stood still for 100 ms         | before |
+            | 1600         | half empty | a late job that has stood still for 2000 ms        | after  |
+            | 1400         | half empty | a late job of which something runs                 | after  |
+            | 1600         | full       | a late job of which something runs                 | after  |
+            | 1600         | half empty | a job that can be on time                          | after  |
+            | 1600         | half empty | a lasting task that has waited 5000 ms             | after  |
+
+    Scenario Outline: A late job that has stood still for 1600 ms delays no <other> of its own queue, whatever waits in one of higher priority
+        Given a late job that has stood still for 1600 ms in a half empty pool
+        And a late job of which something runs in a queue of higher priority
+        And <other> in its own queue
+        Then its first task goes after both
+
+        Examples:
+            | other                                  |
+            | a job that can be on time              |
+            | a lasting task that has waited 5000 ms |
+
     Scenario: In a pool that is mostly reserved, a backlog drains in order of age
         Given 4 workers of 32 cores
         And a lasting task of 24 cores on each of them
--- a/src/jobs/policy/order.ts
+++ b/src/jobs/policy/order.ts
@@ -3,7 +3,7 @@
  *
  * Workload: interactive short jobs beside batch work of some seconds; during a burst both exceed the capacity. Jobs that can
  * still be on time go first, by due time. Late jobs follow, so that they do not delay the others as well; while the pool is half empty, those
- * that stand still get a task each before others get more. Lasting tasks keep
+ * that stand still get a task each before others get more, and those that starve do so whatever their queue's priority. Lasting tasks keep
  * what they get, so that those that wait leave scarce room to short tasks that are due soon, but not to late ones.
  */
 import { stepProgressOf } from "../job-table/job-table.js";
@@ -11,7 +11,7 @@
 import type { Task } from "../job-table/task.js";
 import type { Queue } from "../model/catalog.js";
 import type { Durations } from "./durations.js";
-import { idleSince } from "./starvation.js";
+import { idleSince, isLongIdle } from "./starvation.js";
 
 /** Options of the order. */
 export interface OrderingOptions {
@@ -46,22 +46,26 @@
     returning: 0,
     timely: 1,
     overdue: 2,
-    standingStill: 3,
-    late: 4,
-    lasting: 5,
+    /** First tasks of jobs that starve, of queues of any priority; see `findStarvingPriority`. */
+    starving: 3,
+    standingStill: 4,
+    late: 5,
+    lasting: 6,
 } as const;
 
 /** Ready tasks of one step that are equally urgent. Sorting them together keeps thousands of waiting tasks cheap. */
 interface RankedTasks {
     readonly first: Task;
     readonly tasks: Task[];
+    /** Pool of the tasks' queue. */
+    readonly pool: string | undefined;
     readonly priority: number;
     readonly turn: number;
     readonly timeliness: Timeliness;
     readonly dueAtMilliseconds: number;
 }
 
-/** Sorts ready tasks by priority, then by turn (see `TURNS`), then by timeliness and due time. */
+/** Sorts ready tasks by priority, then by turn (see `TURNS`), then by timeliness and due time. Starving jobs get a task whatever their priority. */
 export function orderTasks(ready: Iterable<Task>, options: OrderingOptions, now: number): Task[] {
     const groupsByKind = [0, 1, 2].map(() => new Map<StepProgress, RankedTasks>());
     const assessments = new Map<Occurrence, Assessment>();
@@ -80,34 +84,69 @@
         groups?.set(step, {
             first: task,
             tasks: [task],
+            pool: queue?.pool,
             priority: queue?.priority ?? 0,
             turn: chooseTurn(task, assessment, options, now),
             ...assessment,
         });
     }
-    return groupsByKind.flatMap(groups => [...groups.values()])
+    const ranked = groupsByKind.flatMap(groups => [...groups.values()])
         .flatMap(group => {
             const isStandingStill = group.turn === TURNS.late && options.isStandingStill?.(group.first) === true;
-            return isStandingStill ? putFirstTaskApart(group) : [group];
-        })
+            return isStandingStill ? putFirstTaskApart(group, now) : [group];
+        });
+    const preceding = findPrecedingPriorities(ranked);
+    return ranked
+        .map(group =>
+            group.turn === TURNS.starving ? { ...group, priority: findStarvingPriority(group, preceding) } : group
+        )
         .sort(compare)
         .flatMap(({ tasks }) => tasks.sort((left, right) => left.index - right.index));
 }
 
 /** Gives the first task of a job that stands still a turn before other late ones; the job that has stood still longest comes first. */
-function putFirstTaskApart(group: RankedTasks): RankedTasks[] {
+function putFirstTaskApart(group: RankedTasks, now: number): RankedTasks[] {
     const [first = group.first, ...others] = group.tasks.sort((left, right) => left.index - right.index);
     const apart: RankedTasks = {
         ...group,
         first,
         tasks: [first],
-        turn: TURNS.standingStill,
+        turn: isLongIdle(first, now) ? TURNS.starving : TURNS.standingStill,
         timeliness: 0,
         dueAtMilliseconds: idleSince(first),
     };
     return others[0] === undefined ? [apart] : [apart, { ...group, first: others[0], tasks: others }];
 }
 
+/** Priorities of the tasks that go before those of starving jobs. */
+interface PrecedingPriorities {
+    readonly first: number;
+    readonly byPool: ReadonlyMap<string | undefined, ReadonlySet<number>>;
+}
+
+function findPrecedingPriorities(groups: readonly RankedTasks[]): PrecedingPriorities {
+    const byPool = new Map<string | undefined, Set<number>>();
+    let first = Infinity;
+    for (const { pool, priority, turn } of groups) {
+        first = Math.min(first, priority);
+        if (turn < TURNS.starving) {
+            byPool.set(pool, (byPool.get(pool) ?? new Set()).add(priority));
+        }
+    }
+    return { first, byPool };
+}
+
+/**
+ * Priority at which a task of a starving job gets its turn: the first one, so that late tasks of other queues do not keep it waiting, or that of
+ * the last tasks of its pool that it must not delay. Those are the ones that can be on time and the lasting ones that have waited.
+ */
+function findStarvingPriority({ pool, priority }: RankedTasks, { byPool, first }: PrecedingPriorities): number {
+    return [...byPool.get(pool) ?? []].reduce(
+        (last, other) => other <= priority ? Math.max(last, other) : last,
+        first,
+    );
+}
+
 /** Whether a lasting task has waited longer than its limit. */
 export function isOverdue({ readyAtMilliseconds, step }: Task, now: number): boolean {
     return step.isLasting && now - readyAtMilliseconds >= LASTING_WAIT_LIMIT_MILLISECONDS;
--- a/src/jobs/policy/starvation.ts
+++ b/src/jobs/policy/starvation.ts
@@ -48,14 +48,18 @@
     if (!task.step.isFiller || !isPoolHalfEmpty || !isIdle(task.occurrence)) {
         return "none";
     }
-    const idleMilliseconds = now - idleSince(task);
-    if (idleMilliseconds >= STARVING_MILLISECONDS) {
+    if (isLongIdle(task, now)) {
         return "starving";
     }
     if (isLate()) {
         return "late";
     }
-    return idleMilliseconds >= SHARING_MILLISECONDS ? "idle" : "none";
+    return now - idleSince(task) >= SHARING_MILLISECONDS ? "idle" : "none";
+}
+
+/** Whether a task of a job of which nothing runs has been ready for so long that the job starves. */
+export function isLongIdle(task: Task, now: number): boolean {
+    return now - idleSince(task) >= STARVING_MILLISECONDS;
 }
 
 /** Whether no attempt of an occurrence runs. */
