Fillers of a kind share the search for a worker

Cause: each filler that starts costs a look at all workers of its pool, as a ranking of workers is kept only while tasks of one step follow one another. In a backlog the first tasks of hundreds of jobs follow one another instead.

Change: fillers of the same image, label, size and expected duration whose jobs need them equally badly share a ranking for the length of a pass. No placement raises a worker's score for a filler, and a score is computed again before its worker is chosen. Room whose reservation is withdrawn within a pass counts from the next pass on.

--- a/features/jobs/placement-cost.feature
+++ b/features/jobs/placement-cost.feature
@@ -21,3 +21,10 @@
         When a pass looks at 400 fillers of 4 images and of several sizes, half of them of late jobs
         Then it starts some of them, and makes at most 120 searches
         And none of those that it leaves out would find a worker by a search of its own
+
+    # Guards against passes in which each filler of a kind that starts costs a look at all workers.
+    Scenario: Fillers of hundreds of jobs that start share the searches of their kind
+        Given 12 workers with serving tasks and fillers of their own
+        When a pass looks at 400 fillers of 4 images and of several sizes, half of them of late jobs
+        Then it makes fewer searches than it starts tasks
+        And each starts on the worker that a search of its own finds
--- a/features/jobs/placement-searches.steps.ts
+++ b/features/jobs/placement-searches.steps.ts
@@ -5,13 +5,19 @@
 import assert from "node:assert/strict";
 import { createRandom } from "../../src/core/random.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
+import { addToLoad, copyLoad } from "../../src/jobs/job-table/occupancy.js";
+import type { WorkerLoad } from "../../src/jobs/job-table/occupancy.js";
 import type { Task } from "../../src/jobs/job-table/task.js";
 import type { Candidate } from "../../src/jobs/policy/candidate.js";
 import { createDurations } from "../../src/jobs/policy/durations.js";
+import { expectedEndIfStarted } from "../../src/jobs/policy/forecast.js";
 import { createInterference } from "../../src/jobs/policy/interference.js";
 import type { Interference } from "../../src/jobs/policy/interference.js";
+import { isLate } from "../../src/jobs/policy/order.js";
 import { planPass } from "../../src/jobs/policy/pass.js";
 import type { PassPlan } from "../../src/jobs/policy/pass.js";
+import { chooseWorker } from "../../src/jobs/policy/placement.js";
+import { assessStarvation, isHalfEmpty } from "../../src/jobs/policy/starvation.js";
 import { explainPlacement } from "../../src/jobs/policy/waiting.js";
 import { addTask, describeWorker, NOW, QUEUE } from "./builders.js";
 
@@ -31,6 +37,10 @@
 /** How much the fillers of each image slow down serving tasks. */
 const WEIGHTS = new Map(IMAGES.map((image, index) => [image, 0.5 * (index + 1)]));
 
+function listCandidates(loads: ReadonlyMap<string, WorkerLoad>): Candidate[] {
+    return [...loads].map(([id, load]) => ({ worker: describeWorker(id, WORKER_CORES), load }));
+}
+
 When(
     "a pass looks at {int} fillers of {int} images and of several sizes, half of them of late jobs",
     function(this: SearchesWorld, tasks: number, images: number) {
@@ -76,6 +86,29 @@
     assert.ok(searches <= limit, `${searches} searches`);
 });
 
+Then("it makes fewer searches than it starts tasks", function(this: SearchesWorld) {
+    const { searches, starts } = this.plan;
+    assert.ok(searches < starts.length, `${searches} searches, ${starts.length} starts`);
+});
+
+Then("each starts on the worker that a search of its own finds", function(this: SearchesWorld) {
+    const loads = new Map(this.workerIds.map(id => [id, copyLoad(this.jobTable.occupancy.load(id))]));
+    const durations = createDurations();
+    const isPoolHalfEmpty = isHalfEmpty(listCandidates(loads));
+    for (const attempt of this.plan.starts) {
+        const { task, worker } = attempt;
+        const isTaskLate = isLate(task, new Map([[QUEUE.name, QUEUE]]), durations, NOW);
+        const found = chooseWorker(task, listCandidates(loads), this.model, NOW, {
+            starvation: assessStarvation(task, { isPoolHalfEmpty, isLate: () => isTaskLate }, NOW),
+            expectedEndMilliseconds: expectedEndIfStarted(task.step, durations, NOW),
+        });
+        assert.equal(found?.worker.id, worker, task.key);
+        const load = loads.get(worker);
+        assert.ok(load !== undefined);
+        addToLoad(load, attempt);
+    }
+});
+
 Then("none of those that it leaves out would find a worker by a search of its own", function(this: SearchesWorld) {
     const started = new Set(this.plan.starts.map(({ task }) => task));
     for (const task of this.waiting.filter(waiting => !started.has(waiting))) {
--- a/src/jobs/policy/filler-searches.ts
+++ b/src/jobs/policy/filler-searches.ts
@@ -55,8 +55,8 @@
     return STARVATIONS.indexOf(starvation);
 }
 
-/** Whether a filler depends on nothing but its image, its label and what `isAtMost` compares. */
-function isComparable(task: Task): boolean {
+/** Whether what a filler needs depends on nothing but its image, label, size and duration, and on how badly its job needs it to start. */
+export function isComparable(task: Task): boolean {
     const { isFiller, isGang, isLasting, latencyObjectiveMilliseconds, limitPerWorker } = task.step;
     return isFiller && !isGang && !isLasting && latencyObjectiveMilliseconds === 0 && limitPerWorker === 0
         && !isSuspect(task);
--- a/src/jobs/policy/placements.ts
+++ b/src/jobs/policy/placements.ts
@@ -8,6 +8,7 @@
 import type { Attempt, Task } from "../job-table/task.js";
 import { findLargestRoom, isHeldByLasting, mayFit, mayFitTwice } from "./candidate.js";
 import type { Candidate, LargestRoom } from "./candidate.js";
+import { createFillerRankings } from "./filler-rankings.js";
 import { createFillerSearches } from "./filler-searches.js";
 import { expectedEndIfStarted } from "./forecast.js";
 import type { Interference } from "./interference.js";
@@ -74,23 +75,27 @@
         return mayFit(task, largestRoomOf(candidates), starvationOf(task, candidates));
     };
 
-    const fillerSearches = createFillerSearches({
-        starvationOf,
-        durationOf: ({ step }) => durations.estimate(step),
-    });
+    const durationOf = ({ step }: Task): number => durations.estimate(step);
+    const fillerSearches = createFillerSearches({ starvationOf, durationOf });
 
-    /** Ranks the candidates for a task; the tasks of a step that follow one another in a pass share a ranking. */
+    const rank = (task: Task, candidates: readonly Candidate[], starvation: Starvation): CandidateRanking => {
+        searches += 1;
+        const expectedEndMilliseconds = expectedEndIfStarted(task.step, durations, now);
+        return rankCandidates(task, candidates, interference, now, { starvation, expectedEndMilliseconds });
+    };
+
+    const fillerRankings = createFillerRankings({ durationOf, rank });
+
+    /** Ranks the candidates for a task; fillers of a kind, and tasks of a step that follow one another in a pass, share a ranking. */
     const rankFor = (task: Task, candidates: readonly Candidate[]): CandidateRanking => {
-        const options = { starvation: starvationOf(task, candidates) };
-        const key: RankingKey = { candidates, task, ...options };
+        const starvation = starvationOf(task, candidates);
+        const shared = fillerRankings.rankFor(task, candidates, starvation);
+        if (shared !== undefined) {
+            return shared;
+        }
+        const key: RankingKey = { candidates, task, starvation };
         if (latestRanking === undefined || !isSameKey(latestRanking.key, key, now)) {
-            searches += 1;
-            const expectedEndMilliseconds = expectedEndIfStarted(task.step, durations, now);
-            const ranking = rankCandidates(task, candidates, interference, now, {
-                ...options,
-                expectedEndMilliseconds,
-            });
-            latestRanking = { key, ranking };
+            latestRanking = { key, ranking: rank(task, candidates, starvation) };
         }
         return latestRanking.ranking;
     };
