Fillers of late jobs share the cores that others leave on their worker

Callers saw: accepted jobs of a backlog stood still for over 3 s although most of the workers' cores were free, where a task reserved some on each worker.

Cause: fillers shared cores only on workers on which no other task reserves any. Elsewhere each waited for 0.6 of its own cores.

Change: a filler of a job that cannot be on time, or has stood still for 1.5 s, also shares the cores that tasks which reserve theirs leave, as long as each filler gets 0.15 of its own from these. Fillers only get what others leave unused, and disturb only tasks that serve; beside those none are shared, and the model of interference decides as before. The largest room, which tasks that fit nowhere are compared with, counts the same.

Check replaced: that a filler of a late job does not start beside 8 fillers of 4 cores and a task of 2 cores guarded nothing that the task needs, as its cores stay its own. It now starts there, and rows for tasks of 3 and 17 cores state up to how many fillers it does (47 and 23) and from how many not (48 and 25); others state that it does not in a pool of which 18 of 32 cores are reserved, nor beside a task that serves. The row for a job that can still be on time and has stood still for 0.6 s stays: it gains nothing by a start at a small share. The play's fillers divide what reserved cores leave, as on a worker; that changes nothing where none are reserved.

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -14,6 +14,14 @@
         When 12 seconds have passed, after which none of them can be on time
         Then none of them runs nothing at each of three looks 1500 ms apart in the 20 seconds after that
 
+    # Guards against jobs that wait for whole cores where others have reserved some on each worker (LOST).
+    Scenario: No job stands still for 3 s while a backlog of late fillers drains beside tasks that reserve cores
+        Given 12 workers of 32 cores whose tasks slow each other down
+        And a lasting task of 12 cores on each of them
+        And 150 jobs of 10 fillers of 5 cores that each run for 2200 ms are handed in at once
+        When 12 seconds have passed, after which none of them can be on time
+        Then none of them has nothing running for 3 s on end in the 20 seconds after that
+
     # Guards against jobs of one queue that stand still as long as one of higher priority has late work (LOST).
     Scenario: No job of either of two queues stands still for 3 s while their backlog of late fillers drains
         Given 4 workers of 32 cores
@@ -68,23 +76,31 @@
         Then a filler of 4 cores whose job has stood still for <milliseconds> ms <outcome> it
 
         Examples:
-            | others                             | milliseconds | outcome           |
-            | 8 fillers of 4 cores               | 100          | does not start on |
-            | 8 fillers of 4 cores               | 600          | starts on         |
-            | 18 fillers of 4 cores              | 600          | starts on         |
-            | 20 fillers of 4 cores              | 600          | does not start on |
-            | 8 fillers of 4 cores, and a task of 2 cores | 600 | does not start on |
+            | others                                                   | milliseconds | outcome           |
+            | 8 fillers of 4 cores                                     | 100          | does not start on |
+            | 8 fillers of 4 cores                                     | 600          | starts on         |
+            | 18 fillers of 4 cores                                    | 600          | starts on         |
+            | 20 fillers of 4 cores                                    | 600          | does not start on |
+            | 8 fillers of 4 cores, and a task of 2 cores              | 600          | does not start on |
+            | 8 fillers of 4 cores, and a task of 2 cores              | 1600         | starts on         |
+            | 8 fillers of 4 cores, and a task that serves of 16 cores | 600          | does not start on |
 
     Scenario Outline: A filler of a late job of which nothing runs <outcome> a worker that runs <others>
         Given a worker of 32 cores that runs <others>
         Then a filler of 4 cores whose late job has stood still for <milliseconds> ms <outcome> it
 
         Examples:
-            | others                                      | milliseconds | outcome           |
-            | 8 fillers of 4 cores                        | 0            | starts on         |
-            | 52 fillers of 4 cores                       | 0            | starts on         |
-            | 53 fillers of 4 cores                       | 1000         | does not start on |
-            | 8 fillers of 4 cores, and a task of 2 cores | 0            | does not start on |
+            | others                                                   | milliseconds | outcome           |
+            | 8 fillers of 4 cores                                     | 0            | starts on         |
+            | 52 fillers of 4 cores                                    | 0            | starts on         |
+            | 53 fillers of 4 cores                                    | 1000         | does not start on |
+            | 8 fillers of 4 cores, and a task of 2 cores              | 0            | starts on         |
+            | 47 fillers of 4 cores, and a task of 3 cores             | 0            | starts on         |
+            | 48 fillers of 4 cores, and a task of 3 cores             | 1000         | does not start on |
+            | 23 fillers of 4 cores, and a task of 17 cores            | 0            | starts on         |
+            | 25 fillers of 4 cores, and a task of 17 cores            | 1600         | does not start on |
+            | 8 fillers of 4 cores, and a task of 18 cores             | 1600         | does not start on |
+            | 8 fillers of 4 cores, and a task that serves of 16 cores | 1000         | does not start on |
 
     Scenario: Cores that fillers ask for do not make a pool count as full
         Given a worker of 32 cores with a task that serves on 4 of them, beside which all fillers are known to do harm
--- a/features/jobs/backlog.steps.ts
+++ b/features/jobs/backlog.steps.ts
@@ -19,6 +19,7 @@
 
 interface BacklogWorld {
     play: Play;
+    workers: number;
     jobTable: JobTable;
     candidates: Candidate[];
     /** Identifiers of the jobs, the one that is to get its turn first at the front. */
@@ -46,18 +47,20 @@
 }
 
 Given("{int} workers of {int} cores", function(this: BacklogWorld, workers: number, cores: number) {
+    this.workers = workers;
     this.play = createPlay({ workers, cores, looksAhead: true });
 });
 
 Given(
     "{int} workers of {int} cores whose tasks slow each other down",
     function(this: BacklogWorld, workers: number, cores: number) {
+        this.workers = workers;
         this.play = createPlay({ workers, cores, looksAhead: true, dividesCores: true });
     },
 );
 
 Given("a lasting task of {int} cores on each of them", function(this: BacklogWorld, cores: number) {
-    const fields = { cores, taskCount: 4, limitPerWorker: 1, isLasting: true };
+    const fields = { cores, taskCount: this.workers, limitPerWorker: 1, isLasting: true };
     this.play.submit({ id: describeId(1_000), fields, runMilliseconds: Infinity });
     this.play.advance(SECOND);
 });
@@ -217,12 +220,21 @@
 }
 
 Given(
-    /^a worker of (\d+) cores that runs (\d+) fillers of (\d+) cores(, and a task of 2 cores)?$/,
-    function(this: BacklogWorld, cores: string, fillers: string, size: string, other: string | null) {
+    /^a worker of (\d+) cores that runs (\d+) fillers of (\d+) cores(?:, and a task (that serves )?of (\d+) cores)?$/,
+    function(
+        this: BacklogWorld,
+        cores: string,
+        fillers: string,
+        size: string,
+        serving: string | null,
+        otherCores: string | null,
+    ) {
         this.jobTable = createEmptyJobTable();
         this.candidates = [addWorker(this.jobTable, "worker-0", Number(cores), Number(fillers), Number(size))];
-        if (other !== null) {
-            runTask(this.jobTable, addTask(this.jobTable, "other", { cores: 2 }, NOW), "worker-0", NOW);
+        if (otherCores !== null) {
+            const latencyObjectiveMilliseconds = serving === null ? 0 : 25;
+            const fields = { cores: Number(otherCores), isLasting: serving !== null, latencyObjectiveMilliseconds };
+            runTask(this.jobTable, addTask(this.jobTable, "other", fields, NOW), "worker-0", NOW);
         }
     },
 );
--- a/features/jobs/look-ahead-play.ts
+++ b/features/jobs/look-ahead-play.ts
@@ -42,7 +42,7 @@
     readonly workers: number;
     readonly cores: number;
     readonly looksAhead: boolean;
-    /** Whether tasks that ask for more cores than their worker has run slower in proportion; all run at full speed if absent. */
+    /** Whether fillers that ask for more cores than others leave run slower in proportion; all run at full speed if absent. */
     readonly dividesCores?: boolean;
 }
 
@@ -76,16 +76,18 @@
     let now = NOW;
     let sequence = 0;
 
-    const speedOn = (worker: string): number => {
+    const speedOf = ({ task, worker }: Attempt): number => {
         const { fillerMillicores, used } = jobTable.occupancy.load(worker);
-        return dividesCores ? Math.min(1, cores * 1_000 / (used.millicores + fillerMillicores)) : 1;
+        return dividesCores && task.step.isFiller
+            ? Math.min(1, (cores * 1_000 - used.millicores) / fillerMillicores)
+            : 1;
     };
 
     const recordEnds = (): void => {
         for (const [attempt, before] of running) {
             const { number, task, worker } = attempt;
             const outcome = outcomes.get(task.entry.id);
-            const ran = before + PASS_MILLISECONDS * speedOn(worker);
+            const ran = before + PASS_MILLISECONDS * speedOf(attempt);
             const runMilliseconds = outcome?.job.runMilliseconds ?? 0;
             if (ran < runMilliseconds) {
                 running.set(attempt, ran);
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -52,23 +52,35 @@
 /** A filler is not placed where it would get less than this share of its cores. */
 export const MINIMUM_FILLER_SHARE = 0.6;
 
-/** A filler that shares the cores of others is not placed where all of them would get less than this share of theirs. */
-const MINIMUM_SHARED_SHARES: Readonly<Record<Starvation, number>> = {
-    none: Infinity,
-    idle: 0.4,
-    late: 0.15,
-    starving: 0.15,
+/** Where a filler shares cores with other fillers. */
+interface SharingLimits {
+    /** It is not placed where all of them would get less than this share of theirs. */
+    readonly minimumShare: number;
+    /** Whether it is placed beside tasks that reserve cores. */
+    readonly isBesideReserved: boolean;
+}
+
+const SHARING_LIMITS: Readonly<Record<Starvation, SharingLimits>> = {
+    none: { minimumShare: Infinity, isBesideReserved: false },
+    idle: { minimumShare: 0.4, isBesideReserved: false },
+    late: { minimumShare: 0.15, isBesideReserved: true },
+    starving: { minimumShare: 0.15, isBesideReserved: true },
 };
 
-/** Whether a filler may share the cores of a worker with those that run there. Cores that others have reserved are not shared. */
-export function canShareCores({ step }: Task, { load, worker }: Candidate, starvation: Starvation): boolean {
-    return load.used.millicores === 0
-        && step.size.millicores <= sharedMillicoresOf({ load, worker }, starvation);
+/**
+ * Whether a filler may share the cores of a worker with those that run there. Fillers only get cores that no other task has reserved. Beside
+ * tasks that serve, which fillers disturb, none are shared.
+ */
+export function canShareCores({ step }: Task, candidate: Candidate, starvation: Starvation): boolean {
+    return step.size.millicores <= sharedMillicoresOf(candidate, starvation);
 }
 
 /** Most cores that a filler may ask for where it shares those of others, in thousandths. */
 function sharedMillicoresOf({ load, worker }: Candidate, starvation: Starvation): number {
-    return worker.capacity.millicores / MINIMUM_SHARED_SHARES[starvation] - load.fillerMillicores;
+    const { fillerMillicores, servingCount, used } = load;
+    const { isBesideReserved, minimumShare } = SHARING_LIMITS[starvation];
+    const isShared = isBesideReserved ? servingCount === 0 : used.millicores === 0;
+    return isShared ? (worker.capacity.millicores - used.millicores) / minimumShare - fillerMillicores : -Infinity;
 }
 
 /** How a task treats capacity that is reserved for others. */
@@ -192,10 +204,8 @@
         free.accelerators = Math.max(free.accelerators, capacity.accelerators - used.accelerators);
         totalFree = addSize(totalFree, maximumOf(addSize(capacity, used, -1), ZERO_SIZE));
         idle = Math.max(idle, idleMillicores(candidate));
-        if (used.millicores === 0) {
-            for (const starvation of STARVATIONS) {
-                shared[starvation] = Math.max(shared[starvation], sharedMillicoresOf(candidate, starvation));
-            }
+        for (const starvation of STARVATIONS) {
+            shared[starvation] = Math.max(shared[starvation], sharedMillicoresOf(candidate, starvation));
         }
     }
     return { free, idleMillicores: idle, sharedMillicores: shared, totalFree };
