--- a/features/jobs/look-ahead-play.ts
+++ b/features/jobs/look-ahead-play.ts
@@ -42,7 +42,7 @@
     readonly workers: number;
     readonly cores: number;
     readonly looksAhead: boolean;
-    /** Whether tasks that ask for more cores than their worker has run slower in proportion; all run at full speed if absent. */
+    /** Whether fillers that ask for more cores than others leave run slower in proportion; all run at full speed if absent. */
     readonly dividesCores?: boolean;
 }
 
@@ -78,17 +78,19 @@
     let now = NOW;
     let sequence = 0;
 
-    const speedOn = (id: string): number => {
+    const speedOf = ({ task, worker: id }: Attempt): number => {
         const { fillerMillicores, used } = jobTable.occupancy.load(id);
         const millicores = listed.find(worker => worker.id === id)?.capacity.millicores ?? 0;
-        return dividesCores ? Math.min(1, millicores / (used.millicores + fillerMillicores)) : 1;
+        return dividesCores && task.step.isFiller
+            ? Math.max(0, Math.min(1, (millicores - used.millicores) / fillerMillicores))
+            : 1;
     };
 
     const recordEnds = (): void => {
         for (const [attempt, before] of running) {
             const { number, task, worker } = attempt;
             const outcome = outcomes.get(task.entry.id);
-            const ran = before + PASS_MILLISECONDS * speedOn(worker);
+            const ran = before + PASS_MILLISECONDS * speedOf(attempt);
             const runMilliseconds = outcome?.job.runMilliseconds ?? 0;
             if (ran < runMilliseconds) {
                 running.set(attempt, ran);
