An attempt that no worker has confirmed does not count as running

A job whose only attempt was ordered to a worker that answers reports and no orders stood still until the attempt was given up after 12 s: it got no turn before other late jobs, and its fillers shared no cores. Each attempt in the table counted as running, whether its worker had confirmed it or not. After it was given up, the job counted as having run until then.

An attempt that no worker has confirmed or reported counts as running for 1 s after its order, also while it is being stopped. Giving up an attempt that was never seen to run does not count as the end of a run.

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -52,6 +52,30 @@
             | 53 fillers of 4 cores                       | 1000         | does not start on |
             | 8 fillers of 4 cores, and a task of 2 cores | 0            | does not start on |
 
+    # Guards against a job that stands still for 12 s behind an order that its worker does not answer (LOST).
+    Scenario Outline: A job whose only attempt was ordered <milliseconds> ms ago and <state> <outcome> as standing still
+        Given a late job of a half empty pool whose only attempt was ordered <milliseconds> ms ago and <state>
+        Then the job <outcome> as standing still, and a filler of it <start> where 8 fillers use all cores
+
+        Examples:
+            | milliseconds | state                              | outcome        | start          |
+            | 6000         | is not confirmed                   | counts         | starts         |
+            | 6000         | is stopped before it was confirmed | counts         | starts         |
+            | 6000         | runs                               | does not count | does not start |
+            | 6000         | is stopped while it runs           | does not count | does not start |
+            | 900          | is not confirmed                   | does not count | does not start |
+
+    Scenario: A job of which one attempt is not confirmed and another runs does not stand still
+        Given a late job of a half empty pool whose only attempt was ordered 6000 ms ago and is not confirmed
+        When another task of it runs
+        Then the job does not count as standing still, and a filler of it does not start where 8 fillers use all cores
+
+    # Guards against a job that counts as having run until an attempt of it that never began was given up (LOST).
+    Scenario: A job has stood still since before an attempt that no worker has confirmed
+        Given a late job of a half empty pool whose only attempt was ordered 12000 ms ago and is not confirmed
+        When the attempt is given up
+        Then the job has stood still for 12000 ms
+
     Scenario: Cores that fillers ask for do not make a pool count as full
         Given a worker of 32 cores with a task that serves on 4 of them, beside which all fillers are known to do harm
         And a second worker of 32 cores that runs 8 fillers of 4 cores
--- a/features/jobs/backlog.steps.ts
+++ b/features/jobs/backlog.steps.ts
@@ -183,7 +183,7 @@
     return orderTasks(jobTable.readyTasks, {
         queue: () => QUEUE,
         durations: createDurations(),
-        isStandingStill: ({ occurrence }) => isIdle(occurrence),
+        isStandingStill: ({ occurrence }) => isIdle(occurrence, NOW),
     }, NOW);
 }
 
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -167,7 +167,9 @@
 export function recordLostAttempt(table: JobTable, attempt: Attempt, now: number): void {
     const { task } = attempt;
     removeAttempt(table, attempt);
-    task.occurrence.lastEndedAtMilliseconds = now;
+    if (attempt.runningSinceMilliseconds !== undefined) {
+        task.occurrence.lastEndedAtMilliseconds = now;
+    }
     if (attempt.number >= task.lastAttempt) {
         recordCheckpoint(table, task, attempt.checkpoint);
     }
--- a/src/jobs/policy/pass.ts
+++ b/src/jobs/policy/pass.ts
@@ -113,7 +113,7 @@
         durations,
         hasAmpleRoom: task =>
             placements.hasAmpleRoom(task, candidatesFor(task)) || !placements.isHeldByLasting(candidatesFor(task)),
-        isStandingStill: task => placements.isHalfEmpty(candidatesFor(task)) && isIdle(task.occurrence),
+        isStandingStill: task => placements.isHalfEmpty(candidatesFor(task)) && isIdle(task.occurrence, now),
     };
     const lookAheadPass = lookAhead?.startPass(now);
     // The tasks of one step have the same requirements, except suspects: if one cannot be placed, neither can the others.
--- a/src/jobs/policy/starvation.ts
+++ b/src/jobs/policy/starvation.ts
@@ -5,7 +5,7 @@
  * turn comes first.
  */
 import type { Occurrence, StepProgress } from "../job-table/job.js";
-import type { Task } from "../job-table/task.js";
+import type { Attempt, Task } from "../job-table/task.js";
 import type { Candidate } from "./candidate.js";
 
 /** Time without a running attempt after which a filler of a job that can still be on time shares the cores of other fillers. */
@@ -14,6 +14,9 @@
 /** Time without a running attempt after which the job starves; the platform's documentation allows twice that. */
 const STARVING_MILLISECONDS = 1_500;
 
+/** Time after its order from which an attempt that no worker has confirmed no longer counts as running. */
+const CONFIRMATION_MILLISECONDS = 1_000;
+
 /** Share of a pool's cores that others than fillers use, below which no job may starve; the platform's documentation requires half. */
 const STARVING_USE_SHARE = 0.55;
 
@@ -45,7 +48,7 @@
     { isLate, isPoolHalfEmpty }: StarvationConditions,
     now: number,
 ): Starvation {
-    if (!task.step.isFiller || !isPoolHalfEmpty || !isIdle(task.occurrence)) {
+    if (!task.step.isFiller || !isPoolHalfEmpty || !isIdle(task.occurrence, now)) {
         return "none";
     }
     const idleMilliseconds = now - idleSince(task);
@@ -58,9 +61,9 @@
     return idleMilliseconds >= SHARING_MILLISECONDS ? "idle" : "none";
 }
 
-/** Whether no attempt of an occurrence runs. */
-export function isIdle({ steps }: Occurrence): boolean {
-    return !steps.some(hasAttempts);
+/** Whether no attempt of an occurrence runs. One whose worker has not confirmed it for some time counts as not running. */
+export function isIdle({ steps }: Occurrence, now: number): boolean {
+    return !steps.some(progress => hasLikelyAttempts(progress, now));
 }
 
 /** Since when a task has been ready while nothing of its occurrence has run. */
@@ -79,11 +82,15 @@
     return used < capacity * STARVING_USE_SHARE;
 }
 
-function hasAttempts({ openTasks }: StepProgress): boolean {
+function hasLikelyAttempts({ openTasks }: StepProgress, now: number): boolean {
     for (const { attempts } of openTasks.values()) {
-        if (attempts.length > 0) {
+        if (attempts.some(attempt => isLikelyRunning(attempt, now))) {
             return true;
         }
     }
     return false;
 }
+
+function isLikelyRunning({ orderedAtMilliseconds, runningSinceMilliseconds }: Attempt, now: number): boolean {
+    return runningSinceMilliseconds !== undefined || now - orderedAtMilliseconds < CONFIRMATION_MILLISECONDS;
+}
