A task whose end its worker never lists is started again

A task that the present owner had started, and that had ended on a worker which answers and lists no more ends, was not started again: an attempt was given up only on a report that lists all ends. Tasks of former owners had a bound.

An attempt that reports have left out of what runs for 12 s is given up although ends may be missing, if the worker has listed no new end for 5 s while all that it listed were acknowledged. An end that is listed within these 12 s counts as before, so that a task which is done is not started a second time. The worker keeps its lease, and its other runs go on.

An end that is listed later than that finds its task started a second time.

--- a/features/jobs/wait-bounds.feature
+++ b/features/jobs/wait-bounds.feature
@@ -24,6 +24,20 @@
         And leases are granted to "worker-0" again within 1 s
         And the task of "worker-1" has run on
 
+    # Guards against a task of the present owner that waits without end for the end of its attempt to be listed (LOST).
+    Scenario: A task whose worker answers and never lists its end is started again after 12 s
+        Given an owner of 3 workers, of which the first 2 run a task each
+        When "worker-0" finishes its task and lists no ends from then on
+        Then the task that was finished unseen is started again between 12 s and 15 s later
+        And the task of "worker-1" has run on
+
+    # Guards against a second start after an end that is acknowledged later (TWICE).
+    Scenario: A task whose worker lists its end late is not started again
+        Given an owner of 3 workers, of which the first 2 run a task each
+        When "worker-0" finishes its task and lists no ends from then on
+        And "worker-0" lists its ends 11 s later
+        Then no task that was finished is started again within 4 s
+
     # A run of no job that no stop ends would otherwise keep its worker from all starts, under leases that its owner renews.
     Scenario: A worker whose foreign run no stop ends gets starts again once its lease was withheld and has lapsed
         Given an owner of 2 workers, of which the first 2 run a task each
--- a/features/jobs/wait-bounds.steps.ts
+++ b/features/jobs/wait-bounds.steps.ts
@@ -80,6 +80,37 @@
     reach.workers = new Set(bounds.workerNames);
 });
 
+When("{string} finishes its task and lists no ends from then on", function(this: BoundsWorld, worker: string) {
+    this.bounds.hideEnds(worker, true);
+    this.finished = this.bounds.finishTask(worker);
+});
+
+When(
+    "{string} lists its ends {int} s later",
+    LIMIT,
+    async function(this: BoundsWorld, worker: string, seconds: number) {
+        const { bounds } = this;
+        await bounds.passTime(seconds * SECOND);
+        assert.deepEqual(laterRuns(this), []);
+        bounds.hideEnds(worker, false);
+    },
+);
+
+Then(
+    "the task that was finished unseen is started again between {int} s and {int} s later",
+    LIMIT,
+    async function(this: BoundsWorld, earliestSeconds: number, latestSeconds: number) {
+        const { bounds } = this;
+        await bounds.passTime(earliestSeconds * SECOND);
+        assert.deepEqual(laterRuns(this), []);
+        const isStarted = await bounds.passTime(
+            (latestSeconds - earliestSeconds) * SECOND,
+            () => laterRuns(this).length > 0,
+        );
+        assert.ok(isStarted, "the task still waits");
+    },
+);
+
 When("{string} is silent from now on", function(this: BoundsWorld, worker: string) {
     const { bounds, owner: { reach } } = this;
     reach.workers = new Set(bounds.workerNames.filter(name => name !== worker));
--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -6,7 +6,7 @@
 import type { Attempt } from "../job-table/task.js";
 import type { EndedAttempt, RunningAttempt, WorkerReport } from "../model/worker.js";
 import { recordSuccess } from "../policy/health.js";
-import { LATEST_ORDER_MILLISECONDS } from "./worker.js";
+import { hasStoppedListing, LATEST_ORDER_MILLISECONDS } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Changes that a report led to. */
@@ -17,7 +17,7 @@
     readonly foreign: readonly RunningAttempt[];
     /** Ends that had not been recorded before. */
     readonly ended: readonly { readonly end: EndedAttempt; readonly attempt: Attempt | undefined; }[];
-    /** Attempts that the worker no longer lists; empty if it has not listed all ends. */
+    /** Attempts that the worker no longer lists; if it has not listed all ends, only those whose ends it may never list. */
     readonly lost: readonly Attempt[];
     /** Number of reported attempts that had not been recorded before. */
     readonly adopted: number;
@@ -89,13 +89,23 @@
         const isCovered = confirmedClockMilliseconds === undefined
             ? sentAt - sentAtMilliseconds > LATEST_ORDER_MILLISECONDS
             : confirmedClockMilliseconds < report.clockMilliseconds;
-        if (report.isComplete && !reported.has(attempt) && isCovered) {
+        if (reported.has(attempt) || !isCovered) {
+            attempt.unlistedSinceMilliseconds = undefined;
+            continue;
+        }
+        attempt.unlistedSinceMilliseconds ??= now;
+        if (report.isComplete || mayNeverBeListed(worker, attempt.unlistedSinceMilliseconds, now)) {
             markLost(attempt);
         }
     }
     return { hasRestarted, foreign, ended, lost, adopted, unwanted };
 }
 
+/** Whether the end of an attempt that the worker does not run may be among those that it never lists. */
+function mayNeverBeListed(worker: CellWorker, unlistedSinceMilliseconds: number, now: number): boolean {
+    return hasStoppedListing(worker, now) && now - unlistedSinceMilliseconds > LATEST_ORDER_MILLISECONDS;
+}
+
 /** Discards the state of a worker's former incarnation. */
 function resetWorkerState(worker: CellWorker): void {
     worker.recordedSequence = 0;
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -40,6 +40,7 @@
         sentAtMilliseconds: undefined,
         phase: "ordered",
         confirmedClockMilliseconds: undefined,
+        unlistedSinceMilliseconds: undefined,
         runningSinceMilliseconds: undefined,
         checkpoint: task.checkpoint,
         percent: 0,
--- a/src/jobs/job-table/task.ts
+++ b/src/jobs/job-table/task.ts
@@ -24,6 +24,8 @@
     phase: AttemptPhase;
     /** The worker's clock when it confirmed the start. Reports with an earlier clock do not cover this attempt. */
     confirmedClockMilliseconds: number | undefined;
+    /** Since when reports that have to list the attempt while it runs have left it out; absent if the latest did not. */
+    unlistedSinceMilliseconds: number | undefined;
     /** When the worker first confirmed or reported the attempt. */
     runningSinceMilliseconds: number | undefined;
     checkpoint: string;
