--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -40,6 +40,7 @@
         sentAtMilliseconds: undefined,
         phase: "ordered",
         confirmedClockMilliseconds: undefined,
+        unlistedSinceMilliseconds: undefined,
         runningSinceMilliseconds: undefined,
         checkpoint: task.checkpoint,
         percent: 0,
@@ -167,7 +168,9 @@
 export function recordLostAttempt(table: JobTable, attempt: Attempt, now: number): void {
     const { task } = attempt;
     removeAttempt(table, attempt);
-    task.occurrence.lastEndedAtMilliseconds = now;
+    if (attempt.runningSinceMilliseconds !== undefined) {
+        task.occurrence.lastEndedAtMilliseconds = now;
+    }
     if (attempt.number >= task.lastAttempt) {
         recordCheckpoint(table, task, attempt.checkpoint);
     }
