Waiting tasks are counted by the latest look for tasks of their kind

Callers saw a quarter of the ready tasks counted as "unexplained" in cell-load and flamingowell_cell_waiting_tasks while a backlog drained: that was the reason of a step until its first line, and 10 lines are written a second.

Tasks of one kind (pool, size, image, label, how they are to run, starvation, suspicion, reservations that bind them) now share a look at the workers. A check makes up to 100 looks for its counts, the oldest kinds first, so that 140 kinds are renewed within two checks. Lines stay limited to 10, and a reason that only a look has changed makes none due earlier.

--- a/features/jobs/waiting-lines.feature
+++ b/features/jobs/waiting-lines.feature
@@ -91,6 +91,23 @@
         And each of the 1000 jobs has a line, which tells of 3 tasks
         And 3000 tasks are counted as waiting for "no-room"
 
+    Scenario: Many steps of different kinds are counted by what stands against them, not as unexplained until their lines
+        When 1000 jobs of 140 kinds are ready, and other tasks use all cores
+        And 3000 ms pass with a look at what waits each second
+        Then 1000 tasks are counted as waiting for "no-room"
+        And no look has written more than 10 lines
+
+    Scenario: The count of many steps follows a changed reason within two seconds
+        When 1000 jobs of 140 kinds are ready, and other tasks use all cores
+        And 5000 ms pass with a look at what waits each second
+        And the workers fall silent
+        And 2000 ms pass with a look at what waits each second
+        Then 1000 tasks are counted as waiting for "worker-silent"
+
+    Scenario: Tasks that share a look at the workers would each find the same by one of their own
+        When tasks of different kinds are ready at workers that run others, and room is kept on one of them
+        Then looks for each task find the same for all tasks of a kind, which are fewer
+
     Scenario: An attempt whose start is in doubt is told of with its worker
         When a task is ready, and its start has been left unanswered by a worker that is silent now
         And 5000 ms pass with a look at what waits each second
--- a/features/jobs/waiting-lines.steps.ts
+++ b/features/jobs/waiting-lines.steps.ts
@@ -175,6 +175,21 @@
     }
 });
 
+When("{int} jobs of {int} kinds are ready, and other tasks use all cores", function(
+    this: WaitingLinesWorld,
+    jobs: number,
+    kinds: number,
+) {
+    occupyAll(this, { cores: CORES });
+    for (let index = 0; index < jobs; index++) {
+        addTask(this.jobTable, `job-${index}`, { image: `image-${index % kinds}` }, NOW);
+    }
+});
+
+When("the workers fall silent", function(this: WaitingLinesWorld) {
+    this.waiting.workers.forEach(worker => worker.contact = "silent");
+});
+
 When("a task is ready, and its start has been left unanswered by a worker that is silent now", function(
     this: WaitingLinesWorld,
 ) {
--- a/features/jobs/waiting-looks.steps.ts
+++ b/features/jobs/waiting-looks.steps.ts
@@ -7,11 +7,12 @@
 import { createRandom } from "../../src/core/random.js";
 import { stepProgressOf } from "../../src/jobs/job-table/job-table.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
-import type { Attempt } from "../../src/jobs/job-table/task.js";
+import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import { planPass } from "../../src/jobs/policy/pass.js";
+import { createKinds } from "../../src/jobs/policy/waiting-kind.js";
 import { explainPlacement } from "../../src/jobs/policy/waiting.js";
 import type { PlacementExplanation } from "../../src/jobs/policy/waiting.js";
-import { addTask, NOW, QUEUE } from "./builders.js";
+import { addTask, NOW, QUEUE, runTask } from "./builders.js";
 import type { describeStep } from "./builders.js";
 import { createTakeoverSimulation } from "./takeover-world.js";
 import type { TakeoverSimulation } from "./takeover-world.js";
@@ -23,6 +24,8 @@
     waiting: WaitingCell;
     others: Attempt[];
     explanation: PlacementExplanation;
+    /** A task that room is kept for. */
+    reserving: Task;
     simulation?: TakeoverSimulation;
     ownerEvents: { readonly event: string; readonly fields: WaitingLine; }[];
 }
@@ -38,7 +41,7 @@
     await this.simulation?.close();
 });
 
-When("tasks of different kinds are ready at workers that run others", function(this: WaitingLooksWorld) {
+function addTasksOfDifferentKinds(world: WaitingLooksWorld): void {
     const random = createRandom(SEED);
     const pick = <Value>(values: readonly Value[]): Value => values[Math.floor(random() * values.length)] as Value;
     const describeAny = (): StepFields => ({
@@ -52,15 +55,68 @@
             { image: "desk", latencyObjectiveMilliseconds: 100 },
         ]),
     });
-    for (const worker of this.waiting.workers.keys()) {
-        occupy(this, worker, { image: "desk", latencyObjectiveMilliseconds: 100, cores: 2 });
-        occupy(this, worker, { isFiller: true, image: "other", cores: 1 });
+    for (const worker of world.waiting.workers.keys()) {
+        occupy(world, worker, { image: "desk", latencyObjectiveMilliseconds: 100, cores: 2 });
+        occupy(world, worker, { isFiller: true, image: "other", cores: 1 });
     }
     // Fillers wait for the result of a trial, unless they starve.
-    this.waiting.cell.interference.recordTrial("desk", "booking", NOW);
+    world.waiting.cell.interference.recordTrial("desk", "booking", NOW);
     for (let index = 0; index < READY_TASKS; index++) {
-        addTask(this.jobTable, `any-${index}`, describeAny(), NOW - pick([0, 3_500, 5_000]));
+        addTask(world.jobTable, `any-${index}`, describeAny(), NOW - pick([0, 3_500, 5_000]));
+    }
+}
+
+When("tasks of different kinds are ready at workers that run others", function(this: WaitingLooksWorld) {
+    addTasksOfDifferentKinds(this);
+});
+
+When(
+    "tasks of different kinds are ready at workers that run others, and room is kept on one of them",
+    function(this: WaitingLooksWorld) {
+        const { jobTable } = this;
+        addTasksOfDifferentKinds(this);
+        const variants: readonly StepFields[] = [
+            ...[100, 300, 1_000, 3_000].map(estimateMilliseconds => ({ cores: 4, estimateMilliseconds })),
+            ...["booking", "other"].flatMap(image => [
+                { image },
+                { image, isFiller: true },
+                { image, isFiller: true, latencyObjectiveMilliseconds: 100 },
+            ]),
+            { isGang: true, taskCount: 2 },
+            { isLasting: true },
+        ];
+        for (let index = 0; index < READY_TASKS; index++) {
+            addTask(jobTable, `variant-${index}`, variants[index % variants.length] ?? {}, NOW);
+        }
+        const limits = { limitPerWorker: 1, taskCount: 2 };
+        runTask(jobTable, addTask(jobTable, "at-limit", limits, NOW), "worker-1", NOW);
+        addTask(jobTable, "below-limit", limits, NOW);
+        this.reserving = addTask(jobTable, "reserving", { cores: 4, estimateMilliseconds: 3_000 }, NOW);
+    },
+);
+
+Then("looks for each task find the same for all tasks of a kind, which are fewer", function(this: WaitingLooksWorld) {
+    const { jobTable, reserving, waiting } = this;
+    const { durations, interference } = waiting.cell;
+    const candidates = waiting.pools().get(QUEUE.pool) ?? [];
+    assert.ok(candidates[0] !== undefined);
+    candidates[0].reservation = {
+        step: stepProgressOf(reserving),
+        size: reserving.step.size,
+        expectedAtMilliseconds: NOW + 1_500,
+    };
+    const { queues } = waiting.cell.catalog();
+    const pool = { candidates, unavailable: new Map(), isLimitReached: false, durations, interference, queues };
+    const kindOf = createKinds(pool, NOW);
+    const explanations = new Map<string, PlacementExplanation>();
+    for (const task of jobTable.readyTasks) {
+        const explanation = explainPlacement(task, pool, NOW);
+        const known = explanations.get(kindOf(task)) ?? explanation;
+        explanations.set(kindOf(task), known);
+        assert.deepEqual(explanation, known, task.key);
     }
+    const reasons = new Set([...explanations.values()].map(({ reason }) => reason));
+    assert.ok(explanations.size < jobTable.readyTasks.size && reasons.size > 2, `${explanations.size} kinds`);
 });
 
 Then("a pass starts a task exactly where a look tells of a worker that suits", function(this: WaitingLooksWorld) {
--- a/src/jobs/cell/waiting-lines.ts
+++ b/src/jobs/cell/waiting-lines.ts
@@ -1,8 +1,8 @@
 /**
  * Writes why work whose turn has come is not started: for one step, task or job a line, while it waits.
  *
- * Workload: thousands of tasks wait at an owner with a third of a core. Waiting steps are listed once a second. Their workers are only looked
- * at for the lines that are written; these are limited, and those that have been due longest come first.
+ * Workload: thousands of tasks wait at an owner with a third of a core. Waiting steps are listed once a second. Lines are limited, and those
+ * that have been due longest come first. Counts follow from the latest looks at the workers, which many steps share.
  */
 import { DECIDED_BY } from "../policy/waiting-reasons.js";
 import type { WaitingReason } from "../policy/waiting-reasons.js";
@@ -11,6 +11,8 @@
 import type { Recovery } from "./recovery.js";
 import { listWaitingWork } from "./waiting-list.js";
 import type { WaitingWork } from "./waiting-list.js";
+import { createWaitingLooks } from "./waiting-looks.js";
+import type { CheckedLooks } from "./waiting-looks.js";
 
 /** Work that has waited as long as this, in milliseconds, gets a line. */
 const FIRST_LINE_MILLISECONDS = 2_000;
@@ -51,13 +53,14 @@
 /** Starts without any work that waits. */
 export function createWaitingLines({ cell, latestPass, recovery }: WaitingLinesOptions): WaitingLines {
     let followed = new Map<WaitingWork["subject"], FollowedWork>();
+    const waitingLooks = createWaitingLooks(cell);
 
     const follow = (work: WaitingWork, now: number): FollowedWork => {
         const known = followed.get(work.subject);
         if (known === undefined) {
             return beginFollowing(work, now);
         }
-        // What a look at the workers has told stays as it is until they are looked at again.
+        // What a look at the workers has told stays as it is until a later look tells otherwise.
         if (known.work.reason !== work.reason) {
             setReason(known, work.reason, work.heldSinceMilliseconds ?? now);
             known.dueAtMilliseconds = Math.min(known.dueAtMilliseconds, now);
@@ -69,10 +72,7 @@
     const writeLine = (line: FollowedWork, now: number): void => {
         const { entry, readyAtMilliseconds, task, tasks } = line.work;
         const { details, reason } = line.work.explain();
-        if (reason !== line.reason) {
-            // The reason found by the first look at the workers counts from when passes began to consider the work.
-            setReason(line, reason, line.reason === "unexplained" ? line.reasonSinceMilliseconds : now);
-        }
+        renewReason(line, reason, now);
         line.dueAtMilliseconds = now + NEXT_LINE_MILLISECONDS;
         cell.log.write("task-waiting", {
             job: entry.id,
@@ -88,15 +88,31 @@
         });
     };
 
+    const renewReasons = (lines: readonly FollowedWork[], looks: CheckedLooks, now: number): void => {
+        const placeable = lines.flatMap(line => {
+            const { reason, task } = line.work;
+            return reason === "unexplained" && task !== undefined ? [{ line, task }] : [];
+        });
+        const explanations = looks.explainAll(placeable.map(({ task }) => task));
+        placeable.forEach(({ line }, index) => {
+            const explanation = explanations[index];
+            if (explanation !== undefined) {
+                renewReason(line, explanation.reason, now);
+            }
+        });
+    };
+
     return {
         check(now) {
-            const listed = listWaitingWork(cell, recovery, latestPass(), now);
+            const looks = waitingLooks.startCheck(latestPass(), now);
+            const listed = listWaitingWork(cell, recovery, looks, now);
             followed = new Map(listed.map(work => [work.subject, follow(work, now)]));
             const late = [...followed.values()].filter(line => now - waitingSince(line) >= FIRST_LINE_MILLISECONDS);
             late.filter(({ dueAtMilliseconds }) => dueAtMilliseconds <= now)
                 .sort((left, right) => left.dueAtMilliseconds - right.dueAtMilliseconds)
                 .slice(0, MAXIMUM_LINES)
                 .forEach(line => writeLine(line, now));
+            renewReasons(late, looks, now);
             const counts: Partial<Record<WaitingReason, number>> = {};
             for (const { reason, work: { tasks } } of late) {
                 counts[reason] = (counts[reason] ?? 0) + tasks;
@@ -118,6 +134,13 @@
     return work.reason === "attempt-unconfirmed" ? reasonSinceMilliseconds : work.readyAtMilliseconds;
 }
 
+/** Sets what a look has told. The reason found by the first one counts from when passes began to consider the work. */
+function renewReason(followed: FollowedWork, reason: WaitingReason, now: number): void {
+    if (reason !== followed.reason) {
+        setReason(followed, reason, followed.reason === "unexplained" ? followed.reasonSinceMilliseconds : now);
+    }
+}
+
 function setReason(followed: FollowedWork, reason: WaitingReason, sinceMilliseconds: number): void {
     followed.reason = reason;
     followed.reasonSinceMilliseconds = sinceMilliseconds;
--- a/src/jobs/cell/waiting-list.ts
+++ b/src/jobs/cell/waiting-list.ts
@@ -7,14 +7,14 @@
 import { countUnopenedTasks } from "../job-table/ready.js";
 import type { Attempt, Task } from "../job-table/task.js";
 import { FINAL_STATES } from "../model/job.js";
-import type { EarlyReason, WaitingReason, WorkerObstacle } from "../policy/waiting-reasons.js";
-import { explainPlacement, findEarlyReason } from "../policy/waiting.js";
-import type { EarlyConditions, PoolSituation } from "../policy/waiting.js";
+import type { EarlyReason, WaitingReason } from "../policy/waiting-reasons.js";
+import { findEarlyReason } from "../policy/waiting.js";
+import type { EarlyConditions } from "../policy/waiting.js";
 import { summarizeEvidence } from "./authority.js";
 import type { CellContext } from "./context.js";
-import type { LatestPass } from "./dispatch.js";
-import { findWorkerObstacle } from "./pools.js";
 import type { Recovery } from "./recovery.js";
+import { poolOf } from "./waiting-looks.js";
+import type { CheckedLooks } from "./waiting-looks.js";
 import { attemptsLapsedAt } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
@@ -52,11 +52,11 @@
 export function listWaitingWork(
     cell: CellContext,
     recovery: Recovery,
-    latestPass: LatestPass,
+    looks: CheckedLooks,
     now: number,
 ): WaitingWork[] {
     return [
-        ...listWaitingSteps(cell, recovery, latestPass, now),
+        ...listWaitingSteps(cell, recovery, looks, now),
         ...listUnconfirmedTasks(cell, now),
         ...listDeferredJobs(cell),
     ];
@@ -65,7 +65,7 @@
 function listWaitingSteps(
     cell: CellContext,
     recovery: Recovery,
-    latestPass: LatestPass,
+    looks: CheckedLooks,
     now: number,
 ): WaitingWork[] {
     const { queues } = cell.catalog();
@@ -76,12 +76,10 @@
         isHeldByRecovery: task => !recovery.mayStart(task),
         isUnderReview: task => cell.crashes.isUnderReview(task),
     };
-    const situationOf = createSituations(cell, latestPass, now);
     const explainOne = (task: Task): WaitingExplanation => {
-        const pool = queues.get(task.entry.queue)?.pool;
-        const { reason, reservedFor, ...counts } = explainPlacement(task, situationOf(pool), now);
+        const { reason, reservedFor, ...counts } = looks.explain(task);
         const reserving = reservedFor.length === 0 ? {} : { reservedFor: reservedFor.slice(0, MAXIMUM_NAMES) };
-        return { reason, details: { pool, ...counts, ...reserving } };
+        return { reason, details: { pool: poolOf(cell, task), ...counts, ...reserving } };
     };
     return [...findLongestWaiting(cell.jobTable.readyTasks)].map(([step, task]) => {
         const early = findEarlyReason(task, conditions);
@@ -127,41 +125,6 @@
     return reason === "orders-suspended" ? summarizeEvidence(cell.listEvidence(), cell.settings, now) : {};
 }
 
-/** Returns a function that describes a pool, and remembers what it has described. */
-function createSituations(
-    cell: CellContext,
-    { isLimitReached, pools }: LatestPass,
-    now: number,
-): (pool: string | undefined) => PoolSituation {
-    const { durations, interference, workers } = cell;
-    const described = new Map<string | undefined, PoolSituation>();
-    const describe = (pool: string | undefined): PoolSituation => {
-        const unavailable = new Map<WorkerObstacle, number>();
-        const available = new Set<string>();
-        for (const worker of workers.values()) {
-            if (worker.listed.pool !== pool) {
-                continue;
-            }
-            const obstacle = findWorkerObstacle(cell, worker, now);
-            if (obstacle === undefined) {
-                available.add(worker.listed.id);
-            }
-            else {
-                unavailable.set(obstacle, (unavailable.get(obstacle) ?? 0) + 1);
-            }
-        }
-        // Copies, because explanations store expected pressures on the candidates that they look at.
-        const candidates = (pools.get(pool ?? "") ?? []).filter(({ worker }) => available.has(worker.id))
-            .map(candidate => ({ ...candidate }));
-        return { candidates, unavailable, isLimitReached, interference, durations, queues: cell.catalog().queues };
-    };
-    return pool => {
-        const situation = described.get(pool) ?? describe(pool);
-        described.set(pool, situation);
-        return situation;
-    };
-}
-
 /** Lists the tasks of which an attempt may run, but none is known to. */
 function listUnconfirmedTasks({ jobTable, settings, workers }: CellContext, now: number): WaitingWork[] {
     const unconfirmed = new Map<Task, WaitingWork>();
