Tasks that come after others are told apart from those that the limit of starts holds

Callers saw hundreds of tasks wait for "start-limit" while a backlog drained, and more starts in flight changed nothing: the reason was given to each task that a worker suits whenever the latest pass had ended at its limit, and said nothing of what the task waited for.

A pass now tells which tasks it has not come to, in their order. A task of these waits for "start-limit" if fewer tasks of its pool come before it than workers suit it, as each of them takes one worker at most; its line tells how many starts have no answer and since when the oldest. Other tasks wait for their "turn", with the number of tasks before. A task that the pass had looked at is given neither.

--- a/features/jobs/placement-searches.steps.ts
+++ b/features/jobs/placement-searches.steps.ts
@@ -82,7 +82,6 @@
         const { suitableWorkers } = explainPlacement(task, {
             candidates: this.candidates,
             unavailable: new Map(),
-            isLimitReached: false,
             interference: this.model,
             durations: createDurations(),
             queues: new Map([[QUEUE.name, QUEUE]]),
--- a/features/jobs/waiting-lines.feature
+++ b/features/jobs/waiting-lines.feature
@@ -27,7 +27,7 @@
             | a task                     | the workers take starts only later                   | starts-refused       | worker-sessions    | {"obstacles":{"starts-refused":2}}                                  |
             | a task                     | the workers are in quarantine                        | worker-quarantined   | worker-health      | {"obstacles":{"worker-quarantined":2}}                              |
             | a task                     | the data centre of the workers is closed             | data-centre-closed   | closures           | {"obstacles":{"data-centre-closed":2}}                              |
-            | a task                     | the latest pass started as many as it may            | start-limit          | dispatcher         | {"suitableWorkers":2}                                               |
+            | a task                     | the latest pass started as many as it may            | start-limit          | dispatcher         | {"suitableWorkers":2,"tasksBefore":0,"startsInFlight":3,"oldestStartMilliseconds":700} |
             | a task with a label        | no worker has that                                   | label-missing        | placement          | {"obstacles":{"label-missing":2}}                                   |
             | a task with a label        | one worker has that, and is full                     | no-room              | placement          | {"obstacles":{"label-missing":1,"no-room":1}}                       |
             | a task of 9 cores          | no worker is that large                              | never-fits           | placement          | {"obstacles":{"never-fits":2}}                                      |
@@ -108,6 +108,17 @@
         When tasks of different kinds are ready at workers that run others, and room is kept on one of them
         Then looks for each task find the same for all tasks of a kind, which are fewer
 
+    Scenario: Tasks that come after others are told apart from those that only the limit of starts holds
+        When 10 tasks are ready one after the other, and passes start none because of their limit
+        And 3000 ms pass with a look at what waits each second
+        Then 2 tasks are counted as waiting for "start-limit", and 8 for "turn"
+        And the lines tell for each task how many come before it
+        And the lines that say "start-limit" tell of 3 starts without an answer, the oldest for 700 ms
+
+    Scenario: A pass that ends at its limit tells which tasks it has not come to, in their order
+        When a pass may start 2 of 3 jobs of 2 tasks, and a task that fits nowhere comes first
+        Then it has left out the tasks of the last 2 jobs, oldest first, and no others
+
     Scenario: An attempt whose start is in doubt is told of with its worker
         When a task is ready, and its start has been left unanswered by a worker that is silent now
         And 5000 ms pass with a look at what waits each second
--- a/features/jobs/waiting-looks.steps.ts
+++ b/features/jobs/waiting-looks.steps.ts
@@ -106,7 +106,7 @@
         expectedAtMilliseconds: NOW + 1_500,
     };
     const { queues } = waiting.cell.catalog();
-    const pool = { candidates, unavailable: new Map(), isLimitReached: false, durations, interference, queues };
+    const pool = { candidates, unavailable: new Map(), durations, interference, queues };
     const kindOf = createKinds(pool, NOW);
     const explanations = new Map<string, PlacementExplanation>();
     for (const task of jobTable.readyTasks) {
@@ -129,7 +129,6 @@
         const { reason, suitableWorkers } = explainPlacement(task, {
             candidates: waiting.pools().get(QUEUE.pool) ?? [],
             unavailable: new Map(),
-            isLimitReached: false,
             durations,
             interference,
             queues,
@@ -171,7 +170,7 @@
             };
         }
         const { queues } = this.waiting.cell.catalog();
-        const pool = { candidates, unavailable: new Map(), isLimitReached: false, durations, interference, queues };
+        const pool = { candidates, unavailable: new Map(), durations, interference, queues };
         this.explanation = explainPlacement(task, pool, NOW);
     },
 );
--- a/features/jobs/waiting-world.ts
+++ b/features/jobs/waiting-world.ts
@@ -13,7 +13,7 @@
 import type { CellWorker } from "../../src/jobs/cell/worker.js";
 import { confirmStart, registerAttempt } from "../../src/jobs/job-table/attempts.js";
 import type { JobTable } from "../../src/jobs/job-table/job-table.js";
-import type { Attempt } from "../../src/jobs/job-table/task.js";
+import type { Attempt, Task } from "../../src/jobs/job-table/task.js";
 import { createJobsMetrics } from "../../src/jobs/metrics.js";
 import type { Candidate } from "../../src/jobs/policy/candidate.js";
 import { createLookAhead } from "../../src/jobs/policy/look-ahead.js";
@@ -55,6 +55,8 @@
 
 const CLOCK_MILLISECONDS = 500_000;
 const LOOK_MILLISECONDS = 1_000;
+const STARTS_IN_FLIGHT = 3;
+const OLDEST_START_MILLISECONDS = 700;
 
 /** Runs a task of a job of its own on a worker, and adds it to the others. */
 export function occupy(
@@ -71,7 +73,7 @@
     const linesOfLooks: number[] = [];
     let counts: WaitingCounts = {};
     let now = NOW;
-    let latest = { pools: new Map<string, Candidate[]>(), isLimitReached: false };
+    let latest = { pools: new Map<string, Candidate[]>(), unreachedTasks: [] as readonly Task[] };
     const conditions: Conditions = {
         maySendOrders: true,
         areClosuresConfirmed: true,
@@ -132,14 +134,22 @@
             createCellRecovery().mayStart(task),
     };
     const lookAhead = createLookAhead();
-    const waitingLines = createWaitingLines({ cell, recovery, latestPass: () => latest });
+    const waitingLines = createWaitingLines({
+        cell,
+        recovery,
+        latestPass: () => ({
+            ...latest,
+            startsInFlight: STARTS_IN_FLIGHT,
+            oldestStartAtMilliseconds: now - OLDEST_START_MILLISECONDS,
+        }),
+    });
 
     const pass = (): void => {
         if (!conditions.maySendOrders || !conditions.areClosuresConfirmed) {
             return;
         }
         const pools = listPools(cell, latest.pools, now);
-        const { starts } = planPass({
+        const { starts, unreachedTasks } = planPass({
             epoch: cell.epoch,
             startableTasks: [...jobTable.readyTasks].filter(task =>
                 recovery.mayStart(task) && !conditions.isUnderReview
@@ -161,7 +171,7 @@
             registerAttempt(jobTable, attempt);
             confirmStart(jobTable, attempt, CLOCK_MILLISECONDS, now);
         }
-        latest = { pools, isLimitReached: starts.length >= conditions.startLimit };
+        latest = { pools, unreachedTasks };
     };
 
     const look = (): void => {
--- a/src/jobs/cell/dispatch.ts
+++ b/src/jobs/cell/dispatch.ts
@@ -5,7 +5,7 @@
 import { createWake } from "../../core/wake.js";
 import { registerAttempt } from "../job-table/attempts.js";
 import { openDueOccurrences } from "../job-table/lifecycle.js";
-import type { Attempt } from "../job-table/task.js";
+import type { Attempt, Task } from "../job-table/task.js";
 import type { Candidate } from "../policy/candidate.js";
 import { createLookAhead } from "../policy/look-ahead.js";
 import type { Move } from "../policy/moves.js";
@@ -44,8 +44,11 @@
 export interface LatestPass {
     /** Workers on which tasks could be started, by pool, with the starts and the reservations of the pass. */
     readonly pools: ReadonlyMap<string, readonly Candidate[]>;
-    /** Whether the pass has ended at its limit of starts, before it looked at all tasks. */
-    readonly isLimitReached: boolean;
+    /** Ready tasks that the pass has not come to because it reached its limit of starts, in their order. */
+    readonly unreachedTasks: readonly Task[];
+    /** Number of starts without an answer at present, and when the first of them was ordered. */
+    readonly startsInFlight: number;
+    readonly oldestStartAtMilliseconds: number | undefined;
 }
 
 /** Starts and stops attempts on the workers of a cell. */
@@ -65,11 +68,11 @@
     const dispatchRequest = createWake();
     let reviewedAt = 0;
     let gaveWayAt = 0;
-    let startsInFlight = 0;
+    const startsInFlight = new Set<Attempt>();
     const record = createDispatchRecord();
     const lookAhead = createLookAhead();
     let latestPools: ReadonlyMap<string, Candidate[]> = new Map<string, Candidate[]>();
-    let isLimitReached = false;
+    let unreachedTasks: readonly Task[] = [];
 
     const stopUnwanted = (): void => {
         for (const attempt of jobTable.attemptsToStop) {
@@ -103,7 +106,7 @@
             interference: cell.interference,
             durations: cell.durations,
             lookAhead,
-            startLimit: MAXIMUM_STARTS_IN_FLIGHT - startsInFlight,
+            startLimit: MAXIMUM_STARTS_IN_FLIGHT - startsInFlight.size,
             stopLimitMilliseconds: settings.stopLimitMilliseconds,
             mayGiveWay,
             mayStartCopies: now - cell.commits.committedAtMilliseconds() < COPY_CONFIRMATION_MILLISECONDS,
@@ -144,9 +147,9 @@
             waitedMilliseconds: Math.round(now - task.readyAtMilliseconds),
             answerAgeMilliseconds: Math.round(now - worker.lastAnswerAtMilliseconds),
         });
-        startsInFlight += 1;
+        startsInFlight.add(attempt);
         void startAttempt(cell, worker, attempt, undefined).finally(() => {
-            startsInFlight -= 1;
+            startsInFlight.delete(attempt);
             dispatchRequest.wake();
         });
     };
@@ -157,9 +160,9 @@
         stopUnwanted();
         if (cell.maySendOrders(now) && cell.closures.areConfirmed(now)) {
             const snapshot = takeSnapshot(now);
-            const { moves, starts, ...planned } = planPass(snapshot, now);
+            const { moves, starts, unreachedTasks: unreached, ...planned } = planPass(snapshot, now);
             work = planned;
-            isLimitReached = starts.length >= snapshot.startLimit;
+            unreachedTasks = unreached;
             moves.forEach(planned => move(planned, now));
             stopUnwanted();
             starts.forEach(attempt => start(attempt, now));
@@ -172,7 +175,15 @@
     return {
         requestDispatch: () => dispatchRequest.wake(),
         takeWork: () => record.take(),
-        latestPass: () => ({ pools: latestPools, isLimitReached }),
+        latestPass() {
+            const [oldestStart] = startsInFlight;
+            return {
+                pools: latestPools,
+                unreachedTasks,
+                startsInFlight: startsInFlight.size,
+                oldestStartAtMilliseconds: oldestStart?.orderedAtMilliseconds,
+            };
+        },
         async run() {
             while (!signal.aborted) {
                 const requestedAt = clock();
--- a/src/jobs/cell/waiting-lines.ts
+++ b/src/jobs/cell/waiting-lines.ts
@@ -93,11 +93,11 @@
             const { reason, task } = line.work;
             return reason === "unexplained" && task !== undefined ? [{ line, task }] : [];
         });
-        const explanations = looks.explainAll(placeable.map(({ task }) => task));
+        const reasons = looks.findReasons(placeable.map(({ task }) => task));
         placeable.forEach(({ line }, index) => {
-            const explanation = explanations[index];
-            if (explanation !== undefined) {
-                renewReason(line, explanation.reason, now);
+            const reason = reasons[index];
+            if (reason !== undefined) {
+                renewReason(line, reason, now);
             }
         });
     };
--- a/src/jobs/cell/waiting-looks.ts
+++ b/src/jobs/cell/waiting-looks.ts
@@ -4,9 +4,11 @@
  * Workload: a thousand steps wait at an owner with a third of a core, most of them like many others. Tasks of one kind share a look. The looks
  * of one check are limited, and the kinds whose latest look is oldest come first.
  */
+import { stepProgressOf } from "../job-table/job-table.js";
 import type { Task } from "../job-table/task.js";
 import { createKinds } from "../policy/waiting-kind.js";
-import type { WorkerObstacle } from "../policy/waiting-reasons.js";
+import type { WaitingReason, WorkerObstacle } from "../policy/waiting-reasons.js";
+import { countTasksBefore, explainTurn } from "../policy/waiting-turn.js";
 import { explainPlacement } from "../policy/waiting.js";
 import type { PlacementExplanation, PoolSituation } from "../policy/waiting.js";
 import type { CellContext } from "./context.js";
@@ -16,12 +18,19 @@
 /** Limit of looks that one check makes for counts; those for its lines come besides. */
 const MAXIMUM_LOOKS = 100;
 
+/** Why a task is not started, with its turn where the latest pass has not come to it. */
+export interface TaskExplanation extends PlacementExplanation {
+    readonly tasksBefore?: number;
+    readonly startsInFlight?: number;
+    readonly oldestStartMilliseconds?: number;
+}
+
 /** Looks of one check. */
 export interface CheckedLooks {
     /** Explains by a look of this check why a task that the passes look at is not started. */
-    explain(task: Task): PlacementExplanation;
-    /** Explains each of many tasks by the latest look for its kind; absent if there has been none. */
-    explainAll(tasks: readonly Task[]): (PlacementExplanation | undefined)[];
+    explain(task: Task): TaskExplanation;
+    /** Finds the reason of each of many tasks by the latest look for its kind; absent if there has been none. */
+    findReasons(tasks: readonly Task[]): (WaitingReason | undefined)[];
 }
 
 /** Looks for the waiting tasks of a cell. */
@@ -56,14 +65,17 @@
                 latestLooks.set(kind, { atMilliseconds: now, explanation });
                 return explanation;
             };
+            const tasksBefore = countTasksBefore(latestPass.unreachedTasks, task => poolOf(cell, task));
+            const tasksBeforeOf = (task: Task): number | undefined => tasksBefore.get(stepProgressOf(task));
             const lookedAt = (kind: string): number => latestLooks.get(kind)?.atMilliseconds ?? 0;
             return {
                 explain(task) {
                     const kind = kindOf(task);
                     const latest = latestLooks.get(kind);
-                    return latest?.atMilliseconds === now ? latest.explanation : look(task, kind);
+                    const explanation = latest?.atMilliseconds === now ? latest.explanation : look(task, kind);
+                    return addTurn(explanation, tasksBeforeOf(task), latestPass, now);
                 },
-                explainAll(tasks) {
+                findReasons(tasks) {
                     const kinds = tasks.map(kindOf);
                     const examples = new Map<string, Task>();
                     tasks.forEach((task, index) => examples.set(kinds[index] ?? "", task));
@@ -72,13 +84,32 @@
                         .slice(0, MAXIMUM_LOOKS)
                         .forEach(([kind, task]) => look(task, kind));
                     latestLooks = new Map([...latestLooks].filter(([kind]) => examples.has(kind)));
-                    return kinds.map(kind => latestLooks.get(kind)?.explanation);
+                    return tasks.map((task, index) => {
+                        const latest = latestLooks.get(kinds[index] ?? "");
+                        return latest && explainTurn(latest.explanation, tasksBeforeOf(task));
+                    });
                 },
             };
         },
     };
 }
 
+function addTurn(
+    explanation: PlacementExplanation,
+    tasksBefore: number | undefined,
+    { oldestStartAtMilliseconds: oldestStartAt, startsInFlight }: LatestPass,
+    now: number,
+): TaskExplanation {
+    const reason = explainTurn(explanation, tasksBefore);
+    const oldest = oldestStartAt === undefined ? {} : { oldestStartMilliseconds: Math.round(now - oldestStartAt) };
+    return {
+        ...explanation,
+        reason,
+        ...reason === "start-limit" ? { startsInFlight, ...oldest } : {},
+        ...tasksBefore === undefined ? {} : { tasksBefore },
+    };
+}
+
 /** Name of the pool whose workers may run a task; absent if the configuration has no such queue. */
 export function poolOf(cell: CellContext, { entry }: Task): string | undefined {
     return cell.catalog().queues.get(entry.queue)?.pool;
@@ -87,7 +118,7 @@
 /** Returns a function that describes a pool, and remembers what it has described. */
 function createPoolDescriptions(
     cell: CellContext,
-    { isLimitReached, pools }: LatestPass,
+    { pools }: LatestPass,
     now: number,
 ): (pool: string | undefined) => DescribedPool {
     const { durations, interference, workers } = cell;
@@ -111,7 +142,7 @@
         const candidates = (pools.get(pool ?? "") ?? []).filter(({ worker }) => available.has(worker.id))
             .map(candidate => ({ ...candidate }));
         const { queues } = cell.catalog();
-        const situation = { candidates, unavailable, isLimitReached, interference, durations, queues };
+        const situation = { candidates, unavailable, interference, durations, queues };
         return { situation, kindOf: createKinds(situation, now) };
     };
     return pool => {
--- a/src/jobs/policy/pass.ts
+++ b/src/jobs/policy/pass.ts
@@ -69,6 +69,8 @@
     readonly moves: readonly Move[];
     /** Attempts to start, in this order. */
     readonly starts: readonly Attempt[];
+    /** Ready tasks that the pass has not come to because it reached its limit of starts, in their order. */
+    readonly unreachedTasks: readonly Task[];
     readonly orderedTasks: number;
     /** Searches for a worker, each of which looks at all workers of a pool. */
     readonly searches: number;
@@ -88,25 +90,33 @@
     if (snapshot.mayStartCopies) {
         planCopies(snapshot, moves, placements, candidatesFor, now);
     }
-    const blocked = placeReadyTasks(snapshot, placements, candidatesFor, now);
+    const { blocked, unreachedTasks } = placeReadyTasks(snapshot, placements, candidatesFor, now);
     const givingWay = snapshot.mayGiveWay
         ? planGivingWay(blocked, { ...snapshot, isPlaced: placements.isPlaced, moves, candidatesFor }, now)
         : [];
     return {
         moves: [...moves, ...givingWay],
         starts: placements.starts,
+        unreachedTasks,
         orderedTasks: startableTasks.length,
         searches: placements.searches(),
     };
 }
 
-/** Places the ready tasks, most urgent first. Returns the first task of each step that found no worker, in the same order. */
+/** Ready tasks that a pass has not placed, in their order. */
+interface UnplacedTasks {
+    /** The first task of each step that found no worker. */
+    readonly blocked: Task[];
+    readonly unreachedTasks: Task[];
+}
+
+/** Places the ready tasks, most urgent first. */
 function placeReadyTasks(
     { durations, lookAhead, queues, startableTasks, startLimit }: CellSnapshot,
     placements: Placements,
     candidatesFor: (task: Task) => readonly Candidate[],
     now: number,
-): Task[] {
+): UnplacedTasks {
     const queueOf = ({ entry }: Task): Queue | undefined => queues.get(entry.queue);
     const ordering: OrderingOptions = {
         queue: queueOf,
@@ -120,9 +130,13 @@
     const unplaceableSteps = new Set<StepProgress>();
     const blocked: Task[] = [];
     let reservations = 0;
-    for (const task of orderTasks(startableTasks, ordering, now)) {
+    const ordered = orderTasks(startableTasks, ordering, now);
+    for (const [index, task] of ordered.entries()) {
         if (placements.starts.length >= startLimit) {
-            break;
+            const unreachedTasks = ordered.slice(index).filter(other =>
+                !placements.isPlaced(other) && !unplaceableSteps.has(stepProgressOf(other))
+            );
+            return { blocked, unreachedTasks };
         }
         const step = stepProgressOf(task);
         const suitable = candidatesFor(task);
@@ -154,7 +168,7 @@
             lookAheadPass?.reserve(task, suitable, urgency);
         }
     }
-    return blocked;
+    return { blocked, unreachedTasks: [] };
 }
 
 /** Starts second copies of the attempts that need one, on other workers. */
--- a/src/jobs/policy/waiting-reasons.ts
+++ b/src/jobs/policy/waiting-reasons.ts
@@ -50,8 +50,10 @@
     | "no-workers"
     /** Single members of the gang would find a worker, but not all of them together. */
     | "gang-room"
-    /** A worker suits, but the latest pass ended at its limit of starts. */
+    /** A worker suits, and would be left by all that comes before, but the latest pass ended at its limit of starts. */
     | "start-limit"
+    /** A worker suits; others come before in the order and may take it, and the latest pass ended among these. */
+    | "turn"
     /** A worker suits; a later pass starts the task, unless something comes before it. */
     | "worker-suits"
     /** It is not known whether an attempt that was ordered or stopped runs. */
@@ -110,6 +112,7 @@
     "interference": "interference-model",
     "gang-room": "placement",
     "start-limit": "dispatcher",
+    "turn": "dispatcher",
     "worker-suits": "dispatcher",
     "attempt-unconfirmed": "attempts",
     "memory": "memory-limit",
--- a/src/jobs/policy/waiting.ts
+++ b/src/jobs/policy/waiting.ts
@@ -33,8 +33,6 @@
     readonly candidates: readonly Candidate[];
     /** Numbers of the others, by what keeps them from starts. */
     readonly unavailable: ReadonlyMap<WorkerObstacle, number>;
-    /** Whether the pass has ended at its limit of starts. */
-    readonly isLimitReached: boolean;
     readonly interference: Interference;
     readonly durations: Durations;
     readonly queues: ReadonlyMap<string, Queue>;
@@ -101,7 +99,7 @@
         reason: isHeldByPause
             ? "giving-way-pause"
             : suitableWorkers > 0
-            ? explainSuitable(task, pool)
+            ? task.step.isGang ? "gang-room" : "worker-suits"
             : findMainObstacle(counts) ?? "no-workers",
         obstacles: Object.fromEntries(counts),
         suitableWorkers,
@@ -113,13 +111,6 @@
     return obstacle === "reserved-ahead" || obstacle === "reserved-for-overdue";
 }
 
-function explainSuitable({ step }: Task, { isLimitReached }: PoolSituation): WaitingReason {
-    if (isLimitReached) {
-        return "start-limit";
-    }
-    return step.isGang ? "gang-room" : "worker-suits";
-}
-
 /**
  * The obstacle that most workers have in common, and the last of equal ones, which come after those of the workers themselves. A reservation
  * goes before the others, however few workers it binds: without it, the task would have found room.
