A lifted reservation gives fillers that found no worker another search

Callers see: a job that is about to be late waits beside room that is kept for others, though such a job is exempt from what is kept.

Cause: since a filler costs no search where a smaller one of its image found no worker in the same pass. A pass also lifts reservations, for a job that is about to be late and for a lasting task that has waited, so that an earlier failure is no proof after that. The filler of the job that is about to be late was passed over in each pass in which another one, which can wait, had come before it.

Change: a pass forgets the failed searches of a pool when it lifts a reservation there.

The scenario that bounds the searches of 400 fillers holds.

--- a/features/jobs/look-ahead.feature
+++ b/features/jobs/look-ahead.feature
@@ -72,6 +72,14 @@
         And a task of 4 cores of the urgent queue comes 100 ms later that is estimated at 900 ms
         Then the later one starts within 100 ms
 
+    # Guards against a job that is late because another one, which can wait, found no worker in the same pass.
+    Scenario: A filler that is about to be late takes the memory that one of a more urgent queue leaves to others
+        Given 1 workers of 16 cores, with a task of 8 cores that ends after 2000 ms, and one of 2 cores
+        When a task of the urgent queue comes that needs 12 cores and nearly all memory
+        And a filler comes that is estimated at 1500 ms
+        And such a filler of the urgent queue comes 1000 ms later
+        Then the first filler starts within 1600 ms, and the one of the urgent queue does not
+
     # Guards against a lasting task that waits for 3 s while a worker has room for it twice over.
     Scenario: A lasting task does not wait for long beside a worker that has room for it twice over
         Given 1 workers of 16 cores, with a task of 8 cores that ends after 2800 ms, and one of 2 cores
--- a/features/jobs/look-ahead.steps.ts
+++ b/features/jobs/look-ahead.steps.ts
@@ -145,6 +145,28 @@
     },
 );
 
+When(
+    "a task of the urgent queue comes that needs {int} cores and nearly all memory",
+    function(this: LookAheadWorld, cores: number) {
+        this.watched = "large";
+        const size = { millicores: cores * 1_000, memoryMegabytes: 63_750, accelerators: 0 };
+        const fields = { size, estimateMilliseconds: 2_000 };
+        this.play.submit({ id: this.watched, fields, runMilliseconds: 2_000, queue: URGENT_QUEUE.name });
+        this.play.advance(20);
+    },
+);
+
+When("a filler comes that is estimated at {int} ms", function(this: LookAheadWorld, estimateMilliseconds: number) {
+    const fields = { isFiller: true, image: "booking", estimateMilliseconds };
+    this.play.submit({ id: "filler", fields, runMilliseconds: estimateMilliseconds });
+});
+
+When("such a filler of the urgent queue comes {int} ms later", function(this: LookAheadWorld, after: number) {
+    this.play.advance(after);
+    const { fields, runMilliseconds } = this.play.outcomes.get("filler")?.job ?? assert.fail("no filler came");
+    this.play.submit({ id: "urgent-filler", fields, runMilliseconds, queue: URGENT_QUEUE.name });
+});
+
 When("a successor takes over after {int} ms", function(this: LookAheadWorld, milliseconds: number) {
     this.play.advance(milliseconds, this.stream);
     this.play.takeOver();
@@ -173,6 +195,14 @@
     assert.ok(startsWithin(this, this.later, milliseconds));
 });
 
+Then(
+    "the first filler starts within {int} ms, and the one of the urgent queue does not",
+    function(this: LookAheadWorld, milliseconds: number) {
+        assert.ok(startsWithin(this, "filler", milliseconds), "the filler that is about to be late starts");
+        assert.equal(startOf(this, "urgent-filler"), undefined);
+    },
+);
+
 Then("the later one does not start within {int} ms", function(this: LookAheadWorld, milliseconds: number) {
     assert.ok(!startsWithin(this, this.later, milliseconds));
 });
--- a/src/jobs/policy/filler-searches.ts
+++ b/src/jobs/policy/filler-searches.ts
@@ -2,7 +2,7 @@
  * Searches of a pass that found no worker for a filler.
  *
  * Workload: after a disturbance hundreds of jobs have fillers of a few images waiting, and most of them fit nowhere. While a pass only adds
- * placements, a filler fits nowhere either if a smaller one of the same kind did not.
+ * placements and reservations, a filler fits nowhere either if a smaller one of the same kind did not.
  */
 import type { Task } from "../job-table/task.js";
 import { fitsInto } from "../model/size.js";
@@ -21,6 +21,8 @@
 /** Searches of a pass that found no worker for a filler. */
 export interface FillerSearches {
     recordFailure(task: Task, candidates: readonly Candidate[]): void;
+    /** Forgets the failures on workers of which some have more room than before. */
+    forgetFailures(candidates: readonly Candidate[]): void;
     /** Whether a filler that needs no more than the task has found no worker. */
     hasFailedFor(task: Task, candidates: readonly Candidate[]): boolean;
 }
@@ -45,6 +47,9 @@
             const kind = kindOf(task);
             byKind.set(kind, [...byKind.get(kind) ?? [], task]);
         },
+        forgetFailures(candidates) {
+            failed.delete(candidates);
+        },
         hasFailedFor: (task, candidates) =>
             isComparable(task)
             && failed.get(candidates)?.get(kindOf(task))?.some(other => isAtMost(other, task, candidates)) === true,
--- a/src/jobs/policy/look-ahead.ts
+++ b/src/jobs/policy/look-ahead.ts
@@ -56,8 +56,8 @@
 
 /** What a pass reserves. */
 export interface LookAheadPass {
-    /** Puts the reservations that bind a task into effect, but for those that it may not be kept waiting by. */
-    bind(task: Task, candidates: readonly Candidate[], options: UrgencyOptions): void;
+    /** Puts the reservations that bind a task into effect, but for those that it may not be kept waiting by; tells whether it lifted any. */
+    bind(task: Task, candidates: readonly Candidate[], options: UrgencyOptions): boolean;
     /** Remembers the size of a task that was placed. */
     recordPlacement(task: Task): void;
     /** Reserves workers for a task that found none, or for its gang. */
@@ -134,6 +134,7 @@
                     const pool = candidates[0]?.worker.pool;
                     const priority = options.queue?.priority ?? 0;
                     let isExempt: boolean | undefined;
+                    let hasLifted = false;
                     for (const waiting of waitingSteps.values()) {
                         const { holds, step } = waiting;
                         if (holds.length === 0 || waiting.priority > priority || waiting.pool !== pool) {
@@ -150,20 +151,19 @@
                             applyHolds(waiting, indexOf(candidates));
                         }
                         else if (!isBinding && effective.delete(waiting)) {
-                            withdrawHolds(waiting, indexOf(candidates), () => true);
+                            hasLifted = withdrawHolds(waiting, indexOf(candidates), () => true) || hasLifted;
                         }
                     }
                     const readyAt = stepProgressOf(task).readyAtMilliseconds ?? now;
                     if (task.step.isLasting && now - readyAt >= LASTING_WAIT_MILLISECONDS) {
                         const room = addSize(ZERO_SIZE, task.step.size, 2);
-                        effective.forEach(waiting =>
-                            withdrawHolds(
-                                waiting,
-                                indexOf(candidates),
-                                ({ load, worker }) => fitsInto(room, addSize(worker.capacity, load.used, -1)),
-                            )
-                        );
+                        for (const waiting of effective) {
+                            const hasRoom = ({ load, worker }: Candidate): boolean =>
+                                fitsInto(room, addSize(worker.capacity, load.used, -1));
+                            hasLifted = withdrawHolds(waiting, indexOf(candidates), hasRoom) || hasLifted;
+                        }
                     }
+                    return hasLifted;
                 },
                 recordPlacement({ step }) {
                     if (!step.isFiller && !step.isLasting) {
@@ -252,16 +252,19 @@
     }
 }
 
-/** Takes the reservations of a step off those workers that the condition holds for. */
+/** Takes the reservations of a step off those workers that the condition holds for; tells whether there were any. */
 function withdrawHolds(
     { holds, step }: WaitingStep,
     candidates: ReadonlyMap<string, Candidate>,
     isWithdrawn: (candidate: Candidate) => boolean,
-): void {
+): boolean {
+    let hasWithdrawn = false;
     for (const { worker } of holds) {
         const candidate = candidates.get(worker);
         if (candidate?.reservation?.step === step && isWithdrawn(candidate)) {
             delete candidate.reservation;
+            hasWithdrawn = true;
         }
     }
+    return hasWithdrawn;
 }
--- a/src/jobs/policy/pass.ts
+++ b/src/jobs/policy/pass.ts
@@ -132,8 +132,8 @@
             continue;
         }
         const urgency = { queue: queueOf(task), durations };
-        if (placements.mayFit(task, suitable)) {
-            lookAheadPass?.bind(task, suitable, urgency);
+        if (placements.mayFit(task, suitable) && lookAheadPass?.bind(task, suitable, urgency) === true) {
+            placements.noteLiftedReservations(suitable);
         }
         if (placements.place(task, suitable)) {
             lookAheadPass?.recordPlacement(task);
@@ -147,7 +147,9 @@
         if (isOverdue(task, now) && reservations < MAXIMUM_RESERVATIONS) {
             reservations += 1;
             // Capacity that is gathered for others has the most free cores, but is no better for a task that lasts.
-            lookAheadPass?.bind(task, suitable, urgency);
+            if (lookAheadPass?.bind(task, suitable, urgency) === true) {
+                placements.noteLiftedReservations(suitable);
+            }
             reserveCapacity(task, suitable);
         }
         else {
--- a/src/jobs/policy/placements.ts
+++ b/src/jobs/policy/placements.ts
@@ -24,6 +24,8 @@
     readonly starts: readonly Attempt[];
     /** Whether a worker may have enough room for a task; if not, none has. */
     mayFit(task: Task, candidates: readonly Candidate[]): boolean;
+    /** Takes note that reservations of workers were lifted, which may have kept tasks from them. */
+    noteLiftedReservations(candidates: readonly Candidate[]): void;
     /** Places a task, or all members of its gang; returns false if it has to wait. */
     place(task: Task, candidates: readonly Candidate[]): boolean;
     readonly isPlaced: (task: Task) => boolean;
@@ -129,6 +131,7 @@
         searches: () => searches,
         isHalfEmpty: checkHalfEmpty,
         mayFit: mayFitOn,
+        noteLiftedReservations: candidates => fillerSearches.forgetFailures(candidates),
         place(task, candidates) {
             if (!mayFitOn(task, candidates) || fillerSearches.hasFailedFor(task, candidates)) {
                 return false;
