Runs on shared cores do not count as the usual duration of their image

Callers see: in a backlog, late jobs pass as jobs that can be on time, go before jobs that stand still, and do not share cores themselves.

Cause: an end counts with the time from its start, however small the share of its cores that a filler had. The objective of a job is a multiple of the expected durations, so that it grows with them.

Change: an end of a filler on a worker whose fillers got less than 0.6 of their cores, the share for which fillers are placed otherwise, is left out. The share is that at the end: a run whose neighbours ended first still counts.

--- a/src/jobs/cell/session.ts
+++ b/src/jobs/cell/session.ts
@@ -6,6 +6,7 @@
 import { isAborted, pause } from "../../core/time.js";
 import { recordLostAttempt } from "../job-table/attempts.js";
 import type { RunningAttempt, WorkerReport } from "../model/worker.js";
+import { sharesCores } from "../policy/candidate.js";
 import { isSlow, listStalledAttempts, quarantine, recordFailedJob, recordSuccess } from "../policy/health.js";
 import { choosePaces, isWorthMoving } from "../policy/pacing.js";
 import type { CellContext } from "./context.js";
@@ -13,6 +14,7 @@
 import { recordPresentLife } from "./lives.js";
 import { paceAttempt } from "./pacing.js";
 import { applyReport } from "./report.js";
+import { recordDurations } from "./run-durations.js";
 import { describeStart } from "./starting.js";
 import { orderStop } from "./stopping.js";
 import {
@@ -92,6 +94,10 @@
         const hasFormerTime = lease !== undefined || hasUnreportedStart(worker);
         const isFirstReport = worker.clock === undefined;
         const { clockMilliseconds } = answer.value;
+        const wereCoresShared = sharesCores({
+            worker: worker.listed,
+            load: cell.jobTable.occupancy.load(worker.listed.id),
+        });
         const outcome = applyReport(cell.jobTable, worker, answer.value, sentAt, now);
         if (isFirstReport && worker.isInherited) {
             const known = cell.jobTable.lives.get(worker.listed.id);
@@ -116,6 +122,7 @@
         worker.failingSinceMilliseconds = undefined;
         worker.hasCrashed = false;
         logOutcome(cell, worker, outcome, now);
+        recordDurations(cell, outcome, { wereCoresShared }, now);
         reviewHealth(cell, worker, outcome.ended, now);
         adjustPaces(cell, worker, now);
         worker.foreignSinceMilliseconds = outcome.foreign.length > 0
@@ -159,7 +166,7 @@
         : settings.holdWaitMilliseconds;
 }
 
-/** Updates durations and the worker's health from ended attempts, and stops attempts that are stalled. */
+/** Updates the worker's health from ended attempts, and stops attempts that are stalled. */
 function reviewHealth(
     cell: CellContext,
     worker: CellWorker,
@@ -175,12 +182,9 @@
             ...evidence,
             milliseconds: Math.round(worker.health.quarantinedUntilMilliseconds - now),
         }, "vital");
-    for (const { attempt, end } of ended) {
+    for (const { end } of ended) {
         if (end.end === "done") {
             recordSuccess(worker.health);
-            if (attempt?.runningSinceMilliseconds !== undefined && attempt.percentAtStart === 0) {
-                durations.record(attempt, now - attempt.runningSinceMilliseconds);
-            }
         }
         const job = end.task.slice(0, end.task.indexOf("."));
         if (end.end === "failed" && recordFailedJob(worker.health, job, now)) {
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -71,6 +71,12 @@
     return worker.capacity.millicores / MINIMUM_SHARED_SHARES[starvation] - load.fillerMillicores;
 }
 
+/** Whether the fillers of a worker get less of their cores than fillers are placed for, unless their jobs stand still. */
+export function sharesCores(candidate: Candidate): boolean {
+    const { load: { fillerMillicores } } = candidate;
+    return idleMillicores(candidate) + fillerMillicores < fillerMillicores * MINIMUM_FILLER_SHARE;
+}
+
 /** How a task treats capacity that is reserved for others. */
 export interface EligibilityOptions {
     /** The task has waited so long that it may not fit again for a long time. */
