Lifted reservations also renew the rankings that fillers share

Change: a pass forgets the shared rankings of a pool when it lifts a reservation there, as it does the failed searches.

--- a/features/jobs/backlog-turns.steps.ts
+++ b/features/jobs/backlog-turns.steps.ts
@@ -113,7 +113,7 @@
     const ordered = orderTasks(jobTable.readyTasks, {
         queue: ({ entry }) => QUEUES.get(entry.queue),
         durations: createDurations(),
-        isStandingStill: ({ occurrence }) => isPoolHalfEmpty && isIdle(occurrence),
+        isStandingStill: ({ occurrence }) => isPoolHalfEmpty && isIdle(occurrence, NOW),
     }, NOW);
     const placesOf = (id: string) => ordered.flatMap((task, place) => task.entry.id === id ? [place] : []);
     const others = [...jobTable.jobs.keys()].filter(id => id !== STARVING);
--- a/src/jobs/policy/filler-rankings.ts
+++ b/src/jobs/policy/filler-rankings.ts
@@ -1,7 +1,7 @@
 /**
  * Rankings of workers that the fillers of a pass share.
  *
- * Workload: after a disturbance hundreds of jobs have fillers of a few images and sizes waiting. While a pass only adds placements, no worker's
+ * Workload: after a disturbance hundreds of jobs have fillers of a few images and sizes waiting. While a pass only adds placements and reservations, no worker's
  * score rises for a filler, whatever is placed there, so that one ranking does for all fillers of a kind.
  */
 import type { Task } from "../job-table/task.js";
@@ -21,12 +21,17 @@
 export interface FillerRankings {
     /** The ranking of the task's kind; `undefined` if it depends on more than that. */
     rankFor(task: Task, candidates: readonly Candidate[], starvation: Starvation): CandidateRanking | undefined;
+    /** Forgets the rankings of workers of which some have more room than before. */
+    forget(candidates: readonly Candidate[]): void;
 }
 
 /** Starts without rankings. */
 export function createFillerRankings({ durationOf, rank }: FillerRankingsOptions): FillerRankings {
     const rankings = new Map<readonly Candidate[], Map<string, CandidateRanking>>();
     return {
+        forget(candidates) {
+            rankings.delete(candidates);
+        },
         rankFor(task, candidates, starvation) {
             if (!isComparable(task)) {
                 return undefined;
--- a/src/jobs/policy/placements.ts
+++ b/src/jobs/policy/placements.ts
@@ -136,7 +136,10 @@
         searches: () => searches,
         isHalfEmpty: checkHalfEmpty,
         mayFit: mayFitOn,
-        noteLiftedReservations: candidates => fillerSearches.forgetFailures(candidates),
+        noteLiftedReservations(candidates) {
+            fillerSearches.forgetFailures(candidates);
+            fillerRankings.forget(candidates);
+        },
         place(task, candidates) {
             if (!mayFitOn(task, candidates) || fillerSearches.hasFailedFor(task, candidates)) {
                 return false;
