Fillers that can be on time share the cores that late ones have taken

Callers see: during the drain of a backlog, short jobs of fillers that could be on time are late.

Cause: since fillers of late jobs share cores at once, down to 0.15 of their own. One of a job that can be on time needs 0.6 of its cores idle, after 0.5 s 0.4 of them, and 0.15 only after 1.5 s. While late jobs take each place down to 0.15, no worker is open to it before.

Change: where the fillers of a worker have been brought below 0.4 of their cores, which only late or starving jobs do, a filler that could wait may start at once, too, down to 0.15. Where they have 0.4 or more, nothing changes. A search that has failed in a pass is no strict proof for these any more, as late fillers that are placed after it may bring a worker below 0.4; late ones come after those that can be on time within a priority.

The scenarios on standing still hold.

--- a/features/jobs/backlog.feature
+++ b/features/jobs/backlog.feature
@@ -14,6 +14,14 @@
         When 12 seconds have passed, after which none of them can be on time
         Then none of them runs nothing at each of three looks 1500 ms apart in the 20 seconds after that
 
+    # Guards against jobs that are late because the fillers of late ones keep them from all workers.
+    Scenario: Fillers that can be on time are so while late ones share the cores of all workers
+        Given 4 workers of 32 cores whose tasks slow each other down
+        And 100 jobs of 40 fillers of 4 cores that each run for 400 ms are handed in at once
+        When 12 seconds have passed, after which none of them can be on time
+        And 20 jobs of a filler of 2 cores that runs for 400 ms are handed in, one each 500 ms
+        Then each of these has ended within 1300 ms, when it is due
+
     Scenario: In a pool that is mostly reserved, a backlog drains in order of age
         Given 4 workers of 32 cores
         And a lasting task of 24 cores on each of them
@@ -39,6 +47,9 @@
             | 8 fillers of 4 cores               | 600          | starts on         |
             | 18 fillers of 4 cores              | 600          | starts on         |
             | 20 fillers of 4 cores              | 600          | does not start on |
+            | 21 fillers of 4 cores              | 0            | starts on         |
+            | 52 fillers of 4 cores              | 600          | starts on         |
+            | 53 fillers of 4 cores              | 1000         | does not start on |
             | 8 fillers of 4 cores, and a task of 2 cores | 600 | does not start on |
 
     Scenario Outline: A filler of a late job of which nothing runs <outcome> a worker that runs <others>
--- a/features/jobs/backlog.steps.ts
+++ b/features/jobs/backlog.steps.ts
@@ -24,6 +24,7 @@
     /** Identifiers of the jobs, the one that is to get its turn first at the front. */
     expected: string[];
     timely: string;
+    timelyJobs: string[];
 }
 
 const LIMIT_MILLISECONDS = 3_000;
@@ -135,6 +136,28 @@
     }
 });
 
+When(
+    "{int} jobs of a filler of {int} cores that runs for {int} ms are handed in, one each {int} ms",
+    function(this: BacklogWorld, jobs: number, cores: number, runMilliseconds: number, intervalMilliseconds: number) {
+        const fields = { cores, isFiller: true, image: "advice", estimateMilliseconds: runMilliseconds };
+        this.timelyJobs = Array.from({ length: jobs }, (_, index) => describeId(2_000 + index));
+        for (const id of this.timelyJobs) {
+            this.play.submit({ id, fields, runMilliseconds });
+            this.play.advance(intervalMilliseconds);
+        }
+    },
+);
+
+Then("each of these has ended within {int} ms, when it is due", function(this: BacklogWorld, milliseconds: number) {
+    const { outcomes } = this.play;
+    this.play.advance(milliseconds);
+    const latencies = this.timelyJobs.map(id => {
+        const { endedAt = Infinity, submittedAt } = outcomes.get(id) ?? assert.fail("the job was handed in");
+        return endedAt - submittedAt;
+    });
+    assert.ok(latencies.every(latency => latency <= milliseconds), `ended after ${latencies.join(", ")} ms`);
+});
+
 Then("the job that goes on is the oldest one", function(this: BacklogWorld) {
     const { jobTable, outcomes } = this.play;
     const unfinished = [...outcomes.keys()].filter(id =>
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -55,6 +55,7 @@
 /** A filler that shares the cores of others is not placed where all of them would get less than this share of theirs. */
 const MINIMUM_SHARED_SHARES: Readonly<Record<Starvation, number>> = {
     none: Infinity,
+    waiting: Infinity,
     idle: 0.4,
     late: 0.15,
     starving: 0.15,
@@ -66,9 +67,14 @@
         && step.size.millicores <= sharedMillicoresOf({ load, worker }, starvation);
 }
 
-/** Most cores that a filler may ask for where it shares those of others, in thousandths. */
+/**
+ * Most cores that a filler may ask for where it shares those of others, in thousandths. Where fillers of late jobs have taken more than others
+ * may, these would wait for cores that never become idle, so that they may take as much.
+ */
 function sharedMillicoresOf({ load, worker }: Candidate, starvation: Starvation): number {
-    return worker.capacity.millicores / MINIMUM_SHARED_SHARES[starvation] - load.fillerMillicores;
+    const isTakenByLate = load.fillerMillicores * MINIMUM_SHARED_SHARES.idle > worker.capacity.millicores;
+    const limit = isTakenByLate && starvation !== "none" ? "late" : starvation;
+    return worker.capacity.millicores / MINIMUM_SHARED_SHARES[limit] - load.fillerMillicores;
 }
 
 /** Whether the fillers of a worker get less of their cores than fillers are placed for, unless their jobs stand still. */
@@ -190,7 +196,7 @@
     const free = { ...ZERO_SIZE };
     let totalFree = ZERO_SIZE;
     let idle = 0;
-    const shared = { none: -Infinity, idle: -Infinity, late: -Infinity, starving: -Infinity };
+    const shared = { none: -Infinity, waiting: -Infinity, idle: -Infinity, late: -Infinity, starving: -Infinity };
     for (const candidate of candidates) {
         const { load: { used }, worker: { capacity } } = candidate;
         free.millicores = Math.max(free.millicores, capacity.millicores - used.millicores);
--- a/src/jobs/policy/starvation.ts
+++ b/src/jobs/policy/starvation.ts
@@ -8,7 +8,7 @@
 import type { Task } from "../job-table/task.js";
 import type { Candidate } from "./candidate.js";
 
-/** Time without a running attempt after which a filler of a job that can still be on time shares the cores of other fillers. */
+/** Time without a running attempt after which a filler of a job that can still be on time is the first to share the cores of a worker. */
 const SHARING_MILLISECONDS = 500;
 
 /** Time without a running attempt after which the job starves; the platform's documentation allows twice that. */
@@ -20,6 +20,8 @@
 /** How badly a job needs one of its tasks to start, least first. */
 export const STARVATIONS = [
     "none",
+    /** A filler may start where those of jobs that need it more have taken the cores of all. */
+    "waiting",
     /** A filler may start where it gets few cores, beside no tasks but other fillers. */
     "idle",
     /** The same with still fewer cores: a late job gains more by going on than by speed. */
@@ -55,7 +57,7 @@
     if (isLate()) {
         return "late";
     }
-    return idleMilliseconds >= SHARING_MILLISECONDS ? "idle" : "none";
+    return idleMilliseconds >= SHARING_MILLISECONDS ? "idle" : "waiting";
 }
 
 /** Whether no attempt of an occurrence runs. */
