--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -62,6 +62,7 @@
 
 const SHARING_LIMITS: Readonly<Record<Starvation, SharingLimits>> = {
     none: { minimumShare: Infinity, isBesideReserved: false },
+    waiting: { minimumShare: Infinity, isBesideReserved: false },
     idle: { minimumShare: 0.4, isBesideReserved: false },
     late: { minimumShare: 0.15, isBesideReserved: true },
     starving: { minimumShare: 0.15, isBesideReserved: true },
@@ -75,12 +76,17 @@
     return step.size.millicores <= sharedMillicoresOf(candidate, starvation);
 }
 
-/** Most cores that a filler may ask for where it shares those of others, in thousandths. */
+/**
+ * Most cores that a filler may ask for where it shares those of others, in thousandths. Where fillers of late jobs have taken more than others
+ * may, these would wait for cores that never become idle, so that they may take as much.
+ */
 function sharedMillicoresOf({ load, worker }: Candidate, starvation: Starvation): number {
     const { fillerMillicores, servingCount, used } = load;
-    const { isBesideReserved, minimumShare } = SHARING_LIMITS[starvation];
-    const isShared = isBesideReserved ? servingCount === 0 : used.millicores === 0;
-    return isShared ? (worker.capacity.millicores - used.millicores) / minimumShare - fillerMillicores : -Infinity;
+    const left = worker.capacity.millicores - used.millicores;
+    const isTakenByLate = fillerMillicores * SHARING_LIMITS.idle.minimumShare > left;
+    const limits = SHARING_LIMITS[isTakenByLate && starvation !== "none" ? "late" : starvation];
+    const isShared = limits.isBesideReserved ? servingCount === 0 : used.millicores === 0;
+    return isShared ? left / limits.minimumShare - fillerMillicores : -Infinity;
 }
 
 /** Whether the fillers of a worker get less of their cores than fillers are placed for, unless their jobs stand still. */
@@ -202,7 +208,7 @@
     const free = { ...ZERO_SIZE };
     let totalFree = ZERO_SIZE;
     let idle = 0;
-    const shared = { none: -Infinity, idle: -Infinity, late: -Infinity, starving: -Infinity };
+    const shared = { none: -Infinity, waiting: -Infinity, idle: -Infinity, late: -Infinity, starving: -Infinity };
     for (const candidate of candidates) {
         const { load: { used }, worker: { capacity } } = candidate;
         free.millicores = Math.max(free.millicores, capacity.millicores - used.millicores);
