A shrunk worker keeps no gang from gathering room elsewhere

Callers saw: nothing yet; found by reading. With one worker shrunk to 4 cores under a task of 28 that serves, no room was kept for a gang of two tasks of 8 cores on two workers of 16.

Cause: the cores that may be reserved were summed over all workers, with less than none for one that has shrunk below what serves there.

Change: such a worker counts as having none.

Evidence: the new scenario fails on the former code (no worker kept, two expected); it and the other 27 of features/jobs/look-ahead.feature, gang-plans.feature and capacity.feature hold.

--- a/features/jobs/look-ahead.feature
+++ b/features/jobs/look-ahead.feature
@@ -66,6 +66,12 @@
         And a task of 4 cores comes 100 ms later that is estimated at 900 ms
         Then the later one starts within 100 ms
 
+    # Guards against gangs that room is never kept for, since a worker has shrunk below what it runs.
+    Scenario: Cores that are held beyond the room of a shrunk worker do not keep a gang from gathering room
+        Given a worker that has shrunk to 4 cores under a task of 28 that serves
+        And 2 workers of 16 cores with a task of 12 cores each that is expected to end soon
+        Then room is kept on both of them for a gang of 2 tasks of 8 cores
+
     Scenario: A more urgent queue does not wait for what is kept for others
         Given 1 workers of 16 cores, with a task of 8 cores that ends after 1000 ms, and one of 2 cores
         When a task of 12 cores comes that runs for 1000 ms
--- a/src/jobs/policy/gap.ts
+++ b/src/jobs/policy/gap.ts
@@ -90,13 +90,13 @@
         && (requiredLabel === undefined || labels.includes(requiredLabel));
 }
 
-/** Whether as many cores may be reserved besides those that are. */
+/** Whether as many cores may be reserved besides those that are. A worker that has shrunk below what serves there takes nothing from others. */
 function isWithinShare(millicores: number, isGang: boolean, candidates: readonly Candidate[]): boolean {
     let reserved = 0;
     let shared = 0;
     for (const { load, reservation, worker } of candidates) {
         reserved += reservation?.size.millicores ?? 0;
-        shared += worker.capacity.millicores - load.servingMillicores;
+        shared += Math.max(0, worker.capacity.millicores - load.servingMillicores);
     }
     return reserved === 0
         ? !isGang || millicores <= shared * LARGEST_GANG_SHARE
