Steps whose kinds change from check to check are looked at in turn

The kind of a task changes with time where room is reserved or its job begins to starve; kinds that were new in a check came before those with an older look, in the order of the ready tasks, so that more than 100 new kinds in each check kept the same steps from any look.

The age of the latest look is now kept with the step, not with the kind: a check looks at the kinds of those steps first whose reason is oldest, at 200 kinds at most. Looks are not kept for the next check.

--- a/features/jobs/waiting-lines.feature
+++ b/features/jobs/waiting-lines.feature
@@ -104,6 +104,13 @@
         And 2000 ms pass with a look at what waits each second
         Then 1000 tasks are counted as waiting for "worker-silent"
 
+    Scenario: Steps whose kinds change from check to check are looked at in turn
+        When 1000 jobs of 1000 kinds are ready, and other tasks use all cores
+        And 5000 ms pass with a look at what waits each second
+        And the workers fall silent
+        And 6000 ms pass with a look each second, while all jobs become of other kinds
+        Then 1000 tasks are counted as waiting for "worker-silent"
+
     Scenario: Tasks that share a look at the workers would each find the same by one of their own
         When tasks of different kinds are ready at workers that run others, and room is kept on one of them
         Then looks for each task find the same for all tasks of a kind, which are fewer
--- a/features/jobs/waiting-turns.steps.ts
+++ b/features/jobs/waiting-turns.steps.ts
@@ -25,6 +25,18 @@
     }
 });
 
+When("{int} ms pass with a look each second, while all jobs become of other kinds", function(
+    this: WaitingTurnsWorld,
+    milliseconds: number,
+) {
+    for (let passed = 0; passed < milliseconds; passed += 1_000) {
+        for (const { step } of this.jobTable.readyTasks) {
+            Object.assign(step, { image: `${step.image}-later` });
+        }
+        this.waiting.passTime(1_000);
+    }
+});
+
 Then("{int} tasks are counted as waiting for {string}, and {int} for {string}", function(
     this: WaitingTurnsWorld,
     first: number,
--- a/src/jobs/cell/waiting-lines.ts
+++ b/src/jobs/cell/waiting-lines.ts
@@ -2,7 +2,7 @@
  * Writes why work whose turn has come is not started: for one step, task or job a line, while it waits.
  *
  * Workload: thousands of tasks wait at an owner with a third of a core. Waiting steps are listed once a second. Lines are limited, and those
- * that have been due longest come first. Counts follow from the latest looks at the workers, which many steps share.
+ * that have been due longest come first. Counts follow from looks at the workers, which many steps share.
  */
 import { DECIDED_BY } from "../policy/waiting-reasons.js";
 import type { WaitingReason } from "../policy/waiting-reasons.js";
@@ -12,7 +12,7 @@
 import { listWaitingWork } from "./waiting-list.js";
 import type { WaitingWork } from "./waiting-list.js";
 import { createWaitingLooks } from "./waiting-looks.js";
-import type { CheckedLooks } from "./waiting-looks.js";
+import type { WaitingLooks } from "./waiting-looks.js";
 
 /** Work that has waited as long as this, in milliseconds, gets a line. */
 const FIRST_LINE_MILLISECONDS = 2_000;
@@ -46,6 +46,8 @@
     reason: WaitingReason;
     /** When a check first found the reason. */
     reasonSinceMilliseconds: number;
+    /** When a look at the workers last told the reason; -Infinity if none has told it. */
+    lookedAtMilliseconds: number;
     /** When a line is due. */
     dueAtMilliseconds: number;
 }
@@ -53,7 +55,6 @@
 /** Starts without any work that waits. */
 export function createWaitingLines({ cell, latestPass, recovery }: WaitingLinesOptions): WaitingLines {
     let followed = new Map<WaitingWork["subject"], FollowedWork>();
-    const waitingLooks = createWaitingLooks(cell);
 
     const follow = (work: WaitingWork, now: number): FollowedWork => {
         const known = followed.get(work.subject);
@@ -64,6 +65,7 @@
         if (known.work.reason !== work.reason) {
             setReason(known, work.reason, work.heldSinceMilliseconds ?? now);
             known.dueAtMilliseconds = Math.min(known.dueAtMilliseconds, now);
+            known.lookedAtMilliseconds = -Infinity;
         }
         known.work = work;
         return known;
@@ -88,23 +90,24 @@
         });
     };
 
-    const renewReasons = (lines: readonly FollowedWork[], looks: CheckedLooks, now: number): void => {
+    const renewReasons = (lines: readonly FollowedWork[], looks: WaitingLooks, now: number): void => {
         const placeable = lines.flatMap(line => {
             const { reason, task } = line.work;
             return reason === "unexplained" && task !== undefined ? [{ line, task }] : [];
-        });
+        }).sort(({ line: left }, { line: right }) => compareLooks(left, right));
         const reasons = looks.findReasons(placeable.map(({ task }) => task));
         placeable.forEach(({ line }, index) => {
             const reason = reasons[index];
             if (reason !== undefined) {
                 renewReason(line, reason, now);
+                line.lookedAtMilliseconds = now;
             }
         });
     };
 
     return {
         check(now) {
-            const looks = waitingLooks.startCheck(latestPass(), now);
+            const looks = createWaitingLooks(cell, latestPass(), now);
             const listed = listWaitingWork(cell, recovery, looks, now);
             followed = new Map(listed.map(work => [work.subject, follow(work, now)]));
             const late = [...followed.values()].filter(line => now - waitingSince(line) >= FIRST_LINE_MILLISECONDS);
@@ -124,7 +127,13 @@
 
 function beginFollowing(work: WaitingWork, now: number): FollowedWork {
     const { heldSinceMilliseconds, reason } = work;
-    const line = { work, reason, reasonSinceMilliseconds: heldSinceMilliseconds ?? now, dueAtMilliseconds: now };
+    const line = {
+        work,
+        reason,
+        reasonSinceMilliseconds: heldSinceMilliseconds ?? now,
+        lookedAtMilliseconds: -Infinity,
+        dueAtMilliseconds: now,
+    };
     line.dueAtMilliseconds = waitingSince(line) + FIRST_LINE_MILLISECONDS;
     return line;
 }
@@ -134,6 +143,14 @@
     return work.reason === "attempt-unconfirmed" ? reasonSinceMilliseconds : work.readyAtMilliseconds;
 }
 
+/** Puts the work first whose latest look is oldest. */
+function compareLooks(
+    { lookedAtMilliseconds: left }: FollowedWork,
+    { lookedAtMilliseconds: right }: FollowedWork,
+): number {
+    return left === right ? 0 : left - right;
+}
+
 /** Sets what a look has told. The reason found by the first one counts from when passes began to consider the work. */
 function renewReason(followed: FollowedWork, reason: WaitingReason, now: number): void {
     if (reason !== followed.reason) {
--- a/src/jobs/cell/waiting-list.ts
+++ b/src/jobs/cell/waiting-list.ts
@@ -14,7 +14,7 @@
 import type { CellContext } from "./context.js";
 import type { Recovery } from "./recovery.js";
 import { poolOf } from "./waiting-looks.js";
-import type { CheckedLooks } from "./waiting-looks.js";
+import type { WaitingLooks } from "./waiting-looks.js";
 import { attemptsLapsedAt } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
@@ -52,7 +52,7 @@
 export function listWaitingWork(
     cell: CellContext,
     recovery: Recovery,
-    looks: CheckedLooks,
+    looks: WaitingLooks,
     now: number,
 ): WaitingWork[] {
     return [
@@ -65,7 +65,7 @@
 function listWaitingSteps(
     cell: CellContext,
     recovery: Recovery,
-    looks: CheckedLooks,
+    looks: WaitingLooks,
     now: number,
 ): WaitingWork[] {
     const { queues } = cell.catalog();
--- a/src/jobs/cell/waiting-looks.ts
+++ b/src/jobs/cell/waiting-looks.ts
@@ -1,8 +1,8 @@
 /**
  * Looks at the workers of a pool for tasks that wait, which tell what stands against their start.
  *
- * Workload: a thousand steps wait at an owner with a third of a core, most of them like many others. Tasks of one kind share a look. The looks
- * of one check are limited, and the kinds whose latest look is oldest come first.
+ * Workload: a thousand steps wait at an owner with a third of a core, most of them like many others. Tasks of one kind share a look, and the
+ * looks of one check are limited. Kinds change from check to check, so that nothing is kept for the next one.
  */
 import { stepProgressOf } from "../job-table/job-table.js";
 import type { Task } from "../job-table/task.js";
@@ -16,7 +16,7 @@
 import { findWorkerObstacle } from "./pools.js";
 
 /** Limit of looks that one check makes for counts; those for its lines come besides. */
-const MAXIMUM_LOOKS = 100;
+const MAXIMUM_LOOKS = 200;
 
 /** Why a task is not started, with its turn where the latest pass has not come to it. */
 export interface TaskExplanation extends PlacementExplanation {
@@ -26,70 +26,46 @@
 }
 
 /** Looks of one check. */
-export interface CheckedLooks {
-    /** Explains by a look of this check why a task that the passes look at is not started. */
+export interface WaitingLooks {
+    /** Explains why a task that the passes look at is not started. */
     explain(task: Task): TaskExplanation;
-    /** Finds the reason of each of many tasks by the latest look for its kind; absent if there has been none. */
+    /** Finds the reasons of many tasks; absent for those that the limit of looks leaves out. Kinds are looked at in the order of the tasks. */
     findReasons(tasks: readonly Task[]): (WaitingReason | undefined)[];
 }
 
-/** Looks for the waiting tasks of a cell. */
-export interface WaitingLooks {
-    startCheck(latestPass: LatestPass, now: number): CheckedLooks;
-}
-
-interface Look {
-    readonly atMilliseconds: number;
-    readonly explanation: PlacementExplanation;
-}
-
 /** A pool with the kinds of its tasks. */
 interface DescribedPool {
     readonly situation: PoolSituation;
     readonly kindOf: (task: Task) => string;
 }
 
-/** Starts without looks. */
-export function createWaitingLooks(cell: CellContext): WaitingLooks {
-    let latestLooks = new Map<string, Look>();
+/** Begins a check without looks. */
+export function createWaitingLooks(cell: CellContext, latestPass: LatestPass, now: number): WaitingLooks {
+    const describedPoolOf = createPoolDescriptions(cell, latestPass, now);
+    const tasksBefore = countTasksBefore(latestPass.unreachedTasks, task => poolOf(cell, task));
+    const tasksBeforeOf = (task: Task): number | undefined => tasksBefore.get(stepProgressOf(task));
+    const explanations = new Map<string, PlacementExplanation>();
+
+    const kindOf = (task: Task): string => {
+        const pool = poolOf(cell, task);
+        return `${pool ?? ""} ${describedPoolOf(pool).kindOf(task)}`;
+    };
+    const look = (task: Task, kind: string): PlacementExplanation => {
+        const explanation = explanations.get(kind)
+            ?? explainPlacement(task, describedPoolOf(poolOf(cell, task)).situation, now);
+        explanations.set(kind, explanation);
+        return explanation;
+    };
 
     return {
-        startCheck(latestPass, now) {
-            const describedPoolOf = createPoolDescriptions(cell, latestPass, now);
-            const kindOf = (task: Task): string => {
-                const pool = poolOf(cell, task);
-                return `${pool ?? ""} ${describedPoolOf(pool).kindOf(task)}`;
-            };
-            const look = (task: Task, kind: string): PlacementExplanation => {
-                const explanation = explainPlacement(task, describedPoolOf(poolOf(cell, task)).situation, now);
-                latestLooks.set(kind, { atMilliseconds: now, explanation });
-                return explanation;
-            };
-            const tasksBefore = countTasksBefore(latestPass.unreachedTasks, task => poolOf(cell, task));
-            const tasksBeforeOf = (task: Task): number | undefined => tasksBefore.get(stepProgressOf(task));
-            const lookedAt = (kind: string): number => latestLooks.get(kind)?.atMilliseconds ?? 0;
-            return {
-                explain(task) {
-                    const kind = kindOf(task);
-                    const latest = latestLooks.get(kind);
-                    const explanation = latest?.atMilliseconds === now ? latest.explanation : look(task, kind);
-                    return addTurn(explanation, tasksBeforeOf(task), latestPass, now);
-                },
-                findReasons(tasks) {
-                    const kinds = tasks.map(kindOf);
-                    const examples = new Map<string, Task>();
-                    tasks.forEach((task, index) => examples.set(kinds[index] ?? "", task));
-                    [...examples].filter(([kind]) => lookedAt(kind) < now)
-                        .sort(([left], [right]) => lookedAt(left) - lookedAt(right))
-                        .slice(0, MAXIMUM_LOOKS)
-                        .forEach(([kind, task]) => look(task, kind));
-                    latestLooks = new Map([...latestLooks].filter(([kind]) => examples.has(kind)));
-                    return tasks.map((task, index) => {
-                        const latest = latestLooks.get(kinds[index] ?? "");
-                        return latest && explainTurn(latest.explanation, tasksBeforeOf(task));
-                    });
-                },
-            };
+        explain: task => addTurn(look(task, kindOf(task)), tasksBeforeOf(task), latestPass, now),
+        findReasons(tasks) {
+            const limit = explanations.size + MAXIMUM_LOOKS;
+            return tasks.map(task => {
+                const kind = kindOf(task);
+                const explanation = explanations.size < limit ? look(task, kind) : explanations.get(kind);
+                return explanation && explainTurn(explanation, tasksBeforeOf(task));
+            });
         },
     };
 }
