A task whose start may reach its worker's next life is started elsewhere only after a stop there

A task ran twice at the same time (TWICE): the first order to start it got no answer, the second was confirmed, and the worker came back as a new life. The task was started elsewhere as soon as the new life reported; seconds later the new life carried out the first order, under a lease that it could not tell from one of its own. Orders cannot name the life they are meant for, as its id stays the same.

An attempt with a start order of the last 12 s that got no answer is now not given up when a new life reports. It is stopped there, after which the worker rejects the late order, and its task is started elsewhere after the report that follows, or after 12 s. Tasks whose orders were all answered are started elsewhere at once, as before.

Not covered: a worker that stays away until its leases have lapsed, and orders of former owners.

--- a/src/jobs/cell/report.ts
+++ b/src/jobs/cell/report.ts
@@ -3,10 +3,12 @@
  */
 import { recordAttemptEnd, recordLostAttempt, recordRunningAttempt } from "../job-table/attempts.js";
 import type { JobTable } from "../job-table/job-table.js";
+import { expectLateStart, mayStartLate } from "../job-table/late-starts.js";
 import type { Attempt } from "../job-table/task.js";
+import { LATEST_ORDER_MILLISECONDS } from "../model/worker.js";
 import type { EndedAttempt, RunningAttempt, WorkerReport } from "../model/worker.js";
 import { recordSuccess } from "../policy/health.js";
-import { hasStoppedListing, LATEST_ORDER_MILLISECONDS } from "./worker.js";
+import { hasStoppedListing } from "./worker.js";
 import type { CellWorker } from "./worker.js";
 
 /** Changes that a report led to. */
@@ -44,7 +46,14 @@
     if (hasRestarted) {
         resetWorkerState(worker);
         // Orders without an answer may still start their attempts; they are repeated, and then stopped.
-        jobTable.occupancy.load(id).attempts.filter(({ phase }) => phase !== "ordered").forEach(markLost);
+        for (const attempt of jobTable.occupancy.load(id).attempts.filter(({ phase }) => phase !== "ordered")) {
+            if (mayStartLate(attempt, now)) {
+                expectLateStart(jobTable, attempt, now);
+            }
+            else {
+                markLost(attempt);
+            }
+        }
     }
     worker.incarnation = report.incarnation ?? worker.incarnation;
     if (worker.clock === undefined || report.clockMilliseconds >= worker.clock.workerMilliseconds) {
--- a/src/jobs/cell/starting.ts
+++ b/src/jobs/cell/starting.ts
@@ -134,8 +134,10 @@
     const { jobTable, clock, metrics, settings } = cell;
     const { entry, key } = attempt.task;
     const sentAt = clock();
+    const { unansweredStartAtMilliseconds: earlierUnansweredAt } = attempt;
     worker.lastStartSentAtMilliseconds = sentAt;
     attempt.sentAtMilliseconds = sentAt;
+    attempt.unansweredStartAtMilliseconds = sentAt;
     const answer = await cell.orders.start(worker.listed, {
         epoch: cell.epoch,
         task: key,
@@ -147,9 +149,13 @@
     }, () => {
         const isSent = isWanted(start) && maySend(start);
         attempt.sentAtMilliseconds = isSent ? clock() : attempt.sentAtMilliseconds;
+        attempt.unansweredStartAtMilliseconds = attempt.sentAtMilliseconds;
         return isSent;
     });
     const now = clock();
+    if (answer.isOk || answer.error.code === "unavailable") {
+        attempt.unansweredStartAtMilliseconds = earlierUnansweredAt;
+    }
     if (answer.isOk) {
         const { clockMilliseconds } = answer.value;
         if (clockMilliseconds !== undefined && isAnswerOfNewLife(worker, clockMilliseconds, sentAt)) {
--- a/src/jobs/cell/worker.ts
+++ b/src/jobs/cell/worker.ts
@@ -2,6 +2,7 @@
  * The owner's state of a worker: its clock, its lease, and the sequences of the ends that were recorded and committed.
  */
 import type { WorkerLife } from "../job-table/job-table.js";
+import { LATEST_ORDER_MILLISECONDS } from "../model/worker.js";
 import type { ListedWorker } from "../model/worker.js";
 import { createWorkerHealth } from "../policy/health.js";
 import type { WorkerHealth } from "../policy/health.js";
@@ -74,9 +75,6 @@
     return milliseconds / SLOWEST_CLOCK_RATE;
 }
 
-/** Longest time after which an order without an answer is still carried out, as the platform documents it. */
-export const LATEST_ORDER_MILLISECONDS = 12_000;
-
 /** Time without a new end after which a worker counts as one that lists no more; it is asked several times a second meanwhile. */
 const LISTING_LIMIT_MILLISECONDS = 5_000;
 
--- a/src/jobs/job-table/attempts.ts
+++ b/src/jobs/job-table/attempts.ts
@@ -38,6 +38,7 @@
         worker,
         orderedAtMilliseconds: now,
         sentAtMilliseconds: undefined,
+        unansweredStartAtMilliseconds: undefined,
         phase: "ordered",
         confirmedClockMilliseconds: undefined,
         unlistedSinceMilliseconds: undefined,
--- a/src/jobs/job-table/task.ts
+++ b/src/jobs/job-table/task.ts
@@ -21,6 +21,8 @@
     readonly orderedAtMilliseconds: number;
     /** When the latest order to start it was sent; absent if this owner has sent none. */
     sentAtMilliseconds: number | undefined;
+    /** When the latest of the orders to start it that have no answer was sent; absent if all have one. */
+    unansweredStartAtMilliseconds: number | undefined;
     phase: AttemptPhase;
     /** The worker's clock when it confirmed the start. Reports with an earlier clock do not cover this attempt. */
     confirmedClockMilliseconds: number | undefined;
--- a/src/jobs/model/worker.ts
+++ b/src/jobs/model/worker.ts
@@ -6,6 +6,9 @@
 import type { Size } from "./size.js";
 import type { TaskKey } from "./task-key.js";
 
+/** Longest time after which an order without an answer is still carried out, as the platform documents it. */
+export const LATEST_ORDER_MILLISECONDS = 12_000;
+
 /** A worker as the platform lists it. */
 export interface ListedWorker {
     readonly id: string;
