Workers are kept for suspects, but not from tasks that last

Callers saw: a job, a lasting task or a gang under which a worker has crashed was not started as long as traffic went on.

--- a/features/jobs/task-bounds.feature
+++ b/features/jobs/task-bounds.feature
@@ -27,6 +27,13 @@
         Then it has started after at most 3000 ms
         And 95 of 100 short tasks have ended
 
+    # Guards against a lasting task that finds no worker as long as any are kept for suspects, one after the other (LOST).
+    Scenario: A lasting task starts soon after its limit of 4 seconds though workers are kept for many suspects of crashes
+        Given a pool of 2 workers of 32 cores, and 40 short tasks of one core arrive each second
+        And 80 tasks of 1 cores under which workers have crashed have waited for 2 seconds
+        When a lasting task of 4 cores waits
+        Then it has started after at most 4500 ms
+
     # Guards against a task that waits as long as its worker answers reports and no orders (LOST); not earlier, as the start may come (TWICE).
     Scenario: A start that is not carried out ends 12 seconds after its order though no stop is answered
         Given a start and its stops that a worker leaves unanswered, while it reports each second
--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -9,6 +9,7 @@
 import { addSize, fitsInto, maximumOf, ZERO_SIZE } from "../model/size.js";
 import type { Size } from "../model/size.js";
 import type { ListedWorker } from "../model/worker.js";
+import { isSuspect } from "./crashes.js";
 import type { ExpectedPressure } from "./pacing.js";
 import { STARVATIONS } from "./starvation.js";
 import type { Starvation } from "./starvation.js";
@@ -32,6 +33,8 @@
     readonly size: Size;
     /** When the capacity is expected to be free. Tasks that are expected to end before may use it. */
     readonly expectedAtMilliseconds: number;
+    /** Whether a suspect of a crash is to start there, which starts by itself. */
+    readonly isTrial?: boolean;
 }
 
 /** Expected pressures on the serving tasks of a worker, and what they were computed from. */
@@ -94,6 +97,8 @@
 /** What a worker lacks for a task. */
 export type Ineligibility =
     | "label-missing"
+    /** It is kept for a suspect of a crash, which starts by itself. */
+    | "kept-for-suspect"
     /** Too little of its capacity is free; capacity that is reserved for other tasks is not free. */
     | "no-room"
     /** It runs as many tasks of the step as one worker may. */
@@ -116,6 +121,9 @@
     if (requiredLabel !== undefined && !worker.labels.includes(requiredLabel)) {
         return "label-missing";
     }
+    if (isKeptForTrial(task, candidate)) {
+        return "kept-for-suspect";
+    }
     const freeCapacity = maximumOf(
         addSize(addSize(worker.capacity, load.used, -1), reservedFrom(task, candidate, options), -1),
         ZERO_SIZE,
@@ -150,13 +158,23 @@
     return reservation.expectedAtMilliseconds === -Infinity ? "reserved-for-overdue" : "reserved-ahead";
 }
 
+/**
+ * Whether a worker is to get no start but those of a suspect or its gang, so that it becomes quiet enough for them. Tasks that last start so
+ * seldom that it becomes quiet beside them.
+ */
+function isKeptForTrial(task: Task, { reservation }: Candidate): boolean {
+    return reservation?.isTrial === true && !task.step.isLasting
+        && !(reservation.step === stepProgressOf(task) && (isSuspect(task) || task.step.isGang));
+}
+
 /** Capacity of a worker that a task has to leave to others. */
 function reservedFrom(
     task: Task,
     { reservation }: Candidate,
     { expectedEndMilliseconds = Infinity, ignoresReservations = false }: EligibilityOptions,
 ): Size {
-    const isBound = reservation !== undefined && !ignoresReservations && reservation.step !== stepProgressOf(task)
+    const isBound = reservation !== undefined && !ignoresReservations
+        && !(reservation.isTrial === true && task.step.isLasting) && reservation.step !== stepProgressOf(task)
         && expectedEndMilliseconds > reservation.expectedAtMilliseconds;
     return isBound ? reservation.size : ZERO_SIZE;
 }
--- a/src/jobs/policy/pass.ts
+++ b/src/jobs/policy/pass.ts
@@ -25,6 +25,7 @@
 import { isPausing, planGivingWay } from "./preemption.js";
 import { reserveCapacity } from "./reservation.js";
 import { isIdle } from "./starvation.js";
+import { keepForTrials } from "./trials.js";
 
 /** Limit of workers that are reserved for lasting tasks at the same time; the others stay available to short tasks. */
 const MAXIMUM_RESERVATIONS = 2;
@@ -85,6 +86,7 @@
     const canRunElsewhere = (task: Task): boolean =>
         chooseWorker(task, candidatesFor(task), snapshot.interference, now) !== undefined;
     const moves = chooseMoves({ ...snapshot, canRunElsewhere }, now);
+    keepForTrials(startableTasks, candidatesFor, now);
     if (snapshot.mayStartCopies) {
         planCopies(snapshot, moves, placements, candidatesFor, now);
     }
--- a/src/jobs/policy/waiting-reasons.ts
+++ b/src/jobs/policy/waiting-reasons.ts
@@ -106,6 +106,7 @@
     "limit-per-worker": "placement",
     "beside-suspect": "crash-review",
     "suspect-needs-quiet": "crash-review",
+    "kept-for-suspect": "crash-review",
     "too-few-idle-cores": "placement",
     "interference": "interference-model",
     "gang-room": "placement",
