Jobs: an instance stopped while it loads a ledger runs no cell

An instance that was stopped while it loaded the ledger of a cell that it had claimed ran the cell once the ledger was loaded, and did not end. A cell listens for the abort of a signal, which an aborted signal does not raise again. The claim now ends if the instance has been stopped meanwhile.

Scenario "An instance that is stopped while it loads a cell's ledger does not run the cell": failed before (the cell was owned after the stop, and the instance had not ended after 60 s), and holds now.

--- a/src/jobs/ownership/ownership.ts
+++ b/src/jobs/ownership/ownership.ts
@@ -8,7 +8,7 @@
 import { formatFailure } from "../../core/errors.js";
 import type { Failure } from "../../core/errors.js";
 import type { EventLog } from "../../core/event-log.js";
-import { pause } from "../../core/time.js";
+import { isAborted, pause } from "../../core/time.js";
 import type { Clock } from "../../core/time.js";
 import { createWake } from "../../core/wake.js";
 import type { Store } from "../../platform/store.js";
@@ -158,6 +158,10 @@
             log.write("claim-failed", { cell: name, failure: formatFailure(segments.error) }, "vital");
             return;
         }
+        if (isAborted(signal)) {
+            // The instance has been stopped meanwhile; a cell does not notice a signal that is aborted before its run.
+            return;
+        }
         const formerOwners = createFormerOwners({
             cell: name,
             journal,
