--- a/src/jobs/policy/candidate.ts
+++ b/src/jobs/policy/candidate.ts
@@ -80,8 +80,8 @@
 }
 
 /**
- * Most cores that a filler may ask for where it shares those of others, in thousandths. Where fillers of late jobs have taken more than others
- * may, these would wait for cores that never become idle, so that they may take as much.
+ * Most cores that a filler may ask for where it shares those of others, in thousandths. Where fillers of late jobs have brought a worker below
+ * the share at which others start, no cores become idle for these, so that they may take as much.
  */
 function sharedMillicoresOf({ load, worker }: Candidate, starvation: Starvation): number {
     const { fillerMillicores, servingCount, used } = load;
